--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Every target sets up what it needs first; nothing is installed outside .venv.
+PYTHON ?= python3
+BIN := .venv/bin
+PACKAGES := packages/ryelatch-core packages/ryelatch-node packages/ryelatch-cli
+SOURCES := packages tests benchmarks docs/conf.py
+
+.PHONY: setup demo test fleet lint format bench slopes docs schema
+
+setup: .venv/ready
+
+.venv/ready: requirements.txt $(PACKAGES:=/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGES:%=-e %)
+	touch $@
+
+demo: setup
+	cd tests && ../$(BIN)/python -m fleet.demo
+
+fleet: setup
+	cd tests && ../$(BIN)/python -m fleet.forever
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/mypy packages/*/src tests/standins tests/fleet
+
+format: setup
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
+
+bench: setup
+	cd tests && ../$(BIN)/python ../benchmarks/run_all.py
+
+slopes: setup
+	cd tests && ../$(BIN)/python ../benchmarks/slopes.py
+
+docs: setup
+	$(BIN)/sphinx-build -q -W -b html docs build/docs
--- /dev/null
+++ b/packages/ryelatch-cli/src/ryelatch_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of ryelatch."""
--- /dev/null
+++ b/packages/ryelatch-cli/src/ryelatch_cli/_context.py
@@ -0,0 +1,41 @@
+"""What every command needs: the platform, the nodes, the keys."""
+
+import contextlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+from ryelatch_core.settings import Platform
+from ryelatch_node.store import Store, open_store
+
+from ryelatch_cli._output import CommandError, ExitCode, Output
+
+
+@dataclass(frozen=True)
+class Context:
+    """Where the system is, and who asks.
+
+    :param nodes: base URLs of the nodes.
+    """
+
+    platform_url: str
+    platform_token: str
+    nodes: list[str]
+    operator_key: str
+    output: Output
+
+
+@contextlib.asynccontextmanager
+async def use_store(context: Context) -> AsyncIterator[Store]:
+    """Open the platform's object API for the time of a command."""
+    if not context.platform_url:
+        raise CommandError(
+            'no platform: give --platform-url or RYELATCH_PLATFORM_URL',
+            ExitCode.USAGE,
+        )
+    store = open_store(
+        Platform(context.platform_url, context.platform_token)
+    )
+    try:
+        yield store
+    finally:
+        await store.close()
--- /dev/null
+++ b/packages/ryelatch-core/src/ryelatch_core/events/__init__.py
@@ -0,0 +1,18 @@
+"""Numbered events, their catalogue, and the time line that keeps them."""
+
+from ryelatch_core.events import _catalogue as catalogue
+from ryelatch_core.events._catalogue import EventKind, Level, list_kinds
+from ryelatch_core.events._clock import HybridClock, Stamp
+from ryelatch_core.events._timeline import Event, Timeline, merge_events
+
+__all__ = [
+    'Event',
+    'EventKind',
+    'HybridClock',
+    'Level',
+    'Stamp',
+    'Timeline',
+    'catalogue',
+    'list_kinds',
+    'merge_events',
+]
--- /dev/null
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -0,0 +1,183 @@
+"""The catalogue of events: every number that a log line can start with."""
+
+import enum
+from dataclasses import dataclass
+
+
+class Level(enum.Enum):
+    """How much an operator should care."""
+
+    INFO = 'info'
+    WARNING = 'warning'
+    ERROR = 'error'
+
+
+@dataclass(frozen=True)
+class EventKind:
+    """One kind of event.
+
+    :param number: the stable number, grouped by hundreds.
+    :param name: the stable name.
+    :param text: what it means.
+    :param action: what an operator should do.
+    """
+
+    number: int
+    name: str
+    text: str
+    action: str = 'Nothing.'
+    level: Level = Level.INFO
+
+
+NODE_STARTED = EventKind(1101, 'node-started', 'A node serves callers.')
+NODE_DRAINING = EventKind(
+    1102,
+    'node-draining',
+    'A planned stop began: not ready, answers in progress go on.',
+)
+NODE_STOPPED = EventKind(1103, 'node-stopped', 'A node ended in order.')
+
+REQUEST_ADMITTED = EventKind(
+    1201, 'request-admitted', 'A request left the queue of its client account.'
+)
+REQUEST_ENDED = EventKind(
+    1202, 'request-ended', 'A request got its one outcome.'
+)
+REQUEST_SHED = EventKind(
+    1203,
+    'request-shed',
+    'A request was given up on before it ran.',
+    'If frequent for an account within its share, add upstreams.',
+    Level.WARNING,
+)
+CALLER_GONE = EventKind(
+    1204,
+    'caller-gone',
+    'A caller closed its connection; its work upstream is cancelled.',
+)
+CALLER_REFUSED = EventKind(
+    1205,
+    'caller-refused',
+    'A caller or operator was refused for its key or its input.',
+    'If frequent, ask the client account whether its key was replaced.',
+    Level.WARNING,
+)
+
+CHAIN_CHOSEN = EventKind(
+    1301, 'chain-chosen', 'An attempt has a chain of engines.'
+)
+CHAIN_LOST = EventKind(
+    1302,
+    'chain-lost',
+    'A stage of an attempt failed; the next attempt goes on from the last '
+    'token delivered.',
+    'Look for the reason in its fields; engines repeatedly lost need care.',
+    Level.WARNING,
+)
+FRAME_DROPPED = EventKind(
+    1303,
+    'frame-dropped',
+    'A frame of an older attempt or of another request came and was dropped.',
+)
+RECEIPT_REFUSED = EventKind(
+    1304,
+    'receipt-refused',
+    'An engine says that it ran other layers or positions than asked for.',
+    'Take the engine out and report it: it breaks the order of layers.',
+    Level.ERROR,
+)
+
+UPSTREAM_UP = EventKind(1401, 'upstream-up', 'An upstream is connected.')
+UPSTREAM_DOWN = EventKind(
+    1402,
+    'upstream-down',
+    'An upstream refused, closed or went silent.',
+    'None if it was stopped; else look at the VM that it names.',
+    Level.WARNING,
+)
+UPSTREAM_LEAVING = EventKind(
+    1403, 'upstream-leaving', 'An upstream gets no new work from now on.'
+)
+
+CLAIM_MADE = EventKind(
+    1501, 'claim-made', 'An idempotency key was claimed in the store.'
+)
+CLAIM_FOUND = EventKind(
+    1502,
+    'claim-found',
+    'An idempotency key was claimed before; its request is not sent again.',
+)
+CLAIM_SETTLED = EventKind(
+    1503, 'claim-settled', 'The outcome of a claimed key was recorded.'
+)
+CLAIM_FAILED = EventKind(
+    1504,
+    'claim-failed',
+    'A claim could not be made or settled, as the store did not answer.',
+    'See the page on outages of the store.',
+    Level.WARNING,
+)
+
+SETTINGS_APPLIED = EventKind(
+    1601, 'settings-applied', 'A revision of the settings is in force here.'
+)
+SETTINGS_UNCONFIRMED = EventKind(
+    1602,
+    'settings-unconfirmed',
+    'A node started on the settings of its peers; the store was out.',
+    'Nothing; it confirms them when the store is back.',
+    Level.WARNING,
+)
+SETTINGS_IGNORED = EventKind(
+    1603,
+    'settings-ignored',
+    'An older revision than the one in force came and was ignored.',
+)
+SETTINGS_REFUSED = EventKind(
+    1604,
+    'settings-refused',
+    'A revision could not be read whole; the one in force stays.',
+    'Apply the settings again with a command line of this version.',
+    Level.ERROR,
+)
+STORE_OUT = EventKind(
+    1605,
+    'store-out',
+    'The platform service does not answer.',
+    'See the page on outages of the store.',
+    Level.WARNING,
+)
+STORE_BACK = EventKind(1606, 'store-back', 'The platform service answers.')
+
+PEER_UP = EventKind(1701, 'peer-up', 'A stream to a peer node is open.')
+PEER_DOWN = EventKind(
+    1702, 'peer-down', 'A stream to a peer node closed or went silent.'
+)
+PEER_REFUSED = EventKind(
+    1703,
+    'peer-refused',
+    'A process without the right key asked to be a peer, or sent bad frames.',
+    'Find out who connects to the peer port.',
+    Level.WARNING,
+)
+
+LEASE_TAKEN = EventKind(1801, 'lease-taken', 'This node holds a duty.')
+LEASE_LOST = EventKind(
+    1802, 'lease-lost', 'This node gave back or lost a duty.'
+)
+ORDER_SENT = EventKind(
+    1803, 'order-sent', 'An engine was told to hold other layers.'
+)
+ORDER_REFUSED = EventKind(
+    1804,
+    'order-refused',
+    'An engine refused an order, or it was not sent as the lease had lapsed.',
+    'Nothing, if another node holds the duty by now.',
+    Level.WARNING,
+)
+
+
+def list_kinds() -> list[EventKind]:
+    """List every kind of event by number."""
+    kinds = (kind for kind in globals().values() if isinstance(kind, EventKind))
+    return sorted(kinds, key=lambda kind: kind.number)
--- /dev/null
+++ b/packages/ryelatch-core/src/ryelatch_core/kernel/__init__.py
@@ -0,0 +1,8 @@
+"""The micro-kernel: services by name, an event hub, a clock."""
+
+from ryelatch_core.kernel._app import App, Service
+from ryelatch_core.kernel._clock import Clock, SystemClock
+from ryelatch_core.kernel._errors import KernelError
+from ryelatch_core.kernel._hub import Hub
+
+__all__ = ['App', 'Clock', 'Hub', 'KernelError', 'Service', 'SystemClock']
--- /dev/null
+++ b/packages/ryelatch-core/src/ryelatch_core/pipeline/__init__.py
@@ -0,0 +1,51 @@
+"""Chains of engines and the frames that run a model's layers on them."""
+
+from ryelatch_core.pipeline._chain import (
+    Chain,
+    ChainError,
+    Offer,
+    check_chain,
+    choose_chain,
+    cut_prompt,
+    matches_step,
+    offer_engine,
+)
+from ryelatch_core.pipeline._frames import (
+    MAX_FRAME_BYTES,
+    Cancel,
+    Frame,
+    FrameError,
+    Hello,
+    Ping,
+    Pong,
+    Receipt,
+    Refusal,
+    Step,
+    StepKey,
+    decode_frames,
+    encode_frames,
+)
+
+__all__ = [
+    'MAX_FRAME_BYTES',
+    'Cancel',
+    'Chain',
+    'ChainError',
+    'Frame',
+    'FrameError',
+    'Hello',
+    'Offer',
+    'Ping',
+    'Pong',
+    'Receipt',
+    'Refusal',
+    'Step',
+    'StepKey',
+    'check_chain',
+    'choose_chain',
+    'cut_prompt',
+    'decode_frames',
+    'encode_frames',
+    'matches_step',
+    'offer_engine',
+]
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/__init__.py
@@ -0,0 +1,1 @@
+"""The ryelatch router: one process on each entry VM."""
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/front/_admin.py
@@ -0,0 +1,95 @@
+"""What operators ask of a node."""
+
+import signal
+from dataclasses import asdict
+
+from ryelatch_core.events import Timeline
+from ryelatch_core.kernel import App
+from ryelatch_core.settings import Startup
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+
+from ryelatch_node.answers import Answers
+from ryelatch_node.config import SettingsHolder
+from ryelatch_node.front._caller import check_operator
+from ryelatch_node.front._model import Endpoint
+from ryelatch_node.peers import Peers
+from ryelatch_node.upstreams import Upstreams
+
+_ACCEPTED = 202
+
+
+def show_status(app: App) -> Endpoint:
+    """Make the endpoint that tells what this node does and knows."""
+
+    async def answer(request: Request) -> Response:
+        check_operator(app, request)
+        startup = app.find('startup', Startup)
+        holder = app.find('settings', SettingsHolder)
+        peers = app.find('peers', Peers)
+        return JSONResponse(
+            {
+                'node': startup.name,
+                'zone': startup.zone,
+                'draining': peers.draining,
+                'peers': sorted(peers.peers),
+                'revision': holder.revision,
+                'confirmed': holder.confirmed,
+                'answers': app.find('answers', Answers).running,
+                'upstreams': _list_upstreams(app.find('upstreams', Upstreams)),
+            }
+        )
+
+    return answer
+
+
+def show_timeline(app: App) -> Endpoint:
+    """Make the endpoint that lists events, by field if any are given."""
+
+    async def answer(request: Request) -> Response:
+        check_operator(app, request)
+        wanted = dict(request.query_params)
+        events = app.find('timeline', Timeline).list_events(**wanted)
+        return JSONResponse([asdict(event) for event in events])
+
+    return answer
+
+
+def drain_node(app: App) -> Endpoint:
+    """Make the endpoint that begins a planned stop of this node."""
+
+    async def answer(request: Request) -> Response:
+        check_operator(app, request)
+        signal.raise_signal(signal.SIGTERM)
+        return JSONResponse({'draining': True}, _ACCEPTED)
+
+    return answer
+
+
+def _list_upstreams(upstreams: Upstreams) -> list[dict[str, object]]:
+    return [
+        {
+            'name': name,
+            'role': member.vm.role,
+            'zone': member.vm.zone,
+            'address': member.vm.address,
+            'leaving': member.leaving,
+        }
+        | _describe_link(upstreams, name)
+        for name, member in upstreams.roster.members.items()
+    ]
+
+
+def _describe_link(upstreams: Upstreams, name: str) -> dict[str, object]:
+    link = upstreams.links.get(name)
+    if link is None or link.hello is None:
+        return {'connected': False}
+    hello = link.hello
+    return {
+        'connected': True,
+        'model': hello.model,
+        'version': hello.version,
+        'layers': f'{hello.first}-{hello.last}',
+        'kind': hello.kind,
+        'in_flight': link.in_flight,
+    }
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/front/_plain.py
@@ -0,0 +1,233 @@
+"""Requests to plain services."""
+
+from dataclasses import dataclass, replace
+
+from ryelatch_core.events import Timeline, catalogue
+from ryelatch_core.kernel import App
+from ryelatch_core.outcomes import (
+    OUTCOME_HEADER,
+    REQUEST_HEADER,
+    Failure,
+    Outcome,
+)
+from ryelatch_core.settings import AccountEntry, Route, Settings
+from ryelatch_core.settings import Service as PlainService
+from starlette.requests import Request
+from starlette.responses import Response
+
+from ryelatch_node.admission import Admission
+from ryelatch_node.config import SettingsHolder
+from ryelatch_node.front._body import read_body
+from ryelatch_node.front._caller import find_account
+from ryelatch_node.front._errors import CallerError, refuse
+from ryelatch_node.front._meter import Meter
+from ryelatch_node.front._model import Endpoint
+from ryelatch_node.plain import (
+    Answer,
+    Call,
+    Claim,
+    ClaimError,
+    Claims,
+    Forwarder,
+    RecordState,
+)
+from ryelatch_node.plain._claims import fingerprint_call, name_claim
+from ryelatch_node.plain._forward import clean_headers, may_repeat
+from ryelatch_node.upstreams import Upstreams
+
+_KEY_HEADER = 'idempotency-key'
+_MAX_KEY = 255
+_MAX_RECORDED = 256 * 1024
+_SERVER_ERROR = 500
+
+_CLAIM_FAILURES = {
+    ClaimError.STORE_OUT: Failure(
+        503,
+        'store_out',
+        'The key could not be claimed, so the request was not sent.',
+        Outcome.NOT_RUN,
+        2,
+        'server_error',
+    ),
+    ClaimError.MISMATCH: Failure(
+        422,
+        'key_reused',
+        'Another request was sent with this idempotency key.',
+        Outcome.NOT_RUN,
+    ),
+    ClaimError.LOST: Failure(
+        409,
+        'answer_lost',
+        'A request with this idempotency key may have run; its answer is '
+        'not known.',
+        Outcome.UNKNOWN,
+    ),
+}
+
+
+@dataclass(frozen=True)
+class _Target:
+    """A request with the route that it takes."""
+
+    account: AccountEntry
+    prefix: str
+    route: Route
+    service: PlainService
+    call: Call
+
+
+def serve_plain(app: App) -> Endpoint:
+    """Make the endpoint of all paths that are routes."""
+
+    async def answer(request: Request) -> Response:
+        account = find_account(app, request)
+        settings = app.find('settings', SettingsHolder).settings
+        prefix = _match_route(settings, account, request.url.path)
+        route = settings.routes[prefix]
+        call = _build_call(
+            request, prefix, route, await read_body(request)
+        )
+        service = settings.services[route.service]
+        target = _Target(account, prefix, route, service, call)
+        started = app.clock.monotonic()
+        admission = app.find('admission', Admission)
+        admitted = await admission.admit(route.service, account, 1)
+        if admitted.is_err():
+            raise CallerError(admitted.unwrap_err())
+        try:
+            return await _serve_target(app, target, request, started)
+        finally:
+            admission.release(admitted.unwrap(), 1)
+
+    return answer
+
+
+async def _serve_target(
+    app: App,
+    target: _Target,
+    request: Request,
+    started: float,
+) -> Response:
+    key = request.headers.get(_KEY_HEADER, '')
+    outcome = Outcome.UNKNOWN
+    try:
+        if key and not target.call.idempotent:
+            answered = await _serve_claimed(app, target, key)
+        else:
+            answered = await _forward(app, target)
+        outcome = (
+            Outcome.COMPLETE
+            if answered.status < _SERVER_ERROR
+            else Outcome.FAILED
+        )
+    except CallerError as error:
+        outcome = error.failure.outcome
+        raise
+    finally:
+        elapsed = app.clock.monotonic() - started
+        app.find('meter', Meter).note_end(elapsed, 0, outcome)
+        app.find('timeline', Timeline).record(
+            catalogue.REQUEST_ENDED,
+            request=target.call.request,
+            account=target.account.path,
+            route=target.prefix,
+            outcome=outcome.value,
+        )
+    response = Response(answered.body, answered.status)
+    for name, text in answered.headers:
+        response.headers.append(name, text)
+    response.headers[OUTCOME_HEADER] = outcome.value
+    response.headers[REQUEST_HEADER] = target.call.request
+    return response
+
+
+async def _serve_claimed(app: App, target: _Target, key: str) -> Answer:
+    """Send a request at most once for its key, over all nodes."""
+    if len(key) > _MAX_KEY:
+        raise refuse(400, 'key_too_long', f'At most {_MAX_KEY} characters.')
+    call = target.call
+    claims = app.find('claims', Claims)
+    claimed = await claims.claim(
+        name_claim(target.account.path, target.prefix, key),
+        fingerprint_call(call.method, call.path, call.body),
+        target.route.keep_answers,
+        target.service.timeout,
+    )
+    if claimed.is_err():
+        raise CallerError(_CLAIM_FAILURES[claimed.unwrap_err()])
+    claim = claimed.unwrap()
+    if not isinstance(claim, Claim):
+        headers = (*claim.headers, ('idempotent-replayed', 'true'))
+        return Answer(claim.status, headers, claim.body)
+    return await _forward_claimed(app, target, claim)
+
+
+async def _forward_claimed(app: App, target: _Target, claim: Claim) -> Answer:
+    claims = app.find('claims', Claims)
+    lost = replace(claim.record, state=RecordState.LOST)
+    record = lost
+    try:
+        answered = await _forward(app, target)
+        body = answered.body
+        record = replace(
+            claim.record,
+            state=RecordState.DONE,
+            status=answered.status,
+            headers=answered.headers,
+            body=body if len(body) <= _MAX_RECORDED else b'',
+        )
+    except CallerError as error:
+        if error.failure.outcome is Outcome.NOT_RUN:
+            record = replace(claim.record, state=RecordState.RELEASED)
+        raise
+    finally:
+        claims.settle(claim, record)
+    return answered
+
+
+async def _forward(app: App, target: _Target) -> Answer:
+    upstreams = app.find('upstreams', Upstreams).list_plain(
+        target.service.role
+    )
+    app.chance.shuffle(upstreams)
+    sent = await app.find('forwarder', Forwarder).forward(
+        target.call, target.service, upstreams
+    )
+    if sent.is_err():
+        raise CallerError(sent.unwrap_err())
+    return sent.unwrap()
+
+
+def _match_route(settings: Settings, account: AccountEntry, path: str) -> str:
+    """Find the longest route that a path lies under."""
+    allowed = account.policy.routes
+    fitting = [
+        prefix
+        for prefix in settings.routes
+        if path == prefix or path.startswith(f'{prefix.rstrip("/")}/')
+        if allowed is None or prefix in allowed
+    ]
+    if not fitting:
+        raise refuse(404, 'no_route', f'No route leads from {path}.')
+    return max(fitting, key=len)
+
+
+def _build_call(
+    request: Request,
+    prefix: str,
+    route: Route,
+    body: bytes,
+) -> Call:
+    path = request.scope['raw_path'].decode('ascii', 'replace')
+    if route.strip:
+        path = path[len(prefix.rstrip('/')) :] or '/'
+    query = request.url.query
+    headers = clean_headers(request.headers.items())
+    return Call(
+        request.state.request,
+        request.method,
+        f'{path}?{query}' if query else path,
+        (*headers, (REQUEST_HEADER, request.state.request)),
+        body,
+        may_repeat(route, request.method),
+    )
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/peers/_handshake.py
@@ -0,0 +1,78 @@
+"""How two nodes prove to each other that they hold the same key."""
+
+import asyncio
+import hmac
+import os
+
+from ryelatch_core.settings import Startup
+
+from ryelatch_node.peers import _frames as frames
+
+_NONCE_BYTES = 16
+_CHUNK = 4096
+
+
+class HandshakeError(Exception):
+    """The other side is no peer."""
+
+
+async def accept_peer(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    startup: Startup,
+) -> tuple[str, str, frames.FrameReader]:
+    """Greet a node that called.
+
+    :returns: its name, its availability zone, and the reader of its frames.
+    :raises HandshakeError: if it has not the key.
+    """
+    cutter = frames.FrameReader()
+    nonce = os.urandom(_NONCE_BYTES)
+    writer.write(frames.encode_frame(frames.Challenge(nonce)))
+    join = await _read_frame(reader, cutter)
+    if not isinstance(join, frames.Join):
+        raise HandshakeError('no join')
+    _check(startup, nonce, join.name, join.proof)
+    proof = frames.prove(startup.peer_key, join.nonce, startup.name)
+    welcome = frames.Welcome(startup.name, startup.zone, proof)
+    writer.write(frames.encode_frame(welcome))
+    return join.name, join.zone, cutter
+
+
+async def join_peer(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    startup: Startup,
+) -> tuple[str, str, frames.FrameReader]:
+    """Greet a node that was called; like :func:`accept_peer`."""
+    cutter = frames.FrameReader()
+    challenge = await _read_frame(reader, cutter)
+    if not isinstance(challenge, frames.Challenge):
+        raise HandshakeError('no challenge')
+    nonce = os.urandom(_NONCE_BYTES)
+    proof = frames.prove(startup.peer_key, challenge.nonce, startup.name)
+    join = frames.Join(startup.name, startup.zone, nonce, proof)
+    writer.write(frames.encode_frame(join))
+    welcome = await _read_frame(reader, cutter)
+    if not isinstance(welcome, frames.Welcome):
+        raise HandshakeError('no welcome')
+    _check(startup, nonce, welcome.name, welcome.proof)
+    return welcome.name, welcome.zone, cutter
+
+
+async def _read_frame(
+    reader: asyncio.StreamReader,
+    cutter: frames.FrameReader,
+) -> frames.Frame:
+    while chunk := await reader.read(_CHUNK):
+        for frame in cutter.feed(chunk):
+            return frame
+    raise HandshakeError('closed')
+
+
+def _check(startup: Startup, nonce: bytes, name: str, proof: bytes) -> None:
+    wanted = frames.prove(startup.peer_key, nonce, name)
+    if not hmac.compare_digest(wanted, proof):
+        raise HandshakeError('wrong key')
+    if name == startup.name:
+        raise HandshakeError('own name')
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/peers/_service.py
@@ -0,0 +1,335 @@
+"""Peers as a service: who is connected, and what they tell."""
+
+import asyncio
+import itertools
+import ssl
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from ryelatch_core.events import Stamp, Timeline, catalogue
+from ryelatch_core.kernel import App, Service
+from ryelatch_core.membership import Vm, choose_peers, should_watch
+from ryelatch_core.settings import Bundle, Index, Startup, Tls
+
+from ryelatch_node.admission import Admission
+from ryelatch_node.config import SettingsApplied, SettingsHolder
+from ryelatch_node.peers import _frames as frames
+from ryelatch_node.peers._handshake import (
+    HandshakeError,
+    accept_peer,
+    join_peer,
+)
+from ryelatch_node.upstreams import RosterChanged, Upstreams
+
+BEAT_SECONDS = 1.0
+SILENT_SECONDS = 3.5
+DIAL_SECONDS = 1.0
+_CHUNK = 65536
+_OUTBOX_BYTES = 4 * frames.MAX_STREAM_BYTES
+
+
+@dataclass
+class _Peer:
+    """An open stream to another node."""
+
+    name: str
+    zone: str
+    writer: asyncio.StreamWriter
+    reader: frames.FrameReader
+    revision: int = 0
+    draining: bool = False
+    index: Index | None = None
+    vms: tuple[Vm, ...] = field(default_factory=tuple)
+
+    def send(self, frame: frames.Frame) -> None:
+        """Queue a frame.
+
+        A peer that reads nothing would let the outbox grow until this node
+        has no memory left; its stream is cut instead, and dialled again.
+        """
+        transport = self.writer.transport
+        if transport.get_write_buffer_size() > _OUTBOX_BYTES:
+            transport.abort()
+        elif not transport.is_closing():
+            self.writer.write(frames.encode_frame(frame))
+
+
+class Peers:
+    """Streams to other nodes."""
+
+    def __init__(self, app: App, startup: Startup) -> None:
+        self.peers: dict[str, _Peer] = {}
+        self.draining = False
+        self.bytes_sent = 0
+        self._app = app
+        self._startup = startup
+        self._timeline = app.find('timeline', Timeline)
+        self._holder = app.find('settings', SettingsHolder)
+        self._upstreams = app.find('upstreams', Upstreams)
+        self._admission = app.find('admission', Admission)
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._holder.should_watch = self.should_watch
+        self._upstreams.should_list = self.should_watch
+        app.hub.connect(SettingsApplied, lambda _: self._offer_all())
+        app.hub.connect(RosterChanged, lambda _: self._beat_all())
+
+    async def start(self) -> None:
+        """Listen, and keep dialling peers."""
+        address = self._startup.peers
+        self._server = await asyncio.start_server(
+            self._accept,
+            address.host,
+            address.port,
+            ssl=_make_server_tls(self._startup.tls),
+        )
+        self._keep(self._beat())
+        self._keep(self._dial_all())
+
+    async def stop(self) -> None:
+        """Tell peers that this node stops, and close the streams."""
+        self.announce_drain()
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def should_watch(self) -> bool:
+        """Tell whether this node watches the store for its zone."""
+        zone = self._startup.zone
+        near = [
+            peer.name
+            for peer in self.peers.values()
+            if peer.zone == zone and not peer.draining
+        ]
+        return should_watch(self._startup.name, near)
+
+    def announce_drain(self) -> None:
+        """Let peers take this node's duties over without a timeout."""
+        self.draining = True
+        self._beat_all()
+
+    def _keep(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _beat(self) -> None:
+        while True:
+            self._beat_all()
+            await asyncio.sleep(BEAT_SECONDS)
+
+    def _beat_all(self) -> None:
+        stamp = self._timeline.clock.stamp()
+        beat = frames.Beat(
+            stamp.wall,
+            stamp.tick,
+            self._holder.revision,
+            self.draining,
+            self._upstreams.roster.list_leaving(),
+            self._admission.list_demands(),
+        )
+        self.bytes_sent += len(frames.encode_frame(beat)) * len(self.peers)
+        vms = self._upstreams.list_vms()
+        for peer in self.peers.values():
+            peer.send(beat)
+            if peer.zone == self._startup.zone and peer.vms != vms:
+                peer.vms = vms
+                peer.send(frames.Listing(vms))
+
+    def _offer_all(self) -> None:
+        for peer in self.peers.values():
+            self._offer(peer)
+
+    def _offer(self, peer: _Peer) -> None:
+        if peer.revision < self._holder.revision:
+            peer.send(frames.Offered(self._holder.bundle.index))
+
+    async def _dial_all(self) -> None:
+        dialled: dict[str, asyncio.Task[None]] = {}
+        for turn in itertools.count():
+            for address, name in self._list_targets(late=turn > 1):
+                running = dialled.get(address)
+                if running is None or running.done():
+                    dialled[address] = asyncio.ensure_future(
+                        self._dial(address, name)
+                    )
+                    self._tasks.add(dialled[address])
+                    dialled[address].add_done_callback(self._tasks.discard)
+            await asyncio.sleep(DIAL_SECONDS)
+
+    def _list_targets(self, *, late: bool) -> list[tuple[str, str]]:
+        """List addresses to dial; of a pair, the lower name dials first."""
+        me = self._startup
+        nodes = [vm for vm in self._upstreams.list_vms() if vm.role == 'node']
+        chosen = choose_peers(me.name, me.zone, nodes)
+        targets = [
+            (vm.address, vm.name)
+            for vm in chosen
+            if vm.name not in self.peers and (late or me.name < vm.name)
+        ]
+        if not nodes:
+            # Without the platform's list, as in an outage at the start, the
+            # addresses in the start-up settings lead to the first peers.
+            targets = [
+                (f'{seed.host}:{seed.port}', '')
+                for seed in me.seeds
+                if seed != me.peers
+            ]
+        return targets
+
+    async def _dial(self, address: str, name: str) -> None:
+        host, _, port = address.rpartition(':')
+        try:
+            async with asyncio.timeout(DIAL_SECONDS):
+                reader, writer = await asyncio.open_connection(
+                    host, int(port), ssl=_make_client_tls(self._startup.tls)
+                )
+        except (OSError, TimeoutError):
+            return
+        await self._run(reader, writer, join_peer)
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._keep(self._run(reader, writer, accept_peer))
+
+    async def _run(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        greet: Callable[..., Awaitable[tuple[str, str, frames.FrameReader]]],
+    ) -> None:
+        try:
+            async with asyncio.timeout(SILENT_SECONDS):
+                name, zone, cutter = await greet(reader, writer, self._startup)
+        except (HandshakeError, frames.PeerFrameError) as error:
+            self._timeline.record(catalogue.PEER_REFUSED, reason=error)
+            writer.transport.abort()
+            return
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            writer.transport.abort()
+            return
+        peer = _Peer(name, zone, writer, cutter)
+        await self._serve(peer, reader)
+
+    async def _serve(self, peer: _Peer, reader: asyncio.StreamReader) -> None:
+        self.peers[peer.name] = peer
+        self._timeline.record(catalogue.PEER_UP, peer=peer.name)
+        self._beat_all()
+        reason = 'closed'
+        try:
+            while chunk := await self._read(reader):
+                for frame in peer.reader.feed(chunk):
+                    self._take(peer, frame)
+        except TimeoutError:
+            reason = 'silent'
+        except (OSError, frames.PeerFrameError) as error:
+            reason = type(error).__name__
+        finally:
+            peer.writer.transport.abort()
+            if self.peers.get(peer.name) is peer:
+                self._drop(peer, reason)
+
+    async def _read(self, reader: asyncio.StreamReader) -> bytes:
+        async with asyncio.timeout(SILENT_SECONDS):
+            return await reader.read(_CHUNK)
+
+    def _drop(self, peer: _Peer, reason: str) -> None:
+        del self.peers[peer.name]
+        self._timeline.record(
+            catalogue.PEER_DOWN, peer=peer.name, reason=reason
+        )
+        self._admission.drop_peer(peer.name)
+
+    def _take(self, peer: _Peer, frame: frames.Frame) -> None:
+        match frame:
+            case frames.Beat():
+                self._take_beat(peer, frame)
+            case frames.Offered(index):
+                self._take_index(peer, index)
+            case frames.Wanted(digests):
+                held = self._holder.bundle.blobs
+                peer.send(
+                    frames.Parts(
+                        {
+                            digest: held[digest]
+                            for digest in digests
+                            if digest in held
+                        }
+                    )
+                )
+            case frames.Parts(blobs):
+                self._take_parts(peer, blobs)
+            case frames.Listing(vms):
+                if not self.should_watch():
+                    self._keep(self._upstreams.take_list(vms, settled=True))
+
+    def _take_beat(self, peer: _Peer, beat: frames.Beat) -> None:
+        self._timeline.clock.observe(Stamp(beat.wall, beat.tick))
+        peer.revision = beat.revision
+        peer.draining = beat.draining
+        self._upstreams.apply_peer(peer.name, beat.leaving)
+        if beat.draining:
+            self._admission.drop_peer(peer.name)
+        else:
+            self._admission.apply_peer(peer.name, beat.demands)
+        self._offer(peer)
+
+    def _take_index(self, peer: _Peer, index: Index) -> None:
+        if index.revision <= self._holder.revision:
+            return
+        peer.index = index
+        held = self._holder.bundle.blobs
+        missing = set(index.parts.values()) - held.keys()
+        peer.send(frames.Wanted(tuple(sorted(missing))))
+
+    def _take_parts(self, peer: _Peer, blobs: dict[str, bytes]) -> None:
+        if peer.index is None:
+            return
+        known = self._holder.bundle.blobs | blobs
+        wanted = {
+            digest: known[digest]
+            for digest in peer.index.parts.values()
+            if digest in known
+        }
+        self._holder.apply(Bundle(peer.index, wanted), peer.name)
+        peer.index = None
+
+
+def _make_server_tls(tls: Tls | None) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    context = ssl.create_default_context(
+        ssl.Purpose.CLIENT_AUTH, cafile=tls.authority
+    )
+    context.load_cert_chain(tls.certificate, tls.key)
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def _make_client_tls(tls: Tls | None) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    context = ssl.create_default_context(cafile=tls.authority)
+    context.load_cert_chain(tls.certificate, tls.key)
+    # Peers are named by address; that the authority signed is what counts.
+    context.check_hostname = False
+    return context
+
+
+def setup(app: App) -> None:
+    """Add the service ``peers``."""
+    peers = Peers(app, app.find('startup', Startup))
+    app.add(
+        Service(
+            'peers',
+            peers,
+            ('admission', 'settings', 'upstreams'),
+            start=peers.start,
+            stop=peers.stop,
+        )
+    )
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/plain/__init__.py
@@ -0,0 +1,23 @@
+"""Plain services: calls that may be repeated, and calls that may not."""
+
+from ryelatch_node.plain._claims import (
+    Claim,
+    ClaimError,
+    Claims,
+    Record,
+    RecordState,
+    setup,
+)
+from ryelatch_node.plain._forward import Answer, Call, Forwarder
+
+__all__ = [
+    'Answer',
+    'Call',
+    'Claim',
+    'ClaimError',
+    'Claims',
+    'Forwarder',
+    'Record',
+    'RecordState',
+    'setup',
+]
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/store/_client.py
@@ -0,0 +1,195 @@
+"""Client of the object API: versions, conditional updates, watches."""
+
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+from ryelatch_core.membership import Vm
+from ryelatch_core.settings import Platform
+
+_MAX_OBJECT = 1024 * 1024
+
+
+class StoreError(enum.Enum):
+    """Why a call did not do what was asked."""
+
+    MISSING = 'missing'
+    """There is no such object."""
+
+    CONFLICT = 'conflict'
+    """The object is not in the version that the write demands."""
+
+    OUT = 'out'
+    """No answer; a write may have taken effect all the same."""
+
+    UNCHANGED = 'unchanged'
+    """A watch ended without a change."""
+
+
+@dataclass(frozen=True)
+class Entry:
+    """An object as read.
+
+    :param version: grows with each write of the object.
+    """
+
+    body: bytes
+    version: str
+
+
+_REASONS = {
+    HTTPStatus.NOT_FOUND: StoreError.MISSING,
+    HTTPStatus.PRECONDITION_FAILED: StoreError.CONFLICT,
+    HTTPStatus.NOT_MODIFIED: StoreError.UNCHANGED,
+}
+
+
+def _ignore(*, answered: bool) -> None:
+    """Take note of nothing."""
+
+
+class Store:
+    """Calls to the platform.
+
+    :param platform: where it is and how long one call may take.
+    :param note: told after each call whether the platform answered.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        note: Callable[..., None] = _ignore,
+    ) -> None:
+        self._platform = platform
+        self._note = note
+        self._session: aiohttp.ClientSession | None = None
+        self.calls = 0
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def get(self, key: str) -> Result[Entry, StoreError]:
+        """Read an object."""
+        return await self._call('GET', f'objects/{key}')
+
+    async def watch(
+        self,
+        key: str,
+        after: str,
+        wait: float,
+    ) -> Result[Entry, StoreError]:
+        """Wait until an object has another version than the one known.
+
+        :param wait: seconds after which the platform answers anyway.
+        """
+        path = f'watch/{key}?after={after}&wait={wait}'
+        return await self._call('GET', path, patience=wait)
+
+    async def create(self, key: str, body: bytes) -> Result[Entry, StoreError]:
+        """Create an object if there is none."""
+        return await self._call(
+            'PUT', f'objects/{key}', body, {'If-None-Match': '*'}
+        )
+
+    async def update(
+        self,
+        key: str,
+        body: bytes,
+        version: str,
+    ) -> Result[Entry, StoreError]:
+        """Replace an object that is still in a version."""
+        return await self._call(
+            'PUT', f'objects/{key}', body, {'If-Match': version}
+        )
+
+    async def delete(
+        self, key: str, version: str
+    ) -> Result[Entry, StoreError]:
+        """Delete an object that is still in a version."""
+        return await self._call(
+            'DELETE', f'objects/{key}', headers={'If-Match': version}
+        )
+
+    async def list_keys(self, prefix: str) -> Result[list[str], StoreError]:
+        """List the keys with a prefix."""
+        found = await self._call('GET', f'objects?prefix={prefix}')
+        return found.and_then(_decode_as(list[str]))
+
+    async def list_vms(self) -> Result[list[Vm], StoreError]:
+        """Read the list of live and leaving VMs; it lags by seconds."""
+        found = await self._call('GET', 'vms')
+        return found.and_then(_decode_as(list[Vm]))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        patience: float = 0,
+    ) -> Result[Entry, StoreError]:
+        self.calls += 1
+        timeout = aiohttp.ClientTimeout(self._platform.timeout + patience)
+        try:
+            async with self._open().request(
+                method,
+                f'{self._platform.url}/v1/{path}',
+                data=body,
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                content = await response.content.read(_MAX_OBJECT * 4)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            await self._forget_connections()
+            self._note(answered=False)
+            return Err(StoreError.OUT)
+        if response.status in _REASONS:
+            self._note(answered=True)
+            return Err(_REASONS[HTTPStatus(response.status)])
+        if response.status >= HTTPStatus.BAD_REQUEST:
+            self._note(answered=False)
+            return Err(StoreError.OUT)
+        self._note(answered=True)
+        version = response.headers.get('ETag', '').strip('"')
+        return Ok(Entry(content, version))
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                headers={'Authorization': f'Bearer {self._platform.token}'}
+            )
+        return self._session
+
+    async def _forget_connections(self) -> None:
+        """Close every pooled connection after one gave no answer.
+
+        Something between the ends can lose track of open connections, which
+        then stay silent for good while new ones work. It shows as calls that
+        time out one after the other, each on the next idle connection of the
+        pool. After the first, all are replaced.
+        """
+        session, self._session = self._session, None
+        if session is not None:
+            await session.close()
+
+
+def _decode_as(kind: type) -> Callable[[Entry], Result]:  # type: ignore[type-arg]
+    def decode(entry: Entry) -> Result:  # type: ignore[type-arg]
+        try:
+            return Ok(msgspec.json.decode(entry.body, type=kind))
+        except msgspec.MsgspecError:
+            return Err(StoreError.OUT)
+
+    return decode
+
+
+def open_store(platform: Platform) -> Store:
+    """Make a client without a node around it, as for the command line."""
+    return Store(platform)
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/store/_service.py
@@ -0,0 +1,29 @@
+"""The store as a service of a node."""
+
+from ryelatch_core.events import Timeline, catalogue
+from ryelatch_core.kernel import App, Service
+from ryelatch_core.settings import Startup
+
+from ryelatch_node.store._client import Store
+
+
+def setup(app: App) -> None:
+    """Add the service ``store``."""
+    startup = app.find('startup', Startup)
+    timeline = app.find('timeline', Timeline)
+    store = Store(startup.platform, _note_changes(timeline))
+    app.add(Service('store', store, ('timeline',), stop=store.close))
+
+
+def _note_changes(timeline: Timeline):  # type: ignore[no-untyped-def]
+    """Record when the platform stops answering and when it is back."""
+    up = True
+
+    def note(*, answered: bool) -> None:
+        nonlocal up
+        if answered != up:
+            kind = catalogue.STORE_BACK if answered else catalogue.STORE_OUT
+            timeline.record(kind)
+        up = answered
+
+    return note
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/upstreams/_service.py
@@ -0,0 +1,179 @@
+"""The upstreams of this node, as a service."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import aiohttp
+from ryelatch_core.events import Timeline, catalogue
+from ryelatch_core.kernel import App, Service
+from ryelatch_core.membership import Roster, Vm
+from ryelatch_core.pipeline import StepKey
+
+from ryelatch_node.store import Store
+from ryelatch_node.upstreams._link import EngineLink
+
+LIST_SECONDS = 1.0
+_ENGINE = 'engine'
+_SLOW_TURNS = 15
+
+
+@dataclass(frozen=True)
+class LinkChanged:
+    """An engine connected, changed its ranges, or was lost."""
+
+    link: EngineLink
+
+
+@dataclass(frozen=True)
+class RosterChanged:
+    """VMs joined, left, or are leaving."""
+
+    leaving: tuple[str, ...] = ()
+
+
+class Upstreams:
+    """All upstreams that this node knows, with links to the engines."""
+
+    def __init__(self, app: App, timeline: Timeline) -> None:
+        self.roster = Roster()
+        self.links: dict[str, EngineLink] = {}
+        self.should_list: Callable[[], bool] = lambda: True
+        self._app = app
+        self._timeline = timeline
+        self._session: aiohttp.ClientSession | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Read the list once, then follow it."""
+        self._session = aiohttp.ClientSession()
+        await self._read_list()
+        self._task = asyncio.create_task(self._follow())
+
+    async def stop(self) -> None:
+        """Close all links."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        await asyncio.gather(*(link.close() for link in self.links.values()))
+        if self._session is not None:
+            await self._session.close()
+
+    def list_engines(self, model: str) -> list[EngineLink]:
+        """List the engines of a model that may get new work."""
+        return [
+            link
+            for link in self.links.values()
+            if link.usable
+            and link.hello is not None
+            and link.hello.model == model
+            and not self._is_leaving(link.vm.name)
+        ]
+
+    def list_plain(self, role: str) -> list[Vm]:
+        """List the upstreams of a plain service that may get new work."""
+        return self.roster.list_role(role)
+
+    def list_vms(self) -> tuple[Vm, ...]:
+        """List all VMs known, with what the platform said of them."""
+        return tuple(member.vm for member in self.roster.members.values())
+
+    async def take_list(self, vms: Iterable[Vm], *, settled: bool) -> None:
+        """Take in a list of VMs.
+
+        :param settled: a VM that is not in it is gone for certain.
+        """
+        change = self.roster.apply_list(vms, settled=settled)
+        self._announce(change.leaving, 'list')
+        for vm in change.joined:
+            if vm.role == _ENGINE:
+                await self._open_link(vm)
+        for name in change.left:
+            link = self.links.pop(name, None)
+            if link is not None:
+                await link.close()
+
+    def note_leaving(self, name: str) -> None:
+        """Take the word of an upstream that it leaves."""
+        if self.roster.note_leaving(name):
+            self._announce((name,), 'upstream')
+
+    def apply_peer(self, peer: str, names: Iterable[str]) -> None:
+        """Take the word of a peer on who leaves."""
+        self._announce(self.roster.apply_peer(peer, names), 'peer')
+
+    def _announce(self, names: tuple[str, ...], source: str) -> None:
+        for name in names:
+            self._timeline.record(
+                catalogue.UPSTREAM_LEAVING, upstream=name, source=source
+            )
+        if names:
+            self._app.hub.emit(RosterChanged(names))
+
+    def _is_leaving(self, name: str) -> bool:
+        member = self.roster.members.get(name)
+        return member is None or member.leaving
+
+    async def _follow(self) -> None:
+        for turn in itertools.count(1):
+            await asyncio.sleep(LIST_SECONDS)
+            if self.should_list() or turn % _SLOW_TURNS == 0:
+                await self._read_list()
+
+    async def _read_list(self) -> None:
+        found = await self._app.find('store', Store).list_vms()
+        if found.is_ok():
+            await self.take_list(found.unwrap(), settled=False)
+
+    async def _open_link(self, vm: Vm) -> None:
+        known = self.links.pop(vm.name, None)
+        if known is not None:
+            await known.close()
+        link = EngineLink(vm, self._note_link, self._note_stray)
+        self.links[vm.name] = link
+        if self._session is not None:
+            link.start(self._session)
+
+    def _note_link(self, link: EngineLink, reason: str) -> None:
+        name = link.vm.name
+        if link.hello is None:
+            self._timeline.record(
+                catalogue.UPSTREAM_DOWN, upstream=name, reason=reason
+            )
+        elif link.hello.leaving:
+            self.note_leaving(name)
+        else:
+            self.roster.note_staying(name)
+            self._timeline.record(
+                catalogue.UPSTREAM_UP,
+                upstream=name,
+                layers=f'{link.hello.first}-{link.hello.last}',
+                version=link.hello.version,
+            )
+        self._app.hub.emit(LinkChanged(link))
+
+    def _note_stray(self, link: EngineLink, key: StepKey) -> None:
+        self._timeline.record(
+            catalogue.FRAME_DROPPED,
+            upstream=link.vm.name,
+            request=key.stream,
+            attempt=key.attempt,
+            position=key.position,
+        )
+
+
+def setup(app: App) -> None:
+    """Add the service ``upstreams``."""
+    upstreams = Upstreams(app, app.find('timeline', Timeline))
+    app.add(
+        Service(
+            'upstreams',
+            upstreams,
+            ('store', 'timeline'),
+            start=upstreams.start,
+            stop=upstreams.stop,
+        )
+    )
--- /dev/null
+++ b/tests/standins/engine.py
@@ -0,0 +1,352 @@
+"""Stand-in for a model engine that holds a range of layers."""
+
+import argparse
+import asyncio
+import contextlib
+import heapq
+import itertools
+import uuid
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from aiohttp import WSMsgType, web
+from ryelatch_core.pipeline import (
+    Cancel,
+    Frame,
+    Hello,
+    Ping,
+    Pong,
+    Receipt,
+    Refusal,
+    Step,
+    decode_frames,
+    encode_frames,
+)
+
+from standins import model
+from standins.server import make_app, serve
+
+WORD = 8
+_KEPT_RESULTS = 64
+_BATCH = 512
+_LEDGER = 2_000_000
+
+
+@dataclass
+class Stream:
+    """The KV cache of one stream, and the answers kept for repeats."""
+
+    attempt: int
+    caches: list[int]
+    length: int = 0
+    kept: dict[int, Receipt] = field(default_factory=dict)
+
+
+@dataclass(eq=False)
+class Connection:
+    """A node's connection."""
+
+    socket: web.WebSocketResponse
+    outbox: list[Frame] = field(default_factory=list)
+    silent: bool = False
+
+
+class Engine:
+    """Batches steps, runs layers, and keeps a ledger of what it ran."""
+
+    def __init__(self, options: argparse.Namespace) -> None:
+        self.options = options
+        self.hello = Hello(
+            options.name,
+            uuid.uuid4().hex,
+            options.model,
+            options.version,
+            options.first,
+            options.last,
+            options.kind,
+            _BATCH / (options.step_ms / 1000),
+        )
+        self.connections: set[Connection] = set()
+        self.streams: dict[str, Stream] = {}
+        self.ledger: deque[tuple[str, int, int, int, int, int]] = deque(
+            maxlen=_LEDGER
+        )
+        self.orders: list[dict[str, Any]] = []
+        self.faults: dict[str, Any] = {}
+        self.stale: list[tuple[Connection, Receipt]] = []
+        self._queue: list[tuple[int, int, Step, Connection]] = []
+        self._numbers = itertools.count()
+        self._filled = asyncio.Event()
+
+    def change(self, **fields: Any) -> None:
+        """Change what the engine says of itself and tell all nodes."""
+        self.hello = msgspec.structs.replace(self.hello, **fields)
+        for connection in self.connections:
+            connection.outbox.append(self.hello)
+        self._filled.set()
+
+    def put(self, step: Step, connection: Connection) -> None:
+        """Queue a step."""
+        entry = (-step.priority, next(self._numbers), step, connection)
+        heapq.heappush(self._queue, entry)
+        self._filled.set()
+
+    async def run(self) -> None:
+        """Run a batch in each step time while there is work."""
+        while True:
+            await self._filled.wait()
+            self._filled.clear()
+            positions = 0
+            batch: list[tuple[Step, Connection]] = []
+            while self._queue and positions < _BATCH:
+                _, _, step, connection = heapq.heappop(self._queue)
+                batch.append((step, connection))
+                positions += step.count
+            if batch:
+                await asyncio.sleep(self.options.step_ms / 1000)
+            for step, connection in batch:
+                self._answer(step, connection)
+            if self._queue:
+                self._filled.set()
+            await asyncio.gather(
+                *(self._flush(connection) for connection in self.connections)
+            )
+
+    def take(self, frame: Frame, connection: Connection) -> None:
+        """Take a frame of a node."""
+        match frame:
+            case Step():
+                self.put(frame, connection)
+            case Ping():
+                waiting = sum(entry[2].count for entry in self._queue)
+                connection.outbox.append(Pong(frame.number, waiting))
+                self._filled.set()
+            case Cancel():
+                stream = self.streams.get(frame.stream)
+                if stream and stream.attempt <= frame.attempt:
+                    del self.streams[frame.stream]
+
+    def _answer(self, step: Step, connection: Connection) -> None:
+        answer = self._run_step(step)
+        if isinstance(answer, Receipt):
+            if self.faults.get('lose', 0) > 0:
+                self.faults['lose'] -= 1
+                return
+            if self.faults.get('stale') and self.stale:
+                connection.outbox.append(self.stale[-1][1])
+            if self.faults.get('double'):
+                connection.outbox.append(answer)
+            if self.faults.get('lie'):
+                answer = msgspec.structs.replace(answer, last=answer.last + 1)
+            self.stale = [(connection, answer)]
+        connection.outbox.append(answer)
+
+    def _refuse(self, step: Step, reason: str) -> Refusal:
+        return Refusal(step.stream, step.attempt, step.position, reason)
+
+    def _run_step(self, step: Step) -> Receipt | Refusal:
+        mine = self.hello
+        if (step.first, step.last) != (mine.first, mine.last):
+            return self._refuse(step, 'layers')
+        if step.version != mine.version:
+            return self._refuse(step, 'version')
+        stream = self.streams.get(step.stream)
+        if stream is None or stream.attempt < step.attempt:
+            caches = [0] * (mine.last - mine.first)
+            stream = Stream(step.attempt, caches)
+            self.streams[step.stream] = stream
+        if stream.attempt > step.attempt:
+            return self._refuse(step, 'old-attempt')
+        if step.position in stream.kept:
+            return stream.kept[step.position]
+        if step.position != stream.length:
+            return self._refuse(step, 'gap')
+        receipt = self._compute(stream, step)
+        stream.kept[step.position] = receipt
+        if len(stream.kept) > _KEPT_RESULTS:
+            stream.kept.pop(next(iter(stream.kept)))
+        return receipt
+
+    def _compute(self, stream: Stream, step: Step) -> Receipt:
+        mine = self.hello
+        size = max(WORD, self.options.activation_bytes)
+        activations = (
+            [model.embed(token) for token in step.tokens]
+            if mine.first == 0
+            else [
+                int.from_bytes(step.payload[start : start + WORD], 'big')
+                for start in range(0, len(step.payload), size)
+            ]
+        )
+        outputs = [self._run_position(stream, entry) for entry in activations]
+        stream.length += step.count
+        self.ledger.append(
+            (
+                step.stream,
+                step.attempt,
+                step.position,
+                step.count,
+                mine.first,
+                mine.last,
+            )
+        )
+        ends = mine.last == self.options.layers
+        return Receipt(
+            step.stream,
+            step.attempt,
+            step.position,
+            step.count,
+            mine.first,
+            mine.last,
+            mine.version,
+            (model.sample(outputs[-1]),) if ends and step.sample else (),
+            b''
+            if ends
+            else b''.join(
+                output.to_bytes(WORD, 'big').ljust(size, b'\0')
+                for output in outputs
+            ),
+        )
+
+    def _run_position(self, stream: Stream, activation: int) -> int:
+        for index, layer in enumerate(
+            range(self.hello.first, self.hello.last)
+        ):
+            stream.caches[index], activation = model.run_layer(
+                layer, stream.caches[index], activation
+            )
+        return activation
+
+    async def _flush(self, connection: Connection) -> None:
+        frames, connection.outbox = connection.outbox, []
+        if frames and not connection.silent:
+            with contextlib.suppress(ConnectionError):
+                await connection.socket.send_bytes(encode_frames(frames))
+
+
+ENGINE = web.AppKey('engine', Engine)
+
+
+async def open_steps(request: web.Request) -> web.WebSocketResponse:
+    """Serve the stream of frames of one node."""
+    engine = request.app[ENGINE]
+    socket = web.WebSocketResponse(max_msg_size=64 * 2**20, compress=False)
+    await socket.prepare(request)
+    await socket.send_bytes(encode_frames([engine.hello]))
+    connection = Connection(socket)
+    engine.connections.add(connection)
+    try:
+        async for message in socket:
+            if message.type is WSMsgType.BINARY and not connection.silent:
+                for frame in decode_frames(message.data):
+                    engine.take(frame, connection)
+    finally:
+        engine.connections.discard(connection)
+    return socket
+
+
+async def take_order(request: web.Request) -> web.Response:
+    """Take an order to hold other layers or another version."""
+    engine = request.app[ENGINE]
+    order = await request.json()
+    fence = order.pop('fence')
+    if engine.options.fencing and fence < engine.hello.fence:
+        return web.json_response({'error': 'old fence'}, status=409)
+    engine.orders.append({'fence': fence, **order})
+    await asyncio.sleep(engine.options.load_ms / 1000)
+    engine.streams.clear()
+    engine.change(fence=max(fence, engine.hello.fence), **order)
+    return web.json_response({'fence': engine.hello.fence})
+
+
+async def show_ledger(request: web.Request) -> web.Response:
+    """Show all that was run, and what is still held."""
+    engine = request.app[ENGINE]
+    return web.json_response(
+        {
+            'ledger': list(engine.ledger),
+            'streams': sorted(engine.streams),
+            'orders': engine.orders,
+        }
+    )
+
+
+async def set_faults(request: web.Request) -> web.Response:
+    """Set faults, or change what the engine says of itself."""
+    engine = request.app[ENGINE]
+    changes = await request.json()
+    engine.faults = changes.pop('faults', engine.faults)
+    for name in ('step_ms', 'load_ms'):
+        if name in changes:
+            setattr(engine.options, name, changes.pop(name))
+    if changes:
+        engine.change(**changes)
+    return web.json_response({})
+
+
+async def complete_directly(request: web.Request) -> web.StreamResponse:
+    """Stream a completion without a router, to compare with."""
+    engine = request.app[ENGINE]
+    wanted = await request.json()
+    response = web.StreamResponse()
+    response.content_type = 'text/event-stream'
+    await response.prepare(request)
+    for _ in range(wanted['max_tokens']):
+        await asyncio.sleep(engine.options.step_ms / 1000)
+        await response.write(b'data: {"choices":[{"text":"x"}]}\n\n')
+    await response.write(b'data: [DONE]\n\n')
+    return response
+
+
+def parse_options() -> argparse.Namespace:
+    """Read the command line."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--name', required=True)
+    parser.add_argument('--model', required=True)
+    parser.add_argument('--version', default='1')
+    parser.add_argument('--layers', type=int, required=True)
+    parser.add_argument('--first', type=int, required=True)
+    parser.add_argument('--last', type=int, required=True)
+    parser.add_argument('--kind', default='gpu-a')
+    parser.add_argument('--step-ms', type=float, default=2)
+    parser.add_argument('--load-ms', type=float, default=50)
+    parser.add_argument('--activation-bytes', type=int, default=WORD)
+    parser.add_argument('--fencing', action='store_true')
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Run the stand-in."""
+    options = parse_options()
+    asyncio.run(_serve(options))
+
+
+async def _serve(options: argparse.Namespace) -> None:
+    engine = Engine(options)
+    app = make_app()
+    app[ENGINE] = engine
+    app['on_silence'].append(lambda: _silence(engine))
+    app.add_routes(
+        [
+            web.get('/v1/steps', open_steps),
+            web.post('/v1/orders', take_order),
+            web.post('/v1/completions', complete_directly),
+            web.get('/control/ledger', show_ledger),
+            web.put('/control/state', set_faults),
+        ]
+    )
+    running = asyncio.create_task(engine.run())
+    await serve(app, options.port)
+    running.cancel()
+
+
+def _silence(engine: Engine) -> None:
+    for connection in engine.connections:
+        connection.silent = True
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,221 @@
+"""Stand-in for the platform: object API, list of VMs, and its failures."""
+
+import argparse
+import asyncio
+import json
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+
+from standins.server import make_app, serve
+
+
+@dataclass
+class Faults:
+    """What goes wrong.
+
+    :param slow: seconds before each call.
+    :param lose: writes that take effect and get no answer.
+    :param late: writes that get no answer and land this many seconds later.
+    :param lag: seconds by which the list of VMs is behind.
+    """
+
+    outage: bool = False
+    slow: float = 0
+    lose: int = 0
+    late: int = 0
+    late_by: float = 0.5
+    lag: float = 0
+    match: str = ''
+
+
+@dataclass
+class State:
+    """All that the platform keeps."""
+
+    objects: dict[str, tuple[int, bytes]] = field(default_factory=dict)
+    vms: list[tuple[float, list[dict[str, Any]]]] = field(
+        default_factory=lambda: [(0, [])]
+    )
+    counts: Counter[str] = field(default_factory=Counter)
+    faults: Faults = field(default_factory=Faults)
+    version: int = 0
+    changed: asyncio.Condition = field(default_factory=asyncio.Condition)
+
+
+STATE = web.AppKey('state', State)
+TOKEN = web.AppKey('token', str)
+
+
+@web.middleware
+async def disturb(request: web.Request, handler: Any) -> web.StreamResponse:
+    """Count calls, check the token, and bring about outages."""
+    state = request.app[STATE]
+    if request.path.startswith('/control'):
+        response: web.StreamResponse = await handler(request)
+        return response
+    state.counts[f'{request.method} {request.path.split("/")[2]}'] += 1
+    if request.headers.get('Authorization') != f'Bearer {request.app[TOKEN]}':
+        return web.Response(status=401)
+    await asyncio.sleep(state.faults.slow)
+    if state.faults.outage:
+        return web.Response(status=503)
+    response = await handler(request)
+    if state.faults.outage:
+        return web.Response(status=503)
+    return response
+
+
+def _answer(entry: tuple[int, bytes] | None) -> web.Response:
+    if entry is None:
+        return web.Response(status=404)
+    return web.Response(body=entry[1], headers={'ETag': f'"{entry[0]}"'})
+
+
+async def get_object(request: web.Request) -> web.Response:
+    """Read an object."""
+    state = request.app[STATE]
+    return _answer(state.objects.get(request.match_info['key']))
+
+
+async def list_objects(request: web.Request) -> web.Response:
+    """List keys by prefix."""
+    prefix = request.query.get('prefix', '')
+    objects = request.app[STATE].objects
+    return web.json_response(
+        sorted(key for key in objects if key.startswith(prefix))
+    )
+
+
+async def write_object(request: web.Request) -> web.Response:
+    """Create, replace or delete an object under a condition."""
+    state = request.app[STATE]
+    key = request.match_info['key']
+    body = await request.read()
+    faulty = state.faults.match in key
+    if faulty and state.faults.late:
+        state.faults.late -= 1
+        await asyncio.sleep(0)
+        asyncio.get_running_loop().call_later(
+            state.faults.late_by, lambda: _spawn(_write(request, key, body))
+        )
+        await asyncio.Event().wait()
+    response = await _write(request, key, body)
+    if faulty and state.faults.lose:
+        state.faults.lose -= 1
+        await asyncio.Event().wait()
+    return response
+
+
+def _spawn(work: Any) -> None:
+    _TASKS.add(asyncio.ensure_future(work))
+
+
+_TASKS: set[Any] = set()
+
+
+async def _write(request: web.Request, key: str, body: bytes) -> web.Response:
+    state = request.app[STATE]
+    known = state.objects.get(key)
+    wanted = request.headers.get('If-Match', '').strip('"')
+    if request.headers.get('If-None-Match') == '*' and known:
+        return web.Response(status=412)
+    if wanted and (known is None or str(known[0]) != wanted):
+        return web.Response(status=412)
+    state.version += 1
+    if request.method == 'DELETE':
+        state.objects.pop(key, None)
+    else:
+        state.objects[key] = (state.version, body)
+    async with state.changed:
+        state.changed.notify_all()
+    return web.Response(headers={'ETag': f'"{state.version}"'})
+
+
+async def watch_object(request: web.Request) -> web.Response:
+    """Wait until an object has another version."""
+    state = request.app[STATE]
+    key = request.match_info['key']
+    after = int(request.query['after'])
+
+    def has_changed() -> bool:
+        return key in state.objects and state.objects[key][0] != after
+
+    try:
+        async with (
+            asyncio.timeout(float(request.query['wait'])),
+            state.changed,
+        ):
+            await state.changed.wait_for(has_changed)
+    except TimeoutError:
+        known = key in state.objects or not after
+        return web.Response(status=304 if known else 404)
+    return _answer(state.objects[key])
+
+
+async def list_vms(request: web.Request) -> web.Response:
+    """List VMs as they were a while ago."""
+    state = request.app[STATE]
+    asof = time.monotonic() - state.faults.lag
+    seen = [vms for since, vms in state.vms if since <= asof]
+    return web.json_response(seen[-1] if seen else [])
+
+
+async def set_vms(request: web.Request) -> web.Response:
+    """Set the true list of VMs."""
+    state = request.app[STATE]
+    state.vms.append((time.monotonic(), await request.json()))
+    return web.json_response({})
+
+
+async def set_faults(request: web.Request) -> web.Response:
+    """Replace what goes wrong."""
+    request.app[STATE].faults = Faults(**await request.json())
+    return web.json_response({})
+
+
+async def show_counts(request: web.Request) -> web.Response:
+    """Show how many calls were made, by method and kind."""
+    return web.json_response(request.app[STATE].counts)
+
+
+async def show_objects(request: web.Request) -> web.Response:
+    """Show versions by key, for tests."""
+    objects = request.app[STATE].objects
+    return web.Response(
+        text=json.dumps({key: entry[0] for key, entry in objects.items()})
+    )
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--token', default='platform-token')
+    arguments = parser.parse_args()
+    app = make_app()
+    app.middlewares.append(disturb)
+    app[STATE] = State()
+    app[TOKEN] = arguments.token
+    app.add_routes(
+        [
+            web.get('/v1/objects', list_objects),
+            web.get('/v1/objects/{key:.+}', get_object),
+            web.put('/v1/objects/{key:.+}', write_object),
+            web.delete('/v1/objects/{key:.+}', write_object),
+            web.get('/v1/watch/{key:.+}', watch_object),
+            web.get('/v1/vms', list_vms),
+            web.put('/control/vms', set_vms),
+            web.put('/control/faults', set_faults),
+            web.get('/control/counts', show_counts),
+            web.get('/control/objects', show_objects),
+        ]
+    )
+    asyncio.run(serve(app, arguments.port))
+
+
+if __name__ == '__main__':
+    main()
