--- a/packages/ryelatch-core/src/ryelatch_core/settings/_check.py
+++ b/packages/ryelatch-core/src/ryelatch_core/settings/_check.py
@@ -2,8 +2,9 @@
 
 import difflib
 import functools
+import itertools
 import re
-from collections.abc import Hashable, Iterable, Iterator
+from collections.abc import Hashable, Iterator
 from typing import Any, TypeVar, cast
 
 import msgspec
@@ -15,6 +16,7 @@
 
 MAX_BYTES = 4_194_304
 _MAX_DEPTH = 32
+_REFERRED = ('models', 'routes')
 _MAX_NODES = 200_000
 _FORMATS = (
     (float, r'^[-+]?(\d[\d_]*\.\d*|\.\d+)([eE][-+]?\d+)?$'),
@@ -194,11 +196,10 @@
     for found in validator.iter_errors(plain):
         for path, expected in _explain(found):
             reader.blame(path, expected)
+    if root is Settings:
+        _blame_references(reader, plain)
     if not reader.mistakes:
-        settings = msgspec.convert(plain, root)
-        _blame_references(reader, settings)
-        if not reader.mistakes:
-            return Ok(settings)
+        return Ok(msgspec.convert(plain, root))
     ordered = sorted(reader.mistakes, key=lambda found: found.line)
     return Err(SettingsError(tuple(ordered)))
 
@@ -212,42 +213,52 @@
     return node
 
 
-def _blame_references(reader: _Reader, settings: object) -> None:
-    """Blame names that lead nowhere and keys that two accounts share."""
-    if not isinstance(settings, Settings):
-        return
-    for path, name, known in _list_references(settings):
+def _blame_references(reader: _Reader, plain: Any) -> None:
+    """Blame names that lead nowhere and keys that two accounts share.
+
+    This looks at what was read, whether or not it fits the schema, so that
+    an operator sees these mistakes together with all others.
+    """
+    for path, name, known in _list_references(plain):
         if name not in known:
-            near = difflib.get_close_matches(name, known, 1)
+            near = difflib.get_close_matches(str(name), known, 1)
             hint = f'; did you mean {near[0]!r}?' if near else ''
             reader.blame(path, f'a known name, not {name!r}{hint}')
     owners: dict[str, _Path] = {}
-    for path, account in _walk_accounts(settings):
-        for index, key in enumerate(account.keys):
+    for path, account in _walk_accounts(plain):
+        for index, key in enumerate(_dig_list(account, 'keys')):
             place = (*path, 'keys', index)
-            if owners.setdefault(key, place) != place:
-                owner = '/'.join(map(str, owners[key]))
+            if owners.setdefault(str(key), place) != place:
+                owner = '/'.join(map(str, owners[str(key)][:-2]))
                 reader.blame(place, f'a key of its own, not that of {owner}')
 
 
-def _list_references(
-    settings: Settings,
-) -> Iterator[tuple[_Path, str, Iterable[str]]]:
-    for prefix, route in settings.routes.items():
-        yield ('routes', prefix, 'service'), route.service, settings.services
-    policies = [(('policy',), settings.policy)] + [
-        ((*path, 'policy'), account.policy)
-        for path, account in _walk_accounts(settings)
-    ]
-    for path, policy in policies:
-        for index, name in enumerate(policy.models or ()):
-            yield (*path, 'models', index), name, settings.models
-        for index, name in enumerate(policy.routes or ()):
-            yield (*path, 'routes', index), name, settings.routes
+def _list_references(plain: Any) -> Iterator[tuple[_Path, Any, list[str]]]:
+    services = list(_dig(plain, 'services'))
+    for prefix, route in _dig(plain, 'routes').items():
+        if isinstance(route, dict) and 'service' in route:
+            yield ('routes', prefix, 'service'), route['service'], services
+    nodes = [((), plain), *_walk_accounts(plain)]
+    for (path, node), section in itertools.product(nodes, _REFERRED):
+        policy = _dig(node, 'policy')
+        for index, name in enumerate(_dig_list(policy, section)):
+            known = list(_dig(plain, section))
+            yield (*path, 'policy', section, index), name, known
 
 
 def _walk_accounts(node: Any, path: _Path = ()) -> Iterator[tuple[_Path, Any]]:
-    for name, account in node.accounts.items():
+    for name, account in _dig(node, 'accounts').items():
         place = (*path, 'accounts', name)
         yield place, account
         yield from _walk_accounts(account, place)
+
+
+def _dig(node: Any, name: str) -> dict[str, Any]:
+    """Look up a mapping; an empty one where something else stands."""
+    found = node.get(name) if isinstance(node, dict) else None
+    return found if isinstance(found, dict) else {}
+
+
+def _dig_list(node: Any, name: str) -> list[Any]:
+    found = node.get(name) if isinstance(node, dict) else None
+    return found if isinstance(found, list) else []
