Share the engines by weight over the fleet, place layers by maximum flow

Cause: a surge of two large accounts at ten times the slots must not be felt by eight small ones; throughput is bounded by the weakest stage. Change: nodes tell each other their demand and work out the same max-min shares; an account that was idle starts past full slots; a node that is cut off keeps to its slice. Placement deals machines over cuts and polishes.

--- a/packages/ryelatch-core/src/ryelatch_core/membership/_peers.py
+++ b/packages/ryelatch-core/src/ryelatch_core/membership/_peers.py
@@ -5,6 +5,7 @@
 
 from ryelatch_core.membership._roster import Vm
 
+FULL_MESH = 16
 ZONE_PEERS = 8
 FAR_PEERS = 2
 ZONE_WATCHERS = 2
@@ -13,11 +14,14 @@
 def choose_peers(name: str, zone: str, nodes: Iterable[Vm]) -> list[Vm]:
     """Choose the nodes that a node opens streams to.
 
-    In its own availability zone the next few on a ring of names, which keeps
-    the zone connected whoever else fails; in each other zone a few that
-    differ from node to node. So the count grows with zones, not with nodes.
+    A small fleet is a full mesh. In a larger one these are, in the own
+    availability zone, the next few on a ring of names, which keeps the zone
+    connected whoever else fails; and in each other zone a few that differ
+    from node to node. So the count grows with zones, not with nodes.
     """
     others = [node for node in nodes if node.name != name]
+    if len(others) <= FULL_MESH:
+        return others
     own = [node for node in others if node.zone == zone]
     ring = sorted(own, key=lambda node: (node.name <= name, node.name))
     far_zones = sorted({node.zone for node in others} - {zone})
--- a/packages/ryelatch-core/src/ryelatch_core/pipeline/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/pipeline/__init__.py
@@ -10,6 +10,12 @@
     matches_step,
     offer_engine,
 )
+from ryelatch_core.pipeline._flow import (
+    Machine,
+    Placed,
+    Placement,
+    bound_throughput,
+)
 from ryelatch_core.pipeline._frames import (
     MAX_FRAME_BYTES,
     Cancel,
@@ -25,6 +31,12 @@
     decode_frames,
     encode_frames,
 )
+from ryelatch_core.pipeline._placement import (
+    Plan,
+    cut_evenly,
+    improve_placement,
+    place_layers,
+)
 from ryelatch_core.pipeline._repair import (
     Holding,
     Move,
@@ -41,21 +53,29 @@
     'FrameError',
     'Hello',
     'Holding',
+    'Machine',
     'Move',
     'Offer',
     'Ping',
+    'Placed',
+    'Placement',
+    'Plan',
     'Pong',
     'Receipt',
     'Refusal',
     'Step',
     'StepKey',
+    'bound_throughput',
     'check_chain',
     'choose_chain',
+    'cut_evenly',
     'cut_prompt',
     'decode_frames',
     'encode_frames',
     'find_gaps',
+    'improve_placement',
     'matches_step',
     'offer_engine',
+    'place_layers',
     'plan_repair',
 ]
--- a/packages/ryelatch-core/src/ryelatch_core/shares/_allocation.py
+++ b/packages/ryelatch-core/src/ryelatch_core/shares/_allocation.py
@@ -44,15 +44,22 @@
     demands: Mapping[str, Demand],
     node: str,
     nodes: int,
+    heard: int | None = None,
 ) -> dict[str, int]:
     """Work out how many requests each account may run at one node.
 
     An account may always run its share of this node's own slice, so that one
     that was idle, and of which peers have heard nothing, starts at once.
 
+    A node that hears nothing of some others must not hand out their part of
+    the slots too; it would show as engines with twice their slots after a
+    cut between nodes. So only the slices of the nodes heard are shared.
+
     :param nodes: nodes that share the slots.
+    :param heard: nodes whose demand is known, this one included.
     """
-    granted = allocate_slots(slots, demands)
+    known = nodes if heard is None else min(heard, nodes)
+    granted = allocate_slots(slots * known / nodes, demands)
     weights = sum(demand.weight for demand in demands.values())
     return {
         account: max(
--- a/packages/ryelatch-core/src/ryelatch_core/shares/_queue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/shares/_queue.py
@@ -5,6 +5,8 @@
 
 from result import Err, Ok, Result
 
+RESERVED = 2
+
 
 @dataclass(frozen=True)
 class Ticket:
@@ -100,8 +102,6 @@
         :param now: monotonic seconds; expired requests are passed over and
             come out of :meth:`expire`.
         """
-        if self.running >= self.slots:
-            return None
         ready = [
             (lane.finish, account)
             for account, lane in self._lanes.items()
@@ -155,7 +155,12 @@
 
     def _has_room(self, account: str, lane: _Lane) -> bool:
         cap = min(lane.limits.concurrent, self.caps.get(account, self.slots))
-        return lane.running < cap
+        if lane.running >= cap:
+            return False
+        # With every slot taken by a surge, an account that was idle would
+        # wait for the end of some long answer. Its floor lets it start at
+        # once; the engines then run a few streams more than their slots.
+        return self.running < self.slots or lane.running < RESERVED
 
     def _forget_idle(self, account: str) -> None:
         lane = self._lanes[account]
--- a/packages/ryelatch-node/src/ryelatch_node/admission/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/admission/_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -9,7 +10,7 @@
 
 from ryelatch_core.kernel import App, Service
 from ryelatch_core.outcomes import Failure, Outcome
-from ryelatch_core.settings import AccountEntry
+from ryelatch_core.settings import AccountEntry, Startup
 from ryelatch_core.shares import (
     Demand,
     FairQueue,
@@ -32,23 +33,23 @@
 
 
 class Admission:
-    """Lets requests start in order of their accounts' shares."""
+    """Lets requests start in order of their accounts' shares.
 
-    def __init__(self, app: App, holder: SettingsHolder) -> None:
+    :param name: of this node, under which it counts its own demand.
+    """
+
+    def __init__(self, app: App, holder: SettingsHolder, name: str) -> None:
         self.queues: dict[str, FairQueue] = {}
         self.remote: dict[str, dict[str, dict[str, int]]] = {}
         self.work: dict[str, dict[str, float]] = {}
         self._app = app
         self._holder = holder
-        self._name = ''
+        self.count_nodes: Callable[[], int] = lambda: 1
+        self._name = name
         self._numbers = itertools.count(1)
         self._waiters: dict[int, asyncio.Future[Failure | None]] = {}
         app.hub.connect(SettingsApplied, lambda _: self.resize())
 
-    def configure(self, name: str) -> None:
-        """Tell the name of this node, under which peers know its demand."""
-        self._name = name
-
     async def admit(
         self,
         model: str,
@@ -131,13 +132,16 @@
         known = settings.models.get(model) or settings.services.get(model)
         if known is None:
             return
-        nodes = len(self.remote) + 1
+        heard = len(self.remote) + 1
+        nodes = max(heard, self.count_nodes())
         demands = self._gather(model, queue)
         if not demands:
             queue.slots = max(1, known.slots // nodes)
             queue.caps = {}
             return
-        queue.caps = cap_accounts(known.slots, demands, self._name, nodes)
+        queue.caps = cap_accounts(
+            known.slots, demands, self._name, nodes, heard
+        )
         queue.slots = max(
             known.slots // nodes,
             sum(
@@ -203,4 +207,6 @@
 def setup(app: App) -> None:
     """Add the service ``admission``."""
     holder = app.find('settings', SettingsHolder)
-    app.add(Service('admission', Admission(app, holder), ('settings',)))
+    name = app.find('startup', Startup).name
+    admission = Admission(app, holder, name)
+    app.add(Service('admission', admission, ('settings',)))
--- a/packages/ryelatch-node/src/ryelatch_node/front/_admin.py
+++ b/packages/ryelatch-node/src/ryelatch_node/front/_admin.py
@@ -33,6 +33,7 @@
                 'zone': startup.zone,
                 'draining': peers.draining,
                 'peers': sorted(peers.peers),
+                'peer_bytes': peers.bytes_sent,
                 'revision': holder.revision,
                 'confirmed': holder.confirmed,
                 'answers': app.find('answers', Answers).running,
--- a/packages/ryelatch-node/src/ryelatch_node/peers/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peers/_service.py
@@ -70,6 +70,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._holder.should_watch = self.should_watch
         self._upstreams.should_list = self.should_watch
+        self._admission.count_nodes = self._count_nodes
         app.hub.connect(SettingsApplied, lambda _: self._offer_all())
         app.hub.connect(RosterChanged, lambda _: self._beat_all())
 
@@ -109,6 +110,10 @@
         self.draining = True
         self._beat_all()
 
+    def _count_nodes(self) -> int:
+        """Count the nodes that share the engines, as the platform lists."""
+        return len(self._upstreams.roster.list_role('node'))
+
     def _keep(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
--- a/packages/ryelatch-node/src/ryelatch_node/store/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/store/_client.py
@@ -74,7 +74,8 @@
         self._note = note
         self._session: aiohttp.ClientSession | None = None
         self._retiring: dict[aiohttp.ClientSession, asyncio.Task[None]] = {}
-        self.calls = 0
+        self._list: list[Vm] = []
+        self._list_version = ''
 
     async def close(self) -> None:
         """Close all connections."""
@@ -131,8 +132,15 @@
 
     async def list_vms(self) -> Result[list[Vm], StoreError]:
         """Read the list of live and leaving VMs; it lags by seconds."""
-        found = await self._call('GET', 'vms')
-        return found.and_then(_decode_as(list[Vm]))
+        headers = {'If-None-Match': f'"{self._list_version}"'}
+        found = await self._call('GET', 'vms', headers=headers)
+        if found.is_err() and found.unwrap_err() is StoreError.UNCHANGED:
+            return Ok(self._list)
+        decoded = found.and_then(_decode_as(list[Vm]))
+        if decoded.is_ok():
+            self._list = decoded.unwrap()
+            self._list_version = found.unwrap().version
+        return decoded
 
     async def _call(
         self,
@@ -142,7 +150,6 @@
         headers: dict[str, str] | None = None,
         patience: float = 0,
     ) -> Result[Entry, StoreError]:
-        self.calls += 1
         timeout = aiohttp.ClientTimeout(self._platform.timeout + patience)
         session = self._open()
         try:
--- a/packages/ryelatch-node/src/ryelatch_node/upstreams/_link.py
+++ b/packages/ryelatch-node/src/ryelatch_node/upstreams/_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -32,6 +33,7 @@
 STEP_SECONDS = 2.0
 _SERVED = 'served'
 _OWED = 4096
+_IDLE_TURNS = 10
 _BACKOFF_SECONDS = (0.05, 0.1, 0.2, 0.5, 1.0)
 
 
@@ -84,7 +86,7 @@
         self._outbox: list[Frame] = []
         self._owed: deque[Cancel] = deque(maxlen=_OWED)
         self._filled = asyncio.Event()
-        self._heard = 0.0
+        self._asked: float | None = None
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -107,7 +109,7 @@
 
     def send(self, step: Step, sink: Sink, stage: int) -> None:
         """Send a step; its answer goes to the sink."""
-        now = asyncio.get_running_loop().time()
+        now = self._now()
         self._pending[step.key] = _Pending(step, sink, stage, now)
         self.in_flight += step.count
         self._put(step)
@@ -136,9 +138,9 @@
     async def _run(self, session: aiohttp.ClientSession) -> None:
         failures = 0
         while True:
-            connected = asyncio.get_running_loop().time()
+            connected = self._now()
             reason = await self._connect_once(session)
-            lasted = asyncio.get_running_loop().time() - connected
+            lasted = self._now() - connected
             if reason == _SERVED and lasted > SILENT_SECONDS:
                 # The engine may live on behind a connection that broke or
                 # went silent. It keeps the results of steps by their key, so
@@ -183,24 +185,35 @@
         ]
         self._owed.clear()
         self._filled.set()
-        writer = asyncio.create_task(self._write(socket))
-        pinger = asyncio.create_task(self._ping())
+        self._asked = None
+        tasks = [
+            asyncio.create_task(work)
+            for work in (
+                self._read(socket),
+                self._write(socket),
+                self._ping(),
+            )
+        ]
         try:
-            while frames := await self._receive(socket, SILENT_SECONDS):
-                for frame in frames:
-                    self._take(frame)
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
-            writer.cancel()
-            pinger.cancel()
-            await asyncio.gather(writer, pinger, return_exceptions=True)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
         return _SERVED
 
+    async def _read(self, socket: aiohttp.ClientWebSocketResponse) -> None:
+        while frames := await self._receive(socket, None):
+            self._asked = None
+            for frame in frames:
+                self._take(frame)
+
     async def _receive(
         self,
         socket: aiohttp.ClientWebSocketResponse,
-        patience: float,
+        patience: float | None,
     ) -> list[Frame]:
-        """Read a batch; nothing if the connection is lost or silent."""
+        """Read a batch; nothing if the connection is lost."""
         try:
             message = await socket.receive(patience)
         except TimeoutError:
@@ -224,20 +237,29 @@
                 return
 
     async def _ping(self) -> None:
-        number = 0
-        while True:
-            self._put(Ping(number))
-            number += 1
+        """Ask for a sign of life, often while steps are in flight.
+
+        :returns: when the connection has gone silent.
+        """
+        for turn in itertools.count():
+            if self._pending or turn % _IDLE_TURNS == 0:
+                self._put(Ping(turn))
+                self._asked = self._asked or self._now()
             await asyncio.sleep(PING_SECONDS)
+            if self._asked and self._now() - self._asked > SILENT_SECONDS:
+                return
             self._check_progress()
 
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
     def _check_progress(self) -> None:
         """Ask again for steps without an answer, then give them up.
 
         An engine can answer pings and still lose the answer to a step; it
         shows as one stream that stands still among others that move.
         """
-        now = asyncio.get_running_loop().time()
+        now = self._now()
         late = [
             (key, pending)
             for key, pending in self._pending.items()
--- a/packages/ryelatch-node/src/ryelatch_node/upstreams/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/upstreams/_service.py
@@ -52,7 +52,11 @@
 
     async def start(self) -> None:
         """Read the list once, then follow it."""
-        self._session = aiohttp.ClientSession()
+        # The library's default of 100 connections would leave a node with
+        # more engines waiting for a free one for good.
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
         await self._read_list()
         self._task = asyncio.create_task(self._follow())
 
--- a/tests/core/shares/test_queue.py
+++ b/tests/core/shares/test_queue.py
@@ -101,6 +101,32 @@
     assert shed.retry_after >= 1
 
 
+def test_idle_account_starts_in_a_surge() -> None:
+    """Every slot is taken by long answers of one account.
+
+    A ward that was idle asks once, and must not wait until one of them ends.
+    """
+    queue = FairQueue(4)
+    for number in range(50):
+        queue.offer(_ticket(number, 'large'), _WIDE)
+        queue.take(0)
+    assert queue.running == 4
+    queue.offer(_ticket(100, 'small'), _WIDE)
+    taken = queue.take(0)
+    assert taken is not None
+    assert taken.account == 'small'
+
+
+def test_node_that_is_cut_off_keeps_to_its_slice() -> None:
+    """A node hears of none of its seven peers, and one account surges.
+
+    It may hand out its own eighth of the slots and no more.
+    """
+    demands = {'large': Demand(1, {'n1': 500})}
+    assert cap_accounts(80, demands, 'n1', 8, heard=1) == {'large': 10}
+    assert cap_accounts(80, demands, 'n1', 8, heard=8) == {'large': 80}
+
+
 def test_expired_and_withdrawn_tickets_leave() -> None:
     queue = FairQueue(1)
     for number in range(3):
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -266,8 +266,14 @@
         ) as response:
             return await response.json()
 
-    async def wait_connected(self, count: int | None = None) -> None:
+    async def wait_connected(
+        self,
+        count: int | None = None,
+        *,
+        peers: bool = True,
+    ) -> None:
         """Wait until all nodes have links to all engines and to peers."""
+        streams = len([node for node in self.nodes if not _ended(node)]) - 1
         wanted = len(self.shape.engines) if count is None else count
         running = [node for node in self.nodes if not _ended(node)]
 
@@ -279,7 +285,7 @@
                     for upstream in status['upstreams']
                 )
                 >= wanted
-                and len(status['peers']) >= len(running) - 1
+                and len(status['peers']) >= streams * peers
                 for status in found
             )
 
@@ -332,15 +338,28 @@
 
 
 @asynccontextmanager
-async def run_fleet(shape: Shape) -> AsyncIterator[Fleet]:
-    """Bring up a fleet with its settings in force, and end it after."""
+async def run_fleet(
+    shape: Shape,
+    *,
+    apart: bool = False,
+) -> AsyncIterator[Fleet]:
+    """Bring up a fleet with its settings in force, and end it after.
+
+    :param apart: the nodes don't know each other's key, so hear nothing.
+    """
     async with AsyncExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         fleet = Fleet(shape, Path(folder))
         stack.push_async_callback(fleet.close)
         await fleet.start_platform()
         await fleet.start_upstreams()
-        await asyncio.gather(*(fleet.start_node(name) for name in shape.nodes))
+        keys = {
+            name: {'peer_key': f'key of the peer {name}'} if apart else {}
+            for name in shape.nodes
+        }
+        await asyncio.gather(
+            *(fleet.start_node(name, **key) for name, key in keys.items())
+        )
         await fleet.apply()
-        await fleet.wait_connected()
+        await fleet.wait_connected(peers=not apart)
         yield fleet
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -31,6 +31,7 @@
 WORD = 8
 _KEPT_RESULTS = 64
 _BATCH = 512
+_GATHER = 0.1
 _LEDGER = 2_000_000
 
 
@@ -99,6 +100,11 @@
         while True:
             await self._filled.wait()
             self._filled.clear()
+            if self._queue:
+                # Streams answered just now come back for their next token a
+                # moment later; a batch begun at once would split them into
+                # groups that wait for each other.
+                await asyncio.sleep(self.options.step_ms / 1000 * _GATHER)
             positions = 0
             batch: list[tuple[Step, Connection]] = []
             while self._queue and positions < _BATCH:
@@ -106,7 +112,11 @@
                 batch.append((step, connection))
                 positions += step.count
             if batch:
-                await asyncio.sleep(self.options.step_ms / 1000)
+                rest = 1 - _GATHER
+                await asyncio.sleep(
+                    self.options.step_ms / 1000 * rest
+                    + positions * self.options.position_us / 1e6
+                )
             for step, connection in batch:
                 self._answer(step, connection)
             if self._queue:
@@ -296,7 +306,9 @@
     response.content_type = 'text/event-stream'
     await response.prepare(request)
     for _ in range(wanted['max_tokens']):
-        await asyncio.sleep(engine.options.step_ms / 1000)
+        # In two parts, as a batch is: each has its own timer error.
+        for share in (_GATHER, 1 - _GATHER):
+            await asyncio.sleep(engine.options.step_ms / 1000 * share)
         await response.write(b'data: {"choices":[{"text":"x"}]}\n\n')
     await response.write(b'data: [DONE]\n\n')
     return response
@@ -314,6 +326,7 @@
     parser.add_argument('--last', type=int, required=True)
     parser.add_argument('--kind', default='gpu-a')
     parser.add_argument('--step-ms', type=float, default=2)
+    parser.add_argument('--position-us', type=float, default=0)
     parser.add_argument('--load-ms', type=float, default=50)
     parser.add_argument('--activation-bytes', type=int, default=WORD)
     parser.add_argument('--fencing', action='store_true')
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -161,7 +161,10 @@
     state = request.app[STATE]
     asof = time.monotonic() - state.faults.lag
     seen = [vms for since, vms in state.vms if since <= asof]
-    return web.json_response(seen[-1] if seen else [])
+    etag = f'"{len(seen)}"'
+    if request.headers.get('If-None-Match') == etag:
+        return web.Response(status=304)
+    return web.json_response(seen[-1] if seen else [], headers={'ETag': etag})
 
 
 async def set_vms(request: web.Request) -> web.Response:
