--- a/docs/conf.py
+++ b/docs/conf.py
@@ -3,5 +3,5 @@
 project = 'ryelatch'
 extensions = ['myst_parser']
 myst_heading_anchors = 3
-exclude_patterns: list[str] = []
+exclude_patterns = ['*.template.md', 'plots']
 html_theme = 'alabaster'
--- a/docs/generate.py
+++ b/docs/generate.py
@@ -162,8 +162,8 @@
     'recovery': ('Gap between two tokens at a failure, seconds', ('rows',)),
     'shares': ('Small accounts while large ones surge', ('rows',)),
     'placement': ('Placement', ('small', 'large', 'replan')),
-    'choice': ('Choice of engines per request', ('rows',)),
     'overload': ('Goodput under overload', ('rows',)),
+    'fencing': ('Orders taken in error', ('rows',)),
 }
 
 _PAGES: dict[str, Callable[[], str]] = {
--- a/packages/ryelatch-core/src/ryelatch_core/kernel/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/kernel/__init__.py
@@ -4,5 +4,14 @@
 from ryelatch_core.kernel._clock import Clock, SystemClock
 from ryelatch_core.kernel._errors import KernelError
 from ryelatch_core.kernel._hub import Hub
+from ryelatch_core.kernel._tasks import cancel_task
 
-__all__ = ['App', 'Clock', 'Hub', 'KernelError', 'Service', 'SystemClock']
+__all__ = [
+    'App',
+    'Clock',
+    'Hub',
+    'KernelError',
+    'Service',
+    'SystemClock',
+    'cancel_task',
+]
--- a/packages/ryelatch-core/src/ryelatch_core/pipeline/_frames.py
+++ b/packages/ryelatch-core/src/ryelatch_core/pipeline/_frames.py
@@ -23,6 +23,19 @@
     """Common form of all frames."""
 
 
+class _StepFrame(_Frame, frozen=True, array_like=True):
+    """Common form of what concerns one step."""
+
+    stream: str
+    attempt: int
+    position: int
+
+    @property
+    def key(self) -> StepKey:
+        """The identity under which the engine keeps the answer."""
+        return StepKey(self.stream, self.attempt, self.position)
+
+
 class Hello(_Frame, frozen=True, array_like=True, tag=0):
     """What an engine says of itself, at connection and at each change.
 
@@ -44,7 +57,7 @@
     fence: int = 0
 
 
-class Step(_Frame, frozen=True, array_like=True, tag=1):
+class Step(_StepFrame, frozen=True, array_like=True, tag=1):
     """Run an engine's layers over the next positions of a stream.
 
     :param position: the first of the positions.
@@ -55,9 +68,6 @@
     :param sample: whether the last stage should return the next token.
     """
 
-    stream: str
-    attempt: int
-    position: int
     count: int
     first: int
     last: int
@@ -68,18 +78,10 @@
     payload: bytes = b''
     handle: str = ''
 
-    @property
-    def key(self) -> StepKey:
-        """The identity under which the engine keeps the answer."""
-        return StepKey(self.stream, self.attempt, self.position)
-
 
-class Receipt(_Frame, frozen=True, array_like=True, tag=2):
+class Receipt(_StepFrame, frozen=True, array_like=True, tag=2):
     """What an engine ran, and the output for the next stage or the caller."""
 
-    stream: str
-    attempt: int
-    position: int
     count: int
     first: int
     last: int
@@ -88,25 +90,12 @@
     payload: bytes = b''
     handle: str = ''
 
-    @property
-    def key(self) -> StepKey:
-        """The step that it answers."""
-        return StepKey(self.stream, self.attempt, self.position)
-
 
-class Refusal(_Frame, frozen=True, array_like=True, tag=3):
+class Refusal(_StepFrame, frozen=True, array_like=True, tag=3):
     """A step that the engine did not run."""
 
-    stream: str
-    attempt: int
-    position: int
     reason: str
 
-    @property
-    def key(self) -> StepKey:
-        """The step that it answers."""
-        return StepKey(self.stream, self.attempt, self.position)
-
 
 class Cancel(_Frame, frozen=True, array_like=True, tag=4):
     """Forget a stream up to and with an attempt."""
--- a/packages/ryelatch-core/src/ryelatch_core/pipeline/_pace.py
+++ b/packages/ryelatch-core/src/ryelatch_core/pipeline/_pace.py
@@ -8,7 +8,9 @@
 FADE_SECONDS = 10.0
 STALE_SECONDS = 3.0
 SLOW_FACTOR = 4.0
+SLOW_SECONDS = 0.02
 _WEIGHT = 0.2
+_LONG_WEIGHT = 0.002
 _ROOM = 64
 
 
@@ -21,10 +23,12 @@
 
     :param latency: seconds.
     :param seen: monotonic seconds of the last receipt; 0 before any.
+    :param normal: seconds, over hundreds of steps.
     """
 
     latency: float = 0
     seen: float = 0
+    normal: float = 0
 
     def observe(self, seconds: float, now: float) -> None:
         """Take in the time of a step."""
@@ -32,6 +36,8 @@
             self.latency = seconds
         else:
             self.latency += _WEIGHT * (seconds - self.latency)
+        self.normal += _LONG_WEIGHT * (seconds - (self.normal or seconds))
+        self.normal = self.normal or seconds
         self.seen = now
 
     def expect(self, usual: float, now: float) -> float:
@@ -50,8 +56,16 @@
         return not self.seen or now - self.seen > STALE_SECONDS
 
     def is_slow(self, usual: float, now: float) -> bool:
-        """Tell whether it is known just now to be slower than its peers."""
-        return not self.is_stale(now) and self.latency > SLOW_FACTOR * usual
+        """Tell whether it is known just now to be slower than it should be.
+
+        Slower than its peers, or than itself before: while all answers run
+        on the nearest engine nothing is known of the others. And both by a
+        factor and by a time that callers would feel: among steps of a
+        millisecond any pause of a process is a large factor.
+        """
+        usual = min(usual or self.normal, self.normal or usual)
+        least = max(SLOW_FACTOR * usual, usual + SLOW_SECONDS)
+        return not self.is_stale(now) and self.latency > least
 
 
 def find_usual(paces: Iterable[Pace], now: float) -> float:
--- a/packages/ryelatch-core/src/ryelatch_core/shares/_queue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/shares/_queue.py
@@ -147,12 +147,6 @@
         lane.finish += (work - ticket.work) / ticket.weight
         self._forget_idle(ticket.account)
 
-    def charge(self, account: str, work: float) -> None:
-        """Charge an account for work done by other nodes."""
-        lane = self._lanes.get(account)
-        if lane is not None:
-            lane.finish += work / lane.weight
-
     def _has_room(self, account: str, lane: _Lane) -> bool:
         cap = min(lane.limits.concurrent, self.caps.get(account, self.slots))
         if lane.running >= cap:
--- a/packages/ryelatch-node/src/ryelatch_node/admission/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/admission/_service.py
@@ -41,7 +41,6 @@
     def __init__(self, app: App, holder: SettingsHolder, name: str) -> None:
         self.queues: dict[str, FairQueue] = {}
         self.remote: dict[str, dict[str, dict[str, int]]] = {}
-        self.work: dict[str, dict[str, float]] = {}
         self._app = app
         self._holder = holder
         self.count_nodes: Callable[[], int] = lambda: 1
@@ -91,9 +90,6 @@
 
     def release(self, granted: Pass, work: float) -> None:
         """Give back leave, with the work that the request really took."""
-        account = granted.ticket.account
-        done = self.work.setdefault(granted.model, {})
-        done[account] = done.get(account, 0) + work
         self._find_queue(granted.model).finish(granted.ticket, work)
         self._dispatch(granted.model)
 
--- a/packages/ryelatch-node/src/ryelatch_node/answers/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/answers/_service.py
@@ -1,13 +1,11 @@
 """Answers as a service: chains for attempts, and attempts after losses."""
 
 import asyncio
-import contextlib
-import itertools
 from dataclasses import dataclass
 from http import HTTPStatus
 
 from ryelatch_core.events import Timeline, catalogue
-from ryelatch_core.kernel import App, Service
+from ryelatch_core.kernel import App, Service, cancel_task
 from ryelatch_core.outcomes import Failure, Outcome
 from ryelatch_core.pipeline import (
     Chain,
@@ -80,10 +78,7 @@
 
     async def stop(self) -> None:
         """Stop looking."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await cancel_task(self._task)
 
     def open(self, order: Order) -> Answer:
         """Start an answer; read it, then close it."""
@@ -185,19 +180,32 @@
         now = asyncio.get_running_loop().time()
         usual = _find_usual(links, now)
         offers = [
-            _offer(link, usual[_range_of(link)], now)
+            self._offer(link, usual[_range_of(link)], now)
             for link in links
             if link.vm.name not in avoided
         ]
-        zones = {offer.zone for offer in offers}
-        hops = dict.fromkeys(itertools.permutations(zones, 2), _HOP_SECONDS)
         model = order.model
-        chosen = choose_chain(offers, model.layers, model.version, hops)
+        chosen = choose_chain(offers, model.layers, model.version, {})
         checked = chosen.and_then(
             lambda chain: check_chain(chain, model.layers, model.version)
         )
         return chosen.unwrap() if checked.is_ok() else None
 
+    def _offer(self, link: EngineLink, usual: float, now: float) -> Offer:
+        """Say what a step would cost on an engine.
+
+        Activations pass through this node, so what counts is how far each
+        engine is from it, not from the engine before.
+        """
+        hello = link.hello
+        if hello is None:
+            raise ValueError(f'{link.vm.name} is not connected')
+        cost = estimate_cost(
+            link.pace, usual, link.streams, link.waiting, hello.rate, now
+        )
+        far = 0 if link.vm.zone == self._zone else _HOP_SECONDS
+        return offer_engine(hello, link.vm.zone, cost + far)
+
     async def _watch_pace(self) -> None:
         """Move answers off engines that have become slow, a few at a time.
 
@@ -253,16 +261,6 @@
     }
 
 
-def _offer(link: EngineLink, usual: float, now: float) -> Offer:
-    hello = link.hello
-    if hello is None:
-        raise ValueError(f'{link.vm.name} is not connected')
-    cost = estimate_cost(
-        link.pace, usual, link.streams, link.waiting, hello.rate, now
-    )
-    return offer_engine(hello, link.vm.zone, cost)
-
-
 def _fail(answer: Answer, code: str) -> Failure:
     """Tell a caller that the answer will not be whole.
 
--- a/packages/ryelatch-node/src/ryelatch_node/config/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/config/_service.py
@@ -1,14 +1,13 @@
 """Holds the settings in force and follows newer revisions."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
 
 from ryelatch_core.events import Timeline, catalogue
-from ryelatch_core.kernel import App, Service
+from ryelatch_core.kernel import App, Service, cancel_task
 from ryelatch_core.settings import (
     ROOT_KEY,
     Bundle,
@@ -66,10 +65,7 @@
 
     async def stop(self) -> None:
         """Stop following."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await cancel_task(self._task)
 
     def apply(self, bundle: Bundle, source: str) -> bool:
         """Put a revision in force, whole or not at all, if it is newer.
--- a/packages/ryelatch-node/src/ryelatch_node/control/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/control/_service.py
@@ -1,14 +1,13 @@
 """Repair: layers of engines that are gone are given to others."""
 
 import asyncio
-import contextlib
 import hashlib
 from http import HTTPStatus
 
 import aiohttp
 
 from ryelatch_core.events import Timeline, catalogue
-from ryelatch_core.kernel import App, Service
+from ryelatch_core.kernel import App, Service, cancel_task
 from ryelatch_core.membership import ORDER_SECONDS
 from ryelatch_core.pipeline import Holding, Move, plan_repair
 from ryelatch_core.settings import Model, Startup
@@ -50,10 +49,7 @@
 
     async def stop(self) -> None:
         """Give back all leases."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await cancel_task(self._task)
         for duty in list(self._keeper.held):
             await self._keeper.release(duty)
         if self._session is not None:
--- a/packages/ryelatch-node/src/ryelatch_node/plain/_claims.py
+++ b/packages/ryelatch-node/src/ryelatch_node/plain/_claims.py
@@ -10,6 +10,7 @@
 import enum
 import hashlib
 import uuid
+from collections import deque
 from collections.abc import Coroutine
 from dataclasses import dataclass, replace
 from typing import Any
@@ -18,7 +19,7 @@
 from result import Err, Ok, Result
 
 from ryelatch_core.events import Timeline, catalogue
-from ryelatch_core.kernel import App, Service
+from ryelatch_core.kernel import App, Service, cancel_task
 from ryelatch_core.settings import Startup
 from ryelatch_node.store import Entry, Store, StoreError
 
@@ -26,6 +27,7 @@
 _MEND_SECONDS = 0.5
 _MEND_TRIES = 240
 _WATCH_SECONDS = 2.0
+_SWEEP_SECONDS = 1.0
 
 
 class RecordState(enum.StrEnum):
@@ -93,9 +95,16 @@
         self._node = node
         self._timeline = app.find('timeline', Timeline)
         self._tasks: set[asyncio.Task[None]] = set()
+        self._old: deque[tuple[float, str, str]] = deque()
+        self._sweeper: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start deleting records past their time."""
+        self._sweeper = asyncio.create_task(self._sweep())
 
     async def stop(self) -> None:
         """Wait until every outcome is recorded, as far as the store lets."""
+        await cancel_task(self._sweeper)
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=_MEND_SECONDS * _TRIES)
 
@@ -225,6 +234,9 @@
                 self._timeline.record(
                     catalogue.CLAIM_SETTLED, key=claim.key, state=record.state
                 )
+                if written.is_ok():
+                    version = written.unwrap().version
+                    self._old.append((record.until, claim.key, version))
                 return
             await asyncio.sleep(_MEND_SECONDS)
         self._timeline.record(catalogue.CLAIM_FAILED, key=claim.key)
@@ -254,6 +266,18 @@
                 continue
             await asyncio.sleep(_MEND_SECONDS)
 
+    async def _sweep(self) -> None:
+        """Delete what this node settled and nobody may ask for any more.
+
+        Records of a node that died stay; they cost the store room only.
+        """
+        while True:
+            await asyncio.sleep(_SWEEP_SECONDS)
+            now = self._app.clock.wall()
+            while self._old and self._old[0][0] < now:
+                _, key, version = self._old.popleft()
+                await self._store.delete(key, version)
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
@@ -284,4 +308,12 @@
     """Add the service ``claims``."""
     store = app.find('store', Store)
     claims = Claims(app, store, app.find('startup', Startup).name)
-    app.add(Service('claims', claims, ('store', 'timeline'), stop=claims.stop))
+    app.add(
+        Service(
+            'claims',
+            claims,
+            ('store', 'timeline'),
+            start=claims.start,
+            stop=claims.stop,
+        )
+    )
--- a/packages/ryelatch-node/src/ryelatch_node/store/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/store/_client.py
@@ -125,11 +125,6 @@
             'DELETE', f'objects/{key}', headers={'If-Match': version}
         )
 
-    async def list_keys(self, prefix: str) -> Result[list[str], StoreError]:
-        """List the keys with a prefix."""
-        found = await self._call('GET', f'objects?prefix={prefix}')
-        return found.and_then(_decode_as(list[str]))
-
     async def list_vms(self) -> Result[list[Vm], StoreError]:
         """Read the list of live and leaving VMs; it lags by seconds."""
         headers = {'If-None-Match': f'"{self._list_version}"'}
--- a/packages/ryelatch-node/src/ryelatch_node/upstreams/_link.py
+++ b/packages/ryelatch-node/src/ryelatch_node/upstreams/_link.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from ryelatch_core.kernel import cancel_task
 from ryelatch_core.membership import Vm
 from ryelatch_core.pipeline import (
     MAX_FRAME_BYTES,
@@ -103,10 +104,7 @@
 
     async def close(self) -> None:
         """Give up the connection and all steps in flight."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await cancel_task(self._task)
         self._on_change = _ignore_change
         self._lose('closed')
 
--- a/packages/ryelatch-node/src/ryelatch_node/upstreams/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/upstreams/_service.py
@@ -1,7 +1,6 @@
 """The upstreams of this node, as a service."""
 
 import asyncio
-import contextlib
 import itertools
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -10,7 +9,7 @@
 import aiohttp
 
 from ryelatch_core.events import Timeline, catalogue
-from ryelatch_core.kernel import App, Service
+from ryelatch_core.kernel import App, Service, cancel_task
 from ryelatch_core.membership import Roster, Vm
 from ryelatch_core.pipeline import StepKey
 from ryelatch_core.settings import Startup
@@ -62,10 +61,7 @@
 
     async def stop(self) -> None:
         """Close all links."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await cancel_task(self._task)
         await asyncio.gather(*(link.close() for link in self.links.values()))
         if self._session is not None:
             await self._session.close()
--- a/tests/core/pipeline/test_pace.py
+++ b/tests/core/pipeline/test_pace.py
@@ -45,3 +45,19 @@
     assert estimate_cost(pace, 0, 5, 0, 100, 10) > estimate_cost(
         pace, 0, 0, 0, 100, 10
     )
+
+
+def test_only_engine_in_use_becomes_slow() -> None:
+    """All answers run on the nearest engine, and its link degrades.
+
+    Of its peer nothing is known just now, so the slow engine would be what
+    is usual; it is held against its own past.
+    """
+    pace = Pace()
+    for step in range(500):
+        pace.observe(0.003, 100 + step / 100)
+    for step in range(30):
+        pace.observe(0.1, 105 + step / 10)
+    usual = find_usual([pace, Pace()], 108)
+    assert usual == pace.latency
+    assert pace.is_slow(usual, 108)
--- a/tests/promises/test_at_most_once.py
+++ b/tests/promises/test_at_most_once.py
@@ -18,6 +18,14 @@
     await fleet.control(fleet.platform, 'faults', {'match': 'claims'} | faults)
 
 
+async def _wait_claimed(fleet: Fleet) -> None:
+    async def claimed() -> bool:
+        objects = await fleet.inspect(fleet.platform, 'objects')
+        return any(key.startswith('claims/') for key in objects)
+
+    await fleet.wait_for(claimed)
+
+
 async def test_same_key_through_all_nodes_at_once() -> None:
     """A dispatcher's client sends a booking again as the first is slow.
 
@@ -128,12 +136,7 @@
     async with run_fleet(make_shape(nodes=2, tweak=_make_short)) as fleet:
         await _faults(fleet, lose=1)
         asking = asyncio.create_task(book(fleet, fleet.nodes[0], 'p', 'key-1'))
-
-        async def claimed() -> bool:
-            objects = await fleet.inspect(fleet.platform, 'objects')
-            return any(key.startswith('claims/') for key in objects)
-
-        await fleet.wait_for(claimed)
+        await _wait_claimed(fleet)
         await _faults(fleet, outage=True)
         assert (await asking)[1] == 'not-run'
         await _faults(fleet)
@@ -185,12 +188,7 @@
     async with run_fleet(make_shape(nodes=2, tweak=_make_short)) as fleet:
         await _faults(fleet, lose=1)
         asking = asyncio.create_task(book(fleet, fleet.nodes[0], 'p', 'key-1'))
-
-        async def claimed() -> bool:
-            objects = await fleet.inspect(fleet.platform, 'objects')
-            return any(key.startswith('claims/') for key in objects)
-
-        await fleet.wait_for(claimed)
+        await _wait_claimed(fleet)
         holder = fleet.processes['node-a']
         holder.send(signal.SIGSTOP)
         await _faults(fleet)
@@ -219,3 +217,23 @@
 
         await fleet.wait_for(booked)
         assert (await count_runs(fleet))['p'] == 1
+
+
+async def test_claims_are_deleted_past_their_time() -> None:
+    """Bookings go on for months, and each leaves a record in the store.
+
+    Nothing else would ever delete it; past the time for which its answer is
+    kept, the node that settled it does.
+    """
+
+    def forget(tree: dict[str, Any]) -> None:
+        tree['routes']['/booking']['keep_answers'] = 0.5
+
+    async with run_fleet(make_shape(nodes=1, tweak=forget)) as fleet:
+        await book(fleet, fleet.nodes[0], 'p', 'key-1')
+
+        async def deleted() -> bool:
+            objects = await fleet.inspect(fleet.platform, 'objects')
+            return not any(key.startswith('claims/') for key in objects)
+
+        await fleet.wait_for(deleted)
