--- a/packages/ryelatch-node/src/ryelatch_node/store/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/store/_client.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 from types import MappingProxyType
+from typing import TypeVar
 
 import aiohttp
 import msgspec
@@ -17,6 +18,8 @@
 _MAX_ANSWER = 4_194_304
 _LONGEST_WATCH = 5.0
 
+_Decoded = TypeVar('_Decoded')
+
 
 class StoreError(enum.Enum):
     """Why a call did not do what was asked."""
@@ -197,8 +200,12 @@
         del self._retiring[session]
 
 
-def _decode_as(kind: type) -> Callable[[Entry], Result]:  # type: ignore[type-arg]
-    def decode(entry: Entry) -> Result:  # type: ignore[type-arg]
+def _decode_as(
+    kind: type[_Decoded],
+) -> Callable[[Entry], Result[_Decoded, StoreError]]:
+    """Make the step from an answer's body to typed data."""
+
+    def decode(entry: Entry) -> Result[_Decoded, StoreError]:
         try:
             return Ok(msgspec.json.decode(entry.body, type=kind))
         except msgspec.MsgspecError:
--- a/packages/ryelatch-node/src/ryelatch_node/store/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/store/_service.py
@@ -1,5 +1,7 @@
 """The store as a service of a node."""
 
+from collections.abc import Callable
+
 from ryelatch_core.events import Timeline, catalogue
 from ryelatch_core.kernel import App, Service
 from ryelatch_core.settings import Startup
@@ -14,7 +16,7 @@
     app.add(Service('store', store, ('timeline',), stop=store.close))
 
 
-def _note_changes(timeline: Timeline):  # type: ignore[no-untyped-def]
+def _note_changes(timeline: Timeline) -> Callable[..., None]:
     """Record when the platform stops answering and when it is back."""
     up = True
 
