--- /dev/null
+++ b/benchmarks/claims.py
@@ -0,0 +1,58 @@
+"""Claims a second through three nodes, and the store's writes for them."""
+
+import asyncio
+import time
+
+from common import find_percentiles, print_table, save_result
+from fleet.checks import book, count_runs
+from fleet.fleet import Fleet, make_shape, run_fleet
+
+_SECONDS = 6.0
+
+
+async def measure(
+    fleet: Fleet, callers: int, *, keyed: bool
+) -> dict[str, float]:
+    """Book for a while with a number of callers."""
+    end = time.monotonic() + _SECONDS
+    times: list[float] = []
+
+    async def call(number: int) -> None:
+        turn = 0
+        while time.monotonic() < end:
+            turn += 1
+            name = f'{callers}-{number}-{turn}-{keyed}'
+            begun = time.monotonic()
+            node = fleet.nodes[number % len(fleet.nodes)]
+            await book(fleet, node, name, name if keyed else '')
+            times.append(time.monotonic() - begun)
+
+    before = await fleet.inspect(fleet.platform, 'counts')
+    await asyncio.gather(*(call(number) for number in range(callers)))
+    after = await fleet.inspect(fleet.platform, 'counts')
+    writes = after.get('PUT objects', 0) - before.get('PUT objects', 0)
+    return {
+        'callers': callers,
+        'keyed': keyed,
+        'requests_per_s': len(times) / _SECONDS,
+        'writes_per_request': writes / len(times),
+        'p50_ms': find_percentiles(times)['p50'] * 1000,
+        'p99_ms': find_percentiles(times)['p99'] * 1000,
+    }
+
+
+async def main() -> None:
+    """Measure keyed and other bookings."""
+    async with run_fleet(make_shape(replicas=1)) as fleet:
+        rows = [
+            await measure(fleet, callers, keyed=keyed)
+            for callers in (1, 32)
+            for keyed in (False, True)
+        ]
+        assert set((await count_runs(fleet)).values()) == {1}
+    print_table('Bookings, with and without a claim', rows)
+    save_result('claims', {'rows': rows})
+
+
+if __name__ == '__main__':
+    asyncio.run(main())
--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -13,6 +13,8 @@
     'shares',
     'placement',
     'overload',
+    'claims',
+    'fencing',
     'plots',
 )
 
--- a/docs/generate.py
+++ b/docs/generate.py
@@ -164,6 +164,7 @@
     'placement': ('Placement', ('small', 'large', 'replan')),
     'overload': ('Goodput under overload', ('rows',)),
     'fencing': ('Orders taken in error', ('rows',)),
+    'claims': ('Bookings with and without a claim', ('rows',)),
 }
 
 _PAGES: dict[str, Callable[[], str]] = {
