--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -2,7 +2,8 @@
 
 Without recovery means: the answer is given up at the failure, and the caller
 asks again from the start at once; its gap is the time until the token that
-follows the last one it had.
+follows the last one it had. It is reckoned from the pace of the same answers
+before the failure, not from a run of its own.
 """
 
 import asyncio
