Record events by a positional kind, and supervise background tasks

Cause: after the store dropped its history, each follower died: it recorded history-lost with a field named like the parameter of record(). Ruled out: the watch itself; it got its 410 within 40 ms. Change: the event kind is positional only; keep_running() records a crash and starts the part again.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -51,6 +51,14 @@
     1105, 'settings-reloaded', 'The settings file was read again.'
 )
 
+TASK_CRASHED = EventKind(
+    1106,
+    'task-crashed',
+    'A part of this program failed and was started again.',
+    'Report it with the line; it says where in the code.',
+    Level.ERROR,
+)
+
 REQUEST_ADMITTED = EventKind(
     1201, 'request-admitted', 'A request left the queue of its client account.'
 )
--- a/packages/ryelatch-core/src/ryelatch_core/events/_lines.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_lines.py
@@ -51,7 +51,7 @@
         self._second = 0
         self._written = 0
 
-    def record(self, kind: EventKind, **detail: Any) -> None:
+    def record(self, kind: EventKind, /, **detail: Any) -> None:
         """Write a line.
 
         :param detail: what decided it, with ages and versions, and the
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
@@ -38,8 +38,13 @@
 requests between the zones share.
 """
 
-_FULL = 0.92
-"""Share of a replica's memory beyond which it gets no more requests."""
+_FULL = 1.5
+"""Estimated share of a replica's memory beyond which it gets no requests.
+
+The estimate takes all nodes to send as much as this one, but clients are
+spread unevenly. A replica without room refuses at once, which is cheap;
+refusing here for an estimate that is too high is not.
+"""
 
 _JITTER = 0.15
 """Spread of the costs between nodes.
@@ -128,7 +133,7 @@
 def _rate(usable: list[Replica], query: PathQuery) -> dict[str, float]:
     """Estimate the seconds that a request takes for each layer there.
 
-    Replicas without room are left out.
+    Replicas that are far beyond their memory are left out.
     """
     rates: dict[str, float] = {}
     for replica in usable:
@@ -154,7 +159,7 @@
     writers = query.requests.get(replica.name, 0) * query.nodes
     step = estimate_step(profile, accelerator, 1, writers)
     reading = estimate_reading(profile, accelerator, 1, query.prompt)
-    crowding = 1 + fullness * fullness / (1 - fullness)
+    crowding = 1 + fullness * fullness
     noise = 1 + _JITTER * query.draw()
     return (step * query.answer + reading) * crowding * noise
 
--- a/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
@@ -4,7 +4,7 @@
 import uuid
 from dataclasses import dataclass, field, replace
 
-from ryelatch_core.events import LineLog, catalogue
+from ryelatch_core.events import LineLog, catalogue, keep_running
 from ryelatch_core.fleet import (
     LayerRange,
     ModelProfile,
@@ -89,7 +89,9 @@
 
     async def start(self) -> None:
         """Begin to look after the layers."""
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(
+            keep_running('placement', self._run, self.log)
+        )
 
     async def stop(self) -> None:
         """Stop."""
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -77,7 +77,7 @@
     status: int = 0
     detail: dict[str, Any] = field(default_factory=dict)
 
-    def record(self, kind: EventKind, **detail: Any) -> None:
+    def record(self, kind: EventKind, /, **detail: Any) -> None:
         """Write a line about this request."""
         self.log.record(kind, request=self.identity, **detail)
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -23,11 +23,11 @@
 from ryelatch_node.relay._plain import relay_plain
 from ryelatch_node.relay._watch import StreamWatch
 
-SURE_SECONDS = 2.5
+SURE_SECONDS = 2.9
 """Age of the configuration up to which "no such route" is taken as true.
 
 A node that has not heard of a change must not deny what it allows; it says
-that it can't serve now. A watch confirms every second or two.
+that it can't serve now. A watch confirms every two seconds.
 """
 
 UNSURE_RETRY = 0.5
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ryelatch_core.events import LineLog
+from ryelatch_core.events import LineLog, keep_running
 from ryelatch_core.kernel import App, Service, cancel_task
 from ryelatch_node.beliefs import ConfigurationView, ReplicaView
 from ryelatch_node.ports import Orders, RelayStartup, Wire
@@ -34,7 +34,9 @@
 
     async def start(self) -> None:
         """Begin."""
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(
+            keep_running('housekeeper', self._run, self._parts.log)
+        )
 
     async def stop(self) -> None:
         """End."""
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -7,11 +7,12 @@
 """
 
 import asyncio
+import traceback
 from collections.abc import Coroutine, Iterable
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from ryelatch_core.events import catalogue
+from ryelatch_core.events import catalogue, keep_running
 from ryelatch_core.fleet import PathQuery, Replica, Stage, choose_path
 from ryelatch_core.kernel import cancel_task
 from ryelatch_node.ports import OrderResult
@@ -93,7 +94,9 @@
 
     async def start(self) -> None:
         """Begin to look."""
-        self._ticker = asyncio.create_task(self._run())
+        self._ticker = asyncio.create_task(
+            keep_running('streams', self._run, self.parts.log)
+        )
 
     async def stop(self) -> None:
         """Stop looking."""
@@ -206,11 +209,24 @@
         return choose_path(offered, fixed)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
+        task = asyncio.create_task(self._guard(work))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
 
+    async def _guard(self, work: Coroutine[Any, Any, None]) -> None:
+        try:
+            await work
+        except Exception:
+            # Nobody awaits it; without the line its streams would stand
+            # still until they are given up, and nothing would tell why.
+            self.parts.log.record(
+                catalogue.TASK_CRASHED,
+                part='streams',
+                trace=traceback.format_exc(),
+            )
+
+
 def _limit(stream: LiveStream) -> float:
     return STALL_SECONDS if stream.begun else FIRST_STALL_SECONDS
 
