--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 PACKAGES := packages/ryelatch-core packages/ryelatch-node packages/ryelatch-cli platform
-SOURCES := packages tests benchmarks docs
+SOURCES := packages platform tests benchmarks docs
 
 .PHONY: setup demo test fleet lint format bench slopes guards docs
 
@@ -26,8 +26,8 @@
 lint: setup
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
-	$(BIN)/flake8 packages tests benchmarks
-	$(BIN)/mypy packages/*/src tests/standins tests/fleet
+	$(BIN)/flake8 packages platform tests benchmarks
+	$(BIN)/mypy packages/*/src platform/src tests/standins tests/fleet
 
 format: setup
 	$(BIN)/ruff format $(SOURCES)
--- a/packages/ryelatch-core/src/ryelatch_core/events/_lines.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_lines.py
@@ -80,7 +80,8 @@
     def report_dropped(self) -> None:
         """Tell how many lines were left out since the last report."""
         if self.dropped and len(self._queue) < QUEUED_LINES:
-            count, self.dropped = self.dropped, 0
+            count = self.dropped
+            self.dropped = 0
             self._queue.append(self._render(LINES_DROPPED, {'lines': count}))
             self.flush()
 
@@ -91,7 +92,8 @@
             return True
         second = int(self._clock.monotonic())
         if second != self._second:
-            self._second, self._written = second, 0
+            self._second = second
+            self._written = 0
         self._written += 1
         return self._written <= LINES_PER_SECOND
 
@@ -105,7 +107,8 @@
             'level': kind.level.value,
             **detail,
         }
-        return json.dumps(line, separators=(',', ':')).encode() + b'\n'
+        text = json.dumps(line, separators=(',', ':'))
+        return f'{text}\n'.encode()
 
 
 def open_stdout() -> Callable[[bytes], int]:
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_coverage.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_coverage.py
@@ -1,5 +1,6 @@
 """Which layers are held, how often, and where none are."""
 
+import itertools
 from collections.abc import Iterable
 
 from ryelatch_core.fleet._types import LayerRange
@@ -7,7 +8,7 @@
 
 def count_holders(layers: int, held: Iterable[LayerRange]) -> list[int]:
     """Count the holders of each layer."""
-    counts = [0] * layers
+    counts = list(itertools.repeat(0, layers))
     for held_range in held:
         for layer in range(held_range.first, min(held_range.end, layers)):
             counts[layer] += 1
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
@@ -186,7 +186,7 @@
         }
     )
     ways: list[_Way] = []
-    for first, end in zip(cuts, cuts[1:], strict=False):
+    for first, end in itertools.pairwise(cuts):
         part = LayerRange(first, end)
         holders = [
             replica
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_plan.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_plan.py
@@ -74,9 +74,7 @@
     zones: dict[str, list[Replica]] = {}
     for replica in sorted(usable, key=lambda one: one.name):
         zones.setdefault(replica.zone, []).append(replica)
-    whole = [
-        pool for pool in zones.values() if _count_most(pool, profile)
-    ]
+    whole = [pool for pool in zones.values() if _count_most(pool, profile)]
     if len(whole) == len(zones):
         return whole
     return [list(itertools.chain.from_iterable(zones.values()))]
@@ -198,9 +196,7 @@
         profile.layers, [one.layers for one in free if one.layers]
     )
     spared = [
-        one
-        for one in able
-        if one.layers and is_redundant(counts, one.layers)
+        one for one in able if one.layers and is_redundant(counts, one.layers)
     ]
     grown = _grow(part, free, most)
     if grown is not None and (not spared or len(part) <= 2):
@@ -233,6 +229,4 @@
 
 
 def _span(held: LayerRange, part: LayerRange) -> LayerRange:
-    return LayerRange(
-        min(held.first, part.first), max(held.end, part.end)
-    )
+    return LayerRange(min(held.first, part.first), max(held.end, part.end))
--- a/packages/ryelatch-node/src/ryelatch_node/beliefs/_configuration.py
+++ b/packages/ryelatch-node/src/ryelatch_node/beliefs/_configuration.py
@@ -9,6 +9,9 @@
     build_table,
 )
 
+NEVER_SECONDS = 1e9
+"""Age written for what was never confirmed; JSON holds no infinity."""
+
 
 class ConfigurationView:
     """The configuration that requests are handled by.
@@ -31,7 +34,8 @@
     @property
     def age(self) -> float:
         """Seconds since the configuration was known to be the newest."""
-        return self._confirmation.age(self._clock.monotonic())
+        age = self._confirmation.age(self._clock.monotonic())
+        return min(age, NEVER_SECONDS)
 
     def offer(self, configuration: Configuration, sent: float) -> None:
         """Take a version that the store gave, if it isn't older.
@@ -78,4 +82,4 @@
         return fresh
 
     def _round_age(self) -> float:
-        return round(min(self.age, 1e9), 3)
+        return round(self.age, 3)
--- a/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
@@ -114,7 +114,7 @@
                 async with asyncio.timeout(TICK_SECONDS):
                     await self._wake.wait()
             except TimeoutError:
-                pass  # noqa: WPS420 - a tick without news
+                pass
             self._wake.clear()
             await self._tend()
 
@@ -185,9 +185,9 @@
         """Take the lease if its holder does not act."""
         assert self._need_since is not None
         needed = now - self._need_since
-        if self._record is None or needed >= self._patience:
-            if not await self._refresh():
-                return False
+        stale = self._record is None or needed >= self._patience
+        if stale and not await self._refresh():
+            return False
         record = self._record
         if record is None:
             return False
@@ -229,7 +229,8 @@
             return False
         if not self._holds_lease:
             self.log.record(catalogue.LEASE_TAKEN, fence=fence)
-        self._record, self._record_since = written, sent
+        self._record = written
+        self._record_since = sent
         self._renewed = sent
         return True
 
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_leases.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_leases.py
@@ -13,10 +13,12 @@
     :param lease: nothing if nobody ever held it.
     :param revision: of the record; a write under the condition that it is
         unchanged succeeds once.
+    :param after: the revision that this record replaced.
     """
 
     lease: Lease | None
     revision: int
+    after: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_budget.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_budget.py
@@ -1,4 +1,4 @@
-"""This node's slice of the retries that all nodes may make."""
+"""The slice of one node of the retries that all nodes may make."""
 
 from ryelatch_core.retries import RetryBudget
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -111,9 +111,7 @@
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Give a whole answer."""
-        lengthless = [
-            pair for pair in headers if pair[0] != b'content-length'
-        ]
+        lengthless = [pair for pair in headers if pair[0] != b'content-length']
         length = (b'content-length', str(len(body)).encode())
         await self.start(status, [*lengthless, length])
         await self.write(body, more=False)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -10,8 +10,8 @@
 from ryelatch_core.events import catalogue
 from ryelatch_core.kernel import cancel_task
 from ryelatch_core.routing import (
-    RoutingTable,
     Route,
+    RoutingTable,
     choose_service,
 )
 from ryelatch_node.ports import RequestTerms
@@ -115,7 +115,7 @@
             refusal.reason,
             retry_after=refusal.retry_after,
             version=configuration.version,
-            age=round_seconds(min(configuration.age, 1e9)),
+            age=round_seconds(configuration.age),
         )
 
     async def _read_body(self, receive: Receive) -> bytes:
@@ -144,9 +144,7 @@
         """Decide whether a request is served, and by which service."""
         table = self._parts.configuration.table
         if table is None:
-            return _Refusal(
-                _UNAVAILABLE, 'no configuration yet', UNSURE_RETRY
-            )
+            return _Refusal(_UNAVAILABLE, 'no configuration yet', UNSURE_RETRY)
         if self.last_call:
             return _Refusal(_UNAVAILABLE, 'this node stops', 0)
         path = scope['raw_path'].decode('latin-1')
@@ -182,9 +180,7 @@
         if route.anonymous or not table.configuration.accounts:
             return ''
         if not self._parts.configuration.allows_keys():
-            return _Refusal(
-                _UNAVAILABLE, 'keys are unconfirmed', UNSURE_RETRY
-            )
+            return _Refusal(_UNAVAILABLE, 'keys are unconfirmed', UNSURE_RETRY)
         account = table.find_account(terms.key)
         if account is None:
             return self._deny(_UNAUTHORIZED, 'unknown key')
@@ -270,8 +266,9 @@
 
 
 async def _wait_gone(receive: Receive) -> None:
-    while (await receive())['type'] != 'http.disconnect':
-        continue
+    message = await receive()
+    while message['type'] != 'http.disconnect':
+        message = await receive()
 
 
 def _read_host(scope: Scope) -> str:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_metrics.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_metrics.py
@@ -39,9 +39,7 @@
         kind = 'stream' if streaming else 'plain'
         self._outcomes[kind, outcome] += 1
         if kind not in self._times:
-            self._times[kind] = HdrHistogram(
-                _LOWEST_MS, _HIGHEST_MS, _DIGITS
-            )
+            self._times[kind] = HdrHistogram(_LOWEST_MS, _HIGHEST_MS, _DIGITS)
         self._times[kind].record_value(max(1, int(seconds * _MS)))
 
     def expose(self) -> str:
@@ -54,7 +52,7 @@
                 for name, read in self._gauges.items()
             ),
         )
-        return '\n'.join(lines) + '\n'
+        return ''.join(f'{line}\n' for line in lines)
 
     def _expose_counters(self) -> Iterator[str]:
         for (kind, outcome), count in sorted(self._outcomes.items()):
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -76,7 +76,7 @@
     """
     progress = _Progress(EventCutter(inquiry.terms.last_event))
     while _may_send(parts, exchange, inquiry, progress):
-        path = _choose(parts, inquiry)
+        path = _choose(parts, exchange, inquiry)
         if not path:
             break
         step = await _try_path(parts, watch, exchange, inquiry, path, progress)
@@ -102,11 +102,22 @@
     return parts.budget.spend()
 
 
-def _choose(parts: Parts, inquiry: Inquiry) -> tuple[Stage, ...]:
+def _choose(
+    parts: Parts,
+    exchange: Exchange,
+    inquiry: Inquiry,
+) -> tuple[Stage, ...]:
     query = make_query(parts, inquiry, parts.replicas.list_suspects())
     if query is None:
         return ()
-    return choose_path(parts.replicas.list_service(inquiry.service), query)
+    offered = parts.replicas.list_service(inquiry.service)
+    path = choose_path(offered, query)
+    if path or not exchange.started:
+        return path
+    # A stream whose beginning the client has is lost if it goes nowhere;
+    # a replica that had no room a moment ago may have some by now.
+    bold = replace(query, avoid=parts.replicas.list_unreachable())
+    return choose_path(offered, bold)
 
 
 async def _try_path(
@@ -130,7 +141,9 @@
         async with scope:
             return await _run(parts, stream, progress)
     except TimeoutError:
-        _note_failure(parts, stream, progress, SendErrorKind.LOST, stream.reason)
+        _note_failure(
+            parts, stream, progress, SendErrorKind.LOST, stream.reason
+        )
     except SendError as error:
         _note_failure(parts, stream, progress, error.kind, error.reason)
     except StreamError as error:
@@ -329,7 +342,7 @@
 ) -> None:
     if exchange.started:
         raise AnswerBroken
-    if progress.held is not None:
+    if progress.held:
         answer, body = progress.held
         await exchange.answer(answer.status, answer.headers, body)
     elif progress.lost:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
@@ -1,6 +1,7 @@
 """Requests to plain services."""
 
 import asyncio
+from dataclasses import dataclass, field
 
 from ryelatch_core.events import catalogue
 from ryelatch_core.fleet import Replica
@@ -28,50 +29,71 @@
 _UNAVAILABLE = 503
 
 
+@dataclass(frozen=True)
 class _Held:
-    """The last answer of a replica, to be passed on if no better comes."""
+    """An answer of a replica, passed on if no better comes."""
 
-    def __init__(self, answer: Answer, body: bytes) -> None:
-        self.answer = answer
-        self.body = body
+    answer: Answer
+    body: bytes
 
 
-async def relay_plain(parts: Parts, exchange: Exchange, inquiry: Inquiry) -> None:
-    """Send a request to a replica and pass its answer back."""
-    tried: set[str] = set()
+@dataclass
+class _Tries:
+    """What the tries of a request have brought so far.
+
+    :param lost: whether one of them may have run without an answer.
+    """
+
+    names: set[str] = field(default_factory=set)
     held: _Held | None = None
-    lost = False
+    lost: bool = False
+
+
+async def relay_plain(
+    parts: Parts, exchange: Exchange, inquiry: Inquiry
+) -> None:
+    """Send a request to a replica and pass its answer back."""
+    tries = _Tries()
     while True:
-        replica = _choose(parts, inquiry, tried)
+        replica = _choose(parts, inquiry, tries.names)
         if replica is None or not _may_send(parts, exchange, inquiry):
             break
-        tried.add(replica.name)
-        try:
-            held = await _try_replica(parts, exchange, inquiry, replica)
-        except SendError as error:
-            _note_failure(parts, exchange, replica, error)
-            lost = lost or error.kind is not SendErrorKind.UNSENT
-            if lost and not inquiry.repeatable:
-                break
-            continue
-        if held is None:
-            continue
-        if held.answer.status < _SERVER_ERROR or not inquiry.repeatable:
+        tries.names.add(replica.name)
+        await _try_once(parts, exchange, inquiry, replica, tries)
+        if _is_final(tries, repeatable=inquiry.repeatable):
             break
-    await _finish(exchange, held, lost=lost, tried=len(tried))
+    await _finish(exchange, tries)
 
 
-async def _finish(
+async def _try_once(
+    parts: Parts,
     exchange: Exchange,
-    held: _Held | None,
-    *,
-    lost: bool,
-    tried: int,
+    inquiry: Inquiry,
+    replica: Replica,
+    tries: _Tries,
 ) -> None:
-    if held is not None:
-        answer = held.answer
-        await exchange.answer(answer.status, answer.headers, held.body)
-    elif lost:
+    try:
+        held = await _try_replica(parts, exchange, inquiry, replica)
+    except SendError as error:
+        _note_failure(parts, exchange, replica, error)
+        tries.lost = tries.lost or error.kind is not SendErrorKind.UNSENT
+        return
+    tries.held = held or tries.held
+
+
+def _is_final(tries: _Tries, *, repeatable: bool) -> bool:
+    """Whether no other replica may be tried, or none needs to be."""
+    if not repeatable:
+        return tries.lost or tries.held is not None
+    return tries.held is not None and tries.held.answer.status < _SERVER_ERROR
+
+
+async def _finish(exchange: Exchange, tries: _Tries) -> None:
+    tried = len(tries.names)
+    if tries.held:
+        answer = tries.held.answer
+        await exchange.answer(answer.status, answer.headers, tries.held.body)
+    elif tries.lost:
         await exchange.refuse(_BAD_GATEWAY, 'the answer was lost', tried=tried)
     else:
         await exchange.refuse(
@@ -205,5 +227,3 @@
         parts.replicas.suspect(replica, error.reason, full=False)
     elif error.reason == 'silent':
         parts.replicas.suspect(replica, error.reason, full=True)
-
-
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 
 import uvicorn
@@ -98,7 +99,9 @@
         table = self._parts.configuration.table
         if table is not None and self._config is not None:
             limits = table.configuration.limits
-            self._config.timeout_keep_alive = limits.idle_seconds
+            # Clients may reuse a connection up to the limit; closing a little
+            # late crosses none of their requests.
+            self._config.timeout_keep_alive = math.ceil(limits.idle_seconds)
 
     async def drain(self) -> None:
         """Serve what comes until the clients have left or the grace ends.
@@ -117,7 +120,7 @@
             await asyncio.sleep(_POLL_SECONDS)
             self._ingress.last_call = loop.time() - begun > grace / 2
             busy = self._ingress.open_requests
-            quiet = 0 if busy else quiet + _POLL_SECONDS
+            quiet = 0.0 if busy else quiet + _POLL_SECONDS
             passed = loop.time() - begun
             if passed > NOTICE_SECONDS and quiet > QUIET_SECONDS:
                 return
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -180,16 +180,14 @@
             limit=0, keepalive_timeout=keepalive_timeout
         )
     # The library has no public place for a stricter protocol.
-    connector._factory = functools.partial(  # noqa: SLF001
+    connector._factory = functools.partial(  # type: ignore[assignment]
         _StrictHandler, loop=connector._loop
     )
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_SECONDS
-        ),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
     )
     # Repeats are decided, counted and logged by the relay alone.
     session._retry_connection = False
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -114,15 +114,22 @@
         now = self.parts.clock.monotonic()
         lost = self.parts.replicas.list_unreachable()
         for stream in tuple(self.streams):
-            pause = now - stream.progress
-            if stream.moving or stream.reason:
-                continue
-            if lost and pause > KNOWN_STALL_SECONDS and stream.uses(lost):
-                self._spawn(self._move(stream))
-            elif pause > _limit(stream):
-                self._ask(stream.head, now)
-            if pause > GIVE_UP_SECONDS and stream.inquiry.repeatable:
-                stream.interrupt('silent')
+            if not stream.moving and not stream.reason:
+                self._look_at(stream, now, lost)
+
+    def _look_at(
+        self,
+        stream: LiveStream,
+        now: float,
+        lost: frozenset[str],
+    ) -> None:
+        pause = now - stream.progress
+        if lost and pause > KNOWN_STALL_SECONDS and stream.uses(lost):
+            self._spawn(self._move(stream))
+        elif pause > _limit(stream):
+            self._ask(stream.head, now)
+        if pause > GIVE_UP_SECONDS and stream.inquiry.repeatable:
+            stream.interrupt('silent')
 
     def _ask(self, head: Replica, now: float) -> None:
         """Ask a first replica for its report, once for all its streams."""
@@ -213,7 +220,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-
     async def _guard(self, work: Coroutine[Any, Any, None]) -> None:
         try:
             await work
--- /dev/null
+++ b/tests/core/fleet/test_path.py
@@ -0,0 +1,154 @@
+"""Paths run every layer once, stay in their zone, and spread."""
+
+import dataclasses
+import random
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from core_fleet import (
+    USUAL,
+    make_fleet,
+    make_query,
+    make_replica,
+    runs_once,
+)
+from ryelatch_core.fleet import (
+    LayerRange,
+    LoadBook,
+    Stage,
+    choose_path,
+    plan_moves,
+)
+
+
+def _place() -> list[object]:
+    return [
+        dataclasses.replace(move.replica, layers=move.layers)
+        for move in plan_moves(make_fleet(), USUAL)
+    ]
+
+
+@settings(max_examples=200, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 79),
+            st.integers(1, 80),
+            st.sampled_from(('zone-a', 'zone-b')),
+            st.sampled_from(('a100', 'v100', 'l4')),
+        ),
+        max_size=20,
+    ),
+    st.integers(0, 1000),
+)
+def test_each_layer_once_or_no_path(
+    held: list[tuple[int, int, str, str]], seed: int
+) -> None:
+    """Replicas hold any ranges, with overlaps and gaps.
+
+    Upstreams check neither gaps nor overlaps: a wrong path makes wrong
+    tokens, and nobody sees it. A path is either right or not given at all.
+    """
+    replicas = [
+        make_replica(f'r-{number}', first, min(80, first + size), zone, kind)
+        for number, (first, size, zone, kind) in enumerate(held)
+    ]
+    path = choose_path(replicas, make_query(seed, prompt=1, answer=1))
+    assert not path or runs_once(path)
+    covered = {
+        layer
+        for replica in replicas
+        for layer in range(replica.layers.first, replica.layers.end)
+    }
+    if len(covered) < 80:
+        assert not path
+
+
+def test_paths_stay_in_their_zone() -> None:
+    """All zones hold a copy; a request need not cross the shared pipe."""
+    fleet = _place()
+    for zone in ('zone-a', 'zone-b', 'zone-c'):
+        path = choose_path(fleet, make_query(zone=zone))
+        assert runs_once(path)
+        assert {stage.replica.zone for stage in path} == {zone}
+
+
+def test_lost_replica_leaves_paths() -> None:
+    """Each replica of a fresh plan is lost in turn.
+
+    Requests that come before any repair still find a path, over another
+    zone where their own has nobody else for those layers.
+    """
+    fleet = _place()
+    for lost in fleet:
+        for zone in ('zone-a', 'zone-b', 'zone-c'):
+            query = make_query(zone=zone, avoid=frozenset((lost.name,)))
+            path = choose_path(fleet, query)
+            assert runs_once(path)
+            assert lost.name not in {stage.replica.name for stage in path}
+
+
+def test_versions_are_not_mixed() -> None:
+    """Half of the layers are held in the next version of the weights.
+
+    A path over both would make tokens of neither.
+    """
+    old = make_replica('old', 0, 40)
+    new = dataclasses.replace(make_replica('new', 40, 80), version=2)
+    assert not choose_path([old, new], make_query())
+
+
+def test_moved_stream_keeps_its_first_part() -> None:
+    """A replica in the middle of a path is lost.
+
+    The first replica goes on with the part that it has, so the new path must
+    begin with just that, though another replica would be faster.
+    """
+    head = make_replica('head', 0, 10, kind='l4')
+    faster = make_replica('faster', 0, 40)
+    lost = make_replica('lost', 30, 50)
+    spares = [
+        make_replica('spare', 10, 45, zone='zone-b'),
+        make_replica('tail', 45, 80),
+    ]
+    first = Stage(head, LayerRange(0, 8))
+    query = make_query(head=first, avoid=frozenset(('lost',)))
+    path = choose_path([head, faster, lost, *spares], query)
+    assert runs_once(path)
+    assert path[0] == first
+
+
+def test_load_spreads_over_copies() -> None:
+    """Two replicas hold the same layers, and a surge comes.
+
+    Nodes see their own requests only; sending all to the nominally faster
+    one would fill its memory while the other idles.
+    """
+    replicas = [make_replica('one', 0, 30), make_replica('two', 0, 30)]
+    rest = make_replica('rest', 30, 60)
+    tail = make_replica('tail', 60, 80)
+    book = LoadBook()
+    used: Counter[str] = Counter()
+    chance = random.Random(3)
+    for _ in range(40):
+        query = make_query(
+            draw=chance.random, requests=book.requests, tokens=book.tokens
+        )
+        path = choose_path([*replicas, rest, tail], query)
+        book.add(path, 991)
+        used[path[0].replica.name] += 1
+    assert min(used['one'], used['two']) >= 15
+
+
+def test_load_book_forgets_what_ended() -> None:
+    path = (Stage(make_replica('one', 0, 80), LayerRange(0, 80)),)
+    book = LoadBook()
+    book.add(path, 100)
+    book.add(path, 50)
+    book.remove(path, 100)
+    assert dict(book.tokens) == {'one': 50}
+    book.remove(path, 50)
+    assert not book.requests
+    assert not book.tokens
--- /dev/null
+++ b/tests/core/fleet/test_plan.py
@@ -0,0 +1,115 @@
+"""Plans hold the whole model in each zone, fit the memory, change little."""
+
+import dataclasses
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from core_fleet import USUAL, make_fleet, make_replica
+from ryelatch_core.fleet import (
+    LayerRange,
+    Replica,
+    estimate_capacity,
+    find_gaps,
+    plan_moves,
+)
+
+
+def _apply(fleet: list[Replica]) -> list[Replica]:
+    moves = {move.replica.name: move for move in plan_moves(fleet, USUAL)}
+    return [
+        dataclasses.replace(one, layers=moves[one.name].layers)
+        if one.name in moves
+        else one
+        for one in fleet
+    ]
+
+
+def _find_gaps(fleet: list[Replica], zone: str) -> list[LayerRange]:
+    held = [one.layers for one in fleet if one.zone == zone and one.layers]
+    return find_gaps(80, held)
+
+
+def test_each_zone_holds_a_copy_with_room() -> None:
+    """A first start: nobody holds anything.
+
+    After the plan each zone has all layers, and the replica with the least
+    room still keeps thirty usual requests beside its layers.
+    """
+    fleet = _apply(make_fleet())
+    for zone in ('zone-a', 'zone-b', 'zone-c'):
+        assert not _find_gaps(fleet, zone)
+    for replica in fleet:
+        if replica.layers:
+            kind = USUAL.accelerators[replica.accelerator]
+            room = estimate_capacity(USUAL, kind, replica.layers)
+            assert room >= 30 * 991
+
+
+def test_whole_plan_changes_nothing() -> None:
+    """Loads have their price, so a fleet that holds all is let be."""
+    assert not plan_moves(_apply(make_fleet()), USUAL)
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.sets(st.integers(0, 37), max_size=6))
+def test_losses_are_repaired_within_memory(lost: set[int]) -> None:
+    """Up to six of 38 replicas are lost at once, anywhere.
+
+    A replica that is ordered to hold more than fits crashes; so a repair
+    that does not fit makes things worse. Where a zone keeps enough memory
+    it is whole again after at most four rounds.
+    """
+    placed = _apply(make_fleet())
+    fleet = [one for number, one in enumerate(placed) if number not in lost]
+    for _ in range(4):
+        for move in plan_moves(fleet, USUAL):
+            kind = USUAL.accelerators[move.replica.accelerator]
+            assert len(move.layers) * USUAL.layer_mb < kind.memory_mb
+        fleet = _apply(fleet)
+    covered = find_gaps(80, [one.layers for one in fleet if one.layers])
+    assert not covered
+
+
+def test_empty_replica_takes_over() -> None:
+    """A replica is replaced: the new one comes empty, the old one leaves.
+
+    The new one takes the layers; nobody else has to load anything.
+    """
+    fleet = _apply(make_fleet())
+    old = next(one for one in fleet if one.name == 'zone-a-v100-3')
+    new = dataclasses.replace(old, name='new', layers=None)
+    rest = [
+        dataclasses.replace(one, leaving=True) if one is old else one
+        for one in fleet
+    ]
+    moves = plan_moves([*rest, new], USUAL)
+    assert [(move.replica.name, move.layers) for move in moves] == [
+        ('new', old.layers)
+    ]
+
+
+def test_small_zones_are_planned_together() -> None:
+    """Two zones with half of the memory for a copy each.
+
+    Neither can hold the model alone; together they do.
+    """
+    fleet = [
+        Replica(f'{zone}-{one}', 'model', f'{zone}-{one}:80', zone, 'a100')
+        for zone in ('zone-a', 'zone-b')
+        for one in range(2)
+    ]
+    held = [one.layers for one in _apply(fleet) if one.layers]
+    assert not find_gaps(80, held)
+
+
+def test_neighbour_grows_over_a_narrow_gap() -> None:
+    """Two layers are lost and nobody is empty: a neighbour loads just two."""
+    fleet = [
+        make_replica('one', 0, 20),
+        make_replica('two', 22, 50),
+        make_replica('three', 50, 80),
+    ]
+    moves = plan_moves(fleet, USUAL)
+    assert len(moves) == 1
+    assert moves[0].layers in {LayerRange(0, 22), LayerRange(20, 50)}
--- /dev/null
+++ b/tests/core/routing/test_table.py
@@ -0,0 +1,58 @@
+"""Requests find their route, account and service."""
+
+from collections import Counter
+
+from ryelatch_core.routing import (
+    Account,
+    Configuration,
+    Repeat,
+    Route,
+    Split,
+    build_table,
+    choose_service,
+)
+
+
+def _make_route(prefix: str, host: str = 'City.example') -> Route:
+    return Route(
+        name=prefix,
+        host=host,
+        prefix=prefix,
+        splits=(Split('old', 3), Split('new', 1)),
+        repeat=Repeat.ANY,
+        streaming=False,
+        max_attempts=2,
+        timeout=1,
+        objective=0.1,
+        gap=0,
+        priority=1,
+    )
+
+
+def test_longest_prefix_of_the_host_wins() -> None:
+    routes = (
+        _make_route('/'),
+        _make_route('/a/'),
+        _make_route('/a/b/'),
+        _make_route('/a/b/', 'other.example'),
+    )
+    table = build_table(Configuration(1, routes))
+    found = table.find_route('city.example:80', '/a/b/c')
+    assert found is routes[2]
+    assert table.find_route('CITY.example', '/a/bc') is routes[1]
+    assert table.find_route('city.example', '/x') is routes[0]
+    assert table.find_route('other.example', '/a/x') is None
+    assert table.find_route('nobody.example', '/a/') is None
+
+
+def test_keys_lead_to_accounts() -> None:
+    accounts = (Account('small', ('k1', 'k2')), Account('large', ('k3',)))
+    table = build_table(Configuration(1, accounts=accounts))
+    assert table.find_account('k2') is accounts[0]
+    assert table.find_account('') is None
+
+
+def test_splits_follow_their_weights() -> None:
+    route = _make_route('/')
+    drawn = Counter(choose_service(route, step / 1000) for step in range(1000))
+    assert drawn == {'old': 750, 'new': 250}
--- /dev/null
+++ b/tests/core/streams/test_events.py
@@ -0,0 +1,58 @@
+"""Events reach the client whole, once and in order."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ryelatch_core.streams import EventCutter, StreamError
+
+
+def _write(first: int, end: int) -> bytes:
+    return b''.join(
+        f'id: {number}\ndata: word {number}\n\n'.encode()
+        for number in range(first, end)
+    )
+
+
+@given(st.lists(st.integers(1, 40), max_size=30))
+def test_any_pieces_give_the_same_bytes(sizes: list[int]) -> None:
+    """The network cuts a stream anywhere, also in the middle of an event."""
+    stream = _write(1, 12)
+    cutter = EventCutter()
+    passed = []
+    start = 0
+    sizes.append(len(stream))
+    for size in sizes:
+        passed.append(cutter.cut(stream[start : start + size]))
+        start += size
+    assert b''.join(passed) == stream
+    assert not cutter.torn
+
+
+@given(st.integers(0, 300), st.integers(0, 3))
+def test_resumed_stream_is_the_whole_one(at: int, repeated: int) -> None:
+    """A replica is lost in the middle of an event; another goes on.
+
+    It begins after the last event that was delivered, or repeats some. The
+    client sees each event once, and nothing of the torn one.
+    """
+    stream = _write(1, 20)
+    cutter = EventCutter()
+    passed = cutter.cut(stream[: min(at, len(stream))])
+    cutter.restart()
+    again = max(1, (cutter.last or 0) + 1 - repeated)
+    passed += cutter.cut(_write(again, 20))
+    assert passed == stream
+
+
+def test_missing_event_is_an_error() -> None:
+    """The second replica skips an event; the client must not miss it."""
+    cutter = EventCutter()
+    cutter.cut(_write(1, 4))
+    with pytest.raises(StreamError, match='5 came after 3'):
+        cutter.cut(_write(5, 6))
+
+
+def test_client_that_resumes_gets_what_follows() -> None:
+    cutter = EventCutter(last=3)
+    assert cutter.cut(_write(1, 6)) == _write(4, 6)
--- /dev/null
+++ b/tests/fleet/town.py
@@ -0,0 +1,281 @@
+"""A small platform in one process: a store, replicas, and a real node.
+
+The node runs as it does in a process of its own, with its real sockets; the
+store and the replicas are stand-ins on loopback.
+"""
+
+import asyncio
+import contextlib
+import json
+import socket
+from collections.abc import AsyncIterator, Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import ClientSession, web
+
+from ryelatch_core.events import LineLog
+from ryelatch_core.kernel import App, BootClock
+from ryelatch_node.ports import Address, RelayStartup
+from ryelatch_platform._main import build_app
+from standins.objects import ObjectStore
+from standins.replica import ReplicaStandIn
+
+MODEL_SERVICE = 'model'
+PLAIN_SERVICE = 'booking'
+KEY = 'ward-1-key'
+LAYERS = 8
+
+
+@dataclass
+class Town:
+    """What a test holds in its hands."""
+
+    store: ObjectStore
+    replicas: dict[str, ReplicaStandIn]
+    app: App
+    startup: RelayStartup
+    http: ClientSession
+    lines: list[dict[str, Any]]
+    runners: list[web.AppRunner] = field(default_factory=list)
+
+    @property
+    def url(self) -> str:
+        """Where clients connect."""
+        return f'http://{self.startup.front.host}:{self.startup.front.port}'
+
+    def count(self, name: str) -> int:
+        """Count the log lines of an event."""
+        return sum(line['name'] == name for line in self.lines)
+
+    def find(self, name: str) -> dict[str, Any]:
+        """Find the first log line of an event."""
+        return next(line for line in self.lines if line['name'] == name)
+
+    async def add(self, replica: ReplicaStandIn) -> ReplicaStandIn:
+        """Start a replica and register it."""
+        replica.store = self.store
+        runner, port = await _serve(replica.make_app())
+        self.runners.append(runner)
+        replica.address = f'127.0.0.1:{port}'
+        self.replicas[replica.name] = replica
+        replica.register()
+        return replica
+
+
+async def wait_until(
+    check: Callable[[], Any],
+    seconds: float = 10,
+) -> None:
+    """Wait until something holds."""
+    async with asyncio.timeout(seconds):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+def make_route(name: str, **changes: Any) -> dict[str, Any]:
+    """Write a route as operators do."""
+    return {
+        'name': name,
+        'host': 'city.example',
+        'pathPrefix': f'/{name}/',
+        'routeKind': 'idempotent',
+        'timeoutMs': 3000,
+        'targetLatencyMs': 500,
+        'priority': 1,
+        'service': PLAIN_SERVICE,
+        'maxAttempts': 2,
+        **changes,
+    }
+
+
+def make_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Write a configuration as operators do."""
+    return {
+        'version': version,
+        'routes': [
+            make_route('ping'),
+            make_route('book', routeKind='non_idempotent', maxAttempts=1),
+            make_route(
+                'plan',
+                routeKind='streaming',
+                resumable=True,
+                service=MODEL_SERVICE,
+                timeoutMs=10_000,
+            ),
+        ],
+        'services': [
+            {
+                'name': MODEL_SERVICE,
+                'engine': {
+                    'layers': LAYERS,
+                    'layerMb': 1000,
+                    'kvTokenBytes': 80_000,
+                    'step_ms': 1,
+                    'per_seq_ms': 0.01,
+                    'read_per_s': 100_000,
+                    'models': [{'name': 'm', 'loadS': 1}],
+                    'usual': {'prompt': 100, 'answer': 20},
+                    'kinds': [
+                        {'name': 'big', 'sizeMb': 9000, 'pace': 1},
+                        {'name': 'small', 'sizeMb': 5000, 'pace': 2},
+                    ],
+                },
+            },
+            {'name': PLAIN_SERVICE},
+        ],
+        'limits': {'idleTimeoutMs': 5000, 'maxBodyBytes': 10_000},
+        'tenants': [{'name': 'ward-1', 'apiKeys': [KEY]}],
+        **changes,
+    }
+
+
+def make_plain(count: int = 2) -> list[ReplicaStandIn]:
+    """Make replicas of the plain service."""
+    return [
+        ReplicaStandIn(f'b-{number}', PLAIN_SERVICE) for number in range(count)
+    ]
+
+
+def make_model(*held: tuple[int, int] | None) -> list[ReplicaStandIn]:
+    """Make replicas of the model, each with the layers it holds."""
+    return [
+        ReplicaStandIn(
+            f'm-{number}',
+            MODEL_SERVICE,
+            accelerator='big'
+            if layers and layers[1] - layers[0] > 4
+            else 'small',
+            layers=layers,
+        )
+        for number, layers in enumerate(held)
+    ]
+
+
+@contextlib.asynccontextmanager
+async def open_town(
+    replicas: Iterable[ReplicaStandIn],
+    configuration: dict[str, Any] | None = None,
+    **changes: Any,
+) -> AsyncIterator[Town]:
+    """Start a store, replicas and a node; end them in order."""
+    store = ObjectStore()
+    store.put('config', 'main', configuration or make_configuration())
+    runner, port = await _serve(store.make_app())
+    startup = _make_startup(port)._replace(**changes)
+    lines: list[dict[str, Any]] = []
+    clock = BootClock()
+    log = LineLog('node-a', clock, _collect(lines))
+    app = build_app(startup, log, clock)
+    async with ClientSession(auto_decompress=False) as http:
+        town = Town(store, {}, app, startup, http, lines, [runner])
+        try:
+            for replica in replicas:
+                await town.add(replica)
+            await app.start()
+            await wait_until(lambda: town.count('configuration-applied'))
+            await wait_until(
+                lambda: town.count('replica-listed') >= len(town.replicas)
+            )
+            yield town
+        finally:
+            await app.stop()
+            for one in town.runners:
+                await one.cleanup()
+
+
+async def ask(
+    town: Town,
+    path: str,
+    *,
+    method: str = 'POST',
+    identity: str = 'r-1',
+    **headers: str,
+) -> tuple[int, bytes, dict[str, str]]:
+    """Ask as a client does.
+
+    :returns: status, body, headers in lower case.
+    """
+    async with open_request(
+        town, path, method=method, identity=identity, **headers
+    ) as response:
+        body = await response.read()
+        found = {name.lower(): text for name, text in response.headers.items()}
+        return response.status, body, found
+
+
+def open_request(
+    town: Town,
+    path: str,
+    *,
+    method: str = 'POST',
+    identity: str = 'r-1',
+    **headers: str,
+) -> Any:
+    """Open a request as a client does."""
+    sent = {
+        'Host': 'city.example',
+        'X-Ryelatch-Request-Id': identity,
+        'X-Ryelatch-Deadline-Ms': '5000',
+        'X-Ryelatch-Token-Usage': '100,40',
+        'Api-Key': KEY,
+        **{name.replace('_', '-'): text for name, text in headers.items()},
+    }
+    return town.http.request(
+        method, f'{town.url}{path}', headers=sent, data=b'question'
+    )
+
+
+def expect_events(count: int) -> bytes:
+    """Write the whole stream of a replica."""
+    return b''.join(
+        f'id: {number}\ndata: token {number}\n\n'.encode()
+        for number in range(1, count + 1)
+    )
+
+
+def _collect(lines: list[dict[str, Any]]) -> Callable[[bytes], int]:
+    def write(line: bytes) -> int:
+        lines.append(json.loads(line))
+        return len(line)
+
+    return write
+
+
+def _make_startup(store_port: int) -> RelayStartup:
+    host = '127.0.0.1'
+    return RelayStartup(
+        name='node-a',
+        zone='zone-a',
+        front=Address(host, _find_port()),
+        readiness=Address(host, _find_port()),
+        metrics=Address(host, _find_port()),
+        store=Address(host, store_port),
+        zones=('zone-a',),
+        retry_ratio=0.2,
+        retry_extra=200,
+        retry_window=10,
+        grace=4,
+        revoke_seconds=5,
+        stall_seconds=2,
+        fenced=True,
+    )
+
+
+def _find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+async def _serve(
+    app: web.Application,
+) -> tuple[web.AppRunner, int]:
+    runner = web.AppRunner(
+        app, shutdown_timeout=0.1, access_log=None, handler_cancellation=True
+    )
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    port: int = runner.addresses[0][1]
+    return runner, port
--- /dev/null
+++ b/tests/platform/test_beliefs.py
@@ -0,0 +1,163 @@
+"""What a node believes when the store is in trouble, over real sockets."""
+
+import asyncio
+
+from fleet.town import (
+    ask,
+    make_configuration,
+    make_model,
+    make_plain,
+    make_route,
+    open_town,
+    wait_until,
+)
+
+
+async def test_new_configuration_is_in_force() -> None:
+    """A key is taken away and another given."""
+    async with open_town(make_plain(1)) as town:
+        accounts = [{'name': 'ward-1', 'apiKeys': ['new-key']}]
+        town.store.put(
+            'config', 'main', make_configuration(7, tenants=accounts)
+        )
+        await wait_until(lambda: town.count('configuration-applied') == 2)
+        status, _, _ = await ask(town, '/ping/x')
+        assert status == 401
+        status, _, _ = await ask(town, '/ping/x', Api_Key='new-key')
+        assert status == 200
+
+
+async def test_older_configuration_is_ignored() -> None:
+    """A part of the store lags and gives an older version than was seen.
+
+    Going back would undo what operators were told is in force.
+    """
+    async with open_town(make_plain(1)) as town:
+        town.store.put('config', 'main', make_configuration(9))
+        await wait_until(lambda: town.count('configuration-applied') == 2)
+        town.store.put('config', 'main', make_configuration(5, tenants=[]))
+        await wait_until(lambda: town.count('configuration-refused'))
+        status, _, _ = await ask(town, '/ping/x', Api_Key='stolen')
+        assert status == 401
+
+
+async def test_lost_history_is_listed_anew() -> None:
+    """The store hears nothing for a while, then drops its history.
+
+    Changes of that while come in no watch: a key taken away would be
+    accepted for good, and a replica that left get work.
+    """
+    async with open_town(make_plain(2)) as town:
+        town.store.deaf = True
+        accounts = [{'name': 'ward-1', 'apiKeys': ['new-key']}]
+        town.store.put(
+            'config', 'main', make_configuration(7, tenants=accounts)
+        )
+        town.store.drop('servers', 'b-0')
+        town.store.deaf = False
+        town.store.forget_history()
+        await wait_until(lambda: town.count('configuration-applied') == 2)
+        await wait_until(lambda: town.count('replica-gone') == 1)
+        assert town.count('history-lost') == 2
+        assert not town.count('task-crashed')
+        status, _, _ = await ask(town, '/ping/x')
+        assert status == 401
+
+
+async def test_unconfirmed_keys_are_refused() -> None:
+    """A node is cut off from the store; a key is taken away meanwhile.
+
+    The node can't know. After a bound it refuses keyed requests with a
+    promise that they did not run, and serves again when it has caught up.
+    """
+    async with open_town(make_plain(1), revoke_seconds=2.5) as town:
+        status, _, _ = await ask(town, '/ping/x')
+        assert status == 200
+        town.store.mode = 'silent'
+        await wait_until(lambda: town.count('configuration-stale'))
+        status, _, headers = await ask(town, '/ping/x')
+        assert status == 503
+        assert float(headers['retry-after']) > 0
+        async with town.http.get(
+            f'http://127.0.0.1:{town.startup.readiness.port}/readyz'
+        ) as response:
+            assert response.status == 503
+        town.store.mode = 'ok'
+        await wait_until(lambda: town.count('configuration-fresh'))
+        status, _, _ = await ask(town, '/ping/x')
+        assert status == 200
+
+
+async def test_unconfigured_node_denies_nothing() -> None:
+    """A node starts while the store is out.
+
+    It knows no route, but that is no proof that there is none.
+    """
+    async with open_town(make_plain(1)) as town:
+        view = town.app.find('configuration', object)
+        view.table = None  # type: ignore[attr-defined]
+        status, _, _ = await ask(town, '/ping/x')
+        assert status == 503
+
+
+async def test_leaving_replica_gets_no_new_work() -> None:
+    async with open_town(make_plain(2)) as town:
+        town.replicas['b-0'].register('draining')
+        await wait_until(lambda: town.count('replica-leaving'))
+        for number in range(4):
+            _, body, _ = await ask(town, '/ping/x', identity=f'r-{number}')
+            assert body == b'answer of b-1'
+
+
+async def test_lapsed_entries_may_come_back() -> None:
+    """The store is away, and entries of live replicas lapse meanwhile.
+
+    Dropping them at its return would leave nobody to serve. They are kept
+    for as long as it takes those that live to come back.
+    """
+    async with open_town(make_plain(2)) as town:
+        town.store.mode = 'busy'
+        await wait_until(lambda: town.count('store-out'))
+        town.store.drop('servers', 'b-0')
+        town.store.drop('servers', 'b-1')
+        town.store.mode = 'ok'
+        await wait_until(lambda: town.count('store-back'))
+        await asyncio.sleep(0.5)
+        status, _, _ = await ask(town, '/ping/x')
+        assert status == 200
+        town.replicas['b-1'].register()
+        await wait_until(lambda: town.count('replica-gone') == 1)
+        assert town.find('replica-gone')['replica'] == 'b-0'
+
+
+async def test_added_route_is_served() -> None:
+    async with open_town(make_plain(1)) as town:
+        routes = [make_route('ping'), make_route('extra')]
+        town.store.put('config', 'main', make_configuration(2, routes=routes))
+        await wait_until(lambda: town.count('configuration-applied') == 2)
+        status, _, _ = await ask(town, '/extra/x')
+        assert status == 200
+
+
+async def test_unreadable_configuration_is_let_be() -> None:
+    """A version comes that can't be read; the one in force stays."""
+    async with open_town(make_plain(1)) as town:
+        town.store.put('config', 'main', {'version': 'seven'})
+        await wait_until(lambda: town.count('configuration-refused'))
+        assert 'version' in town.find('configuration-refused')['reason']
+        status, _, _ = await ask(town, '/ping/x')
+        assert status == 200
+        town.store.put('config', 'main', make_configuration(8))
+        await wait_until(lambda: town.count('configuration-applied') == 2)
+
+
+async def test_empty_fleet_is_placed() -> None:
+    """A first start: replicas are empty, and one node places the layers."""
+    async with open_town(make_model(None, None, None, None)) as town:
+        await wait_until(lambda: town.count('order-sent') >= 2)
+        await wait_until(
+            lambda: all(one.layers for one in town.replicas.values())
+        )
+        status, _, _ = await ask(town, '/plan/x')
+        assert status == 200
+        assert town.count('lease-taken') == 1
--- /dev/null
+++ b/tests/standins/objects.py
@@ -0,0 +1,170 @@
+"""A stand-in for the platform's store: objects, conditions, watches."""
+
+import asyncio
+import contextlib
+import json
+from typing import Any
+
+from aiohttp import web
+
+
+class ObjectStore:
+    """Objects by kind and name, one revision counter, and its troubles.
+
+    :param mode: ``ok``, ``busy`` (503) or ``silent``.
+    :param lose_answers: writes that take effect and are not answered.
+    :param deaf: whether watches hear nothing.
+    """
+
+    def __init__(self) -> None:
+        self.mode = 'ok'
+        self.lose_answers = 0
+        self.deaf = False
+        self.calls: list[str] = []
+        self.revision = 0
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._history: list[tuple[int, str, dict[str, Any]]] = []
+        self._kept_since = 0
+        self._changed = asyncio.Event()
+
+    def put(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object, as operators and replicas do."""
+        self.revision += 1
+        found = {
+            'metadata': {'name': name, 'revision': self.revision},
+            'spec': spec,
+            'status': None,
+        }
+        self._objects.setdefault(kind, {})[name] = found
+        self._note(kind, {'object': found, 'deleted': False})
+        return self.revision
+
+    def drop(self, kind: str, name: str) -> None:
+        """Delete an object."""
+        found = self._objects[kind].pop(name)
+        self.revision += 1
+        self._note(kind, {'object': found, 'deleted': True})
+
+    def get(self, kind: str, name: str) -> dict[str, Any] | None:
+        """Read an object as it is."""
+        return self._objects.get(kind, {}).get(name)
+
+    def forget_history(self) -> None:
+        """Drop all history, so that older watches get 410."""
+        self._history.clear()
+        self._kept_since = self.revision
+        self._wake()
+
+    def make_app(self) -> web.Application:
+        """Make the HTTP side."""
+        app = web.Application()
+        app.router.add_get('/objects/{kind}', self._list)
+        app.router.add_post('/objects/{kind}', self._create)
+        app.router.add_get('/objects/{kind}/{name}', self._read)
+        app.router.add_put('/objects/{kind}/{name}', self._replace)
+        return app
+
+    def _note(self, kind: str, event: dict[str, Any]) -> None:
+        self._history.append((self.revision, kind, event))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _trouble(self, request: web.Request) -> web.Response | None:
+        self.calls.append(f'{request.method} {request.path_qs}')
+        if self.mode == 'silent':
+            await asyncio.Event().wait()
+        if self.mode == 'busy':
+            return web.json_response({}, status=503)
+        return None
+
+    async def _list(self, request: web.Request) -> web.StreamResponse:
+        trouble = await self._trouble(request)
+        if trouble is not None:
+            return trouble
+        kind = request.match_info['kind']
+        if 'watch' in request.query:
+            return await self._watch(kind, request)
+        entries = sorted(
+            self._objects.get(kind, {}).values(),
+            key=lambda found: found['metadata']['name'],
+        )
+        after = request.query.get('after', '')
+        rest = [one for one in entries if one['metadata']['name'] > after]
+        return web.json_response(
+            {
+                'entries': rest[:20],
+                'hasMore': len(rest) > 20,
+                'at': self.revision,
+            }
+        )
+
+    async def _watch(
+        self, kind: str, request: web.Request
+    ) -> web.StreamResponse:
+        since = int(request.query['watch'])
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + int(request.query['waitMs']) / 1000
+        while True:
+            if since < self._kept_since and not self.deaf:
+                return web.json_response({'at': self.revision}, status=410)
+            events = [
+                event
+                for revision, of, event in self._history
+                if revision > since and of == kind and not self.deaf
+            ]
+            left = ends - loop.time()
+            if events or left <= 0:
+                at = since if self.deaf else self.revision
+                return web.json_response({'events': events, 'at': at})
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), left)
+
+    async def _read(self, request: web.Request) -> web.StreamResponse:
+        trouble = await self._trouble(request)
+        if trouble is not None:
+            return trouble
+        found = self.get(request.match_info['kind'], request.match_info['name'])
+        if found is None:
+            return web.json_response({'at': self.revision}, status=404)
+        return web.json_response(found)
+
+    async def _create(self, request: web.Request) -> web.StreamResponse:
+        body = json.loads(await request.read())
+        name = body['metadata']['name']
+        kind = request.match_info['kind']
+        held = self.get(kind, name)
+        if held is not None:
+            return web.json_response(held, status=409)
+        return await self._write(request, kind, name, body)
+
+    async def _replace(self, request: web.Request) -> web.StreamResponse:
+        body = json.loads(await request.read())
+        name = request.match_info['name']
+        kind = request.match_info['kind']
+        held = self.get(kind, name)
+        if held is None:
+            return web.json_response({}, status=404)
+        wanted = body['metadata'].get('revision')
+        if wanted not in {None, held['metadata']['revision']}:
+            return web.json_response(held, status=409)
+        return await self._write(request, kind, name, body)
+
+    async def _write(
+        self,
+        request: web.Request,
+        kind: str,
+        name: str,
+        body: dict[str, Any],
+    ) -> web.StreamResponse:
+        trouble = await self._trouble(request)
+        if trouble is not None:
+            return trouble
+        self.put(kind, name, body['spec'])
+        if self.lose_answers:
+            self.lose_answers -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return web.json_response(self.get(kind, name))
--- /dev/null
+++ b/tests/standins/replica.py
@@ -0,0 +1,215 @@
+"""A stand-in for a replica: plain calls, streams over paths, orders."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from standins.objects import ObjectStore
+
+
+@dataclass
+class Run:
+    """A request that the replica received."""
+
+    identity: str
+    headers: CIMultiDict[str]
+    path: str
+    body: bytes
+    cancelled: bool = False
+
+
+@dataclass(eq=False)
+class ReplicaStandIn:
+    """One life of a replica.
+
+    :param layers: held, as first and end.
+    :param events: of each stream.
+    :param pause: seconds between events.
+    :param break_after: event after which the stream is torn, once.
+    :param stall_after: event after which the stream stands still until its
+        path is another.
+    :param stalled_on: the address that the report then names.
+    :param refuse: status of refusals, each with the "not run" mark.
+    :param fail: status of its own failures.
+    :param hang: whether it takes requests and never answers.
+    :param other_identity: whether it answers under another request's name.
+    :param unframed_part: whether it sends a part without a length and resets.
+    """
+
+    name: str
+    service: str
+    zone: str = 'zone-a'
+    accelerator: str = ''
+    layers: tuple[int, int] | None = None
+    events: int = 5
+    pause: float = 0.01
+    break_after: int = 0
+    stall_after: int = 0
+    stalled_on: str = ''
+    refuse: int = 0
+    fail: int = 0
+    hang: bool = False
+    other_identity: bool = False
+    unframed_part: bool = False
+    address: str = ''
+    runs: list[Run] = field(default_factory=list)
+    orders: list[dict[str, Any]] = field(default_factory=list)
+    sequence: int = 0
+    fence: int = 0
+    store: ObjectStore | None = None
+    _moved: asyncio.Event = field(default_factory=asyncio.Event)
+    _stalled: dict[str, str] = field(default_factory=dict)
+
+    def register(self, state: str = 'ready') -> None:
+        """Write the entry in the registry."""
+        assert self.store is not None
+        entry: dict[str, Any] = {
+            'service': self.service,
+            'addr': self.address,
+            'zone': self.zone,
+            'slots': 4,
+            'state': state,
+            'seq': 1,
+        }
+        if self.accelerator:
+            entry['routeKind'] = self.accelerator
+        if self.layers:
+            first, end = self.layers
+            entry['layers'] = {'from': first, 'to': end, 'version': 1}
+        self.store.put('servers', self.name, entry)
+
+    def make_app(self) -> web.Application:
+        """Make the HTTP side."""
+        app = web.Application()
+        app.router.add_get('/report', self._report)
+        app.router.add_post('/order', self._order)
+        app.router.add_route('*', '/{path:.*}', self._serve)
+        return app
+
+    async def _report(self, request: web.Request) -> web.Response:
+        stalled = [
+            {'id': identity, 'addr': address}
+            for identity, address in self._stalled.items()
+        ]
+        return web.json_response(
+            {'busy': False, 'seq': self.sequence, 'stalled': stalled}
+        )
+
+    async def _order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        self.orders.append(order)
+        if order['op'] == 'repath':
+            self._stalled.pop(order['id'], None)
+            self._moved.set()
+            return web.json_response({}, status=202)
+        if order.get('fencingToken', 0) < self.fence:
+            return web.json_response({}, status=412)
+        if order.get('expect', self.sequence) != self.sequence:
+            return web.json_response({}, status=409)
+        self.fence = order.get('fencingToken', 0)
+        self.sequence += 1
+        self.layers = (order['from'], order['to'])
+        self.register()
+        return web.json_response({}, status=202)
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        identity = request.headers.get('X-Ryelatch-Request-Id', '')
+        expected = request.headers.get('X-Ryelatch-Expect-Replica', self.name)
+        if expected != self.name:
+            return web.Response(status=421, headers=self._name(identity))
+        if self.refuse:
+            return web.Response(
+                status=self.refuse,
+                headers={
+                    **self._name(identity),
+                    'X-Ryelatch-Not-Executed': '1',
+                    'At-Server': self.address,
+                },
+            )
+        run = Run(
+            identity,
+            request.headers.copy(),
+            request.path_qs,
+            await request.read(),
+        )
+        self.runs.append(run)
+        try:
+            return await self._run(request, run)
+        except asyncio.CancelledError:
+            run.cancelled = True
+            raise
+
+    async def _run(self, request: web.Request, run: Run) -> web.StreamResponse:
+        if self.hang:
+            await asyncio.Event().wait()
+        headers = self._sign('other' if self.other_identity else run.identity)
+        if self.fail:
+            return web.Response(status=self.fail, headers=headers, body=b'no')
+        if self.unframed_part:
+            return await self._tear_unframed(request, headers)
+        if 'X-Ryelatch-Hop-Count' in run.headers:
+            return await self._stream(request, run, headers)
+        return web.Response(
+            body=f'answer of {self.name}'.encode(), headers=headers
+        )
+
+    async def _tear_unframed(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        assert request.transport is not None
+        lines = ''.join(f'{name}: {text}\r\n' for name, text in headers.items())
+        request.transport.write(
+            f'HTTP/1.1 200 OK\r\n{lines}\r\npart of'.encode()
+        )
+        await asyncio.sleep(0.05)
+        sock = request.transport.get_extra_info('socket')
+        # A linger of zero makes the close a reset.
+        with contextlib.suppress(OSError):
+            sock.setsockopt(1, 13, b'\x01\0\0\0\0\0\0\0')
+        request.transport.abort()
+        return web.Response()
+
+    async def _stream(
+        self,
+        request: web.Request,
+        run: Run,
+        headers: dict[str, str],
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={**headers, 'Content-Type': 'text/event-stream'}
+        )
+        await response.prepare(request)
+        last = int(run.headers.get('Last-Event-Id', '0'))
+        for number in range(last + 1, self.events + 1):
+            await self._wait_stalled(run, number)
+            event = f'id: {number}\ndata: token {number}\n\n'.encode()
+            if self.break_after and number > self.break_after:
+                self.break_after = 0
+                await response.write(event[:9])
+                assert request.transport is not None
+                request.transport.abort()
+                return response
+            await response.write(event)
+            await asyncio.sleep(self.pause)
+        await response.write_eof()
+        return response
+
+    async def _wait_stalled(self, run: Run, number: int) -> None:
+        if self.stall_after and number > self.stall_after:
+            self.stall_after = 0
+            self._stalled[run.identity] = self.stalled_on
+            await self._moved.wait()
+
+    def _name(self, identity: str) -> dict[str, str]:
+        return {'X-Ryelatch-Request-Id': identity}
+
+    def _sign(self, identity: str) -> dict[str, str]:
+        signature = f'signed-{self.name}'
+        return {
+            **self._name(identity),
+            'X-Ryelatch-Replica-Signature': signature,
+        }
