--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
@@ -38,11 +38,13 @@
 requests between the zones share.
 """
 
-_FULL = 1.5
-"""Estimated share of a replica's memory beyond which it gets no requests.
+_CROWDED = 2.0
+"""Estimated share of a replica's memory beyond which more changes nothing.
 
 The estimate takes all nodes to send as much as this one, but clients are
-spread unevenly. A replica without room refuses at once, which is cheap;
+spread unevenly, and while one node of a zone restarts another has all of its
+traffic. So the estimate only steers. Only what this node alone has there
+rules a replica out: one without room refuses at once, which is cheap, where
 refusing here for an estimate that is too high is not.
 """
 
@@ -133,24 +135,25 @@
 def _rate(usable: list[Replica], query: PathQuery) -> dict[str, float]:
     """Estimate the seconds that a request takes for each layer there.
 
-    Replicas that are far beyond their memory are left out.
+    Replicas that this node alone fills are left out.
     """
     rates: dict[str, float] = {}
     for replica in usable:
-        fullness = _estimate_fullness(replica, query)
-        if fullness < _FULL:
+        room = _estimate_room(replica, query)
+        own = query.tokens.get(replica.name, 0)
+        wanted = query.prompt + query.answer
+        if own + wanted <= room:
+            fullness = (own * query.nodes + wanted) / room
             rates[replica.name] = _rate_one(replica, query, fullness)
     return rates
 
 
-def _estimate_fullness(replica: Replica, query: PathQuery) -> float:
+def _estimate_room(replica: Replica, query: PathQuery) -> float:
     profile = query.profile
     assert replica.layers is not None
-    capacity = estimate_capacity(
+    return estimate_capacity(
         profile, profile.accelerators[replica.accelerator], replica.layers
     )
-    wanted = query.tokens.get(replica.name, 0) * query.nodes
-    return (wanted + query.prompt + query.answer) / max(capacity, 1)
 
 
 def _rate_one(replica: Replica, query: PathQuery, fullness: float) -> float:
@@ -159,7 +162,7 @@
     writers = query.requests.get(replica.name, 0) * query.nodes
     step = estimate_step(profile, accelerator, 1, writers)
     reading = estimate_reading(profile, accelerator, 1, query.prompt)
-    crowding = 1 + fullness * fullness
+    crowding = 1 + min(fullness, _CROWDED) ** 2
     noise = 1 + _JITTER * query.draw()
     return (step * query.answer + reading) * crowding * noise
 
--- a/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
@@ -34,13 +34,21 @@
 second; a plan for the first few would have to be done again.
 """
 
-TAKE_SECONDS = 2.5
-"""How long others leave a gap to the holder of the lease.
+TAKE_SECONDS = 0.6
+"""How long others leave a gap to a holder of the lease who does nothing.
 
-It acts within a few ms of hearing of a loss; eight layers load in 1.4 s.
+It acts within a few ms of knowing of a loss, and all know of it within half
+a second of each other.
 """
 
-TAKE_SPREAD_SECONDS = 0.5
+WORK_SECONDS = 3.0
+"""How long others leave a gap to a holder who has just renewed its lease.
+
+It renews before it orders; eight layers load in 1.4 s, and the list then
+shows them.
+"""
+
+TAKE_SPREAD_SECONDS = 0.6
 """Spread of that time over nodes, so that most see another's claim first."""
 
 RENEW_SECONDS = 2.0
@@ -52,6 +60,13 @@
 More than six loads at a time share the store of weights.
 """
 
+UNANSWERED_SECONDS = 1.0
+"""How long an order without an answer is taken to be under way.
+
+After that it is given again, under the same expected sequence: whichever of
+the two the replica carries out first makes it refuse the other.
+"""
+
 TICK_SECONDS = 0.25
 
 
@@ -79,6 +94,7 @@
     _record: LeaseRecord | None = None
     _record_since: float = 0
     _renewed: float = float('-inf')
+    _fenced: bool = False
     _need_since: float | None = None
     _grown: float = 0
     _known: int = 0
@@ -101,11 +117,21 @@
         """Look again, as something has changed."""
         self._wake.set()
 
+    def follow_lease(self, record: LeaseRecord) -> None:
+        """Take note of the lease as the store has it now."""
+        if self._record is None or record.revision > self._record.revision:
+            if self._record is not None:
+                self._record_since = self.clock.monotonic()
+            self._record = record
+
     @property
     def _holds_lease(self) -> bool:
         record = self._record
         return bool(
-            record and record.lease and record.lease.holder == self.holder
+            record
+            and record.lease
+            and record.lease.holder == self.holder
+            and not self._fenced
         )
 
     async def _run(self) -> None:
@@ -184,34 +210,21 @@
     async def _try_take(self, now: float) -> bool:
         """Take the lease if its holder does not act."""
         assert self._need_since is not None
-        needed = now - self._need_since
-        stale = self._record is None or needed >= self._patience
-        if stale and not await self._refresh():
-            return False
         record = self._record
         if record is None:
             return False
-        unchanged = now - max(self._record_since, self._need_since)
-        if record.lease is not None and unchanged < self._patience:
-            return False
-        if record.lease is None and needed < self.spread:
+        if now - self._need_since < self._patience(record, now):
             return False
         return await self._claim()
 
-    @property
-    def _patience(self) -> float:
+    def _patience(self, record: LeaseRecord, now: float) -> float:
+        """Tell how long a need must last before this node takes the lease."""
+        if record.lease is None:
+            return self.spread
+        if now - self._record_since < WORK_SECONDS:
+            return WORK_SECONDS + self.spread
         return TAKE_SECONDS + self.spread
 
-    async def _refresh(self) -> bool:
-        """Read the lease, and note when it was last another."""
-        record = await self.leases.read()
-        if record is None:
-            return False
-        if self._record is None or record.revision != self._record.revision:
-            self._record_since = self.clock.monotonic()
-        self._record = record
-        return True
-
     async def _claim(self) -> bool:
         """Take or renew the lease by a conditional write."""
         record = self._record
@@ -223,12 +236,14 @@
         sent = self.clock.monotonic()
         lease = Lease(self.holder, fence)
         written = await self.leases.write(lease, record.revision)
-        if written is None:
+        if written is None or written.lease != lease:
             self.log.record(catalogue.LEASE_LOST, fence=fence)
-            self._record = None
+            self._record_since = sent
+            self._record = written or record
             return False
         if not self._holds_lease:
             self.log.record(catalogue.LEASE_TAKEN, fence=fence)
+        self._fenced = False
         self._record = written
         self._record_since = sent
         self._renewed = sent
@@ -236,31 +251,42 @@
 
     async def _order(self, move: Move) -> None:
         """Order a replica to hold layers, and note what became of it."""
-        record = self._record
-        if record is None or record.lease is None:
-            return
         replica = move.replica
-        sequence = self._sequences.get(replica.name, 0)
-        result = await self.orders.place(
-            replica, move.layers, record.lease.fence, sequence
-        )
-        self._log_order(move, result, record.lease.fence, sequence)
+        result = await self._send(move)
+        if result is OrderResult.CONFLICT:
+            # Most often another node has given orders to this replica.
+            await self._learn_sequence(replica)
+            result = await self._send(move)
         now = self.clock.monotonic()
         if result in {OrderResult.BEGUN, OrderResult.HELD}:
-            self._sequences[replica.name] = sequence + 1
             self._expect(move, now)
         elif result is OrderResult.UNANSWERED:
-            self._pending[replica.name] = _Pending(move.layers, now + 1)
-        elif result is OrderResult.CONFLICT:
-            await self._learn_sequence(replica)
+            self._pending[replica.name] = _Pending(
+                move.layers, now + UNANSWERED_SECONDS
+            )
         elif result is OrderResult.FENCED:
             # Another node orders under a higher number; going on would be
-            # refused again and again.
-            self._record = None
+            # refused again and again. The lease is followed from the store.
+            self._fenced = True
             self._need_since = now
-        else:
+        elif result is not OrderResult.CONFLICT:
             self.replicas.suspect(replica, 'order refused', full=False)
 
+    async def _send(self, move: Move) -> OrderResult:
+        record = self._record
+        if record is None or record.lease is None:
+            return OrderResult.FENCED
+        name = move.replica.name
+        sequence = self._sequences.get(name, 0)
+        fence = record.lease.fence
+        result = await self.orders.place(
+            move.replica, move.layers, fence, sequence
+        )
+        self._log_order(move, result, fence, sequence)
+        if result is OrderResult.BEGUN:
+            self._sequences[name] = sequence + 1
+        return result
+
     def _expect(self, move: Move, now: float) -> None:
         table = self.configuration.table
         services = table.configuration.services if table else {}
--- a/packages/ryelatch-node/src/ryelatch_node/ports/__init__.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/__init__.py
@@ -1,7 +1,12 @@
 """What a relaying node asks of the platform that it runs on."""
 
 from ryelatch_node.ports._leases import LeaseRecord, LeaseStore
-from ryelatch_node.ports._orders import OrderResult, Orders, Report
+from ryelatch_node.ports._orders import (
+    MoveAnswer,
+    OrderResult,
+    Orders,
+    Report,
+)
 from ryelatch_node.ports._startup import Address, RelayStartup
 from ryelatch_node.ports._wire import (
     AnswerTerms,
@@ -18,6 +23,7 @@
     'Headers',
     'LeaseRecord',
     'LeaseStore',
+    'MoveAnswer',
     'OrderResult',
     'Orders',
     'RelayStartup',
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_leases.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_leases.py
@@ -23,10 +23,10 @@
 
 @dataclass(frozen=True)
 class LeaseStore:
-    """Conditional reads and writes of the one lease of a duty."""
+    """Conditional writes of the one lease of a duty.
 
-    read: Callable[[], Awaitable[LeaseRecord | None]]
-    """Nothing if the store gave no answer."""
+    Whoever follows the store tells the duty of each change of the record.
+    """
 
     write: Callable[[Lease, int], Awaitable[LeaseRecord | None]]
-    """The new record, or nothing if it was lost, refused or unanswered."""
+    """What the store then holds, this or another's; nothing if unknown."""
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_orders.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_orders.py
@@ -45,6 +45,17 @@
     stalled: dict[str, str]
 
 
+@dataclass(frozen=True, slots=True)
+class MoveAnswer:
+    """What became of an order to move a request.
+
+    :param fault: address of the replica that a refusal names, if any.
+    """
+
+    result: OrderResult
+    fault: str = ''
+
+
 @dataclass(frozen=True)
 class Orders:
     """Calls to engines."""
@@ -52,7 +63,7 @@
     place: Callable[[Replica, LayerRange, int, int], Awaitable[OrderResult]]
     """Replica, layers, fencing number, expected sequence."""
 
-    move: Callable[[Replica, str, tuple[Stage, ...]], Awaitable[OrderResult]]
+    move: Callable[[Replica, str, tuple[Stage, ...]], Awaitable[MoveAnswer]]
     """First replica, identity of the request, its new path."""
 
     read_report: Callable[[Replica], Awaitable[Report | None]]
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -15,6 +15,7 @@
 )
 from ryelatch_node.relay._exchange import Exchange, Inquiry, round_seconds
 from ryelatch_node.relay._parts import Parts
+from ryelatch_node.relay._probe import Prober
 from ryelatch_node.relay._upstream import Answer
 from ryelatch_node.relay._watch import LiveStream, StreamWatch, make_query
 
@@ -139,7 +140,7 @@
     watch.streams.add(stream)
     try:
         async with scope:
-            return await _run(parts, stream, progress)
+            return await _run(parts, watch.prober, stream, progress)
     except TimeoutError:
         _note_failure(
             parts, stream, progress, SendErrorKind.LOST, stream.reason
@@ -183,6 +184,7 @@
 
 async def _run(
     parts: Parts,
+    prober: Prober,
     stream: LiveStream,
     progress: _Progress,
 ) -> _Next:
@@ -204,7 +206,7 @@
         repeatable=inquiry.repeatable,
     ) as answer:
         if answer.terms.not_run:
-            _note_refusal(parts, stream, answer)
+            _note_refusal(parts, prober, stream, answer)
             return _Next.AGAIN
         if not answer.terms.signed:
             raise SendError(SendErrorKind.SPOILED, 'unsigned answer')
@@ -213,7 +215,12 @@
         return await _pass_events(parts, stream, answer, progress)
 
 
-def _note_refusal(parts: Parts, stream: LiveStream, answer: Answer) -> None:
+def _note_refusal(
+    parts: Parts,
+    prober: Prober,
+    stream: LiveStream,
+    answer: Answer,
+) -> None:
     """Keep away from the replica that a refusal names.
 
     A refusal that took long comes from a path that waited for a lost
@@ -224,6 +231,7 @@
     fault = _find_fault(parts, stream, answer.terms.fault)
     reason = f'answered {answer.status}'
     parts.replicas.suspect(fault, reason, full=not stalled)
+    prober.check(fault)
     stream.exchange.record(
         catalogue.EXCHANGE_FAILED,
         replica=fault.name,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -37,6 +37,9 @@
 MARGIN_SECONDS = 0.7
 """Time kept back from the grace for closing connections."""
 
+ANSWER_SECONDS = 3.5
+"""Time kept for answers in progress: nine in ten streams end within it."""
+
 _POLL_SECONDS = 0.05
 _UNAVAILABLE = 503
 
@@ -115,10 +118,11 @@
         loop = asyncio.get_running_loop()
         begun = loop.time()
         grace = self._parts.startup.grace
+        last_call = max(grace / 2, grace - MARGIN_SECONDS - ANSWER_SECONDS)
         quiet = 0.0
         while loop.time() - begun < grace - MARGIN_SECONDS:
             await asyncio.sleep(_POLL_SECONDS)
-            self._ingress.last_call = loop.time() - begun > grace / 2
+            self._ingress.last_call = loop.time() - begun > last_call
             busy = self._ingress.open_requests
             quiet = 0.0 if busy else quiet + _POLL_SECONDS
             passed = loop.time() - begun
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -10,6 +10,7 @@
 from ryelatch_node.relay._ingress import Ingress
 from ryelatch_node.relay._metrics import RelayMetrics
 from ryelatch_node.relay._parts import Parts
+from ryelatch_node.relay._probe import Prober
 from ryelatch_node.relay._server import RelayServer
 from ryelatch_node.relay._upstream import Upstreams
 from ryelatch_node.relay._watch import StreamWatch
@@ -55,7 +56,7 @@
 def setup(app: App) -> None:
     """Add the services ``upstreams``, ``streams`` and ``server``."""
     parts = _collect(app)
-    watch = StreamWatch(parts)
+    watch = StreamWatch(parts, Prober(parts))
     metrics = RelayMetrics(
         parts.log,
         {
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -15,9 +15,10 @@
 from ryelatch_core.events import catalogue, keep_running
 from ryelatch_core.fleet import PathQuery, Replica, Stage, choose_path
 from ryelatch_core.kernel import cancel_task
-from ryelatch_node.ports import OrderResult
+from ryelatch_node.ports import MoveAnswer, OrderResult
 from ryelatch_node.relay._exchange import Exchange, Inquiry, round_seconds
 from ryelatch_node.relay._parts import Parts
+from ryelatch_node.relay._probe import Prober
 
 TICK_SECONDS = 0.1
 """How often streams are looked at; a tenth of what a move takes."""
@@ -42,6 +43,12 @@
 a second to its first one.
 """
 
+MOVE_TRIES = 3
+"""Paths that a stream is offered before it is resumed as a new run.
+
+Each costs two milliseconds, a new run the reading of all tokens so far.
+"""
+
 _REPORT_SECONDS = 0.4
 
 
@@ -87,6 +94,7 @@
     """Looks after the streams of this node."""
 
     parts: Parts
+    prober: Prober
     streams: set[LiveStream] = field(default_factory=set)
     _asked: dict[str, float] = field(default_factory=dict)
     _tasks: set['asyncio.Task[None]'] = field(default_factory=set)
@@ -101,6 +109,7 @@
     async def stop(self) -> None:
         """Stop looking."""
         await cancel_task(self._ticker)
+        await self.prober.stop()
         for task in tuple(self._tasks):
             await cancel_task(task)
 
@@ -169,7 +178,7 @@
                 result = await self._order(stream, lost)
         finally:
             stream.moving = False
-        if result is OrderResult.BEGUN or result is OrderResult.HELD:
+        if result in {OrderResult.BEGUN, OrderResult.HELD}:
             return
         if stream.inquiry.repeatable:
             stream.interrupt(f'move {result.value}')
@@ -179,24 +188,54 @@
         stream: LiveStream,
         lost: frozenset[str],
     ) -> OrderResult:
-        path = self._replan(stream, lost)
-        if not path:
-            return OrderResult.CONFLICT
+        """Order a move, and another if a part of the path has no room."""
+        result = OrderResult.CONFLICT
+        for _ in range(MOVE_TRIES):
+            path = self._replan(stream, lost)
+            if not path:
+                break
+            moved = await self._order_once(stream, path, lost)
+            result = moved.result
+            if result is not OrderResult.CONFLICT or not moved.fault:
+                break
+            self._blame(stream, path, moved.fault)
+        return result
+
+    async def _order_once(
+        self,
+        stream: LiveStream,
+        path: tuple[Stage, ...],
+        lost: frozenset[str],
+    ) -> MoveAnswer:
         identity = stream.inquiry.terms.identity
         pause = self.parts.clock.monotonic() - stream.progress
-        result = await self.parts.orders.move(stream.head, identity, path)
+        moved = await self.parts.orders.move(stream.head, identity, path)
         stream.exchange.record(
             catalogue.STREAM_MOVED,
             avoiding=sorted(lost),
-            result=result.value,
+            result=moved.result.value,
+            fault=moved.fault,
             pause=round_seconds(pause),
         )
-        if result is OrderResult.BEGUN or result is OrderResult.HELD:
+        if moved.result in {OrderResult.BEGUN, OrderResult.HELD}:
             self.parts.load.remove(stream.path, stream.tokens)
             self.parts.load.add(path, stream.tokens)
             stream.path = path
             stream.progress = self.parts.clock.monotonic()
-        return result
+        return moved
+
+    def _blame(
+        self,
+        stream: LiveStream,
+        path: tuple[Stage, ...],
+        address: str,
+    ) -> None:
+        """Keep away from the replica that a refused move names."""
+        for stage in path:
+            replica = stage.replica
+            if replica.address == address and replica != stream.head:
+                self.parts.replicas.suspect(replica, 'no room', full=True)
+                self.prober.check(replica)
 
     def _replan(
         self,
--- a/tests/platform/test_beliefs.py
+++ b/tests/platform/test_beliefs.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from fleet.town import (
+    Town,
     ask,
     make_configuration,
     make_model,
@@ -13,6 +14,12 @@
 )
 
 
+def _list_lost(town: Town) -> set[str]:
+    return {
+        line['kind'] for line in town.lines if line['name'] == 'history-lost'
+    }
+
+
 async def test_new_configuration_is_in_force() -> None:
     """A key is taken away and another given."""
     async with open_town(make_plain(1)) as town:
@@ -58,7 +65,8 @@
         town.store.forget_history()
         await wait_until(lambda: town.count('configuration-applied') == 2)
         await wait_until(lambda: town.count('replica-gone') == 1)
-        assert town.count('history-lost') == 2
+        kinds = {'config', 'servers', 'ryelatch-leases'}
+        await wait_until(lambda: _list_lost(town) == kinds)
         assert not town.count('task-crashed')
         status, _, _ = await ask(town, '/ping/x')
         assert status == 401
