--- a/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
@@ -8,7 +8,7 @@
     estimate_step,
     fit_layers,
 )
-from ryelatch_core.fleet._plan import Move, plan_moves
+from ryelatch_core.fleet._plan import Move, misses_layers, plan_moves
 from ryelatch_core.fleet._suspicion import (
     FULL_SECONDS,
     UNREACHABLE_SECONDS,
@@ -40,5 +40,6 @@
     'find_gaps',
     'fit_layers',
     'is_redundant',
+    'misses_layers',
     'plan_moves',
 ]
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
@@ -29,8 +29,15 @@
 HOP_SECONDS = 0.0003
 """A token's way between two replicas of a zone, with the wait for a pass."""
 
+ENTRY_SECONDS = 0.05
+"""What a path that begins in another zone is taken to cost a request.
+
+Only the prompt's text and the events cross, and each event comes half a
+millisecond later; it matters where all else is alike.
+"""
+
 CROSSING_SECONDS = 1.5
-"""What a change of zone is taken to cost a request.
+"""What a change of zone in the middle of a path is taken to cost a request.
 
 An activation is 59 kB a token: a usual request moves 46 MB across and costs
 operators about 3 in 100 of its worth, where a second of waiting costs its
@@ -38,6 +45,9 @@
 requests between the zones share.
 """
 
+CROSSING_NEVER = float('inf')
+"""What such a change costs as long as there is a path without one."""
+
 _CROWDED = 2.0
 """Estimated share of a replica's memory beyond which more changes nothing.
 
@@ -48,6 +58,13 @@
 refusing here for an estimate that is too high is not.
 """
 
+EXCESS_WEIGHT = 3.0
+"""Seconds of a whole answer that a second to its first event is worth.
+
+A first event that is late costs the caller most of what the answer is worth;
+an answer that goes on for a second more costs next to nothing.
+"""
+
 _JITTER = 0.15
 """Spread of the costs between nodes.
 
@@ -67,6 +84,7 @@
     :param avoid: names of replicas not to use.
     :param requests: requests of this node at each replica.
     :param tokens: tokens of this node's requests at each replica.
+    :param excess: seconds by which paths through a replica were late.
     :param head: the stage that must come first, if any.
     """
 
@@ -79,9 +97,25 @@
     avoid: frozenset[str] = frozenset()
     requests: Mapping[str, int] = field(default_factory=dict)
     tokens: Mapping[str, int] = field(default_factory=dict)
+    excess: Mapping[str, float] = field(default_factory=dict)
     head: Stage | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Hops:
+    """What changes of replica cost a request, in seconds."""
+
+    within: float
+    crossing: float
+
+    def price(self, before: Replica, after: Replica) -> float:
+        """Price the way from one replica to the next."""
+        if before.name == after.name:
+            return 0
+        crossing = 0 if before.zone == after.zone else self.crossing
+        return self.within + crossing
+
+
 @dataclass(slots=True)
 class _Way:
     """The best way found to a place between layers."""
@@ -109,19 +143,33 @@
         and replica.name not in query.avoid
         and replica.accelerator in query.profile.accelerators
     ]
-    versions = {replica.version for replica in usable}
+    versions = sorted({one.version for one in usable}, reverse=True)
+    groups = [
+        [one for one in usable if one.version == version]
+        for version in versions
+    ]
+    # The pipe between zones is shared by all requests, and a path that
+    # changes zone fills it with activations: at the peak a quarter of the
+    # requests doing so make all of them wait a second. So a path inside one
+    # zone is taken if there is any, however crowded.
+    costs = (CROSSING_NEVER, CROSSING_SECONDS)
     found = (
-        _search([one for one in usable if one.version == version], query)
-        for version in sorted(versions, reverse=True)
+        _search(group, query, crossing)
+        for crossing, group in itertools.product(costs, groups)
     )
     return next(filter(None, found), ())
 
 
-def _search(usable: list[Replica], query: PathQuery) -> tuple[Stage, ...]:
+def _search(
+    usable: list[Replica],
+    query: PathQuery,
+    crossing: float,
+) -> tuple[Stage, ...]:
     costs = _rate(usable, query)
     offered = [replica for replica in usable if replica.name in costs]
     for hop_factor in (1, 100, 10_000):
-        way = _find_way(offered, costs, query, HOP_SECONDS * hop_factor)
+        hops = _Hops(HOP_SECONDS * hop_factor * query.answer, crossing)
+        way = _find_way(offered, costs, query, hops)
         path = _unwind(way, query.profile.layers)
         names = {stage.replica.name for stage in path}
         # A replica that comes twice is refused by the upstreams. It shows
@@ -164,14 +212,15 @@
     reading = estimate_reading(profile, accelerator, 1, query.prompt)
     crowding = 1 + min(fullness, _CROWDED) ** 2
     noise = 1 + _JITTER * query.draw()
-    return (step * query.answer + reading) * crowding * noise
+    late = query.excess.get(replica.name, 0) * EXCESS_WEIGHT / profile.layers
+    return (step * query.answer + reading) * crowding * noise + late
 
 
 def _find_way(
     usable: list[Replica],
     rates: Mapping[str, float],
     query: PathQuery,
-    hop: float,
+    hops: _Hops,
 ) -> _Way | None:
     """Find the cheapest way through all layers."""
     layers = query.profile.layers
@@ -201,7 +250,7 @@
         ways = [
             way
             for replica in holders
-            if (way := _extend(ways, replica, part, rates, query, hop))
+            if (way := _extend(ways, replica, part, rates, query, hops))
         ]
         if not ways:
             return None
@@ -225,17 +274,17 @@
     part: LayerRange,
     rates: Mapping[str, float],
     query: PathQuery,
-    hop: float,
+    hops: _Hops,
 ) -> _Way | None:
     """Find the best way over a part that ends at a replica."""
     own = rates[replica.name] * len(part)
     if part.first == 0:
-        entry = 0 if replica.zone == query.zone else CROSSING_SECONDS
+        entry = 0 if replica.zone == query.zone else ENTRY_SECONDS
         return _Way(entry + own, replica, 0, None)
     best: _Way | None = None
     least = float('inf')
     for way in ways:
-        cost = way.cost + _price_hop(way.replica, replica, hop, query.answer)
+        cost = way.cost + hops.price(way.replica, replica)
         if cost < least:
             best, least = way, cost
     if best is None:
@@ -243,18 +292,6 @@
     return _Way(least + own, replica, part.first, best)
 
 
-def _price_hop(
-    before: Replica,
-    after: Replica,
-    hop: float,
-    tokens: int,
-) -> float:
-    if before.name == after.name:
-        return 0
-    crossing = 0 if before.zone == after.zone else CROSSING_SECONDS
-    return hop * tokens + crossing
-
-
 def _unwind(way: _Way | None, layers: int) -> tuple[Stage, ...]:
     """Join the parts of a way into stages, one a replica in a row."""
     parts: list[_Way] = []
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_plan.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_plan.py
@@ -1,38 +1,66 @@
 """Decides which replica holds which layers.
 
 Each availability zone holds a whole copy of the model where it can, so that
-paths stay inside their zone, and a part of a second one: the layers of the
-replica whose loss would hurt most, so that whole paths are left before any
-repair. Zones too small for a copy are planned together.
-
-Plans change little: a load takes seconds and has its price, so a replica
-that holds layers keeps them unless a gap can be closed in no other way.
+paths stay inside a zone: a request may go to any zone whole, but a change of
+zone in the middle of a path moves all its activations. Zones too small for a
+copy are planned together.
+
+Weights and caches share the memory of a replica, and what is left for caches
+bounds the requests in progress. A plan is the better the more tokens fit at
+each layer; a layer that nobody holds weighs more than all else. From a plan
+in force the step that helps most is taken, again and again, while it helps
+enough to be worth a load of weights.
 """
 
 import itertools
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from ryelatch_core.fleet._coverage import (
-    count_holders,
-    find_gaps,
-    is_redundant,
-)
-from ryelatch_core.fleet._performance import fit_layers
-from ryelatch_core.fleet._types import (
-    Accelerator,
-    LayerRange,
-    ModelProfile,
-    Replica,
-)
-
-_ROOMS = (200, 160, 130, 110, 95, 80, 70, 60, 50, 40, 30, 20, 12, 8)
-"""Requests for which a replica keeps room, tried from the most."""
+from ryelatch_core.fleet._performance import estimate_capacity, fit_layers
+from ryelatch_core.fleet._types import LayerRange, ModelProfile, Replica
+
+_ROOMS = (*range(200, 30, -5), 30, 25, 20, 16, 12, 8)
+"""Usual requests for which a replica keeps room, tried from the most."""
+
+_SPARES = 1
+"""Replicas of a pool that a first plan leaves empty.
+
+An empty replica takes over a lost one's layers in the time of one load,
+0.9 s for five layers. One that serves must first wait for the requests that
+pass through what it gives up, and these last up to ten seconds.
+"""
 
 _LEAST_ROOM = 8
-"""Requests that must fit beside the layers that a repair adds.
+"""Usual requests that must fit beside the layers of a replica.
+
+Below this it refuses more than it serves, as sizes differ threefold.
+"""
+
+_REPAIR_ROOMS = (44, 30, 20, _LEAST_ROOM)
+"""Rooms that a repair leaves to the replicas that it changes, best first.
+
+Two neighbours that take a half of a gap each keep more room than one that
+takes all of it.
+"""
+
+_WINDOW_ROOMS = (150, 110, 80, 60, 44, 30, 20, 8)
+"""Rooms for which ranges are tried in a step; more finds little more."""
+
+_MISSING = 1000.0
+"""Weight of a layer that nobody holds, in layers with room for one request."""
+
+_WORTH = 0.1
+"""Share of a plan's weight that filling an empty replica must save.
+
+Where all layers have about the same room, one more replica saves 4 in 100
+and is worth more as a spare; where neighbours have closed a gap, or one has
+come back empty, it saves 15 and more.
+"""
+
+_MOST_MOVES = 8
+"""Steps that are planned at once for a pool; more follow when they are done.
 
-Below this a replica refuses more than it serves, as sizes differ threefold.
+More than six loads at a time make each of them slower.
 """
 
 
@@ -47,186 +75,334 @@
 def plan_moves(
     replicas: Iterable[Replica],
     profile: ModelProfile,
+    *,
+    thorough: bool = False,
 ) -> tuple[Move, ...]:
-    """Plan the orders that complete each zone's copy of the model.
+    """Plan the orders that complete and improve each zone's copy.
 
     :param replicas: all replicas of the service that are alive.
-    :returns: nothing where each pool of replicas holds all layers.
+    :param thorough: whether pools may be laid out anew whose gaps no single
+        steps can close.
+    :returns: nothing where no step helps enough.
     """
-    usable = [
-        replica
-        for replica in replicas
-        if replica.accelerator in profile.accelerators and not replica.leaving
-    ]
-    pools = _make_pools(usable, profile)
     return tuple(
         itertools.chain.from_iterable(
-            _plan_pool(pool, profile) for pool in pools
+            _plan_pool(pool, profile, thorough=thorough)
+            for pool in _make_pools(replicas, profile)
         )
     )
 
 
+def misses_layers(
+    replicas: Iterable[Replica],
+    profile: ModelProfile,
+) -> bool:
+    """Whether any pool of replicas lacks layers."""
+    return any(
+        _Pool(pool, profile).find_gap() is not None
+        for pool in _make_pools(replicas, profile)
+    )
+
+
 def _make_pools(
-    usable: list[Replica],
+    replicas: Iterable[Replica],
     profile: ModelProfile,
 ) -> list[list[Replica]]:
     """Group replicas by zone where a zone can hold all layers."""
+    usable = [
+        replica
+        for replica in replicas
+        if replica.accelerator in profile.accelerators and not replica.leaving
+    ]
     zones: dict[str, list[Replica]] = {}
     for replica in sorted(usable, key=lambda one: one.name):
         zones.setdefault(replica.zone, []).append(replica)
-    whole = [pool for pool in zones.values() if _count_most(pool, profile)]
-    if len(whole) == len(zones):
-        return whole
+    if all(_holds_all(pool, profile) for pool in zones.values()):
+        return list(zones.values())
     return [list(itertools.chain.from_iterable(zones.values()))]
 
 
-def _count_most(pool: list[Replica], profile: ModelProfile) -> bool:
+def _holds_all(pool: list[Replica], profile: ModelProfile) -> bool:
     """Whether a pool can hold all layers with the least room."""
-    fitting = _fit_pool(pool, profile, _LEAST_ROOM)
-    return sum(fitting.values()) >= profile.layers
+    return sum(_fit_pool(pool, profile, _LEAST_ROOM)) >= profile.layers
 
 
 def _fit_pool(
     pool: Iterable[Replica],
     profile: ModelProfile,
     room: float,
-) -> dict[str, int]:
-    return {
-        replica.name: fit_layers(profile, _kind_of(replica, profile), room)
-        for replica in pool
-    }
+) -> list[int]:
+    return [_fit_one(one, profile, room) for one in pool]
 
 
-def _kind_of(replica: Replica, profile: ModelProfile) -> Accelerator:
-    return profile.accelerators[replica.accelerator]
+def _fit_one(replica: Replica, profile: ModelProfile, room: float) -> int:
+    accelerator = profile.accelerators[replica.accelerator]
+    return fit_layers(profile, accelerator, room)
 
 
-def _plan_pool(pool: list[Replica], profile: ModelProfile) -> list[Move]:
-    held = [replica.layers for replica in pool if replica.layers]
-    if not held:
+def _plan_pool(
+    pool: list[Replica],
+    profile: ModelProfile,
+    *,
+    thorough: bool,
+) -> list[Move]:
+    if not any(replica.layers for replica in pool):
         return _plan_empty(pool, profile)
-    gaps = find_gaps(profile.layers, held)
-    return _close_gaps(pool, profile, gaps) if gaps else []
+    return _improve(pool, profile, thorough=thorough)
 
 
 def _plan_empty(pool: list[Replica], profile: ModelProfile) -> list[Move]:
-    """Plan a pool that holds nothing.
+    """Plan a pool that holds nothing: one copy with the most room.
 
-    The room kept for requests is the largest with which the pool still holds
-    all layers and the largest range twice. The fastest replicas make up the
-    copy; the slower ones repeat its beginning, which the largest hold.
+    The fastest replicas come first. What is left over when the copy is whole
+    is for steps that improve it.
     """
-    fitting = _choose_fit(pool, profile)
     order = sorted(
-        (replica for replica in pool if fitting[replica.name]),
-        key=lambda one: (_kind_of(one, profile).step_factor, one.name),
+        pool,
+        key=lambda one: (
+            profile.accelerators[one.accelerator].step_factor,
+            one.name,
+        ),
     )
-    moves: list[Move] = []
-    first = 0
-    for replica in order:
-        if first >= profile.layers:
-            first = 0
-        end = min(first + fitting[replica.name], profile.layers)
-        moves.append(Move(replica, LayerRange(first, end)))
-        first = end
-    return moves
-
-
-def _choose_fit(pool: list[Replica], profile: ModelProfile) -> dict[str, int]:
-    """Choose how many layers each replica of a pool should hold."""
-    fits = [_fit_pool(pool, profile, room) for room in _ROOMS]
-    spared = (
+    sizes = _choose_sizes(order, profile)
+    return list(itertools.starmap(Move, _lay_row(order, sizes, profile.layers)))
+
+
+def _choose_sizes(ordered: list[Replica], profile: ModelProfile) -> list[int]:
+    """Choose the ranges' sizes that leave the most room in a whole copy."""
+    fits = [_fit_pool(ordered, profile, room) for room in _ROOMS]
+    whole = (
         fit
+        for spares in range(_SPARES, -1, -1)
         for fit in fits
-        if sum(fit.values()) >= profile.layers + max(fit.values(), default=0)
+        if sum(fit[: len(fit) - spares]) >= profile.layers
     )
-    whole = (fit for fit in fits if sum(fit.values()) >= profile.layers)
-    return next(itertools.chain(spared, whole), fits[-1])
-
-
-def _close_gaps(
+    return next(whole, fits[-1])
+
+
+class _Pool:
+    """A plan in the making, with the tokens that fit at each layer."""
+
+    def __init__(self, pool: list[Replica], profile: ModelProfile) -> None:
+        self.profile = profile
+        self.held = {one.name: one.layers for one in pool}
+        self.tokens = list(itertools.repeat(0.0, profile.layers))
+        self._usual = profile.usual_prompt + profile.usual_answer
+        for replica in pool:
+            self._add(replica, replica.layers, 1)
+
+    def weigh(self) -> float:
+        """Weigh the plan; less is better."""
+        return sum(map(self._weigh_layer, self.tokens))
+
+    def find_gap(self) -> LayerRange | None:
+        """Find the first range of layers that nobody holds."""
+        missing = [
+            layer for layer, tokens in enumerate(self.tokens) if tokens <= 0
+        ]
+        if not missing:
+            return None
+        run = itertools.takewhile(
+            lambda pair: pair[1] == missing[0] + pair[0], enumerate(missing)
+        )
+        return LayerRange(missing[0], missing[0] + len(list(run)))
+
+    def rate(self, move: Move) -> float:
+        """Tell how much a step would save."""
+        replica, before = move.replica, self.held[move.replica.name]
+        room = self._find_room(replica, move.layers)
+        old_room = self._find_room(replica, before) if before else 0.0
+        saved = 0.0
+        first = min(move.layers.first, before.first if before else 10**6)
+        end = max(move.layers.end, before.end if before else 0)
+        for layer in range(first, end):
+            tokens = self.tokens[layer]
+            change = room if _has(move.layers, layer) else 0.0
+            if before and _has(before, layer):
+                change -= old_room
+            saved += self._weigh_layer(tokens)
+            saved -= self._weigh_layer(tokens + change)
+        return saved
+
+    def apply(self, move: Move) -> None:
+        """Take a step."""
+        self._add(move.replica, self.held[move.replica.name], -1)
+        self._add(move.replica, move.layers, 1)
+        self.held[move.replica.name] = move.layers
+
+    def _add(
+        self,
+        replica: Replica,
+        layers: LayerRange | None,
+        sign: int,
+    ) -> None:
+        if layers is None:
+            return
+        room = self._find_room(replica, layers) * sign
+        for layer in range(layers.first, min(layers.end, len(self.tokens))):
+            self.tokens[layer] += room
+
+    def _find_room(self, replica: Replica, layers: LayerRange) -> float:
+        accelerator = self.profile.accelerators[replica.accelerator]
+        return estimate_capacity(self.profile, accelerator, layers)
+
+    def _weigh_layer(self, tokens: float) -> float:
+        if tokens <= 1:
+            return _MISSING
+        return self._usual / tokens
+
+
+def _has(layers: LayerRange, layer: int) -> bool:
+    return layers.first <= layer < layers.end
+
+
+def _improve(
     pool: list[Replica],
     profile: ModelProfile,
-    gaps: list[LayerRange],
+    *,
+    thorough: bool,
 ) -> list[Move]:
-    """Close gaps by empty replicas, then by spared ones, then by growth."""
-    most = _fit_pool(pool, profile, _LEAST_ROOM)
-    taken: dict[str, Move] = {}
-    for gap in gaps:
-        for part in _cut_gap(gap, pool, most, taken):
-            move = _find_move(part, pool, profile, most, taken)
-            if move is not None:
-                taken[move.replica.name] = move
-    return list(taken.values())
-
-
-def _cut_gap(
-    gap: LayerRange,
-    pool: list[Replica],
-    most: Mapping[str, int],
-    taken: Mapping[str, Move],
-) -> list[LayerRange]:
-    """Cut a gap into parts that one replica each can hold."""
-    free = (most[one.name] for one in pool if one.name not in taken)
-    largest = max(free, default=0)
-    if not largest:
-        return []
-    parts = -(-len(gap) // largest)
-    size = -(-len(gap) // parts)
-    return [
-        LayerRange(first, min(first + size, gap.end))
-        for first in range(gap.first, gap.end, size)
-    ]
+    """Close the gaps with the most room left, and improve what is whole."""
+    for room in _REPAIR_ROOMS:
+        plan = _Pool(pool, profile)
+        moves = _take_steps(pool, plan, room, thorough=thorough)
+        if plan.find_gap() is None:
+            return moves
+    return _lay_out(pool, profile) if thorough else moves
 
 
-def _find_move(
-    part: LayerRange,
-    pool: list[Replica],
-    profile: ModelProfile,
-    most: Mapping[str, int],
-    taken: Mapping[str, Move],
-) -> Move | None:
-    free = [one for one in pool if one.name not in taken]
-    able = [one for one in free if most[one.name] >= len(part)]
-    empty = [one for one in able if one.layers is None]
-    if empty:
-        # The smallest that fits: larger ones may be needed for larger gaps.
-        return Move(min(empty, key=lambda one: most[one.name]), part)
-    counts = count_holders(
-        profile.layers, [one.layers for one in free if one.layers]
-    )
-    spared = [
-        one for one in able if one.layers and is_redundant(counts, one.layers)
-    ]
-    grown = _grow(part, free, most)
-    if grown is not None and (not spared or len(part) <= 2):
-        return grown
-    if spared:
-        return Move(min(spared, key=lambda one: most[one.name]), part)
-    return None
-
-
-def _grow(
-    part: LayerRange,
-    free: list[Replica],
-    most: Mapping[str, int],
-) -> Move | None:
-    """Let a neighbour of a gap hold its layers as well."""
-    grown = (
-        Move(one, _span(one.layers, part))
-        for one in free
-        if one.layers
-        and (one.layers.end == part.first or one.layers.first == part.end)
+def _lay_out(pool: list[Replica], profile: ModelProfile) -> list[Move]:
+    """Spread the layers anew over a pool whose gaps no steps can close.
+
+    Such a pool has lost a replica that held much; its paths go through other
+    pools until all of it is done. Replicas keep their order, so that most of
+    them keep some of what they hold.
+    """
+    last = profile.layers
+    ordered = sorted(
+        pool,
+        key=lambda one: (one.layers.first if one.layers else last, one.name),
     )
-    fitting = [
-        move for move in grown if len(move.layers) <= most[move.replica.name]
+    sizes = _choose_sizes(ordered, profile)
+    return [
+        Move(replica, layers)
+        for replica, layers in _lay_row(ordered, sizes, last)
+        if layers != replica.layers
     ]
-    return min(
-        fitting,
-        key=lambda move: len(move.layers) / most[move.replica.name],
-        default=None,
-    )
 
 
-def _span(held: LayerRange, part: LayerRange) -> LayerRange:
-    return LayerRange(min(held.first, part.first), max(held.end, part.end))
+def _lay_row(
+    ordered: list[Replica],
+    sizes: list[int],
+    layers: int,
+) -> Iterator[tuple[Replica, LayerRange]]:
+    """Lay ranges of some sizes one after the other over all layers."""
+    first = 0
+    for replica, size in zip(ordered, sizes, strict=True):
+        if size and first < layers:
+            end = min(first + size, layers)
+            # The last range reaches back to its full size: held twice is
+            # better than memory that lies idle.
+            yield replica, LayerRange(max(0, end - size), end)
+            first = end
+
+
+def _take_steps(
+    pool: list[Replica],
+    plan: _Pool,
+    room: float,
+    *,
+    thorough: bool,
+) -> list[Move]:
+    """Take the steps that help most, one a replica."""
+    moves: dict[str, Move] = {}
+    for _ in range(_MOST_MOVES):
+        weight = plan.weigh()
+        options = [
+            (plan.rate(move), move)
+            for replica in pool
+            if replica.name not in moves
+            for move in _list_steps(replica, plan, room, thorough=thorough)
+        ]
+        best = max(options, key=lambda pair: pair[0], default=None)
+        if best is None or best[0] < weight * _WORTH:
+            break
+        plan.apply(best[1])
+        moves[best[1].replica.name] = best[1]
+    return list(moves.values())
+
+
+def _list_steps(
+    replica: Replica,
+    plan: _Pool,
+    room: float,
+    *,
+    thorough: bool,
+) -> Iterator[Move]:
+    """List the ranges that a replica may be ordered to hold next.
+
+    One that serves keeps what it holds and may reach into a gap; what it gave
+    up would wait for the requests that pass through it. It moves away only
+    where a gap lasts and others hold all that it holds.
+    """
+    layers = plan.held[replica.name]
+    gap = plan.find_gap()
+    if layers is None:
+        yield from _list_windows(replica, plan, gap)
+    elif gap is not None:
+        most = _fit_one(replica, plan.profile, room)
+        yield from _list_growths(replica, layers, most, gap)
+        if thorough and _is_spared(replica, layers, plan):
+            yield from _list_windows(replica, plan, gap)
+
+
+def _list_windows(
+    replica: Replica,
+    plan: _Pool,
+    gap: LayerRange | None,
+) -> Iterator[Move]:
+    profile = plan.profile
+    sizes = {_fit_one(replica, profile, room) for room in _WINDOW_ROOMS}
+    for size in sorted(sizes - {0}):
+        last = profile.layers - size
+        for first in range(max(0, last) + 1):
+            window = LayerRange(first, min(first + size, profile.layers))
+            if gap is None or _touches(window, gap):
+                yield Move(replica, window)
+
+
+def _touches(window: LayerRange, gap: LayerRange) -> bool:
+    return window.first < gap.end and gap.first < window.end
+
+
+def _list_growths(
+    replica: Replica,
+    layers: LayerRange,
+    most: int,
+    gap: LayerRange,
+) -> Iterator[Move]:
+    for size in range(len(layers) + 1, most + 1):
+        added = size - len(layers)
+        if layers.end == gap.first and added <= len(gap):
+            yield Move(replica, LayerRange(layers.first, layers.end + added))
+        if layers.first == gap.end and added <= len(gap):
+            yield Move(replica, LayerRange(layers.first - added, layers.end))
+
+
+def _holds_more(
+    replica: Replica,
+    layers: LayerRange,
+    plan: _Pool,
+    layer: int,
+) -> bool:
+    """Whether others hold a layer that a replica holds."""
+    accelerator = plan.profile.accelerators[replica.accelerator]
+    room = estimate_capacity(plan.profile, accelerator, layers)
+    return plan.tokens[layer] > room + 1
+
+
+def _is_spared(replica: Replica, layers: LayerRange, plan: _Pool) -> bool:
+    return all(
+        _holds_more(replica, layers, plan, layer)
+        for layer in range(layers.first, layers.end)
+    )
--- a/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
@@ -10,6 +10,7 @@
     ModelProfile,
     Move,
     Replica,
+    misses_layers,
     plan_moves,
 )
 from ryelatch_core.kernel import App, Clock, Service, cancel_task
@@ -27,6 +28,16 @@
     RelayStartup,
 )
 
+PERSISTENT_SECONDS = 2.5
+"""How long a gap must last before its zone is laid out anew.
+
+Replicas that crash are mostly back within four seconds, and replaced ones
+have successors; laying out anew loads most of a zone.
+"""
+
+GATHER_SECONDS = 0.05
+"""Shortest time between two plans: changes come in runs."""
+
 SETTLE_SECONDS = 1.5
 """How long the list must not grow before an empty fleet is planned.
 
@@ -41,11 +52,11 @@
 a second of each other.
 """
 
-WORK_SECONDS = 3.0
+WORK_SECONDS = 6.0
 """How long others leave a gap to a holder who has just renewed its lease.
 
-It renews before it orders; eight layers load in 1.4 s, and the list then
-shows them.
+It renews before it orders. Thirty layers load in 5.3 s, and what it ordered
+goes on loading should it be lost meanwhile.
 """
 
 TAKE_SPREAD_SECONDS = 0.6
@@ -67,6 +78,12 @@
 the two the replica carries out first makes it refuse the other.
 """
 
+BUSY_SECONDS = 1.0
+"""How long a replica that is busy with an earlier order is left alone."""
+
+REST_SECONDS = 1.0
+"""How long no claim is made after one that failed; calls are priced."""
+
 TICK_SECONDS = 0.25
 
 
@@ -76,6 +93,7 @@
 
     layers: LayerRange
     until: float
+    busy: bool = False
 
 
 @dataclass(eq=False)
@@ -96,6 +114,8 @@
     _renewed: float = float('-inf')
     _fenced: bool = False
     _need_since: float | None = None
+    _gap_since: float | None = None
+    _rest_until: float = 0
     _grown: float = 0
     _known: int = 0
     _pending: dict[str, _Pending] = field(default_factory=dict)
@@ -143,15 +163,13 @@
                 pass
             self._wake.clear()
             await self._tend()
+            await asyncio.sleep(GATHER_SECONDS)
 
     async def _tend(self) -> None:
         moves = self._plan()
         now = self.clock.monotonic()
-        if not moves:
-            self._need_since = None
+        if not moves or now < self._rest_until:
             return
-        if self._need_since is None:
-            self._need_since = now
         if self._holds_lease:
             if now - self._renewed > RENEW_SECONDS and not await self._claim():
                 return
@@ -165,26 +183,53 @@
         now = self.clock.monotonic()
         if table is None or not self._is_settled(now):
             return []
-        return [
-            move
+        models = [
+            (terms.name, terms.model)
             for terms in table.configuration.services.values()
             if terms.model is not None
-            for move in self._plan_service(terms.name, terms.model, now)
         ]
+        alive = {
+            name: [
+                self._foresee(replica, now)
+                for replica in self.replicas.list_alive(name)
+            ]
+            for name, _ in models
+        }
+        self._note_gap(
+            now,
+            any(misses_layers(alive[name], model) for name, model in models),
+        )
+        moves = [
+            move
+            for name, model in models
+            for move in self._plan_service(alive[name], model, now)
+        ]
+        self._note_need(now, bool(moves))
+        return moves
+
+    def _note_gap(self, now: float, missing: bool) -> None:
+        if not missing:
+            self._gap_since = None
+        elif self._gap_since is None:
+            self._gap_since = now
+
+    def _note_need(self, now: float, needed: bool) -> None:
+        if not needed:
+            self._need_since = None
+        elif self._need_since is None:
+            self._need_since = now
 
     def _plan_service(
         self,
-        service: str,
+        alive: list[Replica],
         model: ModelProfile,
         now: float,
     ) -> tuple[Move, ...]:
-        alive = [
-            self._foresee(replica, now)
-            for replica in self.replicas.list_alive(service)
-        ]
+        lasted = now - self._gap_since if self._gap_since else 0
+        thorough = lasted > PERSISTENT_SECONDS and not self._pending
         return tuple(
             move
-            for move in plan_moves(alive, model)
+            for move in plan_moves(alive, model, thorough=thorough)
             if move.replica.name not in self._pending
         )
 
@@ -202,7 +247,8 @@
         pending = self._pending.get(replica.name)
         if pending is None:
             return replica
-        if replica.layers == pending.layers or pending.until < now:
+        arrived = replica.layers == pending.layers and not pending.busy
+        if arrived or pending.until < now:
             del self._pending[replica.name]
             return replica
         return replace(replica, layers=pending.layers)
@@ -213,17 +259,22 @@
         record = self._record
         if record is None:
             return False
-        if now - self._need_since < self._patience(record, now):
+        if now < self._find_turn(record, self._need_since):
             return False
         return await self._claim()
 
-    def _patience(self, record: LeaseRecord, now: float) -> float:
-        """Tell how long a need must last before this node takes the lease."""
+    def _find_turn(self, record: LeaseRecord, need_since: float) -> float:
+        """Tell when this node may take the lease.
+
+        A holder that renewed after the need arose is at work. Counted from
+        the need alone, every node takes the lease in turn while the loads
+        last, gives the same orders again, and each begins the load anew.
+        """
         if record.lease is None:
-            return self.spread
-        if now - self._record_since < WORK_SECONDS:
-            return WORK_SECONDS + self.spread
-        return TAKE_SECONDS + self.spread
+            return need_since + self.spread
+        if self._record_since > need_since:
+            return self._record_since + WORK_SECONDS + self.spread
+        return need_since + TAKE_SECONDS + self.spread
 
     async def _claim(self) -> bool:
         """Take or renew the lease by a conditional write."""
@@ -240,6 +291,7 @@
             self.log.record(catalogue.LEASE_LOST, fence=fence)
             self._record_since = sent
             self._record = written or record
+            self._rest_until = sent + REST_SECONDS
             return False
         if not self._holds_lease:
             self.log.record(catalogue.LEASE_TAKEN, fence=fence)
@@ -253,9 +305,9 @@
         """Order a replica to hold layers, and note what became of it."""
         replica = move.replica
         result = await self._send(move)
-        if result is OrderResult.CONFLICT:
-            # Most often another node has given orders to this replica.
-            await self._learn_sequence(replica)
+        # Most often another node has given orders to this replica.
+        conflict = result is OrderResult.CONFLICT
+        if conflict and await self._learn_state(replica):
             result = await self._send(move)
         now = self.clock.monotonic()
         if result in {OrderResult.BEGUN, OrderResult.HELD}:
@@ -269,9 +321,21 @@
             # refused again and again. The lease is followed from the store.
             self._fenced = True
             self._need_since = now
-        elif result is not OrderResult.CONFLICT:
+        elif result is OrderResult.CONFLICT:
+            self._leave_alone(replica, now + BUSY_SECONDS)
+        else:
             self.replicas.suspect(replica, 'order refused', full=False)
 
+    def _leave_alone(self, replica: Replica, until: float) -> None:
+        """Plan nothing for a replica that is busy with an earlier order.
+
+        Asked again at once it refuses again, at the price of an order each.
+        """
+        if replica.layers is not None:
+            self._pending[replica.name] = _Pending(
+                replica.layers, until, busy=True
+            )
+
     async def _send(self, move: Move) -> OrderResult:
         record = self._record
         if record is None or record.lease is None:
@@ -297,10 +361,13 @@
         until = now + share * terms.model.load_seconds + LOAD_MARGIN_SECONDS
         self._pending[move.replica.name] = _Pending(move.layers, until)
 
-    async def _learn_sequence(self, replica: Replica) -> None:
+    async def _learn_state(self, replica: Replica) -> bool:
+        """Learn a replica's sequence; tell whether it may be ordered now."""
         report = await self.orders.read_report(replica)
-        if report is not None:
-            self._sequences[replica.name] = report.sequence
+        if report is None:
+            return False
+        self._sequences[replica.name] = report.sequence
+        return not report.busy
 
     def _log_order(
         self,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -133,9 +133,8 @@
     exchange.sends += 1
     _log_send(parts, exchange, inquiry, path, progress)
     scope = asyncio.timeout(None)
-    stream = LiveStream(
-        exchange, inquiry, path, parts.clock.monotonic(), tokens, scope
-    )
+    now = parts.clock.monotonic()
+    stream = LiveStream(exchange, inquiry, path, now, now, tokens, scope)
     parts.load.add(path, tokens)
     watch.streams.add(stream)
     try:
@@ -310,6 +309,9 @@
     if not stream.begun:
         stream.begun = True
         stream.exchange.ran += 1
+        parts.load.note_first(
+            stream.path, stream.progress - stream.sent, stream.progress
+        )
         stream.exchange.detail.setdefault(
             'first', round_seconds(stream.progress - stream.inquiry.arrived)
         )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -47,6 +47,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._parts.replicas.drop_lapsed()
+            self._parts.load.keep(self._parts.replicas.replicas)
             self._parts.configuration.allows_keys()
             self._server.apply_limits()
             self._parts.log.report_dropped()
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -56,6 +56,7 @@
 class LiveStream:
     """A stream in progress.
 
+    :param sent: when it was sent on its first path of this try.
     :param progress: when its last event came, or it was sent or moved.
     :param tokens: for which memory is taken on its path.
     :param scope: the timeout of its reading; moved up to interrupt it.
@@ -64,6 +65,7 @@
     exchange: Exchange
     inquiry: Inquiry
     path: tuple[Stage, ...]
+    sent: float
     progress: float
     tokens: int
     scope: asyncio.Timeout
@@ -299,6 +301,7 @@
         avoid=avoid,
         requests=parts.load.requests,
         tokens=parts.load.tokens,
+        excess=parts.load.list_excess(parts.clock.monotonic()),
     )
 
 
