--- a/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
@@ -8,7 +8,8 @@
     estimate_step,
     fit_layers,
 )
-from ryelatch_core.fleet._plan import Move, misses_layers, plan_moves
+from ryelatch_core.fleet._plan import misses_layers, plan_moves
+from ryelatch_core.fleet._pool import Move
 from ryelatch_core.fleet._suspicion import (
     FULL_SECONDS,
     UNREACHABLE_SECONDS,
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_plan.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_plan.py
@@ -14,12 +14,19 @@
 
 import itertools
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 
 from ryelatch_core.fleet._performance import estimate_capacity, fit_layers
+from ryelatch_core.fleet._pool import Move, PoolPlan
 from ryelatch_core.fleet._types import LayerRange, ModelProfile, Replica
 
-_ROOMS = (*range(200, 30, -5), 30, 25, 20, 16, 12, 8)
+_MOST_ROOM = 200
+_LEAST_ROOM = 8
+"""Usual requests that must fit beside the layers of a replica.
+
+Below this it refuses more than it serves, as sizes differ threefold.
+"""
+
+_ROOMS = range(_MOST_ROOM, _LEAST_ROOM - 1, -4)
 """Usual requests for which a replica keeps room, tried from the most."""
 
 _SPARES = 1
@@ -30,12 +37,6 @@
 pass through what it gives up, and these last up to ten seconds.
 """
 
-_LEAST_ROOM = 8
-"""Usual requests that must fit beside the layers of a replica.
-
-Below this it refuses more than it serves, as sizes differ threefold.
-"""
-
 _REPAIR_ROOMS = (44, 30, 20, _LEAST_ROOM)
 """Rooms that a repair leaves to the replicas that it changes, best first.
 
@@ -46,9 +47,6 @@
 _WINDOW_ROOMS = (150, 110, 80, 60, 44, 30, 20, 8)
 """Rooms for which ranges are tried in a step; more finds little more."""
 
-_MISSING = 1000.0
-"""Weight of a layer that nobody holds, in layers with room for one request."""
-
 _WORTH = 0.1
 """Share of a plan's weight that filling an empty replica must save.
 
@@ -64,14 +62,6 @@
 """
 
 
-@dataclass(frozen=True, slots=True)
-class Move:
-    """An order to a replica to hold a range of layers."""
-
-    replica: Replica
-    layers: LayerRange
-
-
 def plan_moves(
     replicas: Iterable[Replica],
     profile: ModelProfile,
@@ -99,7 +89,7 @@
 ) -> bool:
     """Whether any pool of replicas lacks layers."""
     return any(
-        _Pool(pool, profile).find_gap() is not None
+        PoolPlan(pool, profile).find_gap() is not None
         for pool in _make_pools(replicas, profile)
     )
 
@@ -180,82 +170,6 @@
     return next(whole, fits[-1])
 
 
-class _Pool:
-    """A plan in the making, with the tokens that fit at each layer."""
-
-    def __init__(self, pool: list[Replica], profile: ModelProfile) -> None:
-        self.profile = profile
-        self.held = {one.name: one.layers for one in pool}
-        self.tokens = list(itertools.repeat(0.0, profile.layers))
-        self._usual = profile.usual_prompt + profile.usual_answer
-        for replica in pool:
-            self._add(replica, replica.layers, 1)
-
-    def weigh(self) -> float:
-        """Weigh the plan; less is better."""
-        return sum(map(self._weigh_layer, self.tokens))
-
-    def find_gap(self) -> LayerRange | None:
-        """Find the first range of layers that nobody holds."""
-        missing = [
-            layer for layer, tokens in enumerate(self.tokens) if tokens <= 0
-        ]
-        if not missing:
-            return None
-        run = itertools.takewhile(
-            lambda pair: pair[1] == missing[0] + pair[0], enumerate(missing)
-        )
-        return LayerRange(missing[0], missing[0] + len(list(run)))
-
-    def rate(self, move: Move) -> float:
-        """Tell how much a step would save."""
-        replica, before = move.replica, self.held[move.replica.name]
-        room = self._find_room(replica, move.layers)
-        old_room = self._find_room(replica, before) if before else 0.0
-        saved = 0.0
-        first = min(move.layers.first, before.first if before else 10**6)
-        end = max(move.layers.end, before.end if before else 0)
-        for layer in range(first, end):
-            tokens = self.tokens[layer]
-            change = room if _has(move.layers, layer) else 0.0
-            if before and _has(before, layer):
-                change -= old_room
-            saved += self._weigh_layer(tokens)
-            saved -= self._weigh_layer(tokens + change)
-        return saved
-
-    def apply(self, move: Move) -> None:
-        """Take a step."""
-        self._add(move.replica, self.held[move.replica.name], -1)
-        self._add(move.replica, move.layers, 1)
-        self.held[move.replica.name] = move.layers
-
-    def _add(
-        self,
-        replica: Replica,
-        layers: LayerRange | None,
-        sign: int,
-    ) -> None:
-        if layers is None:
-            return
-        room = self._find_room(replica, layers) * sign
-        for layer in range(layers.first, min(layers.end, len(self.tokens))):
-            self.tokens[layer] += room
-
-    def _find_room(self, replica: Replica, layers: LayerRange) -> float:
-        accelerator = self.profile.accelerators[replica.accelerator]
-        return estimate_capacity(self.profile, accelerator, layers)
-
-    def _weigh_layer(self, tokens: float) -> float:
-        if tokens <= 1:
-            return _MISSING
-        return self._usual / tokens
-
-
-def _has(layers: LayerRange, layer: int) -> bool:
-    return layers.first <= layer < layers.end
-
-
 def _improve(
     pool: list[Replica],
     profile: ModelProfile,
@@ -264,7 +178,7 @@
 ) -> list[Move]:
     """Close the gaps with the most room left, and improve what is whole."""
     for room in _REPAIR_ROOMS:
-        plan = _Pool(pool, profile)
+        plan = PoolPlan(pool, profile)
         moves = _take_steps(pool, plan, room, thorough=thorough)
         if plan.find_gap() is None:
             return moves
@@ -309,7 +223,7 @@
 
 def _take_steps(
     pool: list[Replica],
-    plan: _Pool,
+    plan: PoolPlan,
     room: float,
     *,
     thorough: bool,
@@ -334,7 +248,7 @@
 
 def _list_steps(
     replica: Replica,
-    plan: _Pool,
+    plan: PoolPlan,
     room: float,
     *,
     thorough: bool,
@@ -358,7 +272,7 @@
 
 def _list_windows(
     replica: Replica,
-    plan: _Pool,
+    plan: PoolPlan,
     gap: LayerRange | None,
 ) -> Iterator[Move]:
     profile = plan.profile
@@ -392,7 +306,7 @@
 def _holds_more(
     replica: Replica,
     layers: LayerRange,
-    plan: _Pool,
+    plan: PoolPlan,
     layer: int,
 ) -> bool:
     """Whether others hold a layer that a replica holds."""
@@ -401,7 +315,7 @@
     return plan.tokens[layer] > room + 1
 
 
-def _is_spared(replica: Replica, layers: LayerRange, plan: _Pool) -> bool:
+def _is_spared(replica: Replica, layers: LayerRange, plan: PoolPlan) -> bool:
     return all(
         _holds_more(replica, layers, plan, layer)
         for layer in range(layers.first, layers.end)
--- a/packages/ryelatch-core/src/ryelatch_core/retries/_budget.py
+++ b/packages/ryelatch-core/src/ryelatch_core/retries/_budget.py
@@ -20,6 +20,14 @@
         self._reserve = reserve
         self._left = reserve
 
+    def resize(self, reserve: float) -> None:
+        """Change how much can be saved up; what is beyond it is lost.
+
+        :param reserve: the most that can be saved up from now on.
+        """
+        self._reserve = reserve
+        self._left = min(self._left, reserve)
+
     @property
     def left(self) -> float:
         """Retries that may be made now."""
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_budget.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_budget.py
@@ -17,4 +17,9 @@
     :param extra: retries allowed besides, in a window, over all nodes.
     :param nodes: nodes that share it.
     """
-    return RetryBudget(ratio * SAFETY, max(1, extra * SAFETY / nodes))
+    return RetryBudget(ratio * SAFETY, find_reserve(extra, nodes))
+
+
+def find_reserve(extra: float, nodes: int) -> float:
+    """Find what one of several nodes may save up."""
+    return max(1, extra * SAFETY / nodes)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -14,6 +14,7 @@
 
 from ryelatch_core.events import catalogue
 from ryelatch_node.ports import Address
+from ryelatch_node.relay._budget import find_reserve
 from ryelatch_node.relay._ingress import Ingress
 from ryelatch_node.relay._metrics import RelayMetrics
 from ryelatch_node.relay._parts import Parts
@@ -40,6 +41,13 @@
 ANSWER_SECONDS = 3.5
 """Time kept for answers in progress: nine in ten streams end within it."""
 
+MOST_ESTIMATED = 8
+"""Nodes up to which each is taken to have as much in progress as this one.
+
+With more of them a node has no or one request at most replicas, and times
+sixty that would be a guess between nothing and far too much.
+"""
+
 _POLL_SECONDS = 0.05
 _UNAVAILABLE = 503
 
@@ -106,6 +114,17 @@
             # late crosses none of their requests.
             self._config.timeout_keep_alive = math.ceil(limits.idle_seconds)
 
+    def share_among(self, nodes: int) -> None:
+        """Take this node's slice of what all nodes share.
+
+        :param nodes: nodes that there are. Beyond a few, what one node sends
+            tells little of the others, so the estimate of their load from
+            its own goes no further than that.
+        """
+        parts = self._parts
+        parts.nodes = min(nodes, MOST_ESTIMATED)
+        parts.budget.resize(find_reserve(parts.startup.retry_extra, nodes))
+
     async def drain(self) -> None:
         """Serve what comes until the clients have left or the grace ends.
 
