Explain a request from log lines; the duty uses no other holder's number

Found by taking a guard off: between a renewal and an order another node can take the lease, and the order then went out under that node's fencing number.

--- /dev/null
+++ b/packages/ryelatch-cli/src/ryelatch_cli/_explain.py
@@ -0,0 +1,84 @@
+"""The command that explains a request from log lines."""
+
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from ryelatch_cli._context import Context
+from ryelatch_cli._output import CommandError, ExitCode
+from ryelatch_core.events import (
+    Line,
+    count_reasons,
+    explain_request,
+    read_lines,
+)
+
+_SHOWN = frozenset(
+    ('time', 'monotonic', 'process', 'event', 'name', 'level', 'request')
+)
+
+
+@cappa.command(
+    name='explain', help='Tell from log lines what became of a request.'
+)
+@dataclass(frozen=True)
+class Explain:
+    """Arguments of ``ryelatch explain``."""
+
+    request: Annotated[
+        str,
+        cappa.Arg(help='id of the request; "all" counts reasons instead'),
+    ]
+    files: Annotated[
+        list[Path],
+        cappa.Arg(help='files of log lines; standard input if none'),
+    ] = field(default_factory=list)
+
+    async def run(self, context: Context) -> None:
+        """Print the story.
+
+        :raises CommandError: if no line names the request.
+        """
+        lines = list(read_lines(_read_texts(self.files)))
+        if self.request == 'all':
+            for reason, count in count_reasons(lines).items():
+                sys.stdout.write(f'{count:6d}  {reason}\n')
+            return
+        story = explain_request(lines, self.request)
+        if story is None:
+            raise CommandError(
+                f'no line of {len(lines)} names request {self.request}',
+                ExitCode.REFUSED,
+            )
+        merged = sorted(
+            (*story.beliefs, *story.lines), key=lambda line: line.time
+        )
+        begin = story.lines[0].time
+        for line in merged:
+            sys.stdout.write(_render(line, begin))
+        sys.stdout.write(f'likely cause: {story.cause}\n')
+
+
+def _read_texts(files: list[Path]) -> Iterator[str]:
+    if not files:
+        yield from sys.stdin
+    for path in files:
+        try:
+            with path.open(errors='replace') as lines:
+                yield from lines
+        except OSError as error:
+            raise CommandError(str(error), ExitCode.USAGE) from error
+
+
+def _render(line: Line, begin: float) -> str:
+    detail = ' '.join(
+        f'{name}={entry}'
+        for name, entry in line.detail.items()
+        if name not in _SHOWN
+    )
+    passed = line.time - begin
+    return f'{passed:8.3f}  {line.process}  {line.name}  {detail}\n'
--- a/packages/ryelatch-cli/src/ryelatch_cli/main.py
+++ b/packages/ryelatch-cli/src/ryelatch_cli/main.py
@@ -8,6 +8,7 @@
 import cappa
 
 from ryelatch_cli._context import Context
+from ryelatch_cli._explain import Explain
 from ryelatch_cli._fleet import (
     Drain,
     HashKey,
@@ -27,6 +28,8 @@
 
     ryelatch timeline --request node-a-1f-3
 
+    ryelatch explain 9c41d07be2a35f68 node-a.log node-b.log
+
 Exit codes: 0 done; 1 refused, and nothing changed; 2 wrong usage; 3 the
 platform does not answer; 4 accepted, and not in force on all nodes yet.
 """
@@ -47,6 +50,7 @@
         | UpstreamsCommand
         | TimelineCommand
         | Drain
+        | Explain
         | HashKey
     ]
     platform_url: Annotated[
--- a/packages/ryelatch-core/src/ryelatch_core/events/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/__init__.py
@@ -4,6 +4,13 @@
 from ryelatch_core.events._catalogue import EventKind, Level, list_kinds
 from ryelatch_core.events._clock import HybridClock, Stamp
 from ryelatch_core.events._lines import LineLog, open_stdout
+from ryelatch_core.events._story import (
+    Line,
+    Story,
+    count_reasons,
+    explain_request,
+    read_lines,
+)
 from ryelatch_core.events._supervision import keep_running
 from ryelatch_core.events._timeline import Event, Timeline, merge_events
 
@@ -12,12 +19,17 @@
     'EventKind',
     'HybridClock',
     'Level',
+    'Line',
     'LineLog',
     'Stamp',
+    'Story',
     'Timeline',
     'catalogue',
+    'count_reasons',
+    'explain_request',
     'keep_running',
     'list_kinds',
     'merge_events',
     'open_stdout',
+    'read_lines',
 ]
--- a/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
@@ -338,7 +338,9 @@
 
     async def _send(self, move: Move) -> OrderResult:
         record = self._record
-        if record is None or record.lease is None:
+        if record is None or record.lease is None or not self._holds_lease:
+            # Another node took the lease since this one renewed it. Its
+            # number is the higher one, and not this node's to use.
             return OrderResult.FENCED
         name = move.replica.name
         sequence = self._sequences.get(name, 0)
--- /dev/null
+++ b/tests/core/events/test_story.py
@@ -0,0 +1,53 @@
+"""The lines of a request tell its story and its cause."""
+
+import json
+
+from ryelatch_core.events import count_reasons, explain_request, read_lines
+
+
+def _write(time: float, name: str, **detail: object) -> str:
+    fields = {'time': time, 'process': 'edge-1', 'name': name, **detail}
+    return json.dumps(fields, separators=(',', ':'))
+
+
+_REFUSED = _write(
+    101.5, 'exchange-refused', request='a', reason='keys are unconfirmed'
+)
+_LINES = (
+    'something else on standard output',
+    _write(90, 'store-out', reason='old'),
+    _write(100, 'store-out', reason='TimeoutError'),
+    _write(101, 'configuration-stale', age=3.7),
+    f'prefix of a collector {_REFUSED}',
+    _write(102, 'exchange-sent', request='b', replica='r-1'),
+    _write(103, 'exchange-failed', request='b', replica='r-1', reason='silent'),
+    _write(104, 'exchange-broken', request='b'),
+    '{"time": broken',
+)
+
+
+def test_refused_request_leads_to_the_store() -> None:
+    """A keyed request is refused; a user complains with its id.
+
+    The lines lead from the refusal to the belief that decided it, and to the
+    outage of the store behind that.
+    """
+    story = explain_request(read_lines(_LINES), 'a')
+    assert story is not None
+    names = [line.name for line in story.beliefs]
+    assert names == ['store-out', 'configuration-stale']
+    assert 'no fresh word from the store' in story.cause
+
+
+def test_broken_stream_leads_to_its_replica() -> None:
+    story = explain_request(read_lines(_LINES), 'b')
+    assert story is not None
+    assert 'replica r-1 failed it: silent' in story.cause
+    assert explain_request(read_lines(_LINES), 'nobody') is None
+
+
+def test_reasons_are_counted() -> None:
+    assert count_reasons(read_lines(_LINES)) == {
+        'exchange-refused: keys are unconfirmed': 1,
+        'exchange-failed: silent': 1,
+    }
--- /dev/null
+++ b/tests/platform/test_names.py
@@ -0,0 +1,43 @@
+"""The platform's names stay in the folder that translates them."""
+
+import re
+from pathlib import Path
+
+from ryelatch_platform import _objects as objects
+
+_ROOT = Path(__file__).parent.parent.parent
+_HEADERS = re.compile(
+    r'X-Ryelatch-(Request-Id|Deadline-Ms|Hop-Count|Expect-Replica|Expect-'
+    r'Version|Token-Usage|Prefix-Hash|Replica-Signature|Not-Executed|Tenant|'
+    r'Request-Priority|Length-Hint|Weight-Versions|Replica-Id)|Api-Key|'
+    r'At-Server|Last-Event-Id',
+    re.IGNORECASE,
+)
+
+
+def _list_product() -> list[Path]:
+    return [
+        path
+        for path in (_ROOT / 'packages').rglob('*.py')
+        if '.venv' not in path.parts
+    ]
+
+
+def test_no_header_name_outside() -> None:
+    named = [_HEADERS.findall(path.read_text()) for path in _list_product()]
+    assert not any(named)
+
+
+def test_no_field_name_outside() -> None:
+    """Fields in the platform's own spelling: words joined by capitals."""
+    source = Path(objects.__file__).read_text()
+    names = set(re.findall(r"name='(\w*[a-z][A-Z]\w*)'", source))
+    assert len(names) > 15
+    joined = '\n'.join(path.read_text() for path in _list_product())
+    used = {name for name in names if re.search(rf"['\"]{name}['\"]", joined)}
+    assert not used
+
+
+def test_product_does_not_import_the_adapter() -> None:
+    sources = [path.read_text() for path in _list_product()]
+    assert not any('ryelatch_platform' in source for source in sources)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,60 @@
+"""The platform's settings file, read and refused."""
+
+from pathlib import Path
+
+import pytest
+
+from ryelatch_platform import SettingsFileError, read_settings
+
+_GOOD = """
+nodeName = "edge-1"
+zone = "zone-a"
+somethingNew = 3
+[zones]
+zone-a = "region"
+[listen]
+frontend = "10.1.0.40:8227"
+readiness = "10.1.0.40:8220"
+[bounds]
+graceS = 8
+revokeMs = 4000
+retryBudgetRatio = 0.2
+stall_ms = 2000
+[platform]
+addr = "10.200.1.7:8223"
+"""
+
+
+def test_good_file_is_read(tmp_path: Path) -> None:
+    path = tmp_path / 'settings.toml'
+    path.write_text(_GOOD)
+    startup = read_settings(path)
+    assert startup.name == 'edge-1'
+    assert startup.front == ('10.1.0.40', 8227)
+    assert startup.store.port == 8223
+    assert startup.zones == ('zone-a',)
+    assert (startup.revoke_seconds, startup.stall_seconds) == (4, 2)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'told'),
+    [
+        ('nodeName = "edge-1"', '', 'nodeName'),
+        ('"10.1.0.40:8227"', '"10.1.0.40"', 'expected host:port'),
+        ('graceS = 8', 'graceS = "x"', 'graceS'),
+        ('[platform]', '[platform', 'line'),
+    ],
+)
+def test_mistakes_are_told(
+    tmp_path: Path, old: str, new: str, told: str
+) -> None:
+    """A settings file is wrong; the message says where and what is meant."""
+    path = tmp_path / 'settings.toml'
+    path.write_text(_GOOD.replace(old, new))
+    with pytest.raises(SettingsFileError, match=told):
+        read_settings(path)
+
+
+def test_missing_file_is_told(tmp_path: Path) -> None:
+    with pytest.raises(SettingsFileError, match='absent'):
+        read_settings(tmp_path / 'absent.toml')
