--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -306,6 +306,7 @@
 def _note_progress(parts: Parts, stream: LiveStream) -> None:
     stream.progress = parts.clock.monotonic()
     stream.delivered += 1
+    stream.told = False
     if not stream.begun:
         stream.begun = True
         stream.exchange.ran += 1
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -59,6 +59,7 @@
     :param sent: when it was sent on its first path of this try.
     :param progress: when its last event came, or it was sent or moved.
     :param tokens: for which memory is taken on its path.
+    :param told: whether its pause has been recorded.
     :param scope: the timeout of its reading; moved up to interrupt it.
     """
 
@@ -71,6 +72,7 @@
     scope: asyncio.Timeout
     begun: bool = False
     moving: bool = False
+    told: bool = False
     reason: str = ''
     delivered: int = 0
 
@@ -138,6 +140,7 @@
         if lost and pause > KNOWN_STALL_SECONDS and stream.uses(lost):
             self._spawn(self._move(stream))
         elif pause > _limit(stream):
+            _tell_stall(stream, pause)
             self._ask(stream.head, now)
         if pause > GIVE_UP_SECONDS and stream.inquiry.repeatable:
             stream.interrupt('silent')
@@ -274,6 +277,18 @@
             )
 
 
+def _tell_stall(stream: LiveStream, pause: float) -> None:
+    """Record a pause once, however often the stream is looked at."""
+    if not stream.told:
+        stream.told = True
+        stream.exchange.record(
+            catalogue.STREAM_STALLED,
+            head=stream.head.name,
+            pause=round_seconds(pause),
+            events=stream.delivered,
+        )
+
+
 def _limit(stream: LiveStream) -> float:
     return STALL_SECONDS if stream.begun else FIRST_STALL_SECONDS
 
