Let the system choose ports in tests

A test failed once, as two workers had found the same free port and bound it one after the other. The server now tells where it listens, so nothing is bound that was found free before.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -63,10 +63,14 @@
     ) -> None:
         self._parts = parts
         self._ingress = ingress
-        self._metrics = metrics
+        self._counted = metrics
         self._server: uvicorn.Server | None = None
         self._config: uvicorn.Config | None = None
         self._sockets: list[socket.socket] = []
+        # Where it listens; the system chooses for a port of 0.
+        self.front = parts.startup.front
+        self.readiness = parts.startup.readiness
+        self.metrics = parts.startup.metrics
         self._inner = Starlette(
             routes=[
                 Route('/readyz', self._tell_ready),
@@ -98,8 +102,11 @@
         )
         config.load()
         startup = self._parts.startup
-        addresses = {startup.front, startup.readiness, startup.metrics}
-        self._sockets = [_bind(address) for address in addresses]
+        wanted = (startup.front, startup.readiness, startup.metrics)
+        self._sockets = [_bind(address) for address in wanted]
+        self.front, self.readiness, self.metrics = (
+            Address(*bound.getsockname()) for bound in self._sockets
+        )
         self._config = config
         self._server = uvicorn.Server(config)
         self._server.lifespan = config.lifespan_class(config)
@@ -159,7 +166,7 @@
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         if scope['type'] != 'http':
             return
-        if scope['server'][1] == self._parts.startup.front.port:
+        if scope['server'][1] == self.front.port:
             await self._ingress.serve(scope, receive, send)
         else:
             await self._inner(scope, receive, send)
@@ -170,7 +177,7 @@
         return PlainTextResponse('not ready\n', _UNAVAILABLE)
 
     async def _tell_metrics(self, request: Request) -> Response:
-        return PlainTextResponse(self._metrics.expose())
+        return PlainTextResponse(self._counted.expose())
 
 
 def _bind(address: Address) -> socket.socket:
--- a/tests/fleet/town.py
+++ b/tests/fleet/town.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import json
-import socket
 from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -17,6 +16,7 @@
 from ryelatch_core.events import LineLog
 from ryelatch_core.kernel import App, BootClock
 from ryelatch_node.ports import Address, RelayStartup
+from ryelatch_node.relay import RelayServer
 from ryelatch_platform._main import build_app
 from standins.objects import ObjectStore
 from standins.replica import ReplicaStandIn
@@ -42,7 +42,12 @@
     @property
     def url(self) -> str:
         """Where clients connect."""
-        return f'http://{self.startup.front.host}:{self.startup.front.port}'
+        return f'http://127.0.0.1:{self.server.front.port}'
+
+    @property
+    def server(self) -> RelayServer:
+        """The listening side of the node."""
+        return self.app.find('server', RelayServer)
 
     def count(self, name: str) -> int:
         """Count the log lines of an event."""
@@ -247,9 +252,9 @@
     return RelayStartup(
         name='node-a',
         zone='zone-a',
-        front=Address(host, _find_port()),
-        readiness=Address(host, _find_port()),
-        metrics=Address(host, _find_port()),
+        front=Address(host, 0),
+        readiness=Address(host, 0),
+        metrics=Address(host, 0),
         store=Address(host, store_port),
         zones=('zone-a',),
         retry_ratio=0.2,
@@ -262,13 +267,6 @@
     )
 
 
-def _find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 async def _serve(
     app: web.Application,
 ) -> tuple[web.AppRunner, int]:
--- a/tests/platform/test_beliefs.py
+++ b/tests/platform/test_beliefs.py
@@ -87,7 +87,7 @@
         assert status == 503
         assert float(headers['retry-after']) > 0
         async with town.http.get(
-            f'http://127.0.0.1:{town.startup.readiness.port}/readyz'
+            f'http://127.0.0.1:{town.server.readiness.port}/readyz'
         ) as response:
             assert response.status == 503
         town.store.mode = 'ok'
