--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -57,6 +57,8 @@
     """Serves the requests of clients.
 
     :param closing: set while this node is to be left by its clients.
+    :param refuses_streams: set when a stream might outlast this process.
+    :param last_call: set when any request might.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
     ) -> None:
         self.closing = False
         self.last_call = False
+        self.refuses_streams = False
         self.open_requests = 0
         self._parts = parts
         self._watch = watch
@@ -151,6 +154,8 @@
         route = table.find_route(_read_host(scope), path)
         if route is None:
             return self._deny(_NOT_FOUND, 'no such route')
+        if self.refuses_streams and route.streaming:
+            return _Refusal(_UNAVAILABLE, 'this node stops', 0)
         account = self._identify(table, route, terms)
         if isinstance(account, _Refusal):
             return account
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -35,11 +35,19 @@
 QUIET_SECONDS = 0.5
 """How long nothing may be in progress before a stopping node ends."""
 
-MARGIN_SECONDS = 0.7
+MARGIN_SECONDS = 0.5
 """Time kept back from the grace for closing connections."""
 
+STREAM_SHARE = 0.35
+"""Share of the grace in which a stopping node still takes streams.
+
+One in ten streams lasts over four seconds. A stream that is taken later is
+cut off by the end of the process, and its client, told to come back at once,
+has it from another node.
+"""
+
 ANSWER_SECONDS = 3.5
-"""Time kept for answers in progress: nine in ten streams end within it."""
+"""Time kept for plain answers in progress; they take 1.5 s at most."""
 
 MOST_ESTIMATED = 8
 """Nodes up to which each is taken to have as much in progress as this one.
@@ -104,9 +112,10 @@
         startup = self._parts.startup
         wanted = (startup.front, startup.readiness, startup.metrics)
         self._sockets = [_bind(address) for address in wanted]
-        self.front, self.readiness, self.metrics = (
-            Address(*bound.getsockname()) for bound in self._sockets
-        )
+        bound = [Address(*one.getsockname()) for one in self._sockets]
+        self.front = bound[0]
+        self.readiness = bound[1]
+        self.metrics = bound[2]
         self._config = config
         self._server = uvicorn.Server(config)
         self._server.lifespan = config.lifespan_class(config)
@@ -148,10 +157,11 @@
         quiet = 0.0
         while loop.time() - begun < grace - MARGIN_SECONDS:
             await asyncio.sleep(_POLL_SECONDS)
-            self._ingress.last_call = loop.time() - begun > last_call
+            passed = loop.time() - begun
+            self._ingress.refuses_streams = passed > grace * STREAM_SHARE
+            self._ingress.last_call = passed > last_call
             busy = self._ingress.open_requests
             quiet = 0.0 if busy else quiet + _POLL_SECONDS
-            passed = loop.time() - begun
             if passed > NOTICE_SECONDS and quiet > QUIET_SECONDS:
                 return
 
