--- a/tests/node/duty/test_placement.py
+++ b/tests/node/duty/test_placement.py
@@ -265,9 +265,11 @@
     time, and the zone would never be whole. It waits until they have settled.
     """
     world = World()
+    # Four layers fill such a replica, so neither can reach into the gap.
+    full = _make_replica('m-0', LayerRange(0, 4))
     held = [
-        _make_replica('m-0', LayerRange(0, 4)),
-        _make_replica('m-1', LayerRange(0, 4)),
+        dataclasses.replace(full, accelerator='small'),
+        dataclasses.replace(full, accelerator='small', name='m-1'),
     ]
     async with run_nodes(world, 1):
         for number in range(8):
