--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -207,6 +207,13 @@
     Level.WARNING,
 )
 
+REPLICA_LAPSED = EventKind(
+    1415,
+    'replica-lapsed',
+    'An entry is missing after an outage of the store; it may come back and '
+    'is kept for two seconds.',
+)
+
 CLAIM_MADE = EventKind(
     1501, 'claim-made', 'An idempotency key was claimed in the store.'
 )
--- a/packages/ryelatch-node/src/ryelatch_node/beliefs/_replicas.py
+++ b/packages/ryelatch-node/src/ryelatch_node/beliefs/_replicas.py
@@ -151,6 +151,8 @@
 
     def _let_go(self, name: str, *, outage: bool) -> None:
         if outage and not self.replicas[name].leaving:
+            if name not in self._lapsed:
+                self._log.record(catalogue.REPLICA_LAPSED, replica=name)
             until = self._clock.monotonic() + RETURN_SECONDS
             self._lapsed.setdefault(name, until)
         else:
--- a/tests/platform/test_beliefs.py
+++ b/tests/platform/test_beliefs.py
@@ -1,7 +1,5 @@
 """What a node believes when the store is in trouble, over real sockets."""
 
-import asyncio
-
 from fleet.town import (
     Town,
     ask,
@@ -129,8 +127,7 @@
         town.store.drop('servers', 'b-0')
         town.store.drop('servers', 'b-1')
         town.store.mode = 'ok'
-        await wait_until(lambda: town.count('store-back'))
-        await asyncio.sleep(0.5)
+        await wait_until(lambda: town.count('replica-lapsed') == 2)
         status, _, _ = await ask(town, '/ping/x')
         assert status == 200
         town.replicas['b-1'].register()
