--- /dev/null
+++ b/tests/platform/test_processes.py
@@ -0,0 +1,205 @@
+"""Nodes as the platform runs them: real processes, signals, settings files."""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+from aiohttp import ClientError, ClientSession, web
+
+from fleet.town import (
+    KEY,
+    expect_events,
+    make_configuration,
+    make_model,
+    make_plain,
+)
+from standins.objects import ObjectStore
+from standins.replica import ReplicaStandIn
+
+_GRACE = 8
+_SETTINGS = """
+nodeName = "{name}"
+zone = "zone-a"
+[listen]
+frontend = "{host}:8227"
+readiness = "{host}:8220"
+[bounds]
+graceS = {grace}
+[platform]
+addr = "{store}"
+"""
+
+
+@dataclass
+class NodeProcess:
+    """A running node.
+
+    :param host: a loopback address of its own, so that no port is shared.
+    """
+
+    name: str
+    host: str
+    process: asyncio.subprocess.Process
+
+    async def stop(self, number: signal.Signals) -> list[dict[str, object]]:
+        """Send a signal and wait for the end.
+
+        :returns: the lines that it wrote.
+        """
+        self.process.send_signal(number)
+        output, _ = await self.process.communicate()
+        return [json.loads(line) for line in output.splitlines()]
+
+
+async def _serve(app: web.Application) -> tuple[web.AppRunner, str]:
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    return runner, f'127.0.0.1:{runner.addresses[0][1]}'
+
+
+async def _start_node(name: str, store: str, folder: Path) -> NodeProcess:
+    host = f'127.{random.randint(1, 250)}.{random.randint(0, 250)}.7'
+    path = folder / f'{name}.toml'
+    path.write_text(
+        _SETTINGS.format(name=name, host=host, store=store, grace=_GRACE)
+    )
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'ryelatch_platform',
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, 'RYELATCH_NODE_FILE': str(path)},
+    )
+    return NodeProcess(name, host, process)
+
+
+async def _wait_ready(http: ClientSession, node: NodeProcess) -> None:
+    async with asyncio.timeout(30):
+        while not await _is_ready(http, node):
+            await asyncio.sleep(0.05)
+
+
+async def _is_ready(http: ClientSession, node: NodeProcess) -> bool:
+    try:
+        async with http.get(f'http://{node.host}:8220/readyz') as response:
+            return response.status == 200
+    except ClientError:
+        return False
+
+
+@dataclass
+class Place:
+    """A store, replicas and two nodes."""
+
+    nodes: list[NodeProcess]
+    replicas: list[ReplicaStandIn]
+    http: ClientSession
+
+    def open(self, number: int, path: str, identity: str) -> object:
+        """Open a request at a node."""
+        headers = {
+            'Host': 'city.example',
+            'Api-Key': KEY,
+            'X-Ryelatch-Request-Id': identity,
+            'X-Ryelatch-Token-Usage': '100,40',
+        }
+        url = f'http://{self.nodes[number].host}:8227{path}'
+        return self.http.post(url, headers=headers, data=b'question')
+
+
+@asynccontextmanager
+async def open_place(folder: Path) -> AsyncIterator[Place]:
+    """Start everything, and end what is left of it by its process id."""
+    store = ObjectStore()
+    store.put('config', 'main', make_configuration())
+    runners = []
+    runner, address = await _serve(store.make_app())
+    runners.append(runner)
+    replicas = [*make_model((0, 8), (0, 8)), *make_plain(2)]
+    for replica in replicas:
+        replica.store = store
+        replica.pause = 0.2
+        runner, replica.address = await _serve(replica.make_app())
+        runners.append(runner)
+        replica.register()
+    nodes = [
+        await _start_node(f'node-{number}', address, folder)
+        for number in range(2)
+    ]
+    async with ClientSession() as http:
+        try:
+            for node in nodes:
+                await _wait_ready(http, node)
+            yield Place(nodes, replicas, http)
+        finally:
+            for node in nodes:
+                if node.process.returncode is None:
+                    node.process.kill()
+                    await node.process.communicate()
+            for runner in runners:
+                await runner.cleanup()
+
+
+async def test_stop_of_a_process_cuts_nothing(tmp_path: Path) -> None:
+    """A node is stopped as the platform does it, with a stream in progress.
+
+    The stream goes on to its end, the process ends with 0, and its lines
+    begin with its start and end with its stop.
+    """
+    async with open_place(tmp_path) as place:
+        async with place.open(0, '/plan/x', 'r-1') as response:  # type: ignore
+            begun = await response.content.readuntil(b'token 1\n\n')
+            stopping = asyncio.create_task(place.nodes[0].stop(signal.SIGTERM))
+            rest = await response.read()
+        assert begun + rest == expect_events(5)
+        lines = await stopping
+        assert place.nodes[0].process.returncode == 0
+        names = [line['name'] for line in lines]
+        assert 'node-started' in names
+        assert names[-1] == 'node-stopped'
+
+
+async def test_kill_of_a_process_is_seen_and_survived(tmp_path: Path) -> None:
+    """A node loses its power in the middle of a stream.
+
+    Its client sees that the answer isn't whole; the other node serves on,
+    also a booking, and its replicas are freed of the lost stream.
+    """
+    async with open_place(tmp_path) as place:
+        async with place.open(0, '/plan/x', 'r-1') as response:  # type: ignore
+            await response.content.readuntil(b'token 1\n\n')
+            await place.nodes[0].stop(signal.SIGKILL)
+            with pytest.raises(ClientError):
+                await response.read()
+        async with place.open(1, '/plan/x', 'r-2') as response:  # type: ignore
+            assert await response.read() == expect_events(5)
+        async with place.open(1, '/book/x', 'r-3') as response:  # type: ignore
+            assert response.status == 200
+        runs = [run for one in place.replicas for run in one.runs]
+        assert sorted(run.identity for run in runs) == ['r-1', 'r-2', 'r-3']
+
+
+async def test_wrong_settings_end_the_process(tmp_path: Path) -> None:
+    """A settings file lacks an address: the process says so and ends."""
+    path = tmp_path / 'wrong.toml'
+    path.write_text('nodeName = "x"\n')
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'ryelatch_platform',
+        stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, 'RYELATCH_NODE_FILE': str(path)},
+    )
+    _, told = await process.communicate()
+    assert process.returncode == 2
+    assert b'wrong.toml' in told
+    assert b'zone' in told
