--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -14,6 +14,7 @@
     'placement',
     'overload',
     'claims',
+    'fleet_decisions',
     'fencing',
     'plots',
 )
--- a/docs/generate.py
+++ b/docs/generate.py
@@ -165,6 +165,10 @@
     'overload': ('Goodput under overload', ('rows',)),
     'fencing': ('Orders taken in error', ('rows',)),
     'claims': ('Bookings with and without a claim', ('rows',)),
+    'fleet_decisions': (
+        'Plans and paths, milliseconds of processor time',
+        ('rows',),
+    ),
 }
 
 _PAGES: dict[str, Callable[[], str]] = {
