--- a/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
@@ -131,6 +131,7 @@
     _fenced: bool = False
     _need_since: float | None = None
     _gap_since: float | None = None
+    _planned: object = None
     _rest_until: float = 0
     _members: frozenset[str] = frozenset()
     _members_since: float = 0
@@ -215,6 +216,8 @@
             ]
             for name, _ in models
         }
+        if (models, alive) == self._planned and not self._pending:
+            return []
         self._note_gap(
             now,
             any(misses_layers(alive[name], model) for name, model in models),
@@ -225,6 +228,10 @@
             for move in self._plan_service(alive[name], model, now)
         ]
         self._note_need(now, bool(moves))
+        # Where nothing is missing the plan stays as it is until a replica
+        # changes. Made anew at each tick, plans took 2 in 100 of a core.
+        settled = not moves and self._gap_since is None
+        self._planned = (models, alive) if settled else None
         return moves
 
     def _note_gap(self, now: float, missing: bool) -> None:
--- a/tests/node/duty/test_placement.py
+++ b/tests/node/duty/test_placement.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import msgspec
+import pytest
 
 from fleet.town import make_configuration, wait_until
 from ryelatch_core.events import LineLog
@@ -258,6 +259,27 @@
     assert 9 not in {fence for _, _, fence in world.orders}
 
 
+async def test_steady_fleet_is_planned_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nothing changes for seconds; plans at each tick cost 2% of a core."""
+    plans = []
+
+    def count(*known: object, **options: object) -> tuple[()]:
+        plans.append(known)
+        return ()
+
+    monkeypatch.setattr('ryelatch_node.duty._service.plan_moves', count)
+    world = World()
+    async with run_nodes(world, 1):
+        world.list_replicas([_make_replica('m-0', LayerRange(0, 8))])
+        await wait_until(lambda: plans)
+        await asyncio.sleep(1.5)
+        assert len(plans) == 1
+        world.list_replicas([_make_replica('m-1', LayerRange(0, 8))])
+        await wait_until(lambda: len(plans) == 2)
+
+
 async def test_zone_in_change_is_not_laid_out() -> None:
     """Replicas are replaced one after the other, and layers are missing.
 
