--- a/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
@@ -1,6 +1,5 @@
 """Engines that hold ranges of layers: what they can do, who holds what."""
 
-from ryelatch_core.fleet._coverage import find_gaps, is_redundant
 from ryelatch_core.fleet._load import LoadBook
 from ryelatch_core.fleet._path import PathQuery, choose_path
 from ryelatch_core.fleet._performance import (
@@ -38,9 +37,7 @@
     'choose_path',
     'estimate_capacity',
     'estimate_step',
-    'find_gaps',
     'fit_layers',
-    'is_redundant',
     'misses_layers',
     'plan_moves',
 ]
