--- a/tests/fleet/town.py
+++ b/tests/fleet/running.py
@@ -1,4 +1,4 @@
-"""A small platform in one process: a store, replicas, and a real node.
+"""Runs a node in this process against stand-ins for store and replicas.
 
 The node runs as it does in a process of its own, with its real sockets; the
 store and the replicas are stand-ins on loopback.
@@ -28,8 +28,8 @@
 
 
 @dataclass
-class Town:
-    """What a test holds in its hands."""
+class RunningNode:
+    """A node, its stand-ins, and what it wrote."""
 
     store: ObjectStore
     replicas: dict[str, ReplicaStandIn]
@@ -158,11 +158,11 @@
 
 
 @contextlib.asynccontextmanager
-async def open_town(
+async def run_node(
     replicas: Iterable[ReplicaStandIn],
     configuration: dict[str, Any] | None = None,
     **changes: Any,
-) -> AsyncIterator[Town]:
+) -> AsyncIterator[RunningNode]:
     """Start a store, replicas and a node; end them in order."""
     store = ObjectStore()
     store.put('config', 'main', configuration or make_configuration())
@@ -173,24 +173,24 @@
     log = LineLog('node-a', clock, _collect(lines))
     app = build_app(startup, log, clock)
     async with ClientSession(auto_decompress=False) as http:
-        town = Town(store, {}, app, startup, http, lines, [runner])
+        node = RunningNode(store, {}, app, startup, http, lines, [runner])
         try:
             for replica in replicas:
-                await town.add(replica)
+                await node.add(replica)
             await app.start()
-            await wait_until(lambda: town.count('configuration-applied'))
+            await wait_until(lambda: node.count('configuration-applied'))
             await wait_until(
-                lambda: town.count('replica-listed') >= len(town.replicas)
+                lambda: node.count('replica-listed') >= len(node.replicas)
             )
-            yield town
+            yield node
         finally:
             await app.stop()
-            for one in town.runners:
+            for one in node.runners:
                 await one.cleanup()
 
 
 async def ask(
-    town: Town,
+    node: RunningNode,
     path: str,
     *,
     method: str = 'POST',
@@ -202,7 +202,7 @@
     :returns: status, body, headers in lower case.
     """
     async with open_request(
-        town, path, method=method, identity=identity, **headers
+        node, path, method=method, identity=identity, **headers
     ) as response:
         body = await response.read()
         found = {name.lower(): text for name, text in response.headers.items()}
@@ -210,7 +210,7 @@
 
 
 def open_request(
-    town: Town,
+    node: RunningNode,
     path: str,
     *,
     method: str = 'POST',
@@ -226,8 +226,8 @@
         'Api-Key': KEY,
         **{name.replace('_', '-'): text for name, text in headers.items()},
     }
-    return town.http.request(
-        method, f'{town.url}{path}', headers=sent, data=b'question'
+    return node.http.request(
+        method, f'{node.url}{path}', headers=sent, data=b'question'
     )
 
 
--- a/tests/node/duty/test_placement.py
+++ b/tests/node/duty/test_placement.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from fleet.town import make_configuration, wait_until
+from fleet.running import make_configuration, wait_until
 from ryelatch_core.events import LineLog
 from ryelatch_core.fleet import LayerRange, Replica
 from ryelatch_core.kernel import BootClock, Hub
@@ -30,7 +30,7 @@
 
 
 @dataclasses.dataclass
-class World:
+class FakePlatform:
     """What all nodes of a test share.
 
     :param load_seconds: after which an order is carried out.
@@ -122,16 +122,16 @@
 
 
 @asynccontextmanager
-async def run_nodes(world: World, count: int) -> AsyncIterator[None]:
+async def run_nodes(platform: FakePlatform, count: int) -> AsyncIterator[None]:
     """Run the duty of some nodes."""
     for number in range(count):
-        world.add_node(f'node-{number}', spread=0.1 + number * 0.1)
-    for duty in world.duties:
+        platform.add_node(f'node-{number}', spread=0.1 + number * 0.1)
+    for duty in platform.duties:
         await duty.start()
     try:
         yield
     finally:
-        for duty in world.duties:
+        for duty in platform.duties:
             await duty.stop()
 
 
@@ -142,19 +142,19 @@
     gap alone, all took the lease in turn and gave the same order again, and
     each began the load anew.
     """
-    world = World(load_seconds=2.5)
-    async with run_nodes(world, 4):
-        world.list_replicas(
+    platform = FakePlatform(load_seconds=2.5)
+    async with run_nodes(platform, 4):
+        platform.list_replicas(
             [
                 _make_replica('m-0', LayerRange(0, 4)),
                 _make_replica('m-1', None),
             ]
         )
-        await wait_until(lambda: world.orders)
+        await wait_until(lambda: platform.orders)
         await asyncio.sleep(2)
-    assert len(world.orders) == 1
-    assert world.record.lease is not None
-    assert world.record.lease.fence == 1
+    assert len(platform.orders) == 1
+    assert platform.record.lease is not None
+    assert platform.record.lease.fence == 1
 
 
 async def test_lost_holder_is_followed() -> None:
@@ -163,16 +163,16 @@
     Another node takes the lease under a higher fencing number within about
     a second, and orders.
     """
-    world = World(record=LeaseRecord(Lease('gone', 7), 3))
-    async with run_nodes(world, 2):
-        world.list_replicas(
+    platform = FakePlatform(record=LeaseRecord(Lease('gone', 7), 3))
+    async with run_nodes(platform, 2):
+        platform.list_replicas(
             [
                 _make_replica('m-0', LayerRange(0, 4)),
                 _make_replica('m-1', None),
             ]
         )
-        await wait_until(lambda: world.orders, 5)
-    assert world.orders[0][2] == 8
+        await wait_until(lambda: platform.orders, 5)
+    assert platform.orders[0][2] == 8
 
 
 async def test_fenced_node_orders_no_more() -> None:
@@ -180,31 +180,31 @@
 
     Another node is at work. Ordering on would be refused each time.
     """
-    world = World(result=OrderResult.FENCED)
-    async with run_nodes(world, 1):
-        world.list_replicas(
+    platform = FakePlatform(result=OrderResult.FENCED)
+    async with run_nodes(platform, 1):
+        platform.list_replicas(
             [
                 _make_replica('m-0', LayerRange(0, 4)),
                 _make_replica('m-1', None),
             ]
         )
-        await wait_until(lambda: world.orders)
+        await wait_until(lambda: platform.orders)
         await asyncio.sleep(0.4)
-        assert len(world.orders) == 1
+        assert len(platform.orders) == 1
 
 
 async def test_unwritten_lease_gives_no_orders() -> None:
     """The store does not answer the claim: nobody may order."""
-    world = World(lose_writes=True)
-    async with run_nodes(world, 2):
-        world.list_replicas(
+    platform = FakePlatform(lose_writes=True)
+    async with run_nodes(platform, 2):
+        platform.list_replicas(
             [
                 _make_replica('m-0', LayerRange(0, 4)),
                 _make_replica('m-1', None),
             ]
         )
         await asyncio.sleep(1.5)
-    assert not world.orders
+    assert not platform.orders
 
 
 async def test_busy_replica_is_left_alone() -> None:
@@ -212,17 +212,17 @@
 
     Asked again at once it refuses again, each time at a price.
     """
-    world = World(result=OrderResult.CONFLICT)
-    async with run_nodes(world, 1):
-        world.list_replicas(
+    platform = FakePlatform(result=OrderResult.CONFLICT)
+    async with run_nodes(platform, 1):
+        platform.list_replicas(
             [
                 _make_replica('m-0', LayerRange(0, 4)),
                 _make_replica('m-1', LayerRange(4, 7)),
             ]
         )
-        await wait_until(lambda: world.orders)
+        await wait_until(lambda: platform.orders)
         await asyncio.sleep(0.7)
-        assert len(world.orders) <= 2
+        assert len(platform.orders) <= 2
 
 
 async def test_number_of_another_holder_is_not_used() -> None:
@@ -231,11 +231,11 @@
     An order under that node's number would pass for its own, and the engine
     could not tell the older plan from the newer one.
     """
-    world = World()
-    async with run_nodes(world, 1):
-        duty = world.duties[0]
+    platform = FakePlatform()
+    async with run_nodes(platform, 1):
+        duty = platform.duties[0]
         await wait_until(lambda: duty.lease.holder)
-        write = world.write
+        write = platform.write
 
         async def write_and_lose(
             lease: Lease, revision: int
@@ -246,14 +246,14 @@
             return written
 
         duty.lease.store = LeaseStore(write_and_lose)
-        world.list_replicas(
+        platform.list_replicas(
             [
                 _make_replica('m-0', LayerRange(0, 4)),
                 _make_replica('m-1', None),
             ]
         )
         await asyncio.sleep(1)
-    assert 9 not in {fence for _, _, fence in world.orders}
+    assert 9 not in {fence for _, _, fence in platform.orders}
 
 
 async def test_steady_fleet_is_planned_once(
@@ -267,13 +267,13 @@
         return ()
 
     monkeypatch.setattr('ryelatch_node.duty._service.plan_moves', count)
-    world = World()
-    async with run_nodes(world, 1):
-        world.list_replicas([_make_replica('m-0', LayerRange(0, 8))])
+    platform = FakePlatform()
+    async with run_nodes(platform, 1):
+        platform.list_replicas([_make_replica('m-0', LayerRange(0, 8))])
         await wait_until(lambda: plans)
         await asyncio.sleep(1.5)
         assert len(plans) == 1
-        world.list_replicas([_make_replica('m-1', LayerRange(0, 8))])
+        platform.list_replicas([_make_replica('m-1', LayerRange(0, 8))])
         await wait_until(lambda: len(plans) == 2)
 
 
@@ -283,19 +283,19 @@
     Laying the zone out anew for each of them would change every range each
     time, and the zone would never be whole. It waits until they have settled.
     """
-    world = World()
+    platform = FakePlatform()
     # Four layers fill such a replica, so neither can reach into the gap.
     full = _make_replica('m-0', LayerRange(0, 4))
     held = [
         dataclasses.replace(full, accelerator='small'),
         dataclasses.replace(full, accelerator='small', name='m-1'),
     ]
-    async with run_nodes(world, 1):
+    async with run_nodes(platform, 1):
         for number in range(8):
             changing = dataclasses.replace(
                 _make_replica(f'other-{number}', None), accelerator=''
             )
-            world.list_replicas([*held, changing])
+            platform.list_replicas([*held, changing])
             await asyncio.sleep(0.5)
-        assert not world.orders
-        await wait_until(lambda: world.orders)
+        assert not platform.orders
+        await wait_until(lambda: platform.orders)
--- a/tests/platform/test_beliefs.py
+++ b/tests/platform/test_beliefs.py
@@ -1,35 +1,35 @@
 """What a node believes when the store is in trouble, over real sockets."""
 
-from fleet.town import (
-    Town,
+from fleet.running import (
+    RunningNode,
     ask,
     make_configuration,
     make_model,
     make_plain,
     make_route,
-    open_town,
+    run_node,
     wait_until,
 )
 from ryelatch_node.beliefs import ReplicaView
 
 
-def _list_lost(town: Town) -> set[str]:
+def _list_lost(node: RunningNode) -> set[str]:
     return {
-        line['kind'] for line in town.lines if line['name'] == 'history-lost'
+        line['kind'] for line in node.lines if line['name'] == 'history-lost'
     }
 
 
 async def test_new_configuration_is_in_force() -> None:
     """A key is taken away and another given."""
-    async with open_town(make_plain(1)) as town:
+    async with run_node(make_plain(1)) as node:
         accounts = [{'name': 'ward-1', 'apiKeys': ['new-key']}]
-        town.store.put(
+        node.store.put(
             'config', 'main', make_configuration(7, tenants=accounts)
         )
-        await wait_until(lambda: town.count('configuration-applied') == 2)
-        status, _, _ = await ask(town, '/ping/x')
+        await wait_until(lambda: node.count('configuration-applied') == 2)
+        status, _, _ = await ask(node, '/ping/x')
         assert status == 401
-        status, _, _ = await ask(town, '/ping/x', Api_Key='new-key')
+        status, _, _ = await ask(node, '/ping/x', Api_Key='new-key')
         assert status == 200
 
 
@@ -38,12 +38,12 @@
 
     Going back would undo what operators were told is in force.
     """
-    async with open_town(make_plain(1)) as town:
-        town.store.put('config', 'main', make_configuration(9))
-        await wait_until(lambda: town.count('configuration-applied') == 2)
-        town.store.put('config', 'main', make_configuration(5, tenants=[]))
-        await wait_until(lambda: town.count('configuration-refused'))
-        status, _, _ = await ask(town, '/ping/x', Api_Key='stolen')
+    async with run_node(make_plain(1)) as node:
+        node.store.put('config', 'main', make_configuration(9))
+        await wait_until(lambda: node.count('configuration-applied') == 2)
+        node.store.put('config', 'main', make_configuration(5, tenants=[]))
+        await wait_until(lambda: node.count('configuration-refused'))
+        status, _, _ = await ask(node, '/ping/x', Api_Key='stolen')
         assert status == 401
 
 
@@ -53,21 +53,21 @@
     Changes of that while come in no watch: a key taken away would be
     accepted for good, and a replica that left get work.
     """
-    async with open_town(make_plain(2)) as town:
-        town.store.deaf = True
+    async with run_node(make_plain(2)) as node:
+        node.store.deaf = True
         accounts = [{'name': 'ward-1', 'apiKeys': ['new-key']}]
-        town.store.put(
+        node.store.put(
             'config', 'main', make_configuration(7, tenants=accounts)
         )
-        town.store.drop('servers', 'b-0')
-        town.store.deaf = False
-        town.store.forget_history()
-        await wait_until(lambda: town.count('configuration-applied') == 2)
-        await wait_until(lambda: town.count('replica-gone') == 1)
+        node.store.drop('servers', 'b-0')
+        node.store.deaf = False
+        node.store.forget_history()
+        await wait_until(lambda: node.count('configuration-applied') == 2)
+        await wait_until(lambda: node.count('replica-gone') == 1)
         kinds = {'config', 'servers', 'ryelatch-leases'}
-        await wait_until(lambda: _list_lost(town) == kinds)
-        assert not town.count('task-crashed')
-        status, _, _ = await ask(town, '/ping/x')
+        await wait_until(lambda: _list_lost(node) == kinds)
+        assert not node.count('task-crashed')
+        status, _, _ = await ask(node, '/ping/x')
         assert status == 401
 
 
@@ -77,21 +77,21 @@
     The node can't know. After a bound it refuses keyed requests with a
     promise that they did not run, and serves again when it has caught up.
     """
-    async with open_town(make_plain(1), revoke_seconds=2.5) as town:
-        status, _, _ = await ask(town, '/ping/x')
+    async with run_node(make_plain(1), revoke_seconds=2.5) as node:
+        status, _, _ = await ask(node, '/ping/x')
         assert status == 200
-        town.store.mode = 'silent'
-        await wait_until(lambda: town.count('configuration-stale'))
-        status, _, headers = await ask(town, '/ping/x')
+        node.store.mode = 'silent'
+        await wait_until(lambda: node.count('configuration-stale'))
+        status, _, headers = await ask(node, '/ping/x')
         assert status == 503
         assert float(headers['retry-after']) > 0
-        async with town.http.get(
-            f'http://127.0.0.1:{town.server.readiness.port}/readyz'
+        async with node.http.get(
+            f'http://127.0.0.1:{node.server.readiness.port}/readyz'
         ) as response:
             assert response.status == 503
-        town.store.mode = 'ok'
-        await wait_until(lambda: town.count('configuration-fresh'))
-        status, _, _ = await ask(town, '/ping/x')
+        node.store.mode = 'ok'
+        await wait_until(lambda: node.count('configuration-fresh'))
+        status, _, _ = await ask(node, '/ping/x')
         assert status == 200
 
 
@@ -100,10 +100,10 @@
 
     It knows no route, but that is no proof that there is none.
     """
-    async with open_town(make_plain(1)) as town:
-        view = town.app.find('configuration', object)
+    async with run_node(make_plain(1)) as node:
+        view = node.app.find('configuration', object)
         view.table = None  # type: ignore[attr-defined]
-        status, _, _ = await ask(town, '/ping/x')
+        status, _, _ = await ask(node, '/ping/x')
         assert status == 503
 
 
@@ -113,20 +113,20 @@
     It knows of no layers, but none are missing: the client comes back at
     once, and not after the time of a repair.
     """
-    async with open_town(make_model((0, 8))) as town:
-        town.app.find('replicas', ReplicaView).listed = False
-        status, body, headers = await ask(town, '/plan/x')
+    async with run_node(make_model((0, 8))) as node:
+        node.app.find('replicas', ReplicaView).listed = False
+        status, body, headers = await ask(node, '/plan/x')
         assert status == 503
         assert b'no registry yet' in body
         assert float(headers['retry-after']) < 1
 
 
 async def test_leaving_replica_gets_no_new_work() -> None:
-    async with open_town(make_plain(2)) as town:
-        town.replicas['b-0'].register('draining')
-        await wait_until(lambda: town.count('replica-leaving'))
+    async with run_node(make_plain(2)) as node:
+        node.replicas['b-0'].register('draining')
+        await wait_until(lambda: node.count('replica-leaving'))
         for number in range(4):
-            _, body, _ = await ask(town, '/ping/x', identity=f'r-{number}')
+            _, body, _ = await ask(node, '/ping/x', identity=f'r-{number}')
             assert body == b'answer of b-1'
 
 
@@ -136,48 +136,48 @@
     Dropping them at its return would leave nobody to serve. They are kept
     for as long as it takes those that live to come back.
     """
-    async with open_town(make_plain(2)) as town:
-        town.store.mode = 'busy'
-        await wait_until(lambda: town.count('store-out'))
-        town.store.drop('servers', 'b-0')
-        town.store.drop('servers', 'b-1')
-        town.store.mode = 'ok'
-        await wait_until(lambda: town.count('replica-lapsed') == 2)
-        status, _, _ = await ask(town, '/ping/x')
+    async with run_node(make_plain(2)) as node:
+        node.store.mode = 'busy'
+        await wait_until(lambda: node.count('store-out'))
+        node.store.drop('servers', 'b-0')
+        node.store.drop('servers', 'b-1')
+        node.store.mode = 'ok'
+        await wait_until(lambda: node.count('replica-lapsed') == 2)
+        status, _, _ = await ask(node, '/ping/x')
         assert status == 200
-        town.replicas['b-1'].register()
-        await wait_until(lambda: town.count('replica-gone') == 1)
-        assert town.find('replica-gone')['replica'] == 'b-0'
+        node.replicas['b-1'].register()
+        await wait_until(lambda: node.count('replica-gone') == 1)
+        assert node.find('replica-gone')['replica'] == 'b-0'
 
 
 async def test_added_route_is_served() -> None:
-    async with open_town(make_plain(1)) as town:
+    async with run_node(make_plain(1)) as node:
         routes = [make_route('ping'), make_route('extra')]
-        town.store.put('config', 'main', make_configuration(2, routes=routes))
-        await wait_until(lambda: town.count('configuration-applied') == 2)
-        status, _, _ = await ask(town, '/extra/x')
+        node.store.put('config', 'main', make_configuration(2, routes=routes))
+        await wait_until(lambda: node.count('configuration-applied') == 2)
+        status, _, _ = await ask(node, '/extra/x')
         assert status == 200
 
 
 async def test_unreadable_configuration_is_let_be() -> None:
     """A version comes that can't be read; the one in force stays."""
-    async with open_town(make_plain(1)) as town:
-        town.store.put('config', 'main', {'version': 'seven'})
-        await wait_until(lambda: town.count('configuration-refused'))
-        assert 'version' in town.find('configuration-refused')['reason']
-        status, _, _ = await ask(town, '/ping/x')
+    async with run_node(make_plain(1)) as node:
+        node.store.put('config', 'main', {'version': 'seven'})
+        await wait_until(lambda: node.count('configuration-refused'))
+        assert 'version' in node.find('configuration-refused')['reason']
+        status, _, _ = await ask(node, '/ping/x')
         assert status == 200
-        town.store.put('config', 'main', make_configuration(8))
-        await wait_until(lambda: town.count('configuration-applied') == 2)
+        node.store.put('config', 'main', make_configuration(8))
+        await wait_until(lambda: node.count('configuration-applied') == 2)
 
 
 async def test_empty_fleet_is_placed() -> None:
     """A first start: replicas are empty, and one node places the layers."""
-    async with open_town(make_model(None, None, None, None)) as town:
-        await wait_until(lambda: town.count('order-sent') >= 2)
+    async with run_node(make_model(None, None, None, None)) as node:
+        await wait_until(lambda: node.count('order-sent') >= 2)
         await wait_until(
-            lambda: all(one.layers for one in town.replicas.values())
+            lambda: all(one.layers for one in node.replicas.values())
         )
-        status, _, _ = await ask(town, '/plan/x')
+        status, _, _ = await ask(node, '/plan/x')
         assert status == 200
-        assert town.count('lease-taken') == 1
+        assert node.count('lease-taken') == 1
--- a/tests/platform/test_drain.py
+++ b/tests/platform/test_drain.py
@@ -2,13 +2,13 @@
 
 import asyncio
 
-from fleet.town import (
+from fleet.running import (
     ask,
     expect_events,
     make_model,
     make_plain,
     open_request,
-    open_town,
+    run_node,
     wait_until,
 )
 
@@ -20,40 +20,40 @@
     middle. Its client is told at once to come back, and not here.
     """
     replicas = [*make_model((0, 8)), *make_plain(1)]
-    async with open_town(replicas, grace=10) as town:
-        draining = asyncio.create_task(town.server.drain())
-        await wait_until(lambda: town.count('node-draining'))
-        status, body, headers = await ask(town, '/plan/x')
+    async with run_node(replicas, grace=10) as node:
+        draining = asyncio.create_task(node.server.drain())
+        await wait_until(lambda: node.count('node-draining'))
+        status, body, headers = await ask(node, '/plan/x')
         assert (status, body) == (200, expect_events(5))
         assert headers['connection'] == 'close'
         while status == 200:
-            status, body, headers = await ask(town, '/plan/x', identity='r-2')
+            status, body, headers = await ask(node, '/plan/x', identity='r-2')
             await asyncio.sleep(0.1)
         assert (status, headers['retry-after']) == (503, '0.00')
-        status, _, _ = await ask(town, '/ping/x', identity='r-3')
+        status, _, _ = await ask(node, '/ping/x', identity='r-3')
         assert status == 200
         await draining
 
 
 async def test_stream_in_progress_is_finished() -> None:
     """A stream began before the stop and lasts well into it."""
-    async with open_town(make_model((0, 8)), grace=4) as town:
-        town.replicas['m-0'].pause = 0.3
-        async with open_request(town, '/plan/x') as response:
+    async with run_node(make_model((0, 8)), grace=4) as node:
+        node.replicas['m-0'].pause = 0.3
+        async with open_request(node, '/plan/x') as response:
             begun = await response.content.readuntil(b'token 1\n\n')
-            await asyncio.gather(town.server.drain(), asyncio.sleep(0))
+            await asyncio.gather(node.server.drain(), asyncio.sleep(0))
             rest = await response.read()
         assert begun + rest == expect_events(5)
 
 
 async def test_stopping_node_is_not_ready() -> None:
     """The balancer learns of the stop at its next question."""
-    async with open_town(make_plain(1), grace=1) as town:
-        url = f'http://127.0.0.1:{town.server.readiness.port}/readyz'
-        async with town.http.get(url) as response:
+    async with run_node(make_plain(1), grace=1) as node:
+        url = f'http://127.0.0.1:{node.server.readiness.port}/readyz'
+        async with node.http.get(url) as response:
             assert response.status == 200
-        draining = asyncio.create_task(town.server.drain())
-        await wait_until(lambda: town.count('node-draining'))
-        async with town.http.get(url) as response:
+        draining = asyncio.create_task(node.server.drain())
+        await wait_until(lambda: node.count('node-draining'))
+        async with node.http.get(url) as response:
             assert response.status == 503
         await draining
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -14,7 +14,7 @@
 import pytest
 from aiohttp import ClientError, ClientSession, web
 
-from fleet.town import (
+from fleet.running import (
     KEY,
     expect_events,
     make_configuration,
@@ -97,7 +97,7 @@
 
 
 @dataclass
-class Place:
+class RunningProcesses:
     """A store, replicas and two nodes."""
 
     nodes: list[NodeProcess]
@@ -117,7 +117,7 @@
 
 
 @asynccontextmanager
-async def open_place(folder: Path) -> AsyncIterator[Place]:
+async def run_processes(folder: Path) -> AsyncIterator[RunningProcesses]:
     """Start everything, and end what is left of it by its process id."""
     store = ObjectStore()
     store.put('config', 'main', make_configuration())
@@ -139,7 +139,7 @@
         try:
             for node in nodes:
                 await _wait_ready(http, node)
-            yield Place(nodes, replicas, http)
+            yield RunningProcesses(nodes, replicas, http)
         finally:
             for node in nodes:
                 if node.process.returncode is None:
@@ -155,14 +155,16 @@
     The stream goes on to its end, the process ends with 0, and its lines
     begin with its start and end with its stop.
     """
-    async with open_place(tmp_path) as place:
-        async with place.open(0, '/plan/x', 'r-1') as response:  # type: ignore
+    async with run_processes(tmp_path) as running:
+        async with running.open(0, '/plan/x', 'r-1') as response:  # type: ignore
             begun = await response.content.readuntil(b'token 1\n\n')
-            stopping = asyncio.create_task(place.nodes[0].stop(signal.SIGTERM))
+            stopping = asyncio.create_task(
+                running.nodes[0].stop(signal.SIGTERM)
+            )
             rest = await response.read()
         assert begun + rest == expect_events(5)
         lines = await stopping
-        assert place.nodes[0].process.returncode == 0
+        assert running.nodes[0].process.returncode == 0
         names = [line['name'] for line in lines]
         assert 'node-started' in names
         assert names[-1] == 'node-stopped'
@@ -174,17 +176,17 @@
     Its client sees that the answer isn't whole; the other node serves on,
     also a booking, and its replicas are freed of the lost stream.
     """
-    async with open_place(tmp_path) as place:
-        async with place.open(0, '/plan/x', 'r-1') as response:  # type: ignore
+    async with run_processes(tmp_path) as running:
+        async with running.open(0, '/plan/x', 'r-1') as response:  # type: ignore
             await response.content.readuntil(b'token 1\n\n')
-            await place.nodes[0].stop(signal.SIGKILL)
+            await running.nodes[0].stop(signal.SIGKILL)
             with pytest.raises(ClientError):
                 await response.read()
-        async with place.open(1, '/plan/x', 'r-2') as response:  # type: ignore
+        async with running.open(1, '/plan/x', 'r-2') as response:  # type: ignore
             assert await response.read() == expect_events(5)
-        async with place.open(1, '/book/x', 'r-3') as response:  # type: ignore
+        async with running.open(1, '/book/x', 'r-3') as response:  # type: ignore
             assert response.status == 200
-        runs = [run for one in place.replicas for run in one.runs]
+        runs = [run for one in running.replicas for run in one.runs]
         assert sorted(run.identity for run in runs) == ['r-1', 'r-2', 'r-3']
 
 
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -5,7 +5,7 @@
 import aiohttp
 import pytest
 
-from fleet.town import (
+from fleet.running import (
     KEY,
     ask,
     expect_events,
@@ -14,15 +14,15 @@
     make_plain,
     make_route,
     open_request,
-    open_town,
+    run_node,
     wait_until,
 )
 
 
 async def test_plain_answer_is_passed_on_byte_for_byte() -> None:
-    async with open_town(make_plain()) as town:
-        status, body, headers = await ask(town, '/ping/a%2Fb?x=%20y')
-        ran = next(one for one in town.replicas.values() if one.runs)
+    async with run_node(make_plain()) as node:
+        status, body, headers = await ask(node, '/ping/a%2Fb?x=%20y')
+        ran = next(one for one in node.replicas.values() if one.runs)
         assert status == 200
         assert body == f'answer of {ran.name}'.encode()
         assert headers['x-ryelatch-replica-signature'] == f'signed-{ran.name}'
@@ -36,21 +36,21 @@
 
 
 async def test_stream_passes_through_all_layers() -> None:
-    async with open_town(make_model((0, 3), (3, 8))) as town:
-        status, body, headers = await ask(town, '/plan/x')
+    async with run_node(make_model((0, 3), (3, 8))) as node:
+        status, body, headers = await ask(node, '/plan/x')
         assert status == 200
         assert body == expect_events(5)
         assert headers['x-ryelatch-replica-signature'] == 'signed-m-0'
-        first, second = town.replicas['m-0'], town.replicas['m-1']
+        first, second = node.replicas['m-0'], node.replicas['m-1']
         path = first.runs[0].headers['X-Ryelatch-Hop-Count']
         assert path == f'{first.address}=0-3,{second.address}=3-8'
 
 
 async def test_client_cannot_set_what_the_router_sets() -> None:
     """A client claims another's account and a path of its own."""
-    async with open_town(make_plain(1)) as town:
+    async with run_node(make_plain(1)) as node:
         await ask(
-            town,
+            node,
             '/ping/x',
             X_Ryelatch_Tenant='other',
             X_Ryelatch_Expect_Replica='other',
@@ -58,7 +58,7 @@
             Connection='X-Secret',
             X_Secret='s',
         )
-        headers = town.replicas['b-0'].runs[0].headers
+        headers = node.replicas['b-0'].runs[0].headers
         assert headers['X-Ryelatch-Tenant'] == 'ward-1'
         assert headers['X-Ryelatch-Expect-Replica'] == 'b-0'
         assert 'X-Ryelatch-Request-Priority' not in headers
@@ -66,22 +66,22 @@
 
 
 async def test_unknown_route_and_key_are_denied() -> None:
-    async with open_town(make_plain(1)) as town:
-        status, _, _ = await ask(town, '/nowhere/x')
+    async with run_node(make_plain(1)) as node:
+        status, _, _ = await ask(node, '/nowhere/x')
         assert status == 404
-        status, _, _ = await ask(town, '/ping/x', Api_Key='stolen')
+        status, _, _ = await ask(node, '/ping/x', Api_Key='stolen')
         assert status == 401
-        assert not town.replicas['b-0'].runs
+        assert not node.replicas['b-0'].runs
 
 
 async def test_body_beyond_the_limit_is_refused() -> None:
-    async with open_town(make_plain(1)) as town:
+    async with run_node(make_plain(1)) as node:
         headers = {'Host': 'city.example', 'Api-Key': KEY}
-        async with town.http.post(
-            f'{town.url}/ping/x', data=b'x' * 20_000, headers=headers
+        async with node.http.post(
+            f'{node.url}/ping/x', data=b'x' * 20_000, headers=headers
         ) as response:
             assert response.status == 413
-        assert not town.replicas['b-0'].runs
+        assert not node.replicas['b-0'].runs
 
 
 async def test_failed_ping_goes_to_another_replica() -> None:
@@ -89,33 +89,33 @@
 
     The client gets the answer of the other replica.
     """
-    async with open_town(make_plain(2)) as town:
-        town.replicas['b-0'].fail = 500
-        town.replicas['b-1'].zone = 'zone-b'
-        town.replicas['b-1'].register()
-        await wait_until(lambda: town.count('replica-listed') == 3)
-        status, body, _ = await ask(town, '/ping/x')
+    async with run_node(make_plain(2)) as node:
+        node.replicas['b-0'].fail = 500
+        node.replicas['b-1'].zone = 'zone-b'
+        node.replicas['b-1'].register()
+        await wait_until(lambda: node.count('replica-listed') == 3)
+        status, body, _ = await ask(node, '/ping/x')
         assert (status, body) == (200, b'answer of b-1')
-        assert len(town.replicas['b-0'].runs) == 1
+        assert len(node.replicas['b-0'].runs) == 1
 
 
 async def test_failed_booking_is_passed_on() -> None:
     """A booking fails at its replica; it ran, so it may not run again."""
-    async with open_town(make_plain(2)) as town:
-        for replica in town.replicas.values():
+    async with run_node(make_plain(2)) as node:
+        for replica in node.replicas.values():
             replica.fail = 500
-        status, body, headers = await ask(town, '/book/x')
+        status, body, headers = await ask(node, '/book/x')
         assert (status, body) == (500, b'no')
         assert 'x-ryelatch-replica-signature' in headers
-        assert sum(len(one.runs) for one in town.replicas.values()) == 1
+        assert sum(len(one.runs) for one in node.replicas.values()) == 1
 
 
 async def test_refused_booking_is_tried_elsewhere() -> None:
     """A replica says that it did not run a booking: another may."""
-    async with open_town(make_plain(2)) as town:
-        town.replicas['b-0'].refuse = 503
+    async with run_node(make_plain(2)) as node:
+        node.replicas['b-0'].refuse = 503
         for number in range(4):
-            status, body, _ = await ask(town, '/book/x', identity=f'r-{number}')
+            status, body, _ = await ask(node, '/book/x', identity=f'r-{number}')
             assert (status, body) == (200, b'answer of b-1')
 
 
@@ -127,23 +127,23 @@
     """
     routes = [make_route('book', routeKind='non_idempotent', timeoutMs=400)]
     configuration = make_configuration(routes=routes)
-    async with open_town(make_plain(2), configuration) as town:
-        for replica in town.replicas.values():
+    async with run_node(make_plain(2), configuration) as node:
+        for replica in node.replicas.values():
             replica.hang = True
         started = asyncio.get_running_loop().time()
-        status, _, _ = await ask(town, '/book/x')
+        status, _, _ = await ask(node, '/book/x')
         assert status == 504
         passed = asyncio.get_running_loop().time() - started
         assert int(passed * 10) >= 4
-        assert sum(len(one.runs) for one in town.replicas.values()) == 1
+        assert sum(len(one.runs) for one in node.replicas.values()) == 1
 
 
 async def test_all_full_is_refused_at_once() -> None:
     """No replica has room; the client is told when to come back."""
-    async with open_town(make_plain(2)) as town:
-        for replica in town.replicas.values():
+    async with run_node(make_plain(2)) as node:
+        for replica in node.replicas.values():
             replica.refuse = 503
-        status, _, headers = await ask(town, '/book/x')
+        status, _, headers = await ask(node, '/book/x')
         assert status == 503
         assert float(headers['retry-after']) > 0
 
@@ -153,9 +153,9 @@
 
     Passed on, one client would read what another asked for.
     """
-    async with open_town(make_plain(1)) as town:
-        town.replicas['b-0'].other_identity = True
-        status, body, _ = await ask(town, '/ping/x')
+    async with run_node(make_plain(1)) as node:
+        node.replicas['b-0'].other_identity = True
+        status, body, _ = await ask(node, '/ping/x')
         assert status == 502
         assert b'answer' not in body.replace(b'the answer was lost', b'')
 
@@ -165,9 +165,9 @@
 
     Taken for the end, a part of the answer would look like all of it.
     """
-    async with open_town(make_plain(1)) as town:
-        town.replicas['b-0'].unframed_part = True
-        status, body, _ = await ask(town, '/book/x')
+    async with run_node(make_plain(1)) as node:
+        node.replicas['b-0'].unframed_part = True
+        status, body, _ = await ask(node, '/book/x')
         assert status == 502
         assert b'part of' not in body
 
@@ -178,18 +178,18 @@
     The client sees one stream: each event whole, once and in order, under
     the signature that it began with.
     """
-    async with open_town(make_model((0, 8), (0, 8))) as town:
-        for replica in town.replicas.values():
+    async with run_node(make_model((0, 8), (0, 8))) as node:
+        for replica in node.replicas.values():
             replica.break_after = 2
-        status, body, headers = await ask(town, '/plan/x')
+        status, body, headers = await ask(node, '/plan/x')
         assert status == 200
         assert body == expect_events(5)
-        runs = [run for one in town.replicas.values() for run in one.runs]
+        runs = [run for one in node.replicas.values() for run in one.runs]
         resumed = [run.headers.get('Last-Event-Id') for run in runs]
         assert {None, '2'} <= set(resumed)
-        first = town.find('exchange-sent')['path'][0][0]
+        first = node.find('exchange-sent')['path'][0][0]
         assert headers['x-ryelatch-replica-signature'] == f'signed-{first}'
-        assert town.count('stream-resumed')
+        assert node.count('stream-resumed')
 
 
 async def test_stream_without_resume_breaks_visibly() -> None:
@@ -203,14 +203,14 @@
         )
     ]
     configuration = make_configuration(routes=routes)
-    async with open_town(make_model((0, 8)), configuration) as town:
-        town.replicas['m-0'].break_after = 2
-        async with open_request(town, '/plan/x') as response:
+    async with run_node(make_model((0, 8)), configuration) as node:
+        node.replicas['m-0'].break_after = 2
+        async with open_request(node, '/plan/x') as response:
             passed = await response.content.readuntil(b'token 2\n\n')
             with pytest.raises(aiohttp.ClientError):
                 await response.content.read()
         assert passed == expect_events(2)
-        await wait_until(lambda: town.count('exchange-broken'))
+        await wait_until(lambda: node.count('exchange-broken'))
 
 
 async def test_stalled_stream_is_moved_to_another_path() -> None:
@@ -219,13 +219,13 @@
     The first replica only waits. Its report names the lost one, the stream
     is moved, and goes on without a new run.
     """
-    async with open_town(make_model((0, 4), (4, 8), (4, 8))) as town:
-        head = town.replicas['m-0']
+    async with run_node(make_model((0, 4), (4, 8), (4, 8))) as node:
+        head = node.replicas['m-0']
         head.stall_after = 2
-        async with open_request(town, '/plan/x') as response:
+        async with open_request(node, '/plan/x') as response:
             await response.content.readuntil(b'token 1\n\n')
-            sent = town.find('exchange-sent')['path']
-            lost = town.replicas[sent[1][0]]
+            sent = node.find('exchange-sent')['path']
+            lost = node.replicas[sent[1][0]]
             head.stalled_on = lost.address
             rest = await response.read()
         assert rest.endswith(b'data: token 5\n\n')
@@ -239,13 +239,13 @@
 async def test_missing_layers_are_refused_at_once() -> None:
     """Nobody holds some layers; waiting would not help the client."""
     small = [(0, 3), (5, 8)]
-    async with open_town(make_model(*small)) as town:
-        for replica in town.replicas.values():
+    async with run_node(make_model(*small)) as node:
+        for replica in node.replicas.values():
             replica.fence = 99  # repairs are refused
-        status, _, headers = await ask(town, '/plan/x')
+        status, _, headers = await ask(node, '/plan/x')
         assert status == 503
         assert float(headers['retry-after']) > 0
-        assert town.find('exchange-refused')['reason'] == 'layers are missing'
+        assert node.find('exchange-refused')['reason'] == 'layers are missing'
 
 
 async def test_work_ends_when_the_client_leaves() -> None:
@@ -253,14 +253,14 @@
 
     Work that nobody waits for keeps a place from others.
     """
-    async with open_town(make_plain(1)) as town:
-        replica = town.replicas['b-0']
+    async with run_node(make_plain(1)) as node:
+        replica = node.replicas['b-0']
         replica.hang = True
-        asking = asyncio.create_task(ask(town, '/ping/x'))
+        asking = asyncio.create_task(ask(node, '/ping/x'))
         await wait_until(lambda: replica.runs)
         asking.cancel()
         await wait_until(lambda: replica.runs[0].cancelled)
-        await wait_until(lambda: town.count('exchange-left'))
+        await wait_until(lambda: node.count('exchange-left'))
 
 
 async def test_unreachable_replica_costs_no_booking() -> None:
@@ -268,13 +268,13 @@
 
     Nothing was sent, so even a booking may go to another replica.
     """
-    async with open_town(make_plain(2)) as town:
-        gone = town.replicas['b-0']
+    async with run_node(make_plain(2)) as node:
+        gone = node.replicas['b-0']
         gone.address = '127.0.0.1:1'
         gone.register()
-        await wait_until(lambda: town.count('replica-listed') == 3)
+        await wait_until(lambda: node.count('replica-listed') == 3)
         for number in range(4):
-            status, body, _ = await ask(town, '/book/x', identity=f'r-{number}')
+            status, body, _ = await ask(node, '/book/x', identity=f'r-{number}')
             assert (status, body) == (200, b'answer of b-1')
 
 
@@ -284,9 +284,9 @@
     It says that it is not the one that was meant, which is as good as not
     having been asked.
     """
-    async with open_town(make_plain(2)) as town:
-        town.replicas['b-0'].name = 'b-0-restarted'
+    async with run_node(make_plain(2)) as node:
+        node.replicas['b-0'].name = 'b-0-restarted'
         for number in range(4):
-            status, body, _ = await ask(town, '/book/x', identity=f'r-{number}')
+            status, body, _ = await ask(node, '/book/x', identity=f'r-{number}')
             assert (status, body) == (200, b'answer of b-1')
-        assert not town.replicas['b-0'].runs
+        assert not node.replicas['b-0'].runs
