Name a connection that ended within a second as closed

Cause: a connection of an engine that ends within 0.8 s of being opened was reported by the word for "it served". On a busy machine engines connect late, so a killed one had been connected for less.

--- a/packages/ryelatch-node/src/ryelatch_node/upstreams/_link.py
+++ b/packages/ryelatch-node/src/ryelatch_node/upstreams/_link.py
@@ -149,7 +149,7 @@
                 # any answer has to be moved to another engine.
                 failures = 0
                 continue
-            self._lose(reason)
+            self._lose('closed' if reason == _SERVED else reason)
             backoff = min(failures, len(_BACKOFF_SECONDS) - 1)
             await asyncio.sleep(_BACKOFF_SECONDS[backoff])
             failures += 1
