Move streams off replicas that are about to go; count runs cut off here

After a crash sixty streams were moved across zones at once (57 layers each, 43 and 55 orders refused for want of room) where the spare held the four lost layers 0.7 s later.

Change: streams that flow are moved off replicas that leave or give up layers; a stalled stream moves inside its zone, waits up to 1.1 s where an empty replica can load what is lost in time, and crosses zones only where it can't be resumed; runs cut off here count, the last attempt is never cut off; a replica that is late with an order is asked whether it is at it; the lease is left to a holder that renewed up to 2 s before this node knew of the need.

--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
@@ -45,9 +45,6 @@
 requests between the zones share.
 """
 
-CROSSING_NEVER = float('inf')
-"""What such a change costs as long as there is a path without one."""
-
 _CROWDED = 2.0
 """Estimated share of a replica's memory beyond which more changes nothing.
 
@@ -86,6 +83,8 @@
     :param tokens: tokens of this node's requests at each replica.
     :param excess: seconds by which paths through a replica were late.
     :param head: the stage that must come first, if any.
+    :param kept: names of replicas that have read the request already.
+    :param crosses: whether the path may change zones in its middle.
     """
 
     profile: ModelProfile
@@ -99,6 +98,8 @@
     tokens: Mapping[str, int] = field(default_factory=dict)
     excess: Mapping[str, float] = field(default_factory=dict)
     head: Stage | None = None
+    kept: frozenset[str] = frozenset()
+    crosses: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,13 +107,12 @@
     """What changes of replica cost a request, in seconds."""
 
     within: float
-    crossing: float
 
     def price(self, before: Replica, after: Replica) -> float:
         """Price the way from one replica to the next."""
         if before.name == after.name:
             return 0
-        crossing = 0 if before.zone == after.zone else self.crossing
+        crossing = 0 if before.zone == after.zone else CROSSING_SECONDS
         return self.within + crossing
 
 
@@ -126,6 +126,14 @@
     before: '_Way | None'
 
 
+@dataclass(frozen=True, slots=True)
+class _Found:
+    """A path and its expected seconds."""
+
+    cost: float
+    path: tuple[Stage, ...]
+
+
 def choose_path(
     replicas: Iterable[Replica],
     query: PathQuery,
@@ -152,32 +160,43 @@
     # changes zone fills it with activations: at the peak a quarter of the
     # requests doing so make all of them wait a second. So a path inside one
     # zone is taken if there is any, however crowded.
-    costs = (CROSSING_NEVER, CROSSING_SECONDS)
-    found = (
-        _search(group, query, crossing)
-        for crossing, group in itertools.product(costs, groups)
-    )
-    return next(filter(None, found), ())
+    for group in groups:
+        found = _search_zones(group, query)
+        if found:
+            return found.path
+    if not query.crosses:
+        return ()
+    found = next(filter(None, (_search(one, query) for one in groups)), None)
+    return found.path if found else ()
 
 
-def _search(
-    usable: list[Replica],
-    query: PathQuery,
-    crossing: float,
-) -> tuple[Stage, ...]:
+def _search_zones(group: list[Replica], query: PathQuery) -> _Found | None:
+    """Find the cheapest path that stays in its zone.
+
+    Zones are searched one by one: a path is sought among a third of the
+    replicas three times, which takes a third of the time.
+    """
+    zones: dict[str, list[Replica]] = {}
+    for replica in group:
+        zones.setdefault(replica.zone, []).append(replica)
+    paths = filter(None, (_search(zone, query) for zone in zones.values()))
+    return min(paths, key=lambda found: found.cost, default=None)
+
+
+def _search(usable: list[Replica], query: PathQuery) -> _Found | None:
     costs = _rate(usable, query)
     offered = [replica for replica in usable if replica.name in costs]
     for hop_factor in (1, 100, 10_000):
-        hops = _Hops(HOP_SECONDS * hop_factor * query.answer, crossing)
+        hops = _Hops(HOP_SECONDS * hop_factor * query.answer)
         way = _find_way(offered, costs, query, hops)
         path = _unwind(way, query.profile.layers)
         names = {stage.replica.name for stage in path}
         # A replica that comes twice is refused by the upstreams. It shows
         # where leaving it for a faster one and coming back looks cheaper
         # than staying; with dearer hops staying wins.
-        if len(names) == len(path):
-            return path
-    return ()
+        if way and len(names) == len(path):
+            return _Found(way.cost, path)
+    return None
 
 
 def _rate(usable: list[Replica], query: PathQuery) -> dict[str, float]:
@@ -212,6 +231,9 @@
     reading = estimate_reading(profile, accelerator, 1, query.prompt)
     crowding = 1 + min(fullness, _CROWDED) ** 2
     noise = 1 + _JITTER * query.draw()
+    if replica.name in query.kept:
+        reading = 0
+        noise = 1
     late = query.excess.get(replica.name, 0) * EXCESS_WEIGHT / profile.layers
     return (step * query.answer + reading) * crowding * noise + late
 
--- a/packages/ryelatch-node/src/ryelatch_node/duty/_lease.py
+++ b/packages/ryelatch-node/src/ryelatch_node/duty/_lease.py
@@ -27,6 +27,14 @@
 RENEW_SECONDS = 2.0
 """How often the lease is renewed while there is something to do."""
 
+AHEAD_SECONDS = 2.0
+"""How much sooner than this node the holder may have known of a need.
+
+Changes of the registry are gathered for up to 0.8 s, and a watch may hear
+nothing for a second. A renewal that this node heard of before the need
+itself was still made for it.
+"""
+
 REST_SECONDS = 1.0
 """How long no claim is made after one that failed; calls are priced."""
 
@@ -99,7 +107,7 @@
         """
         if record.lease is None:
             return need_since + self.spread
-        if self._record_since > need_since:
+        if self._record_since > need_since - AHEAD_SECONDS:
             return self._record_since + WORK_SECONDS + self.spread
         return need_since + TAKE_SECONDS + self.spread
 
--- a/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
@@ -137,6 +137,7 @@
             await asyncio.sleep(GATHER_SECONDS)
 
     async def _tend(self) -> None:
+        await self._review_late()
         moves = self._plan()
         now = self.clock.monotonic()
         if not moves or self._need_since is None:
@@ -145,6 +146,36 @@
             return
         await asyncio.gather(*(self._order(move) for move in moves))
 
+    async def _review_late(self) -> None:
+        """Ask replicas that are late with an order whether they are at it.
+
+        One that gives up layers begins to load when the last answer through
+        them has ended. Taken for idle meanwhile, it was given the order again
+        every two seconds, and others were ordered to close the same gap.
+        """
+        listed = self.replicas.replicas
+        self._pending = {
+            name: pending
+            for name, pending in self._pending.items()
+            if name in listed
+        }
+        now = self.clock.monotonic()
+        late = [
+            listed[name]
+            for name, pending in self._pending.items()
+            if pending.until < now
+            and not pending.busy
+            and listed[name].layers != pending.layers
+        ]
+        await asyncio.gather(*map(self._review_one, late))
+
+    async def _review_one(self, replica: Replica) -> None:
+        report = await self.orders.read_report(replica)
+        pending = self._pending.get(replica.name)
+        if pending is not None and report is not None and report.busy:
+            until = self.clock.monotonic() + BUSY_SECONDS
+            self._pending[replica.name] = replace(pending, until=until)
+
     def _plan(self) -> list[Move]:
         """Plan the orders that are due now."""
         table = self.configuration.table
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_evacuation.py
@@ -0,0 +1,71 @@
+"""Finds streams that should leave a replica which is about to go."""
+
+from dataclasses import dataclass, field
+
+from ryelatch_core.fleet import Replica, Stage
+from ryelatch_node.beliefs import ReplicaView
+from ryelatch_node.relay._stream import LiveStream
+
+LEAVING_SECONDS = 1.0
+"""How long streams are let be at a replica that leaves.
+
+It works on for at least two seconds after it said so. A usual answer takes
+two, so a third of the streams end by themselves meanwhile, and each move is
+an order with its price.
+"""
+
+RETRY_SECONDS = 0.3
+"""Pause between tries to move a stream; neighbours load for half a second."""
+
+MOST_TRIES = 12
+"""Tries after which a stream stays where it is until it stands still."""
+
+
+@dataclass(eq=False)
+class Evacuation:
+    """Watches for replicas that go while streams pass through them.
+
+    A replica that leaves ends some seconds later and takes its streams with
+    it. One that gives up layers loads others only when no stream passes
+    through the old ones: measured, 7 s for the longest answers, with a gap
+    in its zone until then. The first replica can be told another path while
+    a stream runs; the other parts keep what they have read, and the caller
+    sees nothing of it.
+    """
+
+    replicas: ReplicaView
+    _since: dict[str, float] = field(default_factory=dict)
+
+    def find_due(self, stream: LiveStream, now: float) -> frozenset[str]:
+        """Name the replicas that a stream should leave now, if any."""
+        if not stream.begun or stream.tries >= MOST_TRIES:
+            return frozenset()
+        if now - stream.tried < RETRY_SECONDS:
+            return frozenset()
+        due = frozenset(
+            stage.replica.name
+            for stage in stream.path[1:]
+            if self._is_due(stage, now)
+        )
+        if due:
+            stream.tried = now
+            stream.tries += 1
+        return due
+
+    def is_leaving(self, replica: Replica, now: float) -> bool:
+        """Whether a replica said some time ago that it leaves."""
+        listed = self.replicas.replicas.get(replica.name)
+        if listed is None or not listed.leaving:
+            self._since.pop(replica.name, None)
+            return False
+        since = self._since.setdefault(replica.name, now)
+        return now - since > LEAVING_SECONDS
+
+    def _is_due(self, stage: Stage, now: float) -> bool:
+        listed = self.replicas.replicas.get(stage.replica.name)
+        if listed is None:
+            return False
+        if listed.leaving:
+            return self.is_leaving(listed, now)
+        held = listed.layers
+        return held is None or not held.covers(stage.layers)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import enum
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from ryelatch_core.events import catalogue
 from ryelatch_core.fleet import Replica, Stage, choose_path
@@ -16,8 +16,10 @@
 from ryelatch_node.relay._exchange import Exchange, Inquiry, round_seconds
 from ryelatch_node.relay._parts import Parts
 from ryelatch_node.relay._probe import Prober
+from ryelatch_node.relay._query import make_query
+from ryelatch_node.relay._stream import HEAD_LOST, LiveStream
 from ryelatch_node.relay._upstream import Answer
-from ryelatch_node.relay._watch import LiveStream, StreamWatch, make_query
+from ryelatch_node.relay._watch import StreamWatch
 
 MOST_SENDS = 5
 """Tries of one request, whatever became of them.
@@ -58,9 +60,11 @@
 
     :param lost: whether one of them may have run without an answer.
     :param held: a replica's own failure, passed on if nothing better comes.
+    :param left: first replicas whose runs this node cut off.
     """
 
     cutter: EventCutter
+    left: set[str] = field(default_factory=set)
     lost: bool = False
     held: tuple[Answer, bytes] | None = None
 
@@ -77,7 +81,7 @@
     """
     progress = _Progress(EventCutter(inquiry.terms.last_event))
     while _may_send(parts, exchange, inquiry, progress):
-        path = _choose(parts, exchange, inquiry)
+        path = _choose(parts, exchange, inquiry, progress)
         if not path:
             break
         step = await _try_path(parts, watch, exchange, inquiry, path, progress)
@@ -107,8 +111,12 @@
     parts: Parts,
     exchange: Exchange,
     inquiry: Inquiry,
+    progress: _Progress,
 ) -> tuple[Stage, ...]:
-    query = make_query(parts, inquiry, parts.replicas.list_suspects())
+    # A path that stood still through one first replica would most likely do
+    # so again; where there is no other the second choice below takes it.
+    avoided = parts.replicas.list_suspects() | progress.left
+    query = make_query(parts, inquiry, avoided)
     if query is None:
         return ()
     offered = parts.replicas.list_service(inquiry.service)
@@ -327,10 +335,10 @@
 ) -> None:
     if kind is not SendErrorKind.UNSENT:
         progress.lost = True
-    if stream.begun and kind is SendErrorKind.LOST:
-        # The run ended with its replica, so it doesn't count as one of those
-        # that the route allows.
-        stream.exchange.ran -= 1
+    if stream.reason:
+        progress.left.add(stream.head.name)
+    if kind is SendErrorKind.LOST:
+        stream.exchange.ran += _count_end(stream)
     stream.exchange.record(
         catalogue.EXCHANGE_FAILED,
         replica=stream.head.name,
@@ -345,6 +353,18 @@
         )
 
 
+def _count_end(stream: LiveStream) -> int:
+    """Tell what the end of a try adds to the runs that the route allows.
+
+    A run that ended with its first replica doesn't count. One that this node
+    cut off does, and may have begun though nothing of it came: seven streams
+    ran on three first replicas where two were allowed.
+    """
+    if stream.reason in {'', HEAD_LOST}:
+        return -1 if stream.begun else 0
+    return 0 if stream.begun else 1
+
+
 async def _give_up(
     parts: Parts,
     exchange: Exchange,
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_mover.py
@@ -0,0 +1,114 @@
+"""Moves streams to other paths while they run."""
+
+from dataclasses import dataclass, replace
+
+from ryelatch_core.events import catalogue
+from ryelatch_core.fleet import Stage, choose_path
+from ryelatch_node.ports import MoveAnswer, OrderResult
+from ryelatch_node.relay._exchange import round_seconds
+from ryelatch_node.relay._parts import Parts
+from ryelatch_node.relay._probe import Prober
+from ryelatch_node.relay._query import make_query
+from ryelatch_node.relay._stream import LiveStream
+
+MOVE_TRIES = 3
+"""Paths that a stream is offered before it is resumed as a new run.
+
+Each costs two milliseconds, a new run the reading of all tokens so far.
+"""
+
+
+@dataclass(frozen=True)
+class Mover:
+    """Orders the first replica of a stream to use another path."""
+
+    parts: Parts
+    prober: Prober
+
+    async def move(
+        self,
+        stream: LiveStream,
+        lost: frozenset[str],
+        *,
+        crosses: bool = True,
+    ) -> OrderResult | None:
+        """Order a move, and another if a part of the path has no room.
+
+        :param lost: names of replicas to leave.
+        :param crosses: whether the new path may change zones.
+        :returns: what became of the last order; nothing if no path was found
+            to order.
+        """
+        result: OrderResult | None = None
+        for _ in range(MOVE_TRIES):
+            path = self._replan(stream, lost, crosses=crosses)
+            if not path:
+                break
+            moved = await self._order_once(stream, path, lost)
+            result = moved.result
+            if result is not OrderResult.CONFLICT or not moved.fault:
+                break
+            self._blame(stream, path, moved.fault)
+        return result
+
+    async def _order_once(
+        self,
+        stream: LiveStream,
+        path: tuple[Stage, ...],
+        lost: frozenset[str],
+    ) -> MoveAnswer:
+        identity = stream.inquiry.terms.identity
+        pause = self.parts.clock.monotonic() - stream.progress
+        moved = await self.parts.orders.move(stream.head, identity, path)
+        stream.exchange.record(
+            catalogue.STREAM_MOVED,
+            avoiding=sorted(lost),
+            result=moved.result.value,
+            fault=moved.fault,
+            pause=round_seconds(pause),
+        )
+        if moved.result in {OrderResult.BEGUN, OrderResult.HELD}:
+            self.parts.load.remove(stream.path, stream.tokens)
+            self.parts.load.add(path, stream.tokens)
+            stream.path = path
+            stream.progress = self.parts.clock.monotonic()
+        return moved
+
+    def _blame(
+        self,
+        stream: LiveStream,
+        path: tuple[Stage, ...],
+        address: str,
+    ) -> None:
+        """Keep away from the replica that a refused move names."""
+        for stage in path:
+            replica = stage.replica
+            if replica.address == address and replica != stream.head:
+                self.parts.replicas.suspect(replica, 'no room', full=True)
+                self.prober.check(replica)
+
+    def _replan(
+        self,
+        stream: LiveStream,
+        lost: frozenset[str],
+        *,
+        crosses: bool,
+    ) -> tuple[Stage, ...]:
+        inquiry = stream.inquiry
+        query = make_query(
+            self.parts, inquiry, lost | self.parts.replicas.list_suspects()
+        )
+        if query is None:
+            return ()
+        kept = frozenset(stage.replica.name for stage in stream.path)
+        fixed = replace(
+            query, head=stream.path[0], kept=kept - lost, crosses=crosses
+        )
+        # The first replica runs its part on, also while it leaves or gives
+        # up those layers; the registry says that it offers them no more.
+        offered = [
+            one
+            for one in self.parts.replicas.list_service(inquiry.service)
+            if one.name != stream.head.name
+        ]
+        return choose_path([*offered, stream.head], fixed)
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
@@ -0,0 +1,55 @@
+"""A stream in progress, as this node knows it."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ryelatch_core.fleet import Replica, Stage
+from ryelatch_node.relay._exchange import Exchange, Inquiry
+
+HEAD_LOST = 'first replica lost'
+"""Why a stream was interrupted whose first replica is gone."""
+
+
+@dataclass(eq=False)
+class LiveStream:
+    """A stream in progress.
+
+    :param sent: when it was sent on its first path of this try.
+    :param progress: when its last event came, or it was sent or moved.
+    :param tokens: for which memory is taken on its path.
+    :param told: whether its pause has been recorded.
+    :param tries: moves tried while it was flowing; the last at ``tried``.
+    :param scope: the timeout of its reading; moved up to interrupt it.
+    """
+
+    exchange: Exchange
+    inquiry: Inquiry
+    path: tuple[Stage, ...]
+    sent: float
+    progress: float
+    tokens: int
+    scope: asyncio.Timeout
+    begun: bool = False
+    moving: bool = False
+    told: bool = False
+    reason: str = ''
+    delivered: int = 0
+    tries: int = 0
+    tried: float = 0
+
+    @property
+    def head(self) -> Replica:
+        """The first replica of its path."""
+        return self.path[0].replica
+
+    def interrupt(self, reason: str) -> None:
+        """End its reading, so that it goes on elsewhere."""
+        if not self.reason:
+            self.reason = reason
+            self.scope.reschedule(asyncio.get_running_loop().time())
+
+    def uses(self, names: Iterable[str]) -> bool:
+        """Whether its path has one of some replicas."""
+        wanted = set(names)
+        return any(stage.replica.name in wanted for stage in self.path)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -8,17 +8,21 @@
 
 import asyncio
 import traceback
-from collections.abc import Coroutine, Iterable
-from dataclasses import dataclass, field, replace
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
 from typing import Any
 
 from ryelatch_core.events import catalogue, keep_running
-from ryelatch_core.fleet import PathQuery, Replica, Stage, choose_path
+from ryelatch_core.fleet import Replica
 from ryelatch_core.kernel import cancel_task
-from ryelatch_node.ports import MoveAnswer, OrderResult
-from ryelatch_node.relay._exchange import Exchange, Inquiry, round_seconds
+from ryelatch_node.ports import OrderResult
+from ryelatch_node.relay._evacuation import Evacuation
+from ryelatch_node.relay._exchange import round_seconds
+from ryelatch_node.relay._mover import Mover
 from ryelatch_node.relay._parts import Parts
 from ryelatch_node.relay._probe import Prober
+from ryelatch_node.relay._query import find_profile
+from ryelatch_node.relay._stream import HEAD_LOST, LiveStream
 
 TICK_SECONDS = 0.1
 """How often streams are looked at; a tenth of what a move takes."""
@@ -36,6 +40,17 @@
 KNOWN_STALL_SECONDS = 0.15
 """The same for a path with a replica that is known to be unreachable."""
 
+MOVE_PAUSE_SECONDS = 0.15
+"""Pause between tries to move a stream that stands still."""
+
+PATIENCE_SECONDS = 1.1
+"""How long a stream may stand still for a repair in its own zone.
+
+An empty replica loads four layers in 0.7 s, and a move to it then costs the
+reading of those four. A new run elsewhere reads everything again, and sixty
+streams that do so at once fill the zones that are left.
+"""
+
 GIVE_UP_SECONDS = 1.3
 """A pause after which a stream is resumed on another path.
 
@@ -43,56 +58,9 @@
 a second to its first one.
 """
 
-MOVE_TRIES = 3
-"""Paths that a stream is offered before it is resumed as a new run.
-
-Each costs two milliseconds, a new run the reading of all tokens so far.
-"""
-
 _REPORT_SECONDS = 0.4
 
 
-@dataclass(eq=False)
-class LiveStream:
-    """A stream in progress.
-
-    :param sent: when it was sent on its first path of this try.
-    :param progress: when its last event came, or it was sent or moved.
-    :param tokens: for which memory is taken on its path.
-    :param told: whether its pause has been recorded.
-    :param scope: the timeout of its reading; moved up to interrupt it.
-    """
-
-    exchange: Exchange
-    inquiry: Inquiry
-    path: tuple[Stage, ...]
-    sent: float
-    progress: float
-    tokens: int
-    scope: asyncio.Timeout
-    begun: bool = False
-    moving: bool = False
-    told: bool = False
-    reason: str = ''
-    delivered: int = 0
-
-    @property
-    def head(self) -> Replica:
-        """The first replica of its path."""
-        return self.path[0].replica
-
-    def interrupt(self, reason: str) -> None:
-        """End its reading, so that it goes on elsewhere."""
-        if not self.reason:
-            self.reason = reason
-            self.scope.reschedule(asyncio.get_running_loop().time())
-
-    def uses(self, names: Iterable[str]) -> bool:
-        """Whether its path has one of some replicas."""
-        wanted = set(names)
-        return any(stage.replica.name in wanted for stage in self.path)
-
-
 @dataclass(eq=False)
 class StreamWatch:
     """Looks after the streams of this node."""
@@ -104,6 +72,11 @@
     _tasks: set['asyncio.Task[None]'] = field(default_factory=set)
     _ticker: 'asyncio.Task[None] | None' = None
 
+    def __post_init__(self) -> None:
+        """Make what moves streams."""
+        self._mover = Mover(self.parts, self.prober)
+        self._evacuation = Evacuation(self.parts.replicas)
+
     async def start(self) -> None:
         """Begin to look."""
         self._ticker = asyncio.create_task(
@@ -138,11 +111,15 @@
     ) -> None:
         pause = now - stream.progress
         if lost and pause > KNOWN_STALL_SECONDS and stream.uses(lost):
-            self._spawn(self._move(stream))
+            rested = now - stream.tried > MOVE_PAUSE_SECONDS
+            if rested:
+                self._spawn(self._move(stream, pause))
         elif pause > _limit(stream):
             _tell_stall(stream, pause)
             self._ask(stream.head, now)
-        if pause > GIVE_UP_SECONDS and stream.inquiry.repeatable:
+        else:
+            self._evacuate(stream, now)
+        if pause > GIVE_UP_SECONDS and self._may_resume(stream):
             stream.interrupt('silent')
 
     def _ask(self, head: Replica, now: float) -> None:
@@ -170,94 +147,82 @@
     def _leave_head(self, head: Replica) -> None:
         for stream in self.streams:
             if stream.head.name == head.name and stream.inquiry.repeatable:
-                stream.interrupt('first replica lost')
+                stream.interrupt(HEAD_LOST)
 
-    async def _move(self, stream: LiveStream) -> None:
-        """Move a stream off the replicas that are unreachable."""
-        stream.moving = True
+    async def _move(self, stream: LiveStream, pause: float) -> None:
+        """Move a stream off the replicas that are unreachable.
+
+        Inside its zone only: across zones the activations of all its tokens
+        would cross, and those of the sixty others that stand still as well.
+        """
         lost = self.parts.replicas.list_unreachable()
+        if stream.head.name in lost:
+            stream.interrupt(HEAD_LOST)
+            return
+        stream.moving = True
+        stream.tried = self.parts.clock.monotonic()
+        resumable = self._may_resume(stream)
         try:
-            if stream.head.name in lost:
-                result = OrderResult.MISSING
-            else:
-                result = await self._order(stream, lost)
+            result = await self._mover.move(stream, lost, crosses=not resumable)
         finally:
             stream.moving = False
         if result in {OrderResult.BEGUN, OrderResult.HELD}:
             return
-        if stream.inquiry.repeatable:
-            stream.interrupt(f'move {result.value}')
+        waits = result is None and pause < PATIENCE_SECONDS
+        if waits and self._is_repair_near(stream):
+            return
+        if resumable:
+            stream.interrupt(f'move {result.value}' if result else 'no path')
 
-    async def _order(
-        self,
-        stream: LiveStream,
-        lost: frozenset[str],
-    ) -> OrderResult:
-        """Order a move, and another if a part of the path has no room."""
-        result = OrderResult.CONFLICT
-        for _ in range(MOVE_TRIES):
-            path = self._replan(stream, lost)
-            if not path:
-                break
-            moved = await self._order_once(stream, path, lost)
-            result = moved.result
-            if result is not OrderResult.CONFLICT or not moved.fault:
-                break
-            self._blame(stream, path, moved.fault)
-        return result
-
-    async def _order_once(
-        self,
-        stream: LiveStream,
-        path: tuple[Stage, ...],
-        lost: frozenset[str],
-    ) -> MoveAnswer:
-        identity = stream.inquiry.terms.identity
-        pause = self.parts.clock.monotonic() - stream.progress
-        moved = await self.parts.orders.move(stream.head, identity, path)
-        stream.exchange.record(
-            catalogue.STREAM_MOVED,
-            avoiding=sorted(lost),
-            result=moved.result.value,
-            fault=moved.fault,
-            pause=round_seconds(pause),
+    def _may_resume(self, stream: LiveStream) -> bool:
+        """Whether a new run may go on with a stream whose replicas live."""
+        inquiry = stream.inquiry
+        # The run in progress counts, though nothing of it may have come yet.
+        ran = stream.exchange.ran + int(not stream.begun)
+        return inquiry.repeatable and ran < inquiry.route.max_attempts
+
+    def _is_repair_near(self, stream: LiveStream) -> bool:
+        """Whether an empty replica may hold the lost layers in time."""
+        service = stream.inquiry.service
+        profile = find_profile(self.parts, service)
+        if profile is None:
+            return False
+        alive = self.parts.replicas.list_alive(service)
+        names = {one.name for one in alive}
+        lost = [
+            stage for stage in stream.path if stage.replica.name not in names
+        ]
+        layers = max((len(stage.layers) for stage in lost), default=0)
+        seconds = layers / profile.layers * profile.load_seconds
+        spared = any(
+            one.zone == stream.head.zone and one.layers is None for one in alive
         )
-        if moved.result in {OrderResult.BEGUN, OrderResult.HELD}:
-            self.parts.load.remove(stream.path, stream.tokens)
-            self.parts.load.add(path, stream.tokens)
-            stream.path = path
-            stream.progress = self.parts.clock.monotonic()
-        return moved
-
-    def _blame(
+        return spared and seconds < PATIENCE_SECONDS
+
+    def _evacuate(self, stream: LiveStream, now: float) -> None:
+        """Move a stream that still flows off replicas that are about to go.
+
+        A first replica that leaves takes no more orders. Its streams hold up
+        the others that give up layers, so these are resumed elsewhere.
+        """
+        retreating = self._evacuation.find_due(stream, now)
+        if not retreating:
+            return
+        if not self._evacuation.is_leaving(stream.head, now):
+            self._spawn(self._move_off(stream, retreating))
+        elif self._may_resume(stream):
+            stream.interrupt('first replica leaves')
+
+    async def _move_off(
         self,
         stream: LiveStream,
-        path: tuple[Stage, ...],
-        address: str,
+        retreating: frozenset[str],
     ) -> None:
-        """Keep away from the replica that a refused move names."""
-        for stage in path:
-            replica = stage.replica
-            if replica.address == address and replica != stream.head:
-                self.parts.replicas.suspect(replica, 'no room', full=True)
-                self.prober.check(replica)
-
-    def _replan(
-        self,
-        stream: LiveStream,
-        lost: frozenset[str],
-    ) -> tuple[Stage, ...]:
-        inquiry = stream.inquiry
-        query = make_query(
-            self.parts, inquiry, lost | self.parts.replicas.list_suspects()
-        )
-        if query is None:
-            return ()
-        fixed = replace(query, head=stream.path[0])
-        offered = self.parts.replicas.list_service(inquiry.service)
-        if stream.head.name not in {one.name for one in offered}:
-            offered.append(stream.head)
-        return choose_path(offered, fixed)
+        stream.moving = True
+        try:
+            await self._mover.move(stream, retreating, crosses=False)
+        finally:
+            stream.moving = False
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(self._guard(work))
@@ -291,42 +256,3 @@
 
 def _limit(stream: LiveStream) -> float:
     return STALL_SECONDS if stream.begun else FIRST_STALL_SECONDS
-
-
-def make_query(
-    parts: Parts,
-    inquiry: Inquiry,
-    avoid: frozenset[str],
-) -> PathQuery | None:
-    """Say what a path is wanted for.
-
-    :returns: nothing if the service has no model.
-    """
-    table = parts.configuration.table
-    terms = table and table.configuration.services.get(inquiry.service)
-    if not terms or terms.model is None:
-        return None
-    return PathQuery(
-        profile=terms.model,
-        zone=parts.startup.zone,
-        prompt=inquiry.terms.prompt,
-        answer=expect_answer(inquiry, terms.model.usual_answer),
-        draw=parts.draw,
-        nodes=parts.nodes,
-        avoid=avoid,
-        requests=parts.load.requests,
-        tokens=parts.load.tokens,
-        excess=parts.load.list_excess(parts.clock.monotonic()),
-    )
-
-
-def expect_answer(inquiry: Inquiry, usual: float) -> int:
-    """Estimate the tokens of an answer.
-
-    The client's guess is right at the median and often far off, so it is
-    taken half and half with the usual length.
-    """
-    most = inquiry.terms.answer or int(usual)
-    hint = inquiry.terms.hint
-    guess = usual if hint is None else (hint + usual) / 2
-    return max(1, min(most, int(guess)))
--- a/tests/node/duty/test_placement.py
+++ b/tests/node/duty/test_placement.py
@@ -284,11 +284,14 @@
     time, and the zone would never be whole. It waits until they have settled.
     """
     platform = FakePlatform()
-    # Four layers fill such a replica, so neither can reach into the gap.
-    full = _make_replica('m-0', LayerRange(0, 4))
+    # Four layers fill such a replica, so neither can reach into the gap, and
+    # neither can cover for the other.
     held = [
-        dataclasses.replace(full, accelerator='small'),
-        dataclasses.replace(full, accelerator='small', name='m-1'),
+        dataclasses.replace(
+            _make_replica(f'm-{first}', LayerRange(first, first + 4)),
+            accelerator='small',
+        )
+        for first in (0, 1)
     ]
     async with run_nodes(platform, 1):
         for number in range(8):
@@ -299,3 +302,47 @@
             await asyncio.sleep(0.5)
         assert not platform.orders
         await wait_until(lambda: platform.orders)
+
+
+async def test_replica_that_waits_is_not_ordered_again() -> None:
+    """A replica gives up layers and waits for long answers through them.
+
+    Its new layers come late. Taken for idle it was ordered again and again,
+    and others were ordered to close the same gap.
+    """
+    platform = FakePlatform(load_seconds=30)
+    async with run_nodes(platform, 1):
+        platform.list_replicas(
+            [
+                _make_replica('m-0', LayerRange(0, 4)),
+                _make_replica('m-1', None),
+                _make_replica('m-2', None),
+            ]
+        )
+        await wait_until(lambda: platform.orders)
+        first = list(platform.orders)
+        # Longer than a load may take before it is given up.
+        await asyncio.sleep(4)
+        assert platform.orders == first
+
+
+async def test_holder_that_knew_first_is_left_alone() -> None:
+    """The holder hears of a loss half a second before the others.
+
+    It renews its lease and orders, and the others hear of that before they
+    hear of the loss. It is at work; a second node that took the lease gave
+    other orders to the same replicas.
+    """
+    platform = FakePlatform(load_seconds=2.5)
+    gap = [_make_replica('m-0', LayerRange(0, 4)), _make_replica('m-1', None)]
+    async with run_nodes(platform, 2):
+        first, second = platform.duties
+        second.replicas.replace([], outage=False)
+        first.replicas.replace(gap, outage=False)
+        first.wake(None)  # type: ignore[arg-type]
+        await wait_until(lambda: platform.orders)
+        await asyncio.sleep(0.2)
+        second.replicas.replace(gap, outage=False)
+        second.wake(None)  # type: ignore[arg-type]
+        await asyncio.sleep(1.8)
+        assert {node for node, _, _ in platform.orders} == {'node-0'}
--- /dev/null
+++ b/tests/platform/test_moves.py
@@ -0,0 +1,135 @@
+"""Streams leave replicas that are about to go, and run no more than allowed."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from fleet.running import (
+    expect_events,
+    make_model,
+    open_request,
+    run_node,
+    wait_until,
+)
+from standins.replica import ReplicaStandIn
+
+
+def _slow_down(replicas: list[ReplicaStandIn]) -> list[ReplicaStandIn]:
+    """Let streams last until the test has done its part."""
+    for replica in replicas:
+        replica.events = 40
+        replica.pause = 0.1
+    return replicas
+
+
+def _list_moves(replica: ReplicaStandIn) -> list[str]:
+    return [order['path'] for order in replica.orders if 'path' in order]
+
+
+async def test_streams_leave_a_replica_that_leaves() -> None:
+    """A replica in the middle of a path says that it will stop.
+
+    It ends seconds later and takes its streams with it. They are moved to
+    another path meanwhile, and callers see nothing of it.
+    """
+    replicas = _slow_down(make_model((0, 4), (4, 8), (4, 8)))
+    async with run_node(replicas) as node:
+        head = node.replicas['m-0']
+        async with open_request(node, '/plan/x') as response:
+            await response.content.readuntil(b'token 1\n\n')
+            path = node.find('exchange-sent')['path']
+            leaving = node.replicas[path[1][0]]
+            leaving.register('draining')
+            await wait_until(lambda: _list_moves(head))
+            head.pause = 0
+            rest = await response.read()
+        assert leaving.address not in _list_moves(head)[0]
+        assert rest.endswith(b'token 40\n\n')
+        assert len(head.runs) == 1
+
+
+async def test_streams_leave_layers_that_are_given_up() -> None:
+    """A replica is ordered to hold other layers.
+
+    It loads them when no stream passes through the old ones any more. With
+    long answers its zone had a gap for seven seconds.
+    """
+    replicas = _slow_down(make_model((0, 4), (4, 8), (4, 8)))
+    async with run_node(replicas) as node:
+        head = node.replicas['m-0']
+        async with open_request(node, '/plan/x') as response:
+            await response.content.readuntil(b'token 1\n\n')
+            path = node.find('exchange-sent')['path']
+            released = node.replicas[path[1][0]]
+            released.layers = (4, 5)
+            released.register()
+            await wait_until(lambda: _list_moves(head))
+            head.pause = 0
+            await response.read()
+        assert released.address not in _list_moves(head)[0]
+        assert len(head.runs) == 1
+
+
+async def test_runs_that_were_cut_off_here_count() -> None:
+    """Two first replicas in turn stand still; both are alive.
+
+    The route allows two. A third run is one too many, though this node cut
+    off both itself and neither replica was lost.
+    """
+    replicas = make_model((0, 8), (0, 8), (0, 8))
+    for replica in replicas:
+        replica.stall_after = 2
+        replica.stalls = 9
+    async with run_node(replicas) as node:
+        async with open_request(
+            node, '/plan/x', X_Ryelatch_Deadline_Ms='4500'
+        ) as response:
+            with pytest.raises(aiohttp.ClientError):
+                await response.read()
+        runs = [run for one in node.replicas.values() for run in one.runs]
+        assert len(runs) == 2
+
+
+async def test_stream_waits_for_a_repair_that_is_near(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The only replica of some layers is lost; an empty one loads them.
+
+    Run anew elsewhere, the stream and all others like it would be read
+    again from the beginning. It waits and is moved to the empty replica.
+    """
+    for name in ('PATIENCE_SECONDS', 'GIVE_UP_SECONDS'):
+        monkeypatch.setattr(f'ryelatch_node.relay._watch.{name}', 60)
+    async with run_node(make_model((0, 4), (4, 8), None)) as node:
+        head, lost, spare = node.replicas.values()
+        spare.fence = 99  # its orders are refused; the test loads it
+        head.stall_after = 2
+        head.stalled_on = lost.address
+        async with open_request(node, '/plan/x') as response:
+            await wait_until(lambda: node.count('replica-suspected'))
+            await asyncio.sleep(0.3)
+            spare.layers = (4, 8)
+            spare.register()
+            body = await response.read()
+        assert body == expect_events(5)
+        assert spare.address in _list_moves(head)[0]
+        assert len(head.runs) == 1
+
+
+async def test_last_attempt_is_not_cut_off() -> None:
+    """A stream has used its two attempts and stands still once more.
+
+    Cutting it off could not bring it back. It goes on when its replica does.
+    """
+    replicas = make_model((0, 8), (0, 8))
+    for replica in replicas:
+        replica.stall_after = 2
+    async with run_node(replicas) as node:
+        async with open_request(node, '/plan/x') as response:
+            await wait_until(lambda: node.count('stream-resumed'))
+            second = node.replicas[node.find('stream-resumed')['path'][0][0]]
+            await asyncio.sleep(1.6)
+            second.resume()
+            body = await response.read()
+        assert body == expect_events(5)
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -32,6 +32,7 @@
     :param break_after: event after which the stream is torn, once.
     :param stall_after: event after which the stream stands still until its
         path is another.
+    :param stalls: how many streams stand still.
     :param stalled_on: the address that the report then names.
     :param refuse: status of refusals, each with the "not run" mark.
     :param fail: status of its own failures.
@@ -49,6 +50,7 @@
     pause: float = 0.01
     break_after: int = 0
     stall_after: int = 0
+    stalls: int = 1
     stalled_on: str = ''
     refuse: int = 0
     fail: int = 0
@@ -82,6 +84,11 @@
             entry['layers'] = {'from': first, 'to': end, 'version': 1}
         self.store.put('servers', self.name, entry)
 
+    def resume(self) -> None:
+        """Let streams that stand still go on."""
+        self._stalled.clear()
+        self._moved.set()
+
     def make_app(self) -> web.Application:
         """Make the HTTP side."""
         app = web.Application()
@@ -103,8 +110,7 @@
         order = await request.json()
         self.orders.append(order)
         if order['op'] == 'repath':
-            self._stalled.pop(order['id'], None)
-            self._moved.set()
+            self.resume()
             return web.json_response({}, status=202)
         if order.get('fencingToken', 0) < self.fence:
             return web.json_response({}, status=412)
@@ -199,8 +205,8 @@
         return response
 
     async def _wait_stalled(self, run: Run, number: int) -> None:
-        if self.stall_after and number > self.stall_after:
-            self.stall_after = 0
+        if self.stall_after and self.stalls and number > self.stall_after:
+            self.stalls -= 1
             self._stalled[run.identity] = self.stalled_on
             await self._moved.wait()
 
