--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_plan.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_plan.py
@@ -16,9 +16,17 @@
 from collections.abc import Iterable, Iterator
 
 from ryelatch_core.fleet._performance import estimate_capacity
-from ryelatch_core.fleet._pool import Move, PoolPlan, Step, fit_replica
+from ryelatch_core.fleet._pool import (
+    Move,
+    PoolPlan,
+    Step,
+    fit_pool,
+    fit_replica,
+)
 from ryelatch_core.fleet._release import list_releases
+from ryelatch_core.fleet._rows import choose_rows
 from ryelatch_core.fleet._types import LayerRange, ModelProfile, Replica
+from ryelatch_core.fleet._zones import LEAST_ROOM, make_pools
 
 _MOST_ROOM = 200
 _SPARE_SHARE = 0.65
@@ -29,13 +37,7 @@
 wait a second on a calm day.
 """
 
-_LEAST_ROOM = 8
-"""Usual requests that must fit beside the layers of a replica.
-
-Below this it refuses more than it serves, as sizes differ threefold.
-"""
-
-_ROOMS = range(_MOST_ROOM, _LEAST_ROOM - 1, -4)
+_ROOMS = range(_MOST_ROOM, LEAST_ROOM - 1, -4)
 """Usual requests for which a replica keeps room, tried from the most."""
 
 _SPARES = 1
@@ -46,7 +48,7 @@
 pass through what it gives up, and these last up to ten seconds.
 """
 
-_REPAIR_ROOMS = (110, 80, 60, 44, 30, 20, _LEAST_ROOM)
+_REPAIR_ROOMS = (110, 80, 60, 44, 30, 20, LEAST_ROOM)
 """Rooms that a repair leaves to the replicas that it changes, best first.
 
 Two neighbours that take a half of a gap each keep more room than one that
@@ -57,12 +59,26 @@
 _WINDOW_ROOMS = (150, 110, 80, 60, 44, 30, 20, 8)
 """Rooms for which ranges are tried in a step; more finds little more."""
 
-_WORTH = 0.1
-"""Share of a plan's weight that filling an empty replica must save.
+_WORTH = 0.045
+"""Share of a plan's weight that a step must save.
+
+Where all layers of one copy have about the same room, one more replica saves
+4 in 100. Of three copies one that lost a replica of four layers weighs 6 in
+100 more.
+"""
+
+_SPARE_WORTH = 0.1
+"""The same for a step that uses one of the last empty replicas.
 
-Where all layers have about the same room, one more replica saves 4 in 100
-and is worth more as a spare; where neighbours have closed a gap, or one has
-come back empty, it saves 15 and more.
+These are for losses to come: where neighbours have closed a gap, or one has
+come back empty, it saves 15 in 100 and more.
+"""
+
+_SPARED_SHARE = 0.066
+"""Share of a pool whose replicas are the last empty ones, one at least.
+
+A replica in fifteen is lost at a time, mostly; the smallest pools are as
+large.
 """
 
 _MOST_MOVES = 8
@@ -88,7 +104,7 @@
     return tuple(
         itertools.chain.from_iterable(
             _plan_pool(pool, profile, thorough=thorough)
-            for pool in _make_pools(replicas, profile)
+            for pool in make_pools(replicas, profile)
         )
     )
 
@@ -100,41 +116,10 @@
     """Whether any pool of replicas lacks layers."""
     return any(
         PoolPlan(pool, profile).find_gap() is not None
-        for pool in _make_pools(replicas, profile)
+        for pool in make_pools(replicas, profile)
     )
 
 
-def _make_pools(
-    replicas: Iterable[Replica],
-    profile: ModelProfile,
-) -> list[list[Replica]]:
-    """Group replicas by zone where a zone can hold all layers."""
-    usable = [
-        replica
-        for replica in replicas
-        if replica.accelerator in profile.accelerators and not replica.leaving
-    ]
-    zones: dict[str, list[Replica]] = {}
-    for replica in sorted(usable, key=lambda one: one.name):
-        zones.setdefault(replica.zone, []).append(replica)
-    if all(_holds_all(pool, profile) for pool in zones.values()):
-        return list(zones.values())
-    return [list(itertools.chain.from_iterable(zones.values()))]
-
-
-def _holds_all(pool: list[Replica], profile: ModelProfile) -> bool:
-    """Whether a pool can hold all layers with the least room."""
-    return sum(_fit_pool(pool, profile, _LEAST_ROOM)) >= profile.layers
-
-
-def _fit_pool(
-    pool: Iterable[Replica],
-    profile: ModelProfile,
-    room: float,
-) -> list[int]:
-    return [fit_replica(one, profile, room) for one in pool]
-
-
 def _plan_pool(
     pool: list[Replica],
     profile: ModelProfile,
@@ -147,20 +132,17 @@
 
 
 def _plan_empty(pool: list[Replica], profile: ModelProfile) -> list[Move]:
-    """Plan a pool that holds nothing: one copy with the most room.
+    """Plan a pool that holds nothing: the copies that serve the most.
 
-    The fastest replicas come first. What is left over when the copy is whole
-    is for steps that improve it.
+    What is left over when they are whole is for steps that improve them.
     """
-    order = sorted(
-        pool,
-        key=lambda one: (
-            profile.accelerators[one.accelerator].step_factor,
-            one.name,
-        ),
-    )
-    sizes = _choose_sizes(order, profile)
-    return list(itertools.starmap(Move, _lay_row(order, sizes, profile.layers)))
+    return [
+        Move(replica, layers)
+        for row in choose_rows(pool, profile, _ROOMS, _find_room)
+        for replica, layers in _lay_row(
+            row, _choose_sizes(row, profile), profile.layers
+        )
+    ]
 
 
 def _choose_sizes(ordered: list[Replica], profile: ModelProfile) -> list[int]:
@@ -172,7 +154,7 @@
     spared = _find_room(ordered[:-_SPARES], profile)
     if spared >= most * _SPARE_SHARE:
         most = spared
-    return _fit_pool(ordered, profile, most or _LEAST_ROOM)
+    return fit_pool(ordered, profile, most or LEAST_ROOM)
 
 
 def _find_room(ordered: list[Replica], profile: ModelProfile) -> int:
@@ -181,7 +163,7 @@
         (
             room
             for room in _ROOMS
-            if sum(_fit_pool(ordered, profile, room)) >= profile.layers
+            if sum(fit_pool(ordered, profile, room)) >= profile.layers
         ),
         0,
     )
@@ -256,13 +238,20 @@
         )
         options = [(plan.rate(step), step) for step in steps]
         best = max(options, key=lambda pair: pair[0], default=None)
-        if best is None or best[0] < weight * _WORTH:
+        if best is None or best[0] < weight * _find_worth(plan):
             break
         plan.apply(best[1])
         moves.update((move.replica.name, move) for move in best[1])
     return list(moves.values())
 
 
+def _find_worth(plan: PoolPlan) -> float:
+    """Find the share of the weight that the next step must save."""
+    empty = sum(layers is None for layers in plan.held.values())
+    few = empty <= max(1, int(len(plan.held) * _SPARED_SHARE))
+    return _SPARE_WORTH if few else _WORTH
+
+
 def _list_single_steps(
     free: Iterable[Replica],
     plan: PoolPlan,
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_pool.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_pool.py
@@ -1,6 +1,7 @@
 """Weighs how well a pool of replicas holds the layers of a model."""
 
 import itertools
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -32,6 +33,15 @@
     return fit_layers(profile, accelerator, room)
 
 
+def fit_pool(
+    pool: Iterable[Replica],
+    profile: ModelProfile,
+    room: float,
+) -> list[int]:
+    """Count the layers that each replica of a pool may hold."""
+    return [fit_replica(one, profile, room) for one in pool]
+
+
 class PoolPlan:
     """A plan in the making, with the tokens that fit at each layer."""
 
--- /dev/null
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_zones.py
@@ -0,0 +1,36 @@
+"""Groups the replicas that are planned together."""
+
+import itertools
+from collections.abc import Iterable
+
+from ryelatch_core.fleet._pool import fit_pool
+from ryelatch_core.fleet._types import ModelProfile, Replica
+
+LEAST_ROOM = 8
+"""Usual requests that must fit beside the layers of a replica.
+
+Below this it refuses more than it serves, as sizes differ threefold.
+"""
+
+
+def make_pools(
+    replicas: Iterable[Replica],
+    profile: ModelProfile,
+) -> list[list[Replica]]:
+    """Group replicas by zone where a zone can hold all layers."""
+    usable = [
+        replica
+        for replica in replicas
+        if replica.accelerator in profile.accelerators and not replica.leaving
+    ]
+    zones: dict[str, list[Replica]] = {}
+    for replica in sorted(usable, key=lambda one: one.name):
+        zones.setdefault(replica.zone, []).append(replica)
+    if all(_holds_all(pool, profile) for pool in zones.values()):
+        return list(zones.values())
+    return [list(itertools.chain.from_iterable(zones.values()))]
+
+
+def _holds_all(pool: list[Replica], profile: ModelProfile) -> bool:
+    """Whether a pool can hold all layers with the least room."""
+    return sum(fit_pool(pool, profile, LEAST_ROOM)) >= profile.layers
--- a/tests/core/fleet/test_plan.py
+++ b/tests/core/fleet/test_plan.py
@@ -184,3 +184,24 @@
         kind = USUAL.accelerators[move.replica.accelerator]
         room = estimate_capacity(USUAL, kind, move.layers)
         assert room >= 40 * 991
+
+
+def test_large_zone_holds_several_copies() -> None:
+    """A zone has thirty-one replicas, with two and a half copies' memory.
+
+    With one copy over the fastest, two thirds of the replicas idled and the
+    requests of three small zones waited for the same passes. It holds a copy
+    on the fast ones and more on the others.
+    """
+    kinds = ('a100', *['v100'] * 24, *['l4'] * 9, 'a100')
+    fleet = [
+        Replica(f'r-{number}', 'model', f'r-{number}:80', 'zone-a', kind)
+        for number, kind in enumerate(kinds)
+    ]
+    placed = _apply(fleet)
+    copies = [
+        sum(one.first <= layer < one.end for one in _list_held(placed))
+        for layer in range(80)
+    ]
+    assert min(copies) >= 2
+    assert len(_list_held(placed)) >= 30
