Take what a node has had lately for what the others have

Change: a mean over time (0.05 s for each node that there is) stands for the other nodes, instead of what this node has at the moment times eight at most.

test_fast_copy_is_not_flooded asks through the new interface, so it has no run on the code before.

--- a/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
@@ -1,6 +1,6 @@
 """Engines that hold ranges of layers: what they can do, who holds what."""
 
-from ryelatch_core.fleet._load import LoadBook
+from ryelatch_core.fleet._load import NO_LOAD, LoadBook, LoadEstimate
 from ryelatch_core.fleet._path import PathQuery, choose_path
 from ryelatch_core.fleet._performance import (
     estimate_capacity,
@@ -24,10 +24,12 @@
 
 __all__ = [
     'FULL_SECONDS',
+    'NO_LOAD',
     'UNREACHABLE_SECONDS',
     'Accelerator',
     'LayerRange',
     'LoadBook',
+    'LoadEstimate',
     'ModelProfile',
     'Move',
     'PathQuery',
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_load.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_load.py
@@ -2,7 +2,8 @@
 
 import math
 from collections import Counter
-from collections.abc import Container, Iterable
+from collections.abc import Container, Iterable, Mapping
+from dataclasses import dataclass
 
 from ryelatch_core.fleet._types import Stage
 
@@ -19,10 +20,39 @@
 and a path that nobody tries would never be seen to be free again.
 """
 
+MEAN_SECONDS = 0.05
+"""Time, for each node that there is, in which means follow a change.
+
+A node of sixty has one request in twenty seconds at a replica: what it has at
+a moment tells nothing of the others, its mean over three seconds does. A node
+of eight has several at once, and the mean follows within half a second.
+"""
+
 _WEIGHT = 0.3
 """Weight of the newest excess: three requests in a row tell the truth."""
 
 
+@dataclass(slots=True)
+class _Mean:
+    """What a node had at a replica lately, as of a time."""
+
+    requests: float
+    tokens: float
+    noted: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoadEstimate:
+    """What all nodes together are taken to have at each replica, by name."""
+
+    requests: Mapping[str, float]
+    tokens: Mapping[str, float]
+
+
+NO_LOAD = LoadEstimate({}, {})
+"""Nothing in progress anywhere."""
+
+
 class LoadBook:
     """What this node has at each replica, by name, and how long it waited.
 
@@ -33,6 +63,8 @@
     def __init__(self) -> None:
         self.requests: Counter[str] = Counter()
         self.tokens: Counter[str] = Counter()
+        self._means: dict[str, _Mean] = {}
+        self._nodes = 1
         self._excess: dict[str, tuple[float, float]] = {}
 
     def note_first(
@@ -63,19 +95,57 @@
         self._excess = {
             name: noted for name, noted in self._excess.items() if name in names
         }
+        self._means = {
+            name: mean for name, mean in self._means.items() if name in names
+        }
+
+    def share_among(self, nodes: int) -> None:
+        """Take note of how many nodes there are."""
+        self._nodes = nodes
 
-    def add(self, path: Iterable[Stage], tokens: int) -> None:
+    def add(self, path: Iterable[Stage], tokens: int, now: float) -> None:
         """Note a request that was sent on a path."""
         for stage in path:
+            self._settle(stage.replica.name, now)
             self.requests[stage.replica.name] += 1
             self.tokens[stage.replica.name] += tokens
 
-    def remove(self, path: Iterable[Stage], tokens: int) -> None:
+    def remove(self, path: Iterable[Stage], tokens: int, now: float) -> None:
         """Note the end of a request."""
         for stage in path:
             name = stage.replica.name
+            self._settle(name, now)
             self.requests[name] -= 1
             self.tokens[name] -= tokens
             if self.requests[name] <= 0:
                 del self.requests[name]
                 del self.tokens[name]
+
+    def estimate(self, now: float) -> LoadEstimate:
+        """Estimate what all nodes have at the replicas.
+
+        This node's own requests are known. The others are taken to have as
+        many as this one has had lately: clients come to all alike.
+        """
+        for name in self._means:
+            self._settle(name, now)
+        others = self._nodes - 1
+        return LoadEstimate(
+            {
+                name: self.requests[name] + others * mean.requests
+                for name, mean in self._means.items()
+            },
+            {
+                name: self.tokens[name] + others * mean.tokens
+                for name, mean in self._means.items()
+            },
+        )
+
+    def _settle(self, name: str, now: float) -> None:
+        """Bring a replica's mean up to now."""
+        mean = self._means.setdefault(name, _Mean(0, 0, now))
+        following = MEAN_SECONDS * self._nodes
+        weight = 1 - math.exp((mean.noted - now) / following)
+        mean.requests += weight * (self.requests[name] - mean.requests)
+        mean.tokens += weight * (self.tokens[name] - mean.tokens)
+        mean.noted = now
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from ryelatch_core.fleet._load import NO_LOAD, LoadEstimate
 from ryelatch_core.fleet._performance import (
     estimate_capacity,
     estimate_reading,
@@ -77,10 +78,9 @@
     :param zone: where the request comes from.
     :param prompt: tokens to be read.
     :param answer: tokens expected to be written.
-    :param nodes: nodes that are taken to send as much as this one.
     :param avoid: names of replicas not to use.
-    :param requests: requests of this node at each replica.
-    :param tokens: tokens of this node's requests at each replica.
+    :param own_tokens: tokens of this node's requests at each replica.
+    :param load: what all nodes are taken to have there.
     :param excess: seconds by which paths through a replica were late.
     :param head: the stage that must come first, if any.
     :param kept: names of replicas that have read the request already.
@@ -92,10 +92,9 @@
     prompt: int
     answer: int
     draw: Callable[[], float]
-    nodes: int = 1
     avoid: frozenset[str] = frozenset()
-    requests: Mapping[str, int] = field(default_factory=dict)
-    tokens: Mapping[str, int] = field(default_factory=dict)
+    own_tokens: Mapping[str, int] = field(default_factory=dict)
+    load: LoadEstimate = NO_LOAD
     excess: Mapping[str, float] = field(default_factory=dict)
     head: Stage | None = None
     kept: frozenset[str] = frozenset()
@@ -207,10 +206,11 @@
     rates: dict[str, float] = {}
     for replica in usable:
         room = _estimate_room(replica, query)
-        own = query.tokens.get(replica.name, 0)
+        own = query.own_tokens.get(replica.name, 0)
         wanted = query.prompt + query.answer
         if own + wanted <= room:
-            fullness = (own * query.nodes + wanted) / room
+            taken = query.load.tokens.get(replica.name, 0)
+            fullness = (taken + wanted) / room
             rates[replica.name] = _rate_one(replica, query, fullness)
     return rates
 
@@ -226,7 +226,7 @@
 def _rate_one(replica: Replica, query: PathQuery, fullness: float) -> float:
     profile = query.profile
     accelerator = profile.accelerators[replica.accelerator]
-    writers = query.requests.get(replica.name, 0) * query.nodes
+    writers = query.load.requests.get(replica.name, 0)
     step = estimate_step(profile, accelerator, 1, writers)
     reading = estimate_reading(profile, accelerator, 1, query.prompt)
     crowding = 1 + min(fullness, _CROWDED) ** 2
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -5,7 +5,12 @@
 from dataclasses import dataclass, field, replace
 
 from ryelatch_core.events import catalogue
-from ryelatch_core.fleet import Replica, Stage, choose_path
+from ryelatch_core.fleet import (
+    NO_LOAD,
+    Replica,
+    Stage,
+    choose_path,
+)
 from ryelatch_core.streams import EventCutter, StreamError
 from ryelatch_node.ports import Dispatch
 from ryelatch_node.relay._errors import (
@@ -143,7 +148,7 @@
     scope = asyncio.timeout(None)
     now = parts.clock.monotonic()
     stream = LiveStream(exchange, inquiry, path, now, now, tokens, scope)
-    parts.load.add(path, tokens)
+    parts.load.add(path, tokens, now)
     watch.streams.add(stream)
     try:
         async with scope:
@@ -160,7 +165,7 @@
         )
     finally:
         watch.streams.discard(stream)
-        parts.load.remove(stream.path, tokens)
+        parts.load.remove(stream.path, tokens, parts.clock.monotonic())
     return _Next.AGAIN
 
 
@@ -392,6 +397,6 @@
     query = make_query(parts, inquiry, parts.replicas.list_unreachable())
     if query is None:
         return True
-    unloaded = replace(query, tokens={}, requests={})
+    unloaded = replace(query, own_tokens={}, load=NO_LOAD)
     offered = parts.replicas.list_service(inquiry.service)
     return not choose_path(offered, unloaded)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_mover.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_mover.py
@@ -68,10 +68,11 @@
             pause=round_seconds(pause),
         )
         if moved.result in {OrderResult.BEGUN, OrderResult.HELD}:
-            self.parts.load.remove(stream.path, stream.tokens)
-            self.parts.load.add(path, stream.tokens)
+            now = self.parts.clock.monotonic()
+            self.parts.load.remove(stream.path, stream.tokens, now)
+            self.parts.load.add(path, stream.tokens, now)
             stream.path = path
-            stream.progress = self.parts.clock.monotonic()
+            stream.progress = now
         return moved
 
     def _blame(
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
@@ -37,7 +37,6 @@
     orders: Orders
     budget: RetryBudget
     load: LoadBook = field(default_factory=LoadBook)
-    nodes: int = 1
     times: dict[str, float] = field(default_factory=lambda: defaultdict(float))
 
     def draw(self) -> float:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_query.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_query.py
@@ -24,17 +24,17 @@
     profile = find_profile(parts, inquiry.service)
     if profile is None:
         return None
+    now = parts.clock.monotonic()
     return PathQuery(
         profile=profile,
         zone=parts.startup.zone,
         prompt=inquiry.terms.prompt,
         answer=expect_answer(inquiry, profile.usual_answer),
         draw=parts.draw,
-        nodes=parts.nodes,
         avoid=avoid,
-        requests=parts.load.requests,
-        tokens=parts.load.tokens,
-        excess=parts.load.list_excess(parts.clock.monotonic()),
+        own_tokens=parts.load.tokens,
+        load=parts.load.estimate(now),
+        excess=parts.load.list_excess(now),
     )
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -49,13 +49,6 @@
 ANSWER_SECONDS = 3.5
 """Time kept for plain answers in progress; they take 1.5 s at most."""
 
-MOST_ESTIMATED = 8
-"""Nodes up to which each is taken to have as much in progress as this one.
-
-With more of them a node has no or one request at most replicas, and times
-sixty that would be a guess between nothing and far too much.
-"""
-
 _POLL_SECONDS = 0.05
 _UNAVAILABLE = 503
 
@@ -133,12 +126,10 @@
     def share_among(self, nodes: int) -> None:
         """Take this node's slice of what all nodes share.
 
-        :param nodes: nodes that there are. Beyond a few, what one node sends
-            tells little of the others, so the estimate of their load from
-            its own goes no further than that.
+        :param nodes: nodes that there are.
         """
         parts = self._parts
-        parts.nodes = min(nodes, MOST_ESTIMATED)
+        parts.load.share_among(nodes)
         parts.budget.resize(find_reserve(parts.startup.retry_extra, nodes))
 
     async def drain(self) -> None:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from ryelatch_core.events import LineLog, keep_running
+from ryelatch_core.fleet import LoadBook
 from ryelatch_core.kernel import App, Service, cancel_task
 from ryelatch_node.beliefs import ConfigurationView, ReplicaView
 from ryelatch_node.ports import Orders, RelayStartup, Wire
@@ -110,6 +111,8 @@
 def _collect(app: App) -> Parts:
     startup = app.find('startup', RelayStartup)
     wire = app.find('wire', Wire)
+    load = LoadBook()
+    load.share_among(USUAL_NODES)
     return Parts(
         startup=startup,
         log=app.find('log', LineLog),
@@ -123,5 +126,5 @@
         budget=open_budget(
             startup.retry_ratio, startup.retry_extra, USUAL_NODES
         ),
-        nodes=USUAL_NODES,
+        load=load,
     )
--- a/tests/core/fleet/test_path.py
+++ b/tests/core/fleet/test_path.py
@@ -138,10 +138,12 @@
     chance = random.Random(3)
     for _ in range(40):
         query = make_query(
-            draw=chance.random, requests=book.requests, tokens=book.tokens
+            draw=chance.random,
+            own_tokens=book.tokens,
+            load=book.estimate(0),
         )
         path = choose_path([*replicas, rest, tail], query)
-        book.add(path, 991)
+        book.add(path, 991, 0)
         used[path[0].replica.name] += 1
     assert min(used['one'], used['two']) >= 15
 
@@ -149,10 +151,50 @@
 def test_load_book_forgets_what_ended() -> None:
     path = (Stage(make_replica('one', 0, 80), LayerRange(0, 80)),)
     book = LoadBook()
-    book.add(path, 100)
-    book.add(path, 50)
-    book.remove(path, 100)
+    book.add(path, 100, 0)
+    book.add(path, 50, 0)
+    book.remove(path, 100, 0)
     assert dict(book.tokens) == {'one': 50}
-    book.remove(path, 50)
+    book.remove(path, 50, 0)
     assert not book.requests
     assert not book.tokens
+
+
+def test_fast_copy_is_not_flooded() -> None:
+    """Sixty nodes send two requests a second each; one copy is fast.
+
+    A node has none or one request in progress, so the fast copy looked idle
+    to each of them: all sent all there, and callers waited a second on a
+    calm day while the slow copy idled. What a node has had lately tells it
+    what the others have.
+    """
+    fast = [
+        make_replica(f'fast-{first}', first, first + 20)
+        for first in range(0, 80, 20)
+    ]
+    slow = [
+        make_replica(f'slow-{first}', first, first + 4, kind='v100')
+        for first in range(0, 80, 4)
+    ]
+    chance = random.Random(5)
+    book = LoadBook()
+    book.share_among(60)
+    used: Counter[str] = Counter()
+    now = 0.0
+    ends: list[tuple[float, tuple[Stage, ...]]] = []
+    for _ in range(60):
+        now += 0.5
+        while ends and ends[0][0] <= now:
+            end, path = ends.pop(0)
+            book.remove(path, 991, end)
+        query = make_query(
+            draw=chance.random,
+            own_tokens=book.tokens,
+            load=book.estimate(now),
+        )
+        path = choose_path([*fast, *slow], query)
+        book.add(path, 991, now)
+        ends.append((now + 1.2, path))
+        used[path[0].replica.name] += 1
+    assert used['slow-0'] >= 4
+    assert used['fast-0'] >= 30
