Bound headers and slow senders; read the settings again while running

Cause: the HTTP library takes headers of any size for any time, and a body may stand still for good; the issue asks for the configuration's limits. SIGHUP was recorded and nothing was read.

Change: a protocol of ours on top of the library's: 431 for a header beyond the limit, 408 for a header or body that stands still, a connection without a request is closed; an answer of this node never comes in the middle of another one. Settings are read on SIGHUP and when the file has changed (looked at every 5 s); names and sockets wait for a start, and the line says so.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -59,6 +59,14 @@
     Level.ERROR,
 )
 
+SETTINGS_UNREADABLE = EventKind(
+    1107,
+    'settings-unreadable',
+    'The settings file has changed and could not be read; nothing changed.',
+    'Correct the file; the reason names the place and what was expected.',
+    Level.WARNING,
+)
+
 REQUEST_ADMITTED = EventKind(
     1201, 'request-admitted', 'A request left the queue of its client account.'
 )
--- a/packages/ryelatch-core/src/ryelatch_core/retries/_budget.py
+++ b/packages/ryelatch-core/src/ryelatch_core/retries/_budget.py
@@ -20,12 +20,15 @@
         self._reserve = reserve
         self._left = reserve
 
-    def resize(self, reserve: float) -> None:
+    def resize(self, reserve: float, share: float | None = None) -> None:
         """Change how much can be saved up; what is beyond it is lost.
 
         :param reserve: the most that can be saved up from now on.
+        :param share: retries earned by each request from now on.
         """
         self._reserve = reserve
+        if share is not None:
+            self._share = share
         self._left = min(self._left, reserve)
 
     @property
--- a/packages/ryelatch-node/src/ryelatch_node/beliefs/_configuration.py
+++ b/packages/ryelatch-node/src/ryelatch_node/beliefs/_configuration.py
@@ -26,6 +26,10 @@
         self._confirmation = Confirmation(bound)
         self._fresh = True
 
+    def set_bound(self, bound: float) -> None:
+        """Change for how long keys may be accepted unconfirmed."""
+        self._confirmation.bound = bound
+
     @property
     def version(self) -> int:
         """The version in force; 0 before any is known."""
--- a/packages/ryelatch-node/src/ryelatch_node/ports/__init__.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/__init__.py
@@ -7,7 +7,12 @@
     Orders,
     Report,
 )
-from ryelatch_node.ports._startup import Address, RelayStartup
+from ryelatch_node.ports._startup import (
+    Address,
+    RelayStartup,
+    SettingsChanged,
+    keep_fixed,
+)
 from ryelatch_node.ports._wire import (
     AnswerTerms,
     Dispatch,
@@ -29,5 +34,7 @@
     'RelayStartup',
     'Report',
     'RequestTerms',
+    'SettingsChanged',
     'Wire',
+    'keep_fixed',
 ]
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_startup.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_startup.py
@@ -1,5 +1,6 @@
 """What a process is told at its start."""
 
+from dataclasses import dataclass
 from typing import NamedTuple
 
 
@@ -40,3 +41,29 @@
     revoke_seconds: float
     stall_seconds: float
     fenced: bool
+
+
+FIXED = ('name', 'zone', 'front', 'readiness', 'metrics', 'store')
+"""Settings that take effect at a start, when sockets and names are made."""
+
+
+@dataclass(frozen=True)
+class SettingsChanged:
+    """The settings of this process have changed."""
+
+    startup: RelayStartup
+
+
+def keep_fixed(
+    old: RelayStartup,
+    new: RelayStartup,
+) -> tuple[RelayStartup, tuple[str, ...]]:
+    """Take new settings but for those that need a start.
+
+    :returns: what is in force from now on, and the names of changed settings
+        that wait for a start.
+    """
+    waiting = tuple(
+        name for name in FIXED if getattr(old, name) != getattr(new, name)
+    )
+    return new._replace(**{name: getattr(old, name) for name in FIXED}), waiting
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_budget.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_budget.py
@@ -9,6 +9,13 @@
 count don't fit what each needs; the rest covers the difference.
 """
 
+USUAL_NODES = 8
+"""Nodes among which work and retries are taken to be shared.
+
+Each user has 7 or 8 entry VMs; more make each slice of the retries larger
+than its due, for which the budget's margin stands.
+"""
+
 
 def open_budget(ratio: float, extra: float, nodes: int) -> RetryBudget:
     """Make the budget of one of several nodes.
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -10,6 +10,7 @@
 from ryelatch_core.events import catalogue
 from ryelatch_core.kernel import cancel_task
 from ryelatch_core.routing import (
+    ClientLimits,
     Route,
     RoutingTable,
     choose_service,
@@ -41,6 +42,7 @@
 
 _UNAUTHORIZED = 401
 _NOT_FOUND = 404
+_REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
@@ -110,6 +112,11 @@
         except _TooLarge:
             await exchange.refuse(_TOO_LARGE, 'the body is too large')
             return
+        except TimeoutError:
+            # Nothing was sent on, so the promise of a 408 holds.
+            exchange.closing = True
+            await exchange.refuse(_REQUEST_TIMEOUT, 'the body stands still')
+            return
         inquiry = self._admit(scope, terms, body, arrived)
         if isinstance(inquiry, _Refusal):
             await self._refuse(exchange, inquiry)
@@ -129,16 +136,17 @@
 
     async def _read_body(self, receive: Receive) -> bytes:
         table = self._parts.configuration.table
-        most = table.configuration.limits.body_bytes if table else 0
+        limits = table.configuration.limits if table else ClientLimits()
         pieces: list[bytes] = []
         size = 0
         while True:
-            message = await receive()
+            async with asyncio.timeout(limits.idle_seconds):
+                message = await receive()
             if message['type'] != 'http.request':
                 raise ClientGone
             pieces.append(message['body'])
             size += len(message['body'])
-            if most and size > most:
+            if size > limits.body_bytes:
                 raise _TooLarge
             if not message['more_body']:
                 return b''.join(pieces)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -4,6 +4,7 @@
 import contextlib
 import math
 import socket
+from typing import Any
 
 import uvicorn
 from starlette.applications import Starlette
@@ -13,11 +14,13 @@
 from starlette.types import Receive, Scope, Send
 
 from ryelatch_core.events import catalogue
-from ryelatch_node.ports import Address
-from ryelatch_node.relay._budget import find_reserve
+from ryelatch_core.routing import ClientLimits
+from ryelatch_node.ports import Address, SettingsChanged
+from ryelatch_node.relay._budget import SAFETY, USUAL_NODES, find_reserve
 from ryelatch_node.relay._ingress import Ingress
 from ryelatch_node.relay._metrics import RelayMetrics
 from ryelatch_node.relay._parts import Parts
+from ryelatch_node.relay._protocol import BoundedProtocol
 
 BACKLOG = 1024
 """New connections that wait while the loop is busy.
@@ -67,6 +70,7 @@
         self._counted = metrics
         self._server: uvicorn.Server | None = None
         self._config: uvicorn.Config | None = None
+        self._nodes = USUAL_NODES
         self._sockets: list[socket.socket] = []
         # Where it listens; the system chooses for a port of 0.
         self.front = parts.startup.front
@@ -94,7 +98,7 @@
             log_config=None,
             access_log=False,
             lifespan='off',
-            http='httptools',
+            http=self._make_protocol,  # type: ignore[arg-type]
             interface='asgi3',
             ws='none',
             server_header=False,
@@ -116,9 +120,8 @@
 
     def apply_limits(self) -> None:
         """Keep idle connections for as long as the configuration says."""
-        table = self._parts.configuration.table
-        if table is not None and self._config is not None:
-            limits = table.configuration.limits
+        limits = self._read_limits()
+        if limits is not None and self._config is not None:
             # Clients may reuse a connection up to the limit; closing a little
             # late crosses none of their requests.
             self._config.timeout_keep_alive = math.ceil(limits.idle_seconds)
@@ -128,9 +131,15 @@
 
         :param nodes: nodes that there are.
         """
-        parts = self._parts
-        parts.load.share_among(nodes)
-        parts.budget.resize(find_reserve(parts.startup.retry_extra, nodes))
+        self._nodes = nodes
+        self._parts.load.share_among(nodes)
+        self._apply_budget()
+
+    def apply_settings(self, changed: SettingsChanged) -> None:
+        """Take settings that changed while this process runs."""
+        self._parts.startup = changed.startup
+        self._parts.configuration.set_bound(changed.startup.revoke_seconds)
+        self._apply_budget()
 
     async def drain(self) -> None:
         """Serve what comes until the clients have left or the grace ends.
@@ -172,6 +181,27 @@
         else:
             await self._inner(scope, receive, send)
 
+    def _make_protocol(
+        self, *arguments: Any, **options: Any
+    ) -> BoundedProtocol:
+        return BoundedProtocol(
+            *arguments,
+            read_limits=self._read_limits,
+            log=self._parts.log,
+            **options,
+        )
+
+    def _read_limits(self) -> ClientLimits | None:
+        table = self._parts.configuration.table
+        return table.configuration.limits if table else None
+
+    def _apply_budget(self) -> None:
+        startup = self._parts.startup
+        self._parts.budget.resize(
+            find_reserve(startup.retry_extra, self._nodes),
+            startup.retry_ratio * SAFETY,
+        )
+
     async def _tell_ready(self, request: Request) -> Response:
         if self.ready:
             return PlainTextResponse('ready\n')
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -6,8 +6,8 @@
 from ryelatch_core.fleet import LoadBook
 from ryelatch_core.kernel import App, Service, cancel_task
 from ryelatch_node.beliefs import ConfigurationView, ReplicaView
-from ryelatch_node.ports import Orders, RelayStartup, Wire
-from ryelatch_node.relay._budget import open_budget
+from ryelatch_node.ports import Orders, RelayStartup, SettingsChanged, Wire
+from ryelatch_node.relay._budget import USUAL_NODES, open_budget
 from ryelatch_node.relay._ingress import Ingress
 from ryelatch_node.relay._metrics import RelayMetrics
 from ryelatch_node.relay._parts import Parts
@@ -16,13 +16,6 @@
 from ryelatch_node.relay._upstream import Upstreams
 from ryelatch_node.relay._watch import StreamWatch
 
-USUAL_NODES = 8
-"""Nodes among which work and retries are taken to be shared.
-
-Each user has 7 or 8 entry VMs; more make each slice of the retries larger
-than its due, for which the budget's margin stands.
-"""
-
 HOUSEKEEPING_SECONDS = 0.5
 
 
@@ -73,6 +66,7 @@
     )
     server = RelayServer(parts, Ingress(parts, watch, metrics), metrics)
     keeper = Housekeeper(parts, server)
+    app.hub.connect(SettingsChanged, server.apply_settings)
     upstreams = parts.upstreams
     app.add(
         Service(
--- /dev/null
+++ b/tests/platform/test_reload.py
@@ -0,0 +1,50 @@
+"""Settings that change while a process runs."""
+
+from pathlib import Path
+
+from fleet.running import make_plain, run_node
+from ryelatch_platform._reload import SettingsWatch
+
+_FILE = """
+nodeName = "edge-1"
+zone = "zone-a"
+[listen]
+frontend = "10.1.0.40:8227"
+readiness = "10.1.0.40:8220"
+[bounds]
+revokeMs = {revoke}
+retryBudgetExtra = {extra}
+[platform]
+addr = "10.200.1.7:8223"
+"""
+
+
+async def test_changed_bounds_take_effect(tmp_path: Path) -> None:
+    """An operator tightens the bound on revoked keys and sends SIGHUP.
+
+    The process was told and went on by the old bound until its next start.
+    """
+    path = tmp_path / 'settings.toml'
+    path.write_text(_FILE.format(revoke=5000, extra=200))
+    async with run_node(make_plain(1)) as node:
+        watch = SettingsWatch(node.app, path)
+        path.write_text(_FILE.format(revoke=1000, extra=8))
+        watch.reload()
+        # The margin alone takes more than a second.
+        assert not node.server.ready
+        line = node.find('settings-reloaded')
+        assert line['changed']
+        # Sockets are made at a start only.
+        assert set(line['waiting']) >= {'front', 'store'}
+
+
+async def test_unreadable_settings_change_nothing(tmp_path: Path) -> None:
+    """The file is wrong; the process serves on, and says what is wrong."""
+    path = tmp_path / 'settings.toml'
+    path.write_text(_FILE.format(revoke=5000, extra=200))
+    async with run_node(make_plain(1)) as node:
+        watch = SettingsWatch(node.app, path)
+        path.write_text('nodeName = 3')
+        watch.reload()
+        assert node.server.ready
+        assert 'nodeName' in node.find('settings-unreadable')['reason']
