Share the retries safely before the nodes are counted

All nodes were killed at 34 s; each process that starts took itself for one of eight and saved up an eighth of the retries, 26 of them, until it had counted sixty nodes two seconds later.

A slice that grows is filled over time.

--- a/packages/ryelatch-core/src/ryelatch_core/retries/_budget.py
+++ b/packages/ryelatch-core/src/ryelatch_core/retries/_budget.py
@@ -13,22 +13,29 @@
 
     :param share: retries earned by each request.
     :param reserve: the most that can be saved up.
+    :param rate: retries that come free in a second besides.
     """
 
-    def __init__(self, share: float = SHARE, reserve: float = RESERVE) -> None:
+    def __init__(
+        self,
+        share: float = SHARE,
+        reserve: float = RESERVE,
+        rate: float = 0,
+    ) -> None:
         self._share = share
         self._reserve = reserve
+        self._rate = rate
         self._left = reserve
 
-    def resize(self, reserve: float, share: float | None = None) -> None:
-        """Change how much can be saved up; what is beyond it is lost.
+    def resize(self, share: float, reserve: float, rate: float) -> None:
+        """Change what is earned and saved up; what is beyond it is lost.
 
-        :param reserve: the most that can be saved up from now on.
-        :param share: retries earned by each request from now on.
+        What is left does not grow: a budget that was opened for few nodes
+        and turns out to be shared by many has spent too much already.
         """
+        self._share = share
         self._reserve = reserve
-        if share is not None:
-            self._share = share
+        self._rate = rate
         self._left = min(self._left, reserve)
 
     @property
@@ -40,6 +47,10 @@
         """Note a first try."""
         self._left = min(self._reserve, self._left + self._share)
 
+    def refill(self, seconds: float) -> None:
+        """Add what came free in a time."""
+        self._left = min(self._reserve, self._left + self._rate * seconds)
+
     def spend(self) -> bool:
         """Take leave for a retry, if there is any."""
         if self._left < 1:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_budget.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_budget.py
@@ -1,32 +1,63 @@
 """The slice of one node of the retries that all nodes may make."""
 
+from dataclasses import dataclass
+
 from ryelatch_core.retries import RetryBudget
 
-SAFETY = 0.7
-"""Share of the allowance that is used.
+EARNED_SHARE = 0.7
+"""Share that is used of the retries which requests earn.
 
-Nodes come and go and clients are spread unevenly over them, so slices by
-count don't fit what each needs; the rest covers the difference.
+Clients are spread unevenly over nodes, so slices by count don't fit what each
+needs; the rest covers the difference.
 """
 
-USUAL_NODES = 8
-"""Nodes among which work and retries are taken to be shared.
+SAVED_SHARE = 0.45
+"""Share of the allowance of a window that may be saved up and spent at once.
+
+A process that starts has its slice anew, whatever the one before it spent in
+the same window. All killed at once, they spend this share twice.
+"""
+
+REFILL_SHARE = 0.3
+"""Share of the allowance of a window that comes free over its length."""
+
+UNCOUNTED_NODES = 100
+"""Nodes among which retries are shared until they have been counted.
 
-Each user has 7 or 8 entry VMs; more make each slice of the retries larger
-than its due, for which the budget's margin stands.
+Taken for eight, each of sixty nodes that had just been killed together had an
+eighth of the retries, and they spent twice what was allowed in ten seconds.
 """
 
+LEAST_SAVED = 2.0
+"""Retries that a node may save up at least: a stream may break twice."""
 
-def open_budget(ratio: float, extra: float, nodes: int) -> RetryBudget:
-    """Make the budget of one of several nodes.
+
+@dataclass(frozen=True)
+class RetryTerms:
+    """What all nodes together may retry.
 
     :param ratio: retries allowed for each request.
-    :param extra: retries allowed besides, in a window, over all nodes.
-    :param nodes: nodes that share it.
+    :param extra: retries allowed besides, in a window.
+    :param window: its length in seconds.
     """
-    return RetryBudget(ratio * SAFETY, find_reserve(extra, nodes))
+
+    ratio: float
+    extra: float
+    window: float
+
+
+def open_budget(terms: RetryTerms) -> RetryBudget:
+    """Make the budget of one of several nodes that were not counted yet."""
+    budget = RetryBudget(terms.ratio * EARNED_SHARE, LEAST_SAVED)
+    share_budget(budget, terms, UNCOUNTED_NODES)
+    return budget
 
 
-def find_reserve(extra: float, nodes: int) -> float:
-    """Find what one of several nodes may save up."""
-    return max(1, extra * SAFETY / nodes)
+def share_budget(budget: RetryBudget, terms: RetryTerms, nodes: int) -> None:
+    """Give a budget the slice of one of some nodes."""
+    slice_of_window = terms.extra / nodes
+    budget.resize(
+        terms.ratio * EARNED_SHARE,
+        max(LEAST_SAVED, slice_of_window * SAVED_SHARE),
+        slice_of_window * REFILL_SHARE / terms.window,
+    )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -16,7 +16,11 @@
 from ryelatch_core.events import catalogue
 from ryelatch_core.routing import ClientLimits
 from ryelatch_node.ports import Address, SettingsChanged
-from ryelatch_node.relay._budget import SAFETY, USUAL_NODES, find_reserve
+from ryelatch_node.relay._budget import (
+    UNCOUNTED_NODES,
+    RetryTerms,
+    share_budget,
+)
 from ryelatch_node.relay._ingress import Ingress
 from ryelatch_node.relay._metrics import RelayMetrics
 from ryelatch_node.relay._parts import Parts
@@ -70,7 +74,7 @@
         self._counted = metrics
         self._server: uvicorn.Server | None = None
         self._config: uvicorn.Config | None = None
-        self._nodes = USUAL_NODES
+        self._nodes = UNCOUNTED_NODES
         self._sockets: list[socket.socket] = []
         # Where it listens; the system chooses for a port of 0.
         self.front = parts.startup.front
@@ -197,10 +201,10 @@
 
     def _apply_budget(self) -> None:
         startup = self._parts.startup
-        self._parts.budget.resize(
-            find_reserve(startup.retry_extra, self._nodes),
-            startup.retry_ratio * SAFETY,
+        terms = RetryTerms(
+            startup.retry_ratio, startup.retry_extra, startup.retry_window
         )
+        share_budget(self._parts.budget, terms, self._nodes)
 
     async def _tell_ready(self, request: Request) -> Response:
         if self.ready:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -7,7 +7,7 @@
 from ryelatch_core.kernel import App, Service, cancel_task
 from ryelatch_node.beliefs import ConfigurationView, ReplicaView
 from ryelatch_node.ports import Orders, RelayStartup, SettingsChanged, Wire
-from ryelatch_node.relay._budget import USUAL_NODES, open_budget
+from ryelatch_node.relay._budget import RetryTerms, open_budget
 from ryelatch_node.relay._ingress import Ingress
 from ryelatch_node.relay._metrics import RelayMetrics
 from ryelatch_node.relay._parts import Parts
@@ -16,6 +16,13 @@
 from ryelatch_node.relay._upstream import Upstreams
 from ryelatch_node.relay._watch import StreamWatch
 
+USUAL_NODES = 8
+"""Nodes among which work is taken to be shared until they are counted.
+
+Each user has 7 or 8 entry VMs. Where there are more, the load of the others
+is taken for too small for two seconds.
+"""
+
 HOUSEKEEPING_SECONDS = 0.5
 
 
@@ -41,6 +48,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._parts.replicas.drop_lapsed()
+            self._parts.budget.refill(HOUSEKEEPING_SECONDS)
             self._parts.load.keep(self._parts.replicas.replicas)
             self._parts.configuration.allows_keys()
             self._server.apply_limits()
@@ -118,7 +126,9 @@
         wire=wire,
         orders=app.find('orders', Orders),
         budget=open_budget(
-            startup.retry_ratio, startup.retry_extra, USUAL_NODES
+            RetryTerms(
+                startup.retry_ratio, startup.retry_extra, startup.retry_window
+            )
         ),
         load=load,
     )
--- a/tests/core/retries/test_budget.py
+++ b/tests/core/retries/test_budget.py
@@ -15,3 +15,15 @@
         retries += budget.spend()
     assert 100 <= retries <= 110
     assert budget.left < 1
+
+
+def test_waiting_refills_a_part() -> None:
+    """Nothing is earned while all requests fail; some retries come free."""
+    budget = RetryBudget(share=0, reserve=4, rate=0.5)
+    while budget.spend():
+        """Use up what was saved."""
+    budget.refill(2)
+    assert budget.spend()
+    assert not budget.spend()
+    budget.refill(1000)
+    assert budget.left == 4
