A randomized fault soak over real processes

Nodes run as processes of their own against stand-ins for the store and the replicas; every way between them is a loopback link that delays, cuts one way, silences or resets. Processes are killed, stopped, paused and told of changed settings in series that overlap; the store refuses, falls silent, loses answers, forgets its history; replicas refuse, fail, hang, spoil answers, leave and are replaced. Checked from what clients and replicas saw: right and own answers, once at most, "not run" true, nobody's key used, revoked keys, leaving replicas, unwanted ends and crashed parts, recovery.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,11 @@
 # Every target sets up what it needs first; nothing is installed outside .venv.
 PYTHON ?= python3
+SEEDS ?= 50
 BIN := .venv/bin
 PACKAGES := packages/ryelatch-core packages/ryelatch-node packages/ryelatch-cli platform
 SOURCES := packages platform tests benchmarks docs
 
-.PHONY: setup demo test fleet lint format bench slopes guards docs
+.PHONY: setup demo test fleet lint format bench slopes guards docs soak
 
 setup: .venv/ready
 
@@ -27,7 +28,7 @@
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
 	$(BIN)/flake8 packages platform tests benchmarks
-	$(BIN)/mypy packages/*/src platform/src tests/standins tests/fleet
+	$(BIN)/mypy packages/*/src platform/src tests/standins tests/fleet tests/soak
 
 format: setup
 	$(BIN)/ruff format $(SOURCES)
@@ -45,3 +46,6 @@
 docs: setup
 	$(BIN)/python docs/generate.py
 	$(BIN)/sphinx-build -q -W -b html docs build/docs
+
+soak: setup
+	cd tests && ../$(BIN)/python -m soak --seeds $(SEEDS) --seconds 10
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real nodes, faults from outside, promises checked."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,43 @@
+"""Plays seeds by hand and tells what broke: ``python -m soak --seeds 50``."""
+
+import argparse
+import asyncio
+import random
+import sys
+from pathlib import Path
+
+from soak.play import play_seed
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog='soak')
+    parser.add_argument('--first', type=int, help='the first seed; or random')
+    parser.add_argument('--seeds', type=int, default=10)
+    parser.add_argument('--seconds', type=float, default=10)
+    parser.add_argument('--folder', type=Path, default=Path('build/soak'))
+    return parser.parse_args()
+
+
+def main() -> int:
+    """Play the seeds that the command line names."""
+    options = _parse()
+    first = options.first or random.randrange(1_000_000)
+    failed = 0
+    for seed in range(first, first + options.seeds):
+        folder = options.folder / str(seed)
+        folder.mkdir(parents=True, exist_ok=True)
+        outcome = asyncio.run(play_seed(seed, options.seconds, folder))
+        failed += bool(outcome.violations)
+        sys.stdout.write(
+            f'seed {seed}: {len(outcome.faults)} faults, '
+            f'statuses {dict(outcome.statuses)}, '
+            f'{len(outcome.violations)} violations\n'
+        )
+        for violation in outcome.violations:
+            sys.stdout.write(f'  {violation}\n')
+        sys.stdout.flush()
+    return min(failed, 1)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -11,15 +11,23 @@
 from standins.objects import ObjectStore
 
 
+def _read_clock() -> float:
+    return asyncio.get_running_loop().time()
+
+
 @dataclass
 class Run:
-    """A request that the replica received."""
+    """A request that the replica received.
+
+    :param at: when it came, by the loop's clock.
+    """
 
     identity: str
     headers: CIMultiDict[str]
     path: str
     body: bytes
     cancelled: bool = False
+    at: float = field(default_factory=_read_clock)
 
 
 @dataclass(eq=False)
