Leave replicas that fail more requests than others do

They look idle and fast, so the second try of a request went to the same one.

A failed stream is tried at another first replica.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -125,7 +125,10 @@
     if query is None:
         return ()
     offered = parts.replicas.list_service(inquiry.service)
-    path = choose_path(offered, query)
+    failing = parts.failures.list_failing(parts.clock.monotonic())
+    sound = replace(query, avoid=avoided | failing, crosses=False)
+    path = choose_path(offered, sound) if failing else ()
+    path = path or choose_path(offered, query)
     if path or not exchange.started:
         return path
     # A stream whose beginning the client has is lost if it goes nowhere;
@@ -223,7 +226,7 @@
         if not answer.terms.signed:
             raise SendError(SendErrorKind.SPOILED, 'unsigned answer')
         if answer.status != _OK:
-            return await _take_failure(stream, answer, progress)
+            return await _take_failure(parts, stream, answer, progress)
         return await _pass_events(parts, stream, answer, progress)
 
 
@@ -263,6 +266,7 @@
 
 
 async def _take_failure(
+    parts: Parts,
     stream: LiveStream,
     answer: Answer,
     progress: _Progress,
@@ -276,7 +280,12 @@
         status=answer.status,
         outcome='failed',
     )
-    if answer.status >= _SERVER_ERROR and stream.inquiry.repeatable:
+    failed = answer.status >= _SERVER_ERROR
+    _note_outcome(parts, stream, failed=failed)
+    if failed and stream.inquiry.repeatable:
+        # Failing at once it has room and looks fast; the next try would go
+        # there again.
+        progress.left.add(stream.head.name)
         progress.held = (answer, body)
         return _Next.AGAIN
     if stream.exchange.started:
@@ -308,9 +317,19 @@
         await exchange.start(answer.status, _strip_length(answer))
     await exchange.write(b'', more=False)
     parts.replicas.trust(stream.head)
+    _note_outcome(parts, stream, failed=False)
     return _Next.DONE
 
 
+def _note_outcome(parts: Parts, stream: LiveStream, *, failed: bool) -> None:
+    parts.failures.note(
+        stream.head.name,
+        stream.inquiry.route.name,
+        parts.clock.monotonic(),
+        failed=failed,
+    )
+
+
 def _strip_length(answer: Answer) -> list[tuple[bytes, bytes]]:
     """Leave out the length: a resumed stream may have another."""
     return [pair for pair in answer.headers if pair[0] != b'content-length']
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from ryelatch_core.events import LineLog
-from ryelatch_core.fleet import LoadBook
+from ryelatch_core.fleet import FailureBook, LoadBook
 from ryelatch_core.kernel import Clock
 from ryelatch_core.retries import RetryBudget
 from ryelatch_node.beliefs import ConfigurationView, ReplicaView
@@ -37,6 +37,7 @@
     orders: Orders
     budget: RetryBudget
     load: LoadBook = field(default_factory=LoadBook)
+    failures: FailureBook = field(default_factory=FailureBook)
     times: dict[str, float] = field(default_factory=lambda: defaultdict(float))
 
     def draw(self) -> float:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
@@ -114,9 +114,11 @@
     avoided = parts.replicas.list_suspects()
     fresh = [one for one in offered if one.name not in tried]
     trusted = [one for one in fresh if one.name not in avoided]
+    failing = parts.failures.list_failing(parts.clock.monotonic())
+    sound = [one for one in trusted if one.name not in failing]
     loads = parts.load.requests
     return min(
-        trusted or fresh,
+        sound or trusted or fresh,
         key=lambda one: (
             loads[one.name] / one.slots,
             parts.slowness(one.name),
@@ -206,7 +208,14 @@
         if not answer.terms.signed:
             raise SendError(SendErrorKind.SPOILED, 'unsigned answer')
     exchange.ran += 1
-    if answer.status < _SERVER_ERROR:
+    failed = answer.status >= _SERVER_ERROR
+    parts.failures.note(
+        replica.name,
+        inquiry.route.name,
+        parts.clock.monotonic(),
+        failed=failed,
+    )
+    if not failed:
         parts.replicas.trust(replica)
     return _Held(answer, body)
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -50,6 +50,7 @@
             self._parts.replicas.drop_lapsed()
             self._parts.budget.refill(HOUSEKEEPING_SECONDS)
             self._parts.load.keep(self._parts.replicas.replicas)
+            self._parts.failures.keep(self._parts.replicas.replicas)
             self._parts.configuration.allows_keys()
             self._server.apply_limits()
             self._parts.log.report_dropped()
