--- a/packages/ryelatch-node/src/ryelatch_node/relay/_evacuation.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_evacuation.py
@@ -52,20 +52,18 @@
             stream.tries += 1
         return due
 
-    def is_leaving(self, replica: Replica, now: float) -> bool:
-        """Whether a replica said some time ago that it leaves."""
+    def is_leaving(self, replica: Replica) -> bool:
+        """Whether a replica says that it leaves."""
         listed = self.replicas.replicas.get(replica.name)
-        if listed is None or not listed.leaving:
-            self._since.pop(replica.name, None)
-            return False
-        since = self._since.setdefault(replica.name, now)
-        return now - since > LEAVING_SECONDS
+        return listed is not None and listed.leaving
 
     def _is_due(self, stage: Stage, now: float) -> bool:
         listed = self.replicas.replicas.get(stage.replica.name)
         if listed is None:
+            self._since.pop(stage.replica.name, None)
             return False
         if listed.leaving:
-            return self.is_leaving(listed, now)
+            since = self._since.setdefault(listed.name, now)
+            return now - since > LEAVING_SECONDS
         held = listed.layers
         return held is None or not held.covers(stage.layers)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -202,16 +202,15 @@
     def _evacuate(self, stream: LiveStream, now: float) -> None:
         """Move a stream that still flows off replicas that are about to go.
 
-        A first replica that leaves takes no more orders. Its streams hold up
-        the others that give up layers, so these are resumed elsewhere.
+        A first replica that leaves takes no more orders. Its streams are let
+        be, though they hold up others that give up layers: one that flows and
+        is cut off for that has no place elsewhere for certain.
         """
-        retreating = self._evacuation.find_due(stream, now)
-        if not retreating:
+        if self._evacuation.is_leaving(stream.head):
             return
-        if not self._evacuation.is_leaving(stream.head, now):
+        retreating = self._evacuation.find_due(stream, now)
+        if retreating:
             self._spawn(self._move_off(stream, retreating))
-        elif self._may_resume(stream):
-            stream.interrupt('first replica leaves')
 
     async def _move_off(
         self,
--- a/tests/platform/test_beliefs.py
+++ b/tests/platform/test_beliefs.py
@@ -1,5 +1,7 @@
 """What a node believes when the store is in trouble, over real sockets."""
 
+import pytest
+
 from fleet.running import (
     RunningNode,
     ask,
@@ -19,6 +21,10 @@
     }
 
 
+def _count_watches(node: RunningNode) -> int:
+    return sum('servers?watch' in call for call in node.store.calls)
+
+
 async def test_new_configuration_is_in_force() -> None:
     """A key is taken away and another given."""
     async with run_node(make_plain(1)) as node:
@@ -71,6 +77,30 @@
         assert status == 401
 
 
+async def test_watch_of_before_an_outage_is_renewed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The store is away for a moment, and forgets who watched the registry.
+
+    Another call tells that it is back. The old watch would wait for seconds
+    more, and a replica that left meanwhile get work.
+    """
+    follow = 'ryelatch_platform._follow'
+    monkeypatch.setattr(f'{follow}.REGISTRY_WAIT', 60)
+    monkeypatch.setattr(f'{follow}.CONFIGURATION_WAIT', 0.2)
+    async with run_node(make_plain(2)) as node:
+        await wait_until(lambda: _count_watches(node) > 0)
+        node.store.deaf = True
+        node.store.drop('servers', 'b-0')
+        node.store.mode = 'busy'
+        await wait_until(lambda: node.count('store-out'))
+        node.store.deaf = False
+        node.store.mode = 'ok'
+        await wait_until(lambda: node.count('store-back'))
+        # It lapsed in an outage, so it is kept for two seconds.
+        await wait_until(lambda: node.count('replica-gone'))
+
+
 async def test_unconfirmed_keys_are_refused() -> None:
     """A node is cut off from the store; a key is taken away meanwhile.
 
--- a/tests/platform/test_moves.py
+++ b/tests/platform/test_moves.py
@@ -133,3 +133,30 @@
             second.resume()
             body = await response.read()
         assert body == expect_events(5)
+
+
+async def test_leaving_first_replica_keeps_its_streams(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The first replica of a path leaves, and so does one behind it.
+
+    The first one takes no orders any more. Streams through both were cut off
+    to be resumed elsewhere, found no place, and callers lost answers that
+    would have ended in time.
+    """
+    monkeypatch.setattr('ryelatch_node.relay._evacuation.LEAVING_SECONDS', 0)
+    replicas = make_model((0, 4), (4, 8), (4, 8))
+    for replica in replicas:
+        replica.events = 8
+        replica.pause = 0.1
+    async with run_node(replicas) as node:
+        head = node.replicas['m-0']
+        async with open_request(node, '/plan/x') as response:
+            await response.content.readuntil(b'token 1\n\n')
+            path = node.find('exchange-sent')['path']
+            head.register('draining')
+            node.replicas[path[1][0]].register('draining')
+            await wait_until(lambda: node.count('replica-leaving') == 2)
+            await response.read()
+        assert not node.count('stream-moved')
+        assert not node.count('exchange-failed')
