Survive a notice of changed settings while starting

SIGHUP came while it loaded its libraries, 0.49 s after its start on this machine, and the system's default for it is to end the process.

Before its first line nothing in a program can change the default, and the soak waits 0.3 s.

test_notice_during_the_start_is_survived failed before.

--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -205,3 +205,26 @@
     assert process.returncode == 2
     assert b'wrong.toml' in told
     assert b'zone' in told
+
+
+async def test_notice_during_the_start_is_survived() -> None:
+    """The settings change while a process loads its libraries.
+
+    The signal ended it, as it had not said yet what to do with one. Loading
+    takes most of the start, so the signal is ignored before it begins.
+    """
+    asking = (
+        'import runpy, signal, sys\n'
+        'class Finder:\n'
+        '    def find_spec(self, name, path=None, target=None):\n'
+        '        if name == "ryelatch_platform._main":\n'
+        '            print(signal.getsignal(signal.SIGHUP).name)\n'
+        '            sys.exit()\n'
+        'sys.meta_path.insert(0, Finder())\n'
+        'runpy.run_module("ryelatch_platform", run_name="__main__")\n'
+    )
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, '-c', asking, stdout=asyncio.subprocess.PIPE
+    )
+    told, _ = await process.communicate()
+    assert told == b'SIG_IGN\n'
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -4,6 +4,7 @@
 CI_SECONDS = 6.0
 
 REGRESSIONS: dict[int, str] = {
+    1012: 'a notice of changed settings ended a process that was starting',
     1025: 'a watch that the store had forgotten waited on after an outage, '
     'and a replica got work 6.3 s after it said that it leaves',
 }
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -24,6 +25,9 @@
 EVENTS = 8
 """Events of each stream, so that a whole one is known."""
 
+FIRST_LINE_SECONDS = 0.3
+"""From the start of a process to its first line, also on a busy machine."""
+
 SPARE_KEY = 'ward-2-key'
 """A key that is taken away in the middle of a run."""
 
@@ -59,10 +63,12 @@
     output: Path
     wanted_ends: int = 0
     ends: int = 0
+    started: float = 0
     process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
         """Start the program, as the platform does."""
+        self.started = time.monotonic()
         with self.output.open('ab') as output:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', 'ryelatch_platform'],
@@ -76,6 +82,15 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def notify(self) -> None:
+        """Tell its process that the settings have changed.
+
+        A signal ends a program before it has run its first line; nothing in
+        it can change that.
+        """
+        if time.monotonic() - self.started > FIRST_LINE_SECONDS:
+            self.send(signal.SIGHUP)
+
     def revive(self) -> None:
         """Start it again if it has ended."""
         if self.process is not None and self.process.poll() is not None:
