Keep slots free at first replicas; let the means of a new node mature at once

Means of load begin at nothing, so each of sixty nodes took the others to be idle; and the slots of a first replica were no part of a path's price.

Change: means are divided by the share of their final value that they can have reached; a first replica is dearer the more of its slots are in use. The log line of a replica names its accelerator, which a trace of plans lacked.

test_first_replica_keeps_free_slots and test_new_node_learns_of_the_others_at_once failed before.

--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_load.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_load.py
@@ -28,6 +28,12 @@
 of eight has several at once, and the mean follows within half a second.
 """
 
+_LEAST_MATURITY = 0.05
+"""Share of its final value that a mean is taken to have at least.
+
+Less would make one request of a node stand for hundreds.
+"""
+
 _WEIGHT = 0.3
 """Weight of the newest excess: three requests in a row tell the truth."""
 
@@ -65,6 +71,7 @@
         self.tokens: Counter[str] = Counter()
         self._means: dict[str, _Mean] = {}
         self._nodes = 1
+        self._began: float | None = None
         self._excess: dict[str, tuple[float, float]] = {}
 
     def note_first(
@@ -129,7 +136,7 @@
         """
         for name in self._means:
             self._settle(name, now)
-        others = self._nodes - 1
+        others = (self._nodes - 1) / self._find_maturity(now)
         return LoadEstimate(
             {
                 name: self.requests[name] + others * mean.requests
@@ -141,6 +148,19 @@
             },
         )
 
+    def _find_maturity(self, now: float) -> float:
+        """Tell how much of their final value means have reached.
+
+        They begin at nothing. When sixty nodes have just been started
+        together, the first seconds of means alone told each of them that
+        the others had nothing, and all sent to the same few replicas.
+        """
+        if self._began is None:
+            self._began = now
+        age = now - self._began
+        following = MEAN_SECONDS * self._nodes
+        return max(_LEAST_MATURITY, 1 - math.exp(-age / following))
+
     def _settle(self, name: str, now: float) -> None:
         """Bring a replica's mean up to now."""
         mean = self._means.setdefault(name, _Mean(0, 0, now))
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
@@ -63,6 +63,16 @@
 an answer that goes on for a second more costs next to nothing.
 """
 
+SLOTS_SECONDS = 2.0
+"""What a first replica without a free slot is taken to cost a request.
+
+It queues a few requests more and refuses the others, and a refused one comes
+back a second later. The cost grows with the fourth power of the share of
+slots in use, so that it matters beyond two thirds.
+"""
+
+_SLOTS_POWER = 4
+
 _JITTER = 0.15
 """Spread of the costs between nodes.
 
@@ -301,8 +311,7 @@
     """Find the best way over a part that ends at a replica."""
     own = rates[replica.name] * len(part)
     if part.first == 0:
-        entry = 0 if replica.zone == query.zone else ENTRY_SECONDS
-        return _Way(entry + own, replica, 0, None)
+        return _Way(_price_entry(replica, query) + own, replica, 0, None)
     best: _Way | None = None
     least = float('inf')
     for way in ways:
@@ -314,6 +323,14 @@
     return _Way(least + own, replica, part.first, best)
 
 
+def _price_entry(replica: Replica, query: PathQuery) -> float:
+    """Price the beginning of a path at its first replica."""
+    entry = 0 if replica.zone == query.zone else ENTRY_SECONDS
+    taken = query.load.requests.get(replica.name, 0)
+    share = min(1, taken / replica.slots)
+    return float(entry + SLOTS_SECONDS * share**_SLOTS_POWER)
+
+
 def _unwind(way: _Way | None, layers: int) -> tuple[Stage, ...]:
     """Join the parts of a way into stages, one a replica in a row."""
     parts: list[_Way] = []
--- a/packages/ryelatch-node/src/ryelatch_node/beliefs/_replicas.py
+++ b/packages/ryelatch-node/src/ryelatch_node/beliefs/_replicas.py
@@ -146,6 +146,7 @@
             replica=replica.name,
             address=replica.address,
             zone=replica.zone,
+            accelerator=replica.accelerator,
             layers=[held.first, held.end] if held else None,
         )
 
--- a/tests/core/fleet/test_path.py
+++ b/tests/core/fleet/test_path.py
@@ -17,6 +17,7 @@
 from ryelatch_core.fleet import (
     LayerRange,
     LoadBook,
+    LoadEstimate,
     Stage,
     choose_path,
     plan_moves,
@@ -198,3 +199,38 @@
         used[path[0].replica.name] += 1
     assert used['slow-0'] >= 4
     assert used['fast-0'] >= 30
+
+
+def test_first_replica_keeps_free_slots() -> None:
+    """The fast first replica works on as many requests as it has slots for.
+
+    It refuses more, and each refused one comes back a second later. A slow
+    one with free slots answers at once.
+    """
+    fast = dataclasses.replace(make_replica('fast', 0, 20), slots=96)
+    slow = dataclasses.replace(make_replica('slow', 0, 10), slots=96)
+    offered = [fast, slow, make_replica('next', 10, 20)]
+    offered += [
+        make_replica(f'rest-{first}', first, first + 20)
+        for first in (20, 40, 60)
+    ]
+    # Requests that cost others nothing, so that only the slots tell.
+    profile = dataclasses.replace(USUAL, writer_ms=0)
+    for taken, chosen in ((40, 'fast'), (96, 'slow')):
+        load = LoadEstimate({'fast': taken}, {})
+        query = make_query(draw=float, load=load, profile=profile)
+        assert choose_path(offered, query)[0].replica.name == chosen
+
+
+def test_new_node_learns_of_the_others_at_once() -> None:
+    """Sixty nodes have just been started together, and clients come back.
+
+    With means that begin at nothing, each took the others to be idle for
+    three seconds and sent all to the fastest first replica.
+    """
+    path = (Stage(make_replica('one', 0, 80), LayerRange(0, 80)),)
+    book = LoadBook()
+    book.share_among(60)
+    book.estimate(0)
+    book.add(path, 991, 0.1)
+    assert book.estimate(0.5).requests['one'] > 20
