Split what a request's tries brought from how they are made

On the way one fault was seen by reading: where the only first replica had failed a request, no second try was made unless the stream had begun; it goes there again where there is no other. test_only_first_replica_is_tried_again covers it; it was written with the change.

--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -0,0 +1,49 @@
+"""Chooses paths for requests, by what this node believes and saw."""
+
+from dataclasses import replace
+
+from ryelatch_core.fleet import NO_LOAD, Stage, choose_path
+from ryelatch_node.relay._exchange import Exchange, Inquiry
+from ryelatch_node.relay._parts import Parts
+from ryelatch_node.relay._progress import Progress
+from ryelatch_node.relay._query import make_query
+
+
+def choose_request_path(
+    parts: Parts,
+    exchange: Exchange,
+    inquiry: Inquiry,
+    progress: Progress,
+) -> tuple[Stage, ...]:
+    """Choose the path of the next try.
+
+    :returns: its stages; empty if there is none.
+    """
+    suspects = parts.replicas.list_suspects()
+    query = make_query(parts, inquiry, suspects)
+    if query is None:
+        return ()
+    offered = parts.replicas.list_service(inquiry.service)
+    # A first replica that failed this request, or let it stand still, would
+    # most likely do so again, and others that fail much would too.
+    failing = parts.failures.list_failing(parts.clock.monotonic())
+    unsound = failing | progress.left
+    sound = replace(query, avoid=suspects | unsound, crosses=False)
+    path = choose_path(offered, sound) if unsound else ()
+    path = path or choose_path(offered, query)
+    if path or not exchange.started:
+        return path
+    # A stream whose beginning the client has is lost if it goes nowhere;
+    # a replica that had no room a moment ago may have some by now.
+    bold = replace(query, avoid=parts.replicas.list_unreachable())
+    return choose_path(offered, bold)
+
+
+def misses_layers(parts: Parts, inquiry: Inquiry) -> bool:
+    """Whether there is no path even without regard to room."""
+    query = make_query(parts, inquiry, parts.replicas.list_unreachable())
+    if query is None:
+        return True
+    unloaded = replace(query, own_tokens={}, load=NO_LOAD)
+    offered = parts.replicas.list_service(inquiry.service)
+    return not choose_path(offered, unloaded)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -2,17 +2,12 @@
 
 import asyncio
 import enum
-from dataclasses import dataclass, field, replace
 
 from ryelatch_core.events import catalogue
-from ryelatch_core.fleet import (
-    NO_LOAD,
-    Replica,
-    Stage,
-    choose_path,
-)
+from ryelatch_core.fleet import Stage
 from ryelatch_core.streams import EventCutter, StreamError
 from ryelatch_node.ports import Dispatch
+from ryelatch_node.relay._choice import choose_request_path, misses_layers
 from ryelatch_node.relay._errors import (
     AnswerBroken,
     SendError,
@@ -21,8 +16,14 @@
 from ryelatch_node.relay._exchange import Exchange, Inquiry, round_seconds
 from ryelatch_node.relay._parts import Parts
 from ryelatch_node.relay._probe import Prober
-from ryelatch_node.relay._query import make_query
-from ryelatch_node.relay._stream import HEAD_LOST, LiveStream
+from ryelatch_node.relay._progress import (
+    Progress,
+    note_failure,
+    note_outcome,
+    note_progress,
+    note_refusal,
+)
+from ryelatch_node.relay._stream import LiveStream
 from ryelatch_node.relay._upstream import Answer
 from ryelatch_node.relay._watch import StreamWatch
 
@@ -45,7 +46,6 @@
 A usual answer takes two seconds, so of many in progress some end by then.
 """
 
-_STALL_SHARE = 0.75
 _SERVER_ERROR = 500
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
@@ -59,21 +59,6 @@
     AGAIN = 'again'
 
 
-@dataclass
-class _Progress:
-    """What the tries of a request have brought so far.
-
-    :param lost: whether one of them may have run without an answer.
-    :param held: a replica's own failure, passed on if nothing better comes.
-    :param left: first replicas whose runs this node cut off.
-    """
-
-    cutter: EventCutter
-    left: set[str] = field(default_factory=set)
-    lost: bool = False
-    held: tuple[Answer, bytes] | None = None
-
-
 async def relay_model(
     parts: Parts,
     watch: StreamWatch,
@@ -84,9 +69,9 @@
 
     :raises AnswerBroken: if it ends in the middle for good.
     """
-    progress = _Progress(EventCutter(inquiry.terms.last_event))
+    progress = Progress(EventCutter(inquiry.terms.last_event))
     while _may_send(parts, exchange, inquiry, progress):
-        path = _choose(parts, exchange, inquiry, progress)
+        path = choose_request_path(parts, exchange, inquiry, progress)
         if not path:
             break
         step = await _try_path(parts, watch, exchange, inquiry, path, progress)
@@ -99,7 +84,7 @@
     parts: Parts,
     exchange: Exchange,
     inquiry: Inquiry,
-    progress: _Progress,
+    progress: Progress,
 ) -> bool:
     if not exchange.sends:
         return True
@@ -112,38 +97,13 @@
     return parts.budget.spend()
 
 
-def _choose(
-    parts: Parts,
-    exchange: Exchange,
-    inquiry: Inquiry,
-    progress: _Progress,
-) -> tuple[Stage, ...]:
-    # A path that stood still through one first replica would most likely do
-    # so again; where there is no other the second choice below takes it.
-    avoided = parts.replicas.list_suspects() | progress.left
-    query = make_query(parts, inquiry, avoided)
-    if query is None:
-        return ()
-    offered = parts.replicas.list_service(inquiry.service)
-    failing = parts.failures.list_failing(parts.clock.monotonic())
-    sound = replace(query, avoid=avoided | failing, crosses=False)
-    path = choose_path(offered, sound) if failing else ()
-    path = path or choose_path(offered, query)
-    if path or not exchange.started:
-        return path
-    # A stream whose beginning the client has is lost if it goes nowhere;
-    # a replica that had no room a moment ago may have some by now.
-    bold = replace(query, avoid=parts.replicas.list_unreachable())
-    return choose_path(offered, bold)
-
-
 async def _try_path(
     parts: Parts,
     watch: StreamWatch,
     exchange: Exchange,
     inquiry: Inquiry,
     path: tuple[Stage, ...],
-    progress: _Progress,
+    progress: Progress,
 ) -> _Next:
     tokens = inquiry.terms.prompt + inquiry.terms.answer // 2
     exchange.sends += 1
@@ -157,15 +117,11 @@
         async with scope:
             return await _run(parts, watch.prober, stream, progress)
     except TimeoutError:
-        _note_failure(
-            parts, stream, progress, SendErrorKind.LOST, stream.reason
-        )
+        note_failure(parts, stream, progress, SendErrorKind.LOST, stream.reason)
     except SendError as error:
-        _note_failure(parts, stream, progress, error.kind, error.reason)
+        note_failure(parts, stream, progress, error.kind, error.reason)
     except StreamError as error:
-        _note_failure(
-            parts, stream, progress, SendErrorKind.SPOILED, str(error)
-        )
+        note_failure(parts, stream, progress, SendErrorKind.SPOILED, str(error))
     finally:
         watch.streams.discard(stream)
         parts.load.remove(stream.path, tokens, parts.clock.monotonic())
@@ -177,7 +133,7 @@
     exchange: Exchange,
     inquiry: Inquiry,
     path: tuple[Stage, ...],
-    progress: _Progress,
+    progress: Progress,
 ) -> None:
     kind = catalogue.EXCHANGE_SENT
     if exchange.started:
@@ -201,7 +157,7 @@
     parts: Parts,
     prober: Prober,
     stream: LiveStream,
-    progress: _Progress,
+    progress: Progress,
 ) -> _Next:
     inquiry = stream.inquiry
     dispatch = Dispatch(
@@ -221,7 +177,7 @@
         repeatable=inquiry.repeatable,
     ) as answer:
         if answer.terms.not_run:
-            _note_refusal(parts, prober, stream, answer)
+            note_refusal(parts, prober, stream, answer)
             return _Next.AGAIN
         if not answer.terms.signed:
             raise SendError(SendErrorKind.SPOILED, 'unsigned answer')
@@ -230,46 +186,11 @@
         return await _pass_events(parts, stream, answer, progress)
 
 
-def _note_refusal(
-    parts: Parts,
-    prober: Prober,
-    stream: LiveStream,
-    answer: Answer,
-) -> None:
-    """Keep away from the replica that a refusal names.
-
-    A refusal that took long comes from a path that waited for a lost
-    replica; one that came at once, from one without room.
-    """
-    waited = parts.clock.monotonic() - stream.progress
-    stalled = waited > parts.startup.stall_seconds * _STALL_SHARE
-    fault = _find_fault(parts, stream, answer.terms.fault)
-    reason = f'answered {answer.status}'
-    parts.replicas.suspect(fault, reason, full=not stalled)
-    prober.check(fault)
-    stream.exchange.record(
-        catalogue.EXCHANGE_FAILED,
-        replica=fault.name,
-        status=answer.status,
-        outcome='not run',
-        waited=round_seconds(waited),
-    )
-
-
-def _find_fault(parts: Parts, stream: LiveStream, address: str) -> Replica:
-    named = (
-        stage.replica
-        for stage in stream.path
-        if stage.replica.address == address
-    )
-    return next(named, stream.head)
-
-
 async def _take_failure(
     parts: Parts,
     stream: LiveStream,
     answer: Answer,
-    progress: _Progress,
+    progress: Progress,
 ) -> _Next:
     """Keep a replica's own failure, or pass it on where nothing follows."""
     body = await answer.read()
@@ -281,7 +202,7 @@
         outcome='failed',
     )
     failed = answer.status >= _SERVER_ERROR
-    _note_outcome(parts, stream, failed=failed)
+    note_outcome(parts, stream, failed=failed)
     if failed and stream.inquiry.repeatable:
         # Failing at once it has room and looks fast; the next try would go
         # there again.
@@ -298,7 +219,7 @@
     parts: Parts,
     stream: LiveStream,
     answer: Answer,
-    progress: _Progress,
+    progress: Progress,
 ) -> _Next:
     cutter = progress.cutter
     cutter.restart()
@@ -307,7 +228,7 @@
         events = cutter.cut(piece)
         if not events:
             continue
-        _note_progress(parts, stream)
+        note_progress(parts, stream)
         if not exchange.started:
             await exchange.start(answer.status, _strip_length(answer))
         await exchange.write(events)
@@ -317,83 +238,20 @@
         await exchange.start(answer.status, _strip_length(answer))
     await exchange.write(b'', more=False)
     parts.replicas.trust(stream.head)
-    _note_outcome(parts, stream, failed=False)
+    note_outcome(parts, stream, failed=False)
     return _Next.DONE
 
 
-def _note_outcome(parts: Parts, stream: LiveStream, *, failed: bool) -> None:
-    parts.failures.note(
-        stream.head.name,
-        stream.inquiry.route.name,
-        parts.clock.monotonic(),
-        failed=failed,
-    )
-
-
 def _strip_length(answer: Answer) -> list[tuple[bytes, bytes]]:
     """Leave out the length: a resumed stream may have another."""
     return [pair for pair in answer.headers if pair[0] != b'content-length']
 
 
-def _note_progress(parts: Parts, stream: LiveStream) -> None:
-    stream.progress = parts.clock.monotonic()
-    stream.delivered += 1
-    stream.told = False
-    if not stream.begun:
-        stream.begun = True
-        stream.exchange.ran += 1
-        parts.load.note_first(
-            stream.path, stream.progress - stream.sent, stream.progress
-        )
-        stream.exchange.detail.setdefault(
-            'first', round_seconds(stream.progress - stream.inquiry.arrived)
-        )
-
-
-def _note_failure(
-    parts: Parts,
-    stream: LiveStream,
-    progress: _Progress,
-    kind: SendErrorKind,
-    reason: str,
-) -> None:
-    if kind is not SendErrorKind.UNSENT:
-        progress.lost = True
-    if stream.reason:
-        progress.left.add(stream.head.name)
-    if kind is SendErrorKind.LOST:
-        stream.exchange.ran += _count_end(stream)
-    stream.exchange.record(
-        catalogue.EXCHANGE_FAILED,
-        replica=stream.head.name,
-        reason=reason,
-        outcome=kind.value,
-        events=stream.delivered,
-        last_event=progress.cutter.last,
-    )
-    if kind is not SendErrorKind.SPOILED and reason != 'silent':
-        parts.replicas.suspect(
-            stream.head, reason, full=kind is not SendErrorKind.UNSENT
-        )
-
-
-def _count_end(stream: LiveStream) -> int:
-    """Tell what the end of a try adds to the runs that the route allows.
-
-    A run that ended with its first replica doesn't count. One that this node
-    cut off does, and may have begun though nothing of it came: seven streams
-    ran on three first replicas where two were allowed.
-    """
-    if stream.reason in {'', HEAD_LOST}:
-        return -1 if stream.begun else 0
-    return 0 if stream.begun else 1
-
-
 async def _give_up(
     parts: Parts,
     exchange: Exchange,
     inquiry: Inquiry,
-    progress: _Progress,
+    progress: Progress,
 ) -> None:
     if exchange.started:
         raise AnswerBroken
@@ -403,19 +261,9 @@
     elif progress.lost:
         await exchange.refuse(_BAD_GATEWAY, 'the answer was lost')
     else:
-        missing = _misses_layers(parts, inquiry)
+        missing = misses_layers(parts, inquiry)
         await exchange.refuse(
             _UNAVAILABLE,
             'layers are missing' if missing else 'all paths are full',
             retry_after=REPAIR_SECONDS if missing else ROOM_SECONDS,
         )
-
-
-def _misses_layers(parts: Parts, inquiry: Inquiry) -> bool:
-    """Whether there is no path even without regard to room."""
-    query = make_query(parts, inquiry, parts.replicas.list_unreachable())
-    if query is None:
-        return True
-    unloaded = replace(query, own_tokens={}, load=NO_LOAD)
-    offered = parts.replicas.list_service(inquiry.service)
-    return not choose_path(offered, unloaded)
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -0,0 +1,132 @@
+"""What the tries of a request have brought, and what they tell of replicas."""
+
+from dataclasses import dataclass, field
+
+from ryelatch_core.events import catalogue
+from ryelatch_core.fleet import Replica
+from ryelatch_core.streams import EventCutter
+from ryelatch_node.relay._errors import SendErrorKind
+from ryelatch_node.relay._exchange import round_seconds
+from ryelatch_node.relay._parts import Parts
+from ryelatch_node.relay._probe import Prober
+from ryelatch_node.relay._stream import HEAD_LOST, LiveStream
+from ryelatch_node.relay._upstream import Answer
+
+_STALL_SHARE = 0.75
+"""Share of the upstreams' patience from which a refusal tells of a loss."""
+
+
+@dataclass
+class Progress:
+    """What the tries of a request have brought so far.
+
+    :param lost: whether one of them may have run without an answer.
+    :param held: a replica's own failure, passed on if nothing better comes.
+    :param left: first replicas whose runs this node cut off.
+    """
+
+    cutter: EventCutter
+    left: set[str] = field(default_factory=set)
+    lost: bool = False
+    held: tuple[Answer, bytes] | None = None
+
+
+def note_refusal(
+    parts: Parts,
+    prober: Prober,
+    stream: LiveStream,
+    answer: Answer,
+) -> None:
+    """Keep away from the replica that a refusal names.
+
+    A refusal that took long comes from a path that waited for a lost
+    replica; one that came at once, from one without room.
+    """
+    waited = parts.clock.monotonic() - stream.progress
+    stalled = waited > parts.startup.stall_seconds * _STALL_SHARE
+    fault = _find_fault(parts, stream, answer.terms.fault)
+    reason = f'answered {answer.status}'
+    parts.replicas.suspect(fault, reason, full=not stalled)
+    prober.check(fault)
+    stream.exchange.record(
+        catalogue.EXCHANGE_FAILED,
+        replica=fault.name,
+        status=answer.status,
+        outcome='not run',
+        waited=round_seconds(waited),
+    )
+
+
+def _find_fault(parts: Parts, stream: LiveStream, address: str) -> Replica:
+    named = (
+        stage.replica
+        for stage in stream.path
+        if stage.replica.address == address
+    )
+    return next(named, stream.head)
+
+
+def note_outcome(parts: Parts, stream: LiveStream, *, failed: bool) -> None:
+    """Note whether a first replica failed a request that it ran."""
+    parts.failures.note(
+        stream.head.name,
+        stream.inquiry.route.name,
+        parts.clock.monotonic(),
+        failed=failed,
+    )
+
+
+def note_progress(parts: Parts, stream: LiveStream) -> None:
+    """Note that an event has come."""
+    stream.progress = parts.clock.monotonic()
+    stream.delivered += 1
+    stream.told = False
+    if not stream.begun:
+        stream.begun = True
+        stream.exchange.ran += 1
+        parts.load.note_first(
+            stream.path, stream.progress - stream.sent, stream.progress
+        )
+        stream.exchange.detail.setdefault(
+            'first', round_seconds(stream.progress - stream.inquiry.arrived)
+        )
+
+
+def note_failure(
+    parts: Parts,
+    stream: LiveStream,
+    progress: Progress,
+    kind: SendErrorKind,
+    reason: str,
+) -> None:
+    """Note that a try ended without an answer."""
+    if kind is not SendErrorKind.UNSENT:
+        progress.lost = True
+    if stream.reason:
+        progress.left.add(stream.head.name)
+    if kind is SendErrorKind.LOST:
+        stream.exchange.ran += _count_end(stream)
+    stream.exchange.record(
+        catalogue.EXCHANGE_FAILED,
+        replica=stream.head.name,
+        reason=reason,
+        outcome=kind.value,
+        events=stream.delivered,
+        last_event=progress.cutter.last,
+    )
+    if kind is not SendErrorKind.SPOILED and reason != 'silent':
+        parts.replicas.suspect(
+            stream.head, reason, full=kind is not SendErrorKind.UNSENT
+        )
+
+
+def _count_end(stream: LiveStream) -> int:
+    """Tell what the end of a try adds to the runs that the route allows.
+
+    A run that ended with its first replica doesn't count. One that this node
+    cut off does, and may have begun though nothing of it came: seven streams
+    ran on three first replicas where two were allowed.
+    """
+    if stream.reason in {'', HEAD_LOST}:
+        return -1 if stream.begun else 0
+    return 0 if stream.begun else 1
--- a/tests/platform/test_moves.py
+++ b/tests/platform/test_moves.py
@@ -15,10 +15,13 @@
 from standins.replica import ReplicaStandIn
 
 
-def _slow_down(replicas: list[ReplicaStandIn]) -> list[ReplicaStandIn]:
+def _slow_down(
+    replicas: list[ReplicaStandIn],
+    events: int = 40,
+) -> list[ReplicaStandIn]:
     """Let streams last until the test has done its part."""
     for replica in replicas:
-        replica.events = 40
+        replica.events = events
         replica.pause = 0.1
     return replicas
 
@@ -145,10 +148,7 @@
     would have ended in time.
     """
     monkeypatch.setattr('ryelatch_node.relay._evacuation.LEAVING_SECONDS', 0)
-    replicas = make_model((0, 4), (4, 8), (4, 8))
-    for replica in replicas:
-        replica.events = 8
-        replica.pause = 0.1
+    replicas = _slow_down(make_model((0, 4), (4, 8), (4, 8)), 8)
     async with run_node(replicas) as node:
         head = node.replicas['m-0']
         async with open_request(node, '/plan/x') as response:
@@ -160,3 +160,17 @@
             await response.read()
         assert not node.count('stream-moved')
         assert not node.count('exchange-failed')
+
+
+async def test_only_first_replica_is_tried_again() -> None:
+    """The one first replica that there is fails a request, once.
+
+    It would be left for others that are sound; as there are none, the second
+    try goes to it again and brings the answer.
+    """
+    replicas = make_model((0, 8))
+    replicas[0].failures = 1
+    async with run_node(replicas) as node:
+        async with open_request(node, '/plan/x') as response:
+            assert await response.read() == expect_events(5)
+        assert len(node.replicas['m-0'].runs) == 2
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -44,6 +44,7 @@
     :param stalled_on: the address that the report then names.
     :param refuse: status of refusals, each with the "not run" mark.
     :param fail: status of its own failures.
+    :param failures: requests that it fails before it is well.
     :param hang: whether it takes requests and never answers.
     :param other_identity: whether it answers under another request's name.
     :param unframed_part: whether it sends a part without a length and resets.
@@ -62,6 +63,7 @@
     stalled_on: str = ''
     refuse: int = 0
     fail: int = 0
+    failures: int = 0
     hang: bool = False
     other_identity: bool = False
     unframed_part: bool = False
@@ -161,6 +163,9 @@
         if self.hang:
             await asyncio.Event().wait()
         headers = self._sign('other' if self.other_identity else run.identity)
+        if self.failures:
+            self.failures -= 1
+            return web.Response(status=500, headers=headers, body=b'no')
         if self.fail:
             return web.Response(status=self.fail, headers=headers, body=b'no')
         if self.unframed_part:
