--- a/packages/ryelatch-core/src/ryelatch_core/routing/_confirmation.py
+++ b/packages/ryelatch-core/src/ryelatch_core/routing/_confirmation.py
@@ -38,4 +38,8 @@
 
     def allows_keys(self, now: float) -> bool:
         """Whether keys may still be accepted."""
-        return self.age(now) <= self.bound - REVOKE_MARGIN
+        return self.left(now) >= 0
+
+    def left(self, now: float) -> float:
+        """Seconds for which keys may be accepted without another word."""
+        return self.bound - REVOKE_MARGIN - self.age(now)
--- a/packages/ryelatch-node/src/ryelatch_node/beliefs/_configuration.py
+++ b/packages/ryelatch-node/src/ryelatch_node/beliefs/_configuration.py
@@ -41,6 +41,11 @@
         age = self._confirmation.age(self._clock.monotonic())
         return min(age, NEVER_SECONDS)
 
+    @property
+    def left(self) -> float:
+        """Seconds for which keys are accepted if nothing confirms them."""
+        return self._confirmation.left(self._clock.monotonic())
+
     def offer(self, configuration: Configuration, sent: float) -> None:
         """Take a version that the store gave, if it isn't older.
 
--- a/tests/platform/test_beliefs.py
+++ b/tests/platform/test_beliefs.py
@@ -1,5 +1,7 @@
 """What a node believes when the store is in trouble, over real sockets."""
 
+import asyncio
+
 import pytest
 
 from fleet.running import (
@@ -101,6 +103,25 @@
         await wait_until(lambda: node.count('replica-gone'))
 
 
+async def test_change_leaves_keys_confirmed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The configuration changes at the end of a watch's wait.
+
+    The watch confirms only when it was sent. The next one waited as long
+    again, and keyed requests were refused meanwhile, at each change and at a
+    third of the nodes.
+    """
+    monkeypatch.setattr('ryelatch_platform._follow.CONFIGURATION_WAIT', 4)
+    async with run_node(make_plain(1), revoke_seconds=6) as node:
+        await asyncio.sleep(3.5)
+        node.store.put('config', 'main', make_configuration(7))
+        await wait_until(lambda: node.count('configuration-applied') == 2)
+        # Till after the time at which a second whole wait would be over.
+        await asyncio.sleep(2)
+        assert not node.count('configuration-stale')
+
+
 async def test_unconfirmed_keys_are_refused() -> None:
     """A node is cut off from the store; a key is taken away meanwhile.
 
