--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_load.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_load.py
@@ -23,9 +23,9 @@
 MEAN_SECONDS = 0.05
 """Time, for each node that there is, in which means follow a change.
 
-A node of sixty has one request in twenty seconds at a replica: what it has at
-a moment tells nothing of the others, its mean over three seconds does. A node
-of eight has several at once, and the mean follows within half a second.
+A node of sixty sends a request through a replica every five seconds: what it
+has at a moment tells little of the others, its mean over three seconds more. A
+node of eight has several at once, and the mean follows within half a second.
 """
 
 _LEAST_MATURITY = 0.05
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_plan.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_plan.py
@@ -1,6 +1,6 @@
 """Decides which replica holds which layers.
 
-Each availability zone holds a whole copy of the model where it can, so that
+Each availability zone holds whole copies of the model where it can, so that
 paths stay inside a zone: a request may go to any zone whole, but a change of
 zone in the middle of a path moves all its activations. Zones too small for a
 copy are planned together.
@@ -29,6 +29,8 @@
 from ryelatch_core.fleet._zones import LEAST_ROOM, make_pools
 
 _MOST_ROOM = 200
+"""Most usual requests for which a replica keeps room; slots end at 192."""
+
 _SPARE_SHARE = 0.65
 """Share of the room that a copy must keep if a replica is left empty.
 
@@ -82,9 +84,10 @@
 """
 
 _MOST_MOVES = 8
-"""Steps that are planned at once for a pool; more follow when they are done.
+"""Orders after which no further step is planned at once for a pool.
 
-More than six loads at a time make each of them slower.
+More than six loads at a time make each of them slower; a step of three
+orders may begin below this and go beyond it.
 """
 
 
@@ -94,7 +97,7 @@
     *,
     thorough: bool = False,
 ) -> tuple[Move, ...]:
-    """Plan the orders that complete and improve each zone's copy.
+    """Plan the orders that complete and improve each zone's copies.
 
     :param replicas: all replicas of the service that are alive.
     :param thorough: whether pools may be laid out anew whose gaps no single
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -155,8 +155,9 @@
     async def _move(self, stream: LiveStream, pause: float) -> None:
         """Move a stream off the replicas that are unreachable.
 
-        Inside its zone only: across zones the activations of all its tokens
-        would cross, and those of the sixty others that stand still as well.
+        Inside its zone: across zones the activations of all its tokens would
+        cross, and those of sixty others that stand still as well. It crosses
+        only where it can't be resumed on a path of another zone.
         """
         lost = self.parts.replicas.list_unreachable()
         if stream.head.name in lost:
