Tell the lives of a replica apart, and let foreign entries name nobody

Cause: a replica that starts again keeps its entry or its address while the registry still tells what it held before.

Change: what a node knows is kept by the name of a life (entry and when it began). A later life ends the earlier; of two of one kind at one address, the one that appeared last lives, as entries of before a crash may be written late. A refusal that names another replica ends a life at once, a report tells what a replica holds before its entry does, and a stalled stream blames the stage of its own path, not whoever has the address now. Entries that can't be read name no replica to use; the others of the list hold, one line and a gauge tell.

Ruled out: the revision at which an entry was made as its age; late entries of before a crash are made anew after those of the next life.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -221,6 +221,18 @@
     'An entry is missing after an outage of the store; it may come back and '
     'is kept for two seconds.',
 )
+REPLICA_ENDED = EventKind(
+    1416,
+    'replica-ended',
+    'A replica has started again, or another one has its address.',
+)
+ENTRY_REFUSED = EventKind(
+    1417,
+    'entry-refused',
+    'An entry of the registry can not be read; it names no replica to use.',
+    'Find out who wrote it; replicas write entries that can be read.',
+    Level.WARNING,
+)
 
 CLAIM_MADE = EventKind(
     1501, 'claim-made', 'An idempotency key was claimed in the store.'
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
@@ -21,6 +21,7 @@
     ModelProfile,
     Replica,
     Stage,
+    name_life,
 )
 
 __all__ = [
@@ -43,5 +44,6 @@
     'estimate_step',
     'fit_layers',
     'misses_layers',
+    'name_life',
     'plan_moves',
 ]
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_types.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_types.py
@@ -24,7 +24,13 @@
 class Replica:
     """One life of an upstream process, as the registry lists it.
 
+    A process may start again under the entry that it had, and then holds
+    nothing. All that a node knows of a replica is kept by the name of its
+    life, so nothing learned of an earlier one is held against a later one.
+
     :param name: of this life; a restart has a new one.
+    :param entry: the registry's name for it, which a later life may share.
+    :param born: when this life began, in milliseconds; 0 if it didn't say.
     :param address: ``host:port``; may belong to another replica later.
     :param accelerator: its kind; empty for a plain service.
     :param layers: what it holds, or nothing yet.
@@ -42,6 +48,21 @@
     version: int = 0
     slots: int = 1
     leaving: bool = False
+    entry: str = ''
+    born: int = 0
+
+    def __post_init__(self) -> None:
+        """Take the name for the entry's where lives are not told apart."""
+        if not self.entry:
+            object.__setattr__(self, 'entry', self.name)
+
+
+def name_life(entry: str, born: int) -> str:
+    """Name the life of a replica that the registry lists under an entry.
+
+    :param born: milliseconds; 0 where lives are not told apart.
+    """
+    return f'{entry}+{born}' if born else entry
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from ryelatch_core.events import LineLog, catalogue, keep_running
@@ -290,22 +291,39 @@
         conflict = result is OrderResult.CONFLICT
         if conflict and await self._learn_state(replica):
             result = await self._send(move)
-        now = self.clock.monotonic()
-        if result in {OrderResult.BEGUN, OrderResult.HELD}:
-            self._expect(move, now)
-        elif result is OrderResult.UNANSWERED:
-            self._pending[replica.name] = _Pending(
-                move.layers, now + UNANSWERED_SECONDS
-            )
-        elif result is OrderResult.FENCED:
-            # Another node orders under a higher number; going on would be
-            # refused again and again. The lease is followed from the store.
-            self.lease.give_up()
-            self._need_since = now
-        elif result is OrderResult.CONFLICT:
-            self._leave_alone(replica, now + BUSY_SECONDS)
-        else:
-            self.replicas.suspect(replica, 'order refused', full=False)
+        self._settle(move, result, self.clock.monotonic())
+
+    def _settle(self, move: Move, result: OrderResult, now: float) -> None:
+        """Act on what became of an order."""
+        replica = move.replica
+        steps: dict[OrderResult, Callable[[], None]] = {
+            OrderResult.BEGUN: lambda: self._expect(move, now),
+            OrderResult.HELD: lambda: self._expect(move, now),
+            OrderResult.UNANSWERED: lambda: self._await_late(move, now),
+            OrderResult.FENCED: lambda: self._step_back(now),
+            OrderResult.CONFLICT: lambda: self._leave_alone(
+                replica, now + BUSY_SECONDS
+            ),
+            OrderResult.MISSING: lambda: self.replicas.end(replica),
+        }
+        steps.get(
+            result,
+            lambda: self.replicas.suspect(replica, 'order refused', full=False),
+        )()
+
+    def _await_late(self, move: Move, now: float) -> None:
+        """Take an order without an answer for under way, for a while."""
+        until = now + UNANSWERED_SECONDS
+        self._pending[move.replica.name] = _Pending(move.layers, until)
+
+    def _step_back(self, now: float) -> None:
+        """Leave the duty to a node that orders under a higher number.
+
+        Going on would be refused again and again. The lease is followed from
+        the store.
+        """
+        self.lease.give_up()
+        self._need_since = now
 
     def _leave_alone(self, replica: Replica, until: float) -> None:
         """Plan nothing for a replica that is busy with an earlier order.
--- a/packages/ryelatch-node/src/ryelatch_node/main.py
+++ b/packages/ryelatch-node/src/ryelatch_node/main.py
@@ -87,7 +87,12 @@
     startup = app.find('startup', Startup)
     timeline = app.find('timeline', Timeline)
     door = app.find('front', front.Front)
-    timeline.record(catalogue.NODE_STARTED, zone=startup.zone, port=door.port)
+    timeline.record(
+        catalogue.NODE_STARTED,
+        zone=startup.zone,
+        port=door.port,
+        peers=app.find('peers', peers.Peers).port,
+    )
     # What lives since the start lives to the end; collecting it again and
     # again stalls the loop for milliseconds.
     gc.collect()
--- a/packages/ryelatch-node/src/ryelatch_node/peers/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peers/_service.py
@@ -87,6 +87,13 @@
         self._keep(self._beat())
         self._keep(self._dial_all())
 
+    @property
+    def port(self) -> int:
+        """The port where peers connect; the system may have chosen it."""
+        assert self._server is not None
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
     async def stop(self) -> None:
         """Tell peers that this node stops, and close the streams."""
         self.announce_drain()
--- a/packages/ryelatch-node/src/ryelatch_node/ports/__init__.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/__init__.py
@@ -2,6 +2,7 @@
 
 from ryelatch_node.ports._leases import LeaseRecord, LeaseStore
 from ryelatch_node.ports._orders import (
+    Holding,
     MoveAnswer,
     OrderResult,
     Orders,
@@ -26,6 +27,7 @@
     'AnswerTerms',
     'Dispatch',
     'Headers',
+    'Holding',
     'LeaseRecord',
     'LeaseStore',
     'MoveAnswer',
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_orders.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_orders.py
@@ -28,6 +28,17 @@
     """It may be carried out, now or seconds later."""
 
 
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """What an engine says that it holds.
+
+    :param born: when this life of it began, in milliseconds; 0 if not said.
+    """
+
+    layers: LayerRange | None
+    born: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Report:
     """An engine's state, as of some hundred milliseconds ago.
@@ -37,12 +48,14 @@
     :param used: share of its request memory that is taken.
     :param stalled: addresses of replicas that its requests wait for, by the
         identity of the request.
+    :param holding: nothing if it does not say what it holds.
     """
 
     sequence: int
     busy: bool
     used: float
     stalled: dict[str, str]
+    holding: Holding | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_wire.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_wire.py
@@ -35,7 +35,7 @@
 class Dispatch:
     """What a node adds for the upstream.
 
-    :param replica: name of the replica that is meant.
+    :param replica: entry of the replica that is meant.
     :param deadline: seconds left.
     :param account: name of the client account; empty for anonymous routes.
     :param path: the stages, for engines.
@@ -58,6 +58,7 @@
     :param not_run: whether the request is certain not to have run.
     :param fault: address of the replica that caused a refusal.
     :param encoded: whether the body isn't as the replica wrote it.
+    :param entry: the registry's name of the replica that answers, if said.
     """
 
     identity: str
@@ -65,6 +66,7 @@
     not_run: bool
     fault: str
     encoded: bool
+    entry: str = ''
 
 
 @dataclass(frozen=True)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -162,7 +162,7 @@
 ) -> _Next:
     inquiry = stream.inquiry
     dispatch = Dispatch(
-        stream.head.name,
+        stream.head.entry,
         inquiry.ends - parts.clock.monotonic(),
         inquiry.account,
         stream.path,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
@@ -150,7 +150,7 @@
     """
     now = parts.clock.monotonic()
     left = inquiry.ends - now
-    dispatch = Dispatch(replica.name, left, inquiry.account)
+    dispatch = Dispatch(replica.entry, left, inquiry.account)
     exchange.sends += 1
     exchange.record(
         catalogue.EXCHANGE_SENT,
@@ -197,6 +197,8 @@
     ) as answer:
         if answer.terms.not_run:
             parts.replicas.suspect(replica, 'refused', full=True)
+            if answer.terms.entry not in {'', replica.entry}:
+                parts.replicas.end(replica)
             exchange.record(
                 catalogue.EXCHANGE_FAILED,
                 replica=replica.name,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_probe.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_probe.py
@@ -7,6 +7,7 @@
 from ryelatch_core.events import catalogue
 from ryelatch_core.fleet import Replica
 from ryelatch_core.kernel import cancel_task
+from ryelatch_node.ports import Report
 from ryelatch_node.relay._parts import Parts
 
 PROBE_SECONDS = 0.4
@@ -77,4 +78,18 @@
                 report = await self.parts.orders.read_report(replica)
         except TimeoutError:
             return False
-        return report is not None
+        if report is None:
+            return False
+        self._learn(replica, report)
+        return True
+
+    def _learn(self, replica: Replica, report: Report) -> None:
+        """Take what a replica holds from its own report.
+
+        One that has started again under its entry refuses every path, and
+        the entry tells that it is empty seconds later. While it carries out
+        an order what it holds changes anyway.
+        """
+        if report.holding is not None and not report.busy:
+            held = report.holding
+            self.parts.replicas.learn(replica, held.layers, held.born)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -46,8 +46,12 @@
     stalled = waited > parts.startup.stall_seconds * _STALL_SHARE
     fault = _find_fault(parts, stream, answer.terms.fault)
     reason = f'answered {answer.status}'
-    parts.replicas.suspect(fault, reason, full=not stalled)
-    prober.check(fault)
+    if answer.terms.entry in {'', stream.head.entry}:
+        parts.replicas.suspect(fault, reason, full=not stalled)
+        prober.check(fault)
+    else:
+        # Another replica has the address now; asking it tells nothing.
+        parts.replicas.end(stream.head)
     stream.exchange.record(
         catalogue.EXCHANGE_FAILED,
         replica=fault.name,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -68,6 +68,7 @@
             'configuration_version': lambda: parts.configuration.version,
             'configuration_age_seconds': lambda: parts.configuration.age,
             'replicas_listed': lambda: len(parts.replicas.replicas),
+            'entries_refused': lambda: parts.replicas.refused,
             'replicas_suspected': lambda: len(parts.replicas.list_suspects()),
             'retries_left': lambda: parts.budget.left,
             'log_lines_dropped': lambda: parts.log.dropped,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -142,10 +142,19 @@
             self.parts.replicas.suspect(head, 'no report', full=False)
             self._leave_head(head)
             return
-        for address in set(report.stalled.values()):
-            culprit = self.parts.replicas.find_address(address)
-            if culprit is not None and culprit.name != head.name:
-                self.parts.replicas.suspect(culprit, 'stalls', full=False)
+        for stream in self.streams:
+            address = report.stalled.get(stream.inquiry.terms.identity)
+            if address is not None and stream.head.name == head.name:
+                self._blame(stream, address)
+
+    def _blame(self, stream: LiveStream, address: str) -> None:
+        """Keep away from the part of a stream's path that it waits for.
+
+        The replica that has this address by now may be another one.
+        """
+        for stage in stream.path[1:]:
+            if stage.replica.address == address:
+                self.parts.replicas.suspect(stage.replica, 'stalls', full=False)
 
     def _leave_head(self, head: Replica) -> None:
         for stream in self.streams:
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -13,7 +13,7 @@
 import aiohttp
 import yaml
 
-from fleet.processes import BIN, Process, find_port, spawn, spawn_standin
+from fleet.processes import BIN, Process, spawn, spawn_standin
 from ryelatch_core.settings import hash_key
 
 EXAMPLES = Path(__file__).parent.parent.parent / 'examples'
@@ -158,12 +158,11 @@
 
     async def start_node(self, name: str, **extra: Any) -> Process:
         """Start a node and wait until it listens."""
-        peers = find_port()
         startup: dict[str, Any] = {
             'name': name,
             'zone': self.shape.nodes[name],
             'listen': {'host': '127.0.0.1', 'port': 0},
-            'peers': {'host': '127.0.0.1', 'port': peers},
+            'peers': {'host': '127.0.0.1', 'port': 0},
             'platform': {'url': self.platform.url, 'token': PLATFORM_TOKEN},
             'peer_key': 'peer-key-of-the-fleet',
             'operator_keys': [hash_key(OPERATOR_KEY)],
@@ -172,11 +171,12 @@
         file.write_text(yaml.safe_dump(startup | self.shape.startup | extra))
         process = await spawn(name, [str(BIN / 'ryelatch-node'), str(file)])
         self.processes[name] = process
-        await self.wait_until(lambda: _find_port(process) or _ended(process))
-        if not _find_port(process):
+        await self.wait_until(lambda: _find_ports(process) or _ended(process))
+        ports = _find_ports(process)
+        if not ports:
             raise RuntimeError('\n'.join(process.log))
-        process.address = f'127.0.0.1:{_find_port(process)}'
-        address = f'127.0.0.1:{peers}'
+        process.address = f'127.0.0.1:{ports["port"]}'
+        address = f'127.0.0.1:{ports["peers"]}'
         self.vms[name] = _describe(name, 'node', address, startup['zone'])
         await self.publish_vms()
         return process
@@ -328,9 +328,11 @@
     }
 
 
-def _find_port(node: Process) -> str:
+def _find_ports(node: Process) -> dict[str, str]:
+    """Read the ports that the system chose from a node's first line."""
     lines = [line for line in node.log if 'RL1101' in line]
-    return lines[0].split('port=')[1] if lines else ''
+    words = lines[0].split() if lines else []
+    return dict(word.split('=', 1) for word in words if '=' in word)
 
 
 def _ended(process: Process) -> bool:
--- a/tests/fleet/processes.py
+++ b/tests/fleet/processes.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -59,14 +58,6 @@
                 self.log.append(line.decode(errors='replace').rstrip())
 
 
-def find_port() -> int:
-    """Find a port of the loopback interface that nobody uses."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 async def spawn(name: str, command: Sequence[str]) -> Process:
     """Start a program whose standard error is kept."""
     child = await asyncio.create_subprocess_exec(
--- a/tests/golden/test_sessions.py
+++ b/tests/golden/test_sessions.py
@@ -20,7 +20,7 @@
 _HIDDEN = (
     (r'node-([a-z])-[0-9a-f]{6}-\d+', r'request-of-\1'),
     (r'claims/[0-9a-f]{64}', 'claims/KEY'),
-    (r'port=\d+', 'port=PORT'),
+    (r'(port|peers)=\d+', r'\1=PORT'),
     (r'tokens=\d+', 'tokens=N'),
     (r'latency=[\d.]+', 'latency=S'),
     (r'reason=(refused|silent|closed|late|slow)', 'reason=GONE'),
--- /dev/null
+++ b/tests/platform/test_registry.py
@@ -0,0 +1,174 @@
+"""Entries of the registry that replicas did not write."""
+
+import json
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fleet.running import ask, expect_events, make_model, run_node, wait_until
+from ryelatch_core.events import LineLog
+from ryelatch_core.kernel import BootClock, Hub
+from ryelatch_node.beliefs import ReplicaView
+from ryelatch_platform._objects import Changes, Page, StoredObject
+from ryelatch_platform._registry import Registry
+
+_ENTRY = {
+    'service': 'model',
+    'addr': '10.0.0.1:8502',
+    'zone': 'zone-a',
+    'version': 'v1',
+    'slots': 96,
+    'state': 'ready',
+    'seq': 4,
+    'coldRemainingMs': 0,
+    'born': 1_786_687_034_042,
+    'routeKind': 'big',
+    'layers': {'from': 0, 'to': 8, 'version': 1},
+}
+_JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=5,
+)
+
+
+def _make_registry() -> tuple[Registry, ReplicaView, list[Any]]:
+    lines: list[Any] = []
+
+    def write(line: bytes) -> int:
+        lines.append(json.loads(line))
+        return len(line)
+
+    clock = BootClock()
+    log = LineLog('node-a', clock, write)
+    view = ReplicaView(log, clock, Hub())
+    return Registry(log, view, bool), view, lines
+
+
+def _make_object(name: str, spec: Any) -> dict[str, Any]:
+    return {'metadata': {'name': name, 'revision': 3}, 'spec': spec}
+
+
+def _read_page(*entries: Any) -> list[StoredObject]:
+    raw = json.dumps({'entries': entries, 'at': 9}).encode()
+    return msgspec.json.decode(raw, type=Page).read()
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'service': 5},
+        {'service': ''},
+        {'addr': 'nowhere'},
+        {'addr': None},
+        {'zone': 7},
+        {'slots': 0},
+        {'slots': '96'},
+        {'state': 'resting'},
+        {'seq': True},
+        {'seq': 1.5},
+        {'seq': -1},
+        {'born': True},
+        {'born': 1.5},
+        {'born': 'today'},
+        {'born': -1},
+        {'born': 10**30},
+        {'layers': {'from': 'a', 'to': 8}},
+        {'layers': {'from': -3, 'to': 8}},
+        {'layers': 'all'},
+    ],
+)
+def test_entry_of_other_types_names_no_replica(changes: Any) -> None:
+    """An entry of another writer stands beside a sound one."""
+    registry, view, lines = _make_registry()
+    bad = _make_object('i-9', {**_ENTRY, 'addr': '10.0.0.9:1', **changes})
+    registry.replace(_read_page(bad, _make_object('i-1', _ENTRY)))
+    assert [one.entry for one in view.replicas.values()] == ['i-1']
+    refused = [line for line in lines if line['name'] == 'entry-refused']
+    assert len(refused) == 1
+    assert view.refused == 1
+
+
+@pytest.mark.parametrize('missing', sorted(set(_ENTRY) - {'born'}))
+def test_entry_without_a_field_names_no_replica(missing: str) -> None:
+    """A copy of a sound entry lacks a field; the sound one holds.
+
+    Taken for a replica that came back at the address, the copy would end the
+    sound one. Without its kind of accelerator it is taken for another kind
+    of replica, and no path uses it.
+    """
+    registry, view, _ = _make_registry()
+    copy = {name: said for name, said in _ENTRY.items() if name != missing}
+    registry.replace(
+        _read_page(_make_object('i-1', _ENTRY), _make_object('i-9', copy))
+    )
+    assert any(one.entry == 'i-1' for one in view.replicas.values())
+    assert not any(
+        one.entry == 'i-9' and one.accelerator for one in view.replicas.values()
+    )
+
+
+def test_refused_entry_is_told_once() -> None:
+    """A foreign entry is written again and again."""
+    registry, view, lines = _make_registry()
+    found = _read_page(_make_object('i-9', {'service': 1}))[0]
+    for _ in range(50):
+        registry.put(found)
+    assert sum(line['name'] == 'entry-refused' for line in lines) == 1
+    registry.remove('i-9')
+    assert view.refused == 0
+
+
+def test_spoiled_entry_names_no_replica() -> None:
+    """Another writer spoils the entry of a replica."""
+    registry, view, _ = _make_registry()
+    registry.replace(_read_page(_make_object('i-1', _ENTRY)))
+    registry.put(_read_page(_make_object('i-1', None))[0])
+    assert not view.replicas
+
+
+@given(st.lists(_JSON), st.integers(0, 3))
+def test_sound_entries_come_through(others: list[Any], place: int) -> None:
+    """Anything may lie beside sound entries, in a page and in changes."""
+    registry, view, _ = _make_registry()
+    entries = [
+        _make_object(f'x-{number}', one) for number, one in enumerate(others)
+    ]
+    entries += others
+    entries.insert(min(place, len(entries)), _make_object('i-1', _ENTRY))
+    registry.replace(_read_page(*entries))
+    assert 'i-1' in {one.entry for one in view.replicas.values()}
+    raw = json.dumps(
+        {'events': [{'object': one} for one in entries], 'at': 3}
+    ).encode()
+    changes = msgspec.json.decode(raw, type=Changes).read()
+    assert 'i-1' in {found.metadata.name for found, _ in changes}
+
+
+@given(st.binary(max_size=60))
+def test_bytes_that_are_no_text_name_no_replica(content: bytes) -> None:
+    """The contents of an entry are bytes that can't be read."""
+    registry, view, _ = _make_registry()
+    found = _read_page(_make_object('i-9', None))[0]
+    found.spec = msgspec.Raw(content)
+    registry.put(found)
+    assert not view.replicas
+
+
+async def test_others_serve_beside_foreign_entries() -> None:
+    """Foreign entries come in the list and in changes; requests go on."""
+    async with run_node(make_model((0, 4), (4, 8))) as node:
+        for number, spec in enumerate([None, 5, 'x', {}, {'service': 'model'}]):
+            node.store.put('servers', f'x-{number}', spec)
+        await wait_until(lambda: node.count('entry-refused') == 5)
+        node.store.forget_history()
+        await wait_until(lambda: node.count('history-lost') >= 2)
+        _, body, _ = await ask(node, '/plan/x')
+        assert body == expect_events(5)
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -47,6 +47,7 @@
     :param failures: requests that it fails before it is well.
     :param hang: whether it takes requests and never answers.
     :param other_identity: whether it answers under another request's name.
+    :param born: milliseconds; 0 if it does not say when it began.
     :param unframed_part: whether it sends a part without a length and resets.
     """
 
@@ -68,6 +69,7 @@
     other_identity: bool = False
     unframed_part: bool = False
     address: str = ''
+    born: int = 0
     runs: list[Run] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     sequence: int = 0
@@ -86,12 +88,14 @@
             'slots': 4,
             'state': state,
             'seq': 1,
+            'version': 'v1',
+            'coldRemainingMs': 0,
         }
+        if self.born:
+            entry['born'] = self.born
         if self.accelerator:
             entry['routeKind'] = self.accelerator
-        if self.layers:
-            first, end = self.layers
-            entry['layers'] = {'from': first, 'to': end, 'version': 1}
+            entry['layers'] = self._write_layers()
         self.store.put('servers', self.name, entry)
 
     def resume(self) -> None:
@@ -107,13 +111,37 @@
         app.router.add_route('*', '/{path:.*}', self._serve)
         return app
 
+    def start_again(self, name: str = '') -> None:
+        """Crash and start again, with nothing held or counted.
+
+        :param name: of the new life, where it has another than the old one.
+        """
+        self.name = name or self.name
+        self.born += 1000
+        self.layers = None
+        self.sequence = 0
+        self.fence = 0
+        self.resume()
+
+    def _write_layers(self) -> dict[str, int] | None:
+        if self.layers is None:
+            return None
+        first, end = self.layers
+        return {'from': first, 'to': end, 'version': 1}
+
     async def _report(self, request: web.Request) -> web.Response:
         stalled = [
             {'id': identity, 'addr': address}
             for identity, address in self._stalled.items()
         ]
         return web.json_response(
-            {'busy': False, 'seq': self.sequence, 'stalled': stalled}
+            {
+                'busy': False,
+                'seq': self.sequence,
+                'stalled': stalled,
+                'layers': self._write_layers(),
+                'born': self.born,
+            }
         )
 
     async def _order(self, request: web.Request) -> web.Response:
@@ -136,7 +164,18 @@
         identity = request.headers.get('X-Ryelatch-Request-Id', '')
         expected = request.headers.get('X-Ryelatch-Expect-Replica', self.name)
         if expected != self.name:
-            return web.Response(status=421, headers=self._name(identity))
+            return web.Response(
+                status=421,
+                headers={
+                    **self._name(identity),
+                    'X-Ryelatch-Replica-Id': self.name,
+                },
+            )
+        if self.accelerator and self.layers is None:
+            return web.Response(
+                status=421,
+                headers={**self._name(identity), 'At-Server': self.address},
+            )
         if self.refuse:
             return web.Response(
                 status=self.refuse,
