Give each node a window for each first replica, and refused clients turns

The relay had no admission.

Change: a window of requests in progress for each first replica, grown by first events in time and shrunk by late ones or refusals; beyond it another first replica, or a refusal at once with a turn at the pace of places. Requests that were refused before and are late anyway may use 0.8 of a window.

--- a/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
@@ -10,6 +10,7 @@
 )
 from ryelatch_core.fleet._plan import misses_layers, plan_moves
 from ryelatch_core.fleet._pool import Move
+from ryelatch_core.fleet._returns import ReturnPlan
 from ryelatch_core.fleet._suspicion import (
     FULL_SECONDS,
     UNREACHABLE_SECONDS,
@@ -23,6 +24,7 @@
     Stage,
     name_life,
 )
+from ryelatch_core.fleet._window import Windows
 
 __all__ = [
     'FULL_SECONDS',
@@ -37,8 +39,10 @@
     'Move',
     'PathQuery',
     'Replica',
+    'ReturnPlan',
     'Stage',
     'Suspects',
+    'Windows',
     'choose_path',
     'estimate_capacity',
     'estimate_step',
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
@@ -92,6 +92,7 @@
     :param own_tokens: tokens of this node's requests at each replica.
     :param load: what all nodes are taken to have there.
     :param excess: seconds by which paths through a replica were late.
+    :param closed: names of replicas where no path may begin.
     :param head: the stage that must come first, if any.
     :param kept: names of replicas that have read the request already.
     :param crosses: whether the path may change zones in its middle.
@@ -106,6 +107,7 @@
     own_tokens: Mapping[str, int] = field(default_factory=dict)
     load: LoadEstimate = NO_LOAD
     excess: Mapping[str, float] = field(default_factory=dict)
+    closed: frozenset[str] = frozenset()
     head: Stage | None = None
     kept: frozenset[str] = frozenset()
     crosses: bool = True
@@ -311,6 +313,8 @@
     """Find the best way over a part that ends at a replica."""
     own = rates[replica.name] * len(part)
     if part.first == 0:
+        if replica.name in query.closed:
+            return None
         return _Way(_price_entry(replica, query) + own, replica, 0, None)
     best: _Way | None = None
     least = float('inf')
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -23,6 +23,8 @@
     query = make_query(parts, inquiry, suspects)
     if query is None:
         return ()
+    if not exchange.started:
+        query = replace(query, closed=_list_closed(parts, inquiry))
     offered = parts.replicas.list_service(inquiry.service)
     # A first replica that failed this request, or let it stand still, would
     # most likely do so again, and others that fail much would too.
@@ -39,6 +41,19 @@
     return choose_path(offered, bold)
 
 
+def _list_closed(parts: Parts, inquiry: Inquiry) -> frozenset[str]:
+    """Name the first replicas that are full for a request.
+
+    A client that was refused and came back has less time left than clients
+    of this route mostly have. Its answer will be late.
+    """
+    route = inquiry.route
+    patience = inquiry.terms.deadline or route.timeout
+    longest = max(patience, parts.patience.get(route.name, 0))
+    parts.patience[route.name] = longest
+    return parts.windows.list_closed(late=patience < longest - route.objective)
+
+
 def misses_layers(parts: Parts, inquiry: Inquiry) -> bool:
     """Whether there is no path even without regard to room."""
     query = make_query(parts, inquiry, parts.replicas.list_unreachable())
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -40,12 +40,6 @@
 A loss shows after 0.5 s, and eight layers load in 1.4 s.
 """
 
-ROOM_SECONDS = 1.0
-"""When a refused client may come back where all paths are full.
-
-A usual answer takes two seconds, so of many in progress some end by then.
-"""
-
 _SERVER_ERROR = 500
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
@@ -112,6 +106,8 @@
     now = parts.clock.monotonic()
     stream = LiveStream(exchange, inquiry, path, now, now, tokens, scope)
     parts.load.add(path, tokens, now)
+    parts.windows.add(stream.head.name)
+    parts.returns.note_start(now)
     watch.streams.add(stream)
     try:
         async with scope:
@@ -125,6 +121,7 @@
     finally:
         stream.over = True
         watch.streams.discard(stream)
+        parts.windows.remove(stream.head.name)
         parts.load.remove(stream.path, tokens, parts.clock.monotonic())
     return _Next.AGAIN
 
@@ -262,9 +259,25 @@
     elif progress.lost:
         await exchange.refuse(_BAD_GATEWAY, 'the answer was lost')
     else:
-        missing = misses_layers(parts, inquiry)
-        await exchange.refuse(
-            _UNAVAILABLE,
-            'layers are missing' if missing else 'all paths are full',
-            retry_after=REPAIR_SECONDS if missing else ROOM_SECONDS,
-        )
+        await _refuse(parts, exchange, inquiry)
+
+
+async def _refuse(
+    parts: Parts,
+    exchange: Exchange,
+    inquiry: Inquiry,
+) -> None:
+    """Tell a client that its request did not run, and when to come back."""
+    missing = misses_layers(parts, inquiry)
+    await exchange.refuse(
+        _UNAVAILABLE,
+        'layers are missing' if missing else 'all paths are full',
+        retry_after=REPAIR_SECONDS if missing else _give_turn(parts, inquiry),
+        open=len(parts.windows.requests),
+        full=len(parts.windows.list_closed()),
+    )
+
+
+def _give_turn(parts: Parts, inquiry: Inquiry) -> float:
+    now = parts.clock.monotonic()
+    return parts.returns.give_turn(now, inquiry.ends - now, parts.draw())
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from ryelatch_core.events import LineLog
-from ryelatch_core.fleet import FailureBook, LoadBook
+from ryelatch_core.fleet import FailureBook, LoadBook, ReturnPlan, Windows
 from ryelatch_core.kernel import Clock
 from ryelatch_core.retries import RetryBudget
 from ryelatch_node.beliefs import ConfigurationView, ReplicaView
@@ -37,9 +37,16 @@
     orders: Orders
     budget: RetryBudget
     load: LoadBook = field(default_factory=LoadBook)
+    windows: Windows = field(init=False)
+    returns: ReturnPlan = field(default_factory=ReturnPlan)
+    patience: dict[str, float] = field(default_factory=dict)
     failures: FailureBook = field(default_factory=FailureBook)
     times: dict[str, float] = field(default_factory=lambda: defaultdict(float))
 
+    def __post_init__(self) -> None:
+        """Make what needs the other parts."""
+        self.windows = Windows(self.draw)
+
     def draw(self) -> float:
         """Draw a number from 0 to 1."""
         return self.chance.random()
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -12,6 +12,7 @@
 from ryelatch_node.relay._stream import HEAD_LOST, LiveStream
 from ryelatch_node.relay._upstream import Answer
 
+_FULL = 503
 _STALL_SHARE = 0.75
 """Share of the upstreams' patience from which a refusal tells of a loss."""
 
@@ -46,6 +47,8 @@
     stalled = waited > parts.startup.stall_seconds * _STALL_SHARE
     fault = _find_fault(parts, stream, answer.terms.fault)
     reason = f'answered {answer.status}'
+    if answer.status == _FULL and fault.name == stream.head.name:
+        parts.windows.note_full(fault.name, parts.clock.monotonic())
     if answer.terms.entry in {'', stream.head.entry}:
         parts.replicas.suspect(fault, reason, full=not stalled)
         prober.check(fault)
@@ -88,8 +91,13 @@
     if not stream.begun:
         stream.begun = True
         stream.exchange.ran += 1
-        parts.load.note_first(
-            stream.path, stream.progress - stream.sent, stream.progress
+        taken = stream.progress - stream.sent
+        parts.load.note_first(stream.path, taken, stream.progress)
+        parts.windows.note_first(
+            stream.head.name,
+            taken,
+            stream.inquiry.route.objective,
+            stream.progress,
         )
         stream.exchange.detail.setdefault(
             'first', round_seconds(stream.progress - stream.inquiry.arrived)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -50,6 +50,7 @@
             self._parts.replicas.drop_lapsed()
             self._parts.budget.refill(HOUSEKEEPING_SECONDS)
             self._parts.load.keep(self._parts.replicas.replicas)
+            self._parts.windows.keep(self._parts.replicas.replicas)
             self._parts.failures.keep(self._parts.replicas.replicas)
             self._parts.configuration.allows_keys()
             self._server.apply_limits()
@@ -70,6 +71,7 @@
             'replicas_listed': lambda: len(parts.replicas.replicas),
             'entries_refused': lambda: parts.replicas.refused,
             'replicas_suspected': lambda: len(parts.replicas.list_suspects()),
+            'first_replicas_full': lambda: len(parts.windows.list_closed()),
             'retries_left': lambda: parts.budget.left,
             'log_lines_dropped': lambda: parts.log.dropped,
         },
