--- a/tests/core/fleet/test_returns.py
+++ b/tests/core/fleet/test_returns.py
@@ -22,8 +22,8 @@
     plan = _make_plan(10)
     turns = [plan.give_turn(6, 60, 0.5) for _ in range(30)]
     gaps = [later - one for one, later in itertools.pairwise(turns)]
-    assert min(gaps) > 0.25
-    assert max(gaps) < 0.6
+    assert min(gaps) * 4 > 1
+    assert max(gaps) * 5 < 3
 
 
 def test_nobody_waits_longer_than_it_would() -> None:
@@ -33,8 +33,8 @@
     turns = [plan.give_turn(6, 18, chance.random()) for _ in range(300)]
     assert max(turns) <= 6
     late = sorted(turns[100:])
-    assert late[0] < 4.5
-    assert late[-1] > 5.5
+    assert late[0] * 2 < 9
+    assert late[-1] * 2 > 11
 
 
 def test_turns_begin_anew_after_a_surge() -> None:
--- a/tests/core/fleet/test_window.py
+++ b/tests/core/fleet/test_window.py
@@ -171,7 +171,7 @@
     assert 'head' in windows.list_closed(late=True)
 
 
-def test_window_shrinks_once_for_requests_sent_together() -> None:
+def test_requests_sent_together_shrink_once() -> None:
     """Ten requests that were sent before the window shrank are late too."""
     windows = Windows(random.Random(1).random)
     for _ in range(20):
