Open the door before the libraries are loaded, and wait for the first lists

Requests that came before the first lists were refused at once.

Ruled out: switching the collector off while loading (0.26 s of processor time both ways).

test_notice_during_the_start_is_survived looked at the signal when _main was imported; the settings are read before that now, so it looks when the module that reads them is imported, which is earlier and so no less strict.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -34,6 +34,15 @@
 UNSURE_RETRY = 0.5
 """When a client may come back to, most likely, another node."""
 
+KNOWN_SECONDS = 0.3
+"""Longest wait of a request for the first list after a start.
+
+The calls take 5 ms each, 0.3 s where the store is slowed sixtyfold; where it
+is out, a client is better served by another node.
+"""
+
+_POLL_SECONDS = 0.01
+
 LIST_RETRY = 0.2
 """When a client may come back to a node that is about to list replicas.
 
@@ -82,6 +91,7 @@
         self._parts = parts
         self._watch = watch
         self._metrics = metrics
+        self._known: asyncio.Task[None] | None = None
 
     async def serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -117,6 +127,7 @@
             exchange.closing = True
             await exchange.refuse(_REQUEST_TIMEOUT, 'the body stands still')
             return
+        await self._wait_known()
         inquiry = self._admit(scope, terms, body, arrived)
         if isinstance(inquiry, _Refusal):
             await self._refuse(exchange, inquiry)
@@ -151,6 +162,28 @@
             if not message['more_body']:
                 return b''.join(pieces)
 
+    async def _wait_known(self) -> None:
+        """Wait for the first configuration and list of replicas.
+
+        They come within milliseconds of the start. Refused before, a client
+        that came back when its node was killed has used its one try.
+        """
+        if self._knows():
+            return
+        if self._known is None:
+            self._known = asyncio.create_task(self._poll_known())
+        await asyncio.wait((self._known,), timeout=KNOWN_SECONDS)
+
+    async def _poll_known(self) -> None:
+        """Look until both have come, once for all requests that wait."""
+        while not self._knows():
+            await asyncio.sleep(_POLL_SECONDS)
+        self._known = None
+
+    def _knows(self) -> bool:
+        parts = self._parts
+        return parts.configuration.table is not None and parts.replicas.listed
+
     def _admit(
         self,
         scope: Scope,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -15,6 +15,7 @@
 
 from ryelatch_core.events import catalogue
 from ryelatch_core.routing import ClientLimits
+from ryelatch_node.door import BACKLOG, bind_door
 from ryelatch_node.ports import Address, SettingsChanged
 from ryelatch_node.relay._budget import (
     UNCOUNTED_NODES,
@@ -26,13 +27,6 @@
 from ryelatch_node.relay._parts import Parts
 from ryelatch_node.relay._protocol import BoundedProtocol
 
-BACKLOG = 1024
-"""New connections that wait while the loop is busy.
-
-A packet that opens a connection is dropped when the queue is full, and is
-sent again only a second later.
-"""
-
 NOTICE_SECONDS = 3.0
 """How long a stopping node serves new requests as usual.
 
@@ -61,14 +55,19 @@
 
 
 class RelayServer:
-    """Listens on three addresses and ends without cutting anything off."""
+    """Listens on three addresses and ends without cutting anything off.
+
+    :param door: where clients wait already, if they do.
+    """
 
     def __init__(
         self,
         parts: Parts,
         ingress: Ingress,
         metrics: RelayMetrics,
+        door: socket.socket | None = None,
     ) -> None:
+        self._door = door
         self._parts = parts
         self._ingress = ingress
         self._counted = metrics
@@ -111,8 +110,11 @@
         )
         config.load()
         startup = self._parts.startup
-        wanted = (startup.front, startup.readiness, startup.metrics)
-        self._sockets = [_bind(address) for address in wanted]
+        self._sockets = [
+            self._door or bind_door(*startup.front),
+            bind_door(*startup.readiness),
+            bind_door(*startup.metrics),
+        ]
         bound = [Address(*one.getsockname()) for one in self._sockets]
         self.front = bound[0]
         self.readiness = bound[1]
@@ -213,11 +215,3 @@
 
     async def _tell_metrics(self, request: Request) -> Response:
         return PlainTextResponse(self._counted.expose())
-
-
-def _bind(address: Address) -> socket.socket:
-    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bound.bind(address)
-    bound.setblocking(False)
-    return bound
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -217,7 +217,7 @@
         'import runpy, signal, sys\n'
         'class Finder:\n'
         '    def find_spec(self, name, path=None, target=None):\n'
-        '        if name == "ryelatch_platform._main":\n'
+        '        if name == "ryelatch_platform._begin":\n'
         '            print(signal.getsignal(signal.SIGHUP).name)\n'
         '            sys.exit()\n'
         'sys.meta_path.insert(0, Finder())\n'
@@ -228,3 +228,36 @@
     )
     told, _ = await process.communicate()
     assert told == b'SIG_IGN\n'
+
+
+async def test_clients_wait_while_libraries_load(tmp_path: Path) -> None:
+    """All nodes are killed and start again; cut clients come back at once.
+
+    They were refused a connection for the time in which libraries load, half
+    a second, and lost their requests, as they try only once more.
+    """
+    host = f'127.{random.randint(1, 250)}.{random.randint(0, 250)}.7'
+    path = tmp_path / 'node.toml'
+    path.write_text(
+        _SETTINGS.format(name='node', host=host, store='127.0.0.1:1', grace=1)
+    )
+    connecting = (
+        'import runpy, socket, sys\n'
+        'class Finder:\n'
+        '    def find_spec(self, name, path=None, target=None):\n'
+        '        if name == "ryelatch_platform._main":\n'
+        f'            socket.create_connection(("{host}", 8227), 5)\n'
+        '            print("connected")\n'
+        '            sys.exit()\n'
+        'sys.meta_path.insert(0, Finder())\n'
+        'runpy.run_module("ryelatch_platform", run_name="__main__")\n'
+    )
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-c',
+        connecting,
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, 'RYELATCH_NODE_FILE': str(path)},
+    )
+    told, _ = await process.communicate()
+    assert told == b'connected\n'
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -17,6 +17,7 @@
     run_node,
     wait_until,
 )
+from ryelatch_node.beliefs import ReplicaView
 
 
 async def test_plain_answer_is_passed_on_byte_for_byte() -> None:
@@ -290,3 +291,27 @@
             status, body, _ = await ask(node, '/book/x', identity=f'r-{number}')
             assert (status, body) == (200, b'answer of b-1')
         assert not node.replicas['b-0'].runs
+
+
+async def test_request_waits_for_the_first_list() -> None:
+    """A client comes to a node that has just started.
+
+    Its lists come within milliseconds. Refused before, a client that has come
+    back once already has lost its request.
+    """
+    async with run_node(make_plain(1)) as node:
+        node.app.find('replicas', ReplicaView).listed = False
+        asking = asyncio.create_task(ask(node, '/ping/x'))
+        await asyncio.sleep(0.05)
+        node.app.find('replicas', ReplicaView).listed = True
+        status, _, _ = await asking
+        assert status == 200
+
+
+async def test_nobody_waits_long_for_a_list() -> None:
+    """The store is out at the start: another node serves the client."""
+    async with run_node(make_plain(1)) as node:
+        node.app.find('replicas', ReplicaView).listed = False
+        status, _, headers = await ask(node, '/ping/x')
+        assert status == 503
+        assert 'retry-after' in headers
