Let a few nodes of a large fleet watch the store for the others

Change: nodes list where they can be asked. From twenty nodes on, one in sixteen of a zone (the widest links first) watches the store, shortly, and the others ask it over msgpack; a reply tells how long ago nothing else had changed, so what it confirms is dated as safely as by the store itself. One that is silent, behind or does not know is left for the store. A node that the store turns away asks peers in turn with the store, in small fleets too.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -322,6 +322,13 @@
     Level.WARNING,
 )
 
+FEEDER_LEFT = EventKind(
+    1704,
+    'feeder-left',
+    'A peer that watches the store for this node was of no use; the store is '
+    'asked for some seconds.',
+)
+
 LEASE_TAKEN = EventKind(1801, 'lease-taken', 'This node holds a duty.')
 LEASE_LOST = EventKind(
     1802, 'lease-lost', 'This node gave back or lost a duty.'
--- a/packages/ryelatch-core/src/ryelatch_core/membership/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/membership/__init__.py
@@ -1,5 +1,11 @@
 """Who is there, who leaves, who speaks to whom."""
 
+from ryelatch_core.membership._feeders import (
+    NodeEntry,
+    choose_feeders,
+    feeds_others,
+    shares_watches,
+)
 from ryelatch_core.membership._lease import (
     ORDER_SECONDS,
     TTL_SECONDS,
@@ -21,12 +27,16 @@
     'TTL_SECONDS',
     'Lease',
     'Member',
+    'NodeEntry',
     'Roster',
     'RosterChange',
     'Vm',
+    'choose_feeders',
     'choose_peers',
+    'feeds_others',
     'may_order',
     'release_lease',
+    'shares_watches',
     'should_watch',
     'take_lease',
 ]
--- /dev/null
+++ b/packages/ryelatch-core/src/ryelatch_core/membership/_feeders.py
@@ -0,0 +1,87 @@
+"""Chooses the nodes that watch the store for others.
+
+Each watch of each node has its price and its share of the store's rate; with
+ninety nodes, calls to the store cost more than a tenth of what a day is worth.
+A few nodes of each availability zone watch, and the others ask them.
+"""
+
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+FEWEST_NODES = 20
+"""Nodes of a fleet below which each watches for itself.
+
+Those that watch for others ask the store more often, so that a blind one is
+noticed in time; below twenty nodes this costs what the others save.
+"""
+
+FOLLOWERS = 16
+"""Nodes of a zone for each one that watches for them.
+
+Each asks three things at a time over a link of its own; a change of a hundred
+entries is 40 kB for each of them, a tenth of a second on the weakest links.
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeEntry:
+    """A node, as the nodes list themselves.
+
+    :param address: ``host:port`` where peers ask; empty if it has none.
+    :param link_mbps: of its VM's link.
+    """
+
+    name: str
+    zone: str
+    address: str = ''
+    link_mbps: float = 0
+
+
+def choose_feeders(
+    me: str,
+    zone: str,
+    nodes: Iterable[NodeEntry],
+) -> tuple[NodeEntry, ...]:
+    """Choose whom a node asks, best first: the own zone's, then others'.
+
+    :param me: name of the node that asks.
+    :returns: none of the own zone's if this node is one of them; they watch
+        for themselves while they can.
+    """
+    zones: dict[str, list[NodeEntry]] = {}
+    for node in nodes:
+        if node.address:
+            zones.setdefault(node.zone, []).append(node)
+    near = _rank(zones.pop(zone, []))
+    far = [one for name in sorted(zones) for one in _rank(zones[name])]
+    if any(one.name == me for one in near):
+        near = []
+    return (*_turn(near, me), *_turn(far, me))
+
+
+def shares_watches(nodes: Iterable[NodeEntry]) -> bool:
+    """Whether some nodes of a fleet watch for others."""
+    return len([one for one in nodes if one.address]) >= FEWEST_NODES
+
+
+def feeds_others(me: str, zone: str, nodes: Iterable[NodeEntry]) -> bool:
+    """Whether a node is one of those that watch for others."""
+    known = tuple(nodes)
+    own = [one for one in known if one.zone == zone and one.address]
+    return shares_watches(known) and any(one.name == me for one in _rank(own))
+
+
+def _rank(nodes: list[NodeEntry]) -> list[NodeEntry]:
+    """List the nodes of a zone that watch: those with the widest links."""
+    count = -(-len(nodes) // FOLLOWERS)
+    ordered = sorted(nodes, key=lambda one: (-one.link_mbps, one.name))
+    return ordered[:count]
+
+
+def _turn(nodes: list[NodeEntry], me: str) -> list[NodeEntry]:
+    """Let each node begin with another one, so that all are asked alike."""
+    if not nodes:
+        return []
+    first = zlib.crc32(me.encode()) % len(nodes)
+    return [*nodes[first:], *nodes[:first]]
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_frames.py
@@ -0,0 +1,65 @@
+"""What nodes ask each other of the store, as a stream of msgpack frames."""
+
+import asyncio
+
+import msgspec
+
+MOST_BYTES = 4_194_304
+"""Longest frame that is read; a change of a thousand entries has 400 kB."""
+
+_LENGTH_BYTES = 4
+
+
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """An object that was written or deleted, as the store told of it."""
+
+    content: bytes
+    deleted: bool
+
+
+class Question(msgspec.Struct, frozen=True, array_like=True):
+    """A watch of a kind of object.
+
+    :param since: revision of the store from which changes are wanted.
+    :param wait: seconds after which an answer is wanted anyway.
+    """
+
+    kind: str
+    since: int
+    wait: float
+
+
+class Reply(msgspec.Struct, frozen=True, array_like=True):
+    """What a node knows of a kind.
+
+    :param covered: whether it knows all changes since the revision.
+    :param at: revision up to which it knows them.
+    :param waited: seconds from the question to this reply.
+    :param age: seconds since it knew that nothing else had changed.
+    :param outage: whether the store was away just before the changes.
+    """
+
+    covered: bool
+    at: int = 0
+    waited: float = 0
+    age: float = 0
+    outage: bool = False
+    changes: tuple[Change, ...] = ()
+
+
+def encode(frame: Question | Reply) -> bytes:
+    """Write a frame with its length in front."""
+    body = msgspec.msgpack.encode(frame)
+    return len(body).to_bytes(_LENGTH_BYTES) + body
+
+
+async def read_body(reader: asyncio.StreamReader) -> bytes:
+    """Read the body of a frame.
+
+    :raises ValueError: if it says that it is too long.
+    :raises EOFError: if the stream ends.
+    """
+    length = int.from_bytes(await reader.readexactly(_LENGTH_BYTES))
+    if length > MOST_BYTES:
+        raise ValueError(f'a frame of {length} bytes')
+    return await reader.readexactly(length)
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_service.py
@@ -0,0 +1,244 @@
+"""Asks peers what the store says, and tells them."""
+
+import asyncio
+import contextlib
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ryelatch_core.events import LineLog, catalogue
+from ryelatch_core.kernel import App, Clock, Service, cancel_task
+from ryelatch_core.membership import (
+    NodeEntry,
+    choose_feeders,
+    feeds_others,
+    shares_watches,
+)
+from ryelatch_node.news._frames import (
+    Question,
+    Reply,
+    encode,
+    read_body,
+)
+from ryelatch_node.news._memory import Heard, Memory
+from ryelatch_node.ports import Address, RelayStartup
+
+CONNECT_SECONDS = 0.3
+"""Longest wait for a connection to a peer; in a region it takes 2 ms."""
+
+REPLY_SECONDS = 0.4
+"""How long beyond its wait a reply may take, a slowed VM's included."""
+
+REST_SECONDS = 6.0
+"""How long a peer that did not help is not asked again.
+
+Asked again at once, each watch would cost its wait before the store is asked,
+and what is confirmed grows old meanwhile.
+"""
+
+LONGEST_WAIT = 30.0
+"""Longest wait that a peer may ask for."""
+
+
+_FAILURES = (OSError, EOFError, ValueError, msgspec.MsgspecError)
+
+
+@dataclass(eq=False)
+class _Line:
+    """A connection to a peer for one kind of object."""
+
+    address: str
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+
+@dataclass(eq=False)
+class News:
+    """What this node and its peers know of the store's objects.
+
+    A peer's word is as good as the store's: each reply tells how long ago
+    nothing else had changed, counted on one clock at either end, and is dated
+    from when the question was sent. A peer that is cut off, silent or behind
+    is left, and the store asked as if there were no peers.
+    """
+
+    log: LineLog
+    clock: Clock
+    startup: RelayStartup
+    address: Address = field(init=False)
+    _memories: dict[str, Memory] = field(
+        default_factory=lambda: defaultdict(Memory)
+    )
+    _nodes: tuple[NodeEntry, ...] = ()
+    _lines: dict[str, _Line] = field(default_factory=dict)
+    _resting: dict[str, float] = field(default_factory=dict)
+    _server: asyncio.Server | None = None
+    _served: set['asyncio.Task[None]'] = field(default_factory=set)
+
+    async def start(self) -> None:
+        """Listen for peers."""
+        host, port = self.startup.peers
+        self._server = await asyncio.start_server(self._serve, host, port)
+        bound = self._server.sockets[0].getsockname()
+        self.address = Address(host, bound[1])
+
+    async def stop(self) -> None:
+        """Close everything."""
+        if self._server is not None:
+            self._server.close()
+        for kind in tuple(self._lines):
+            self._drop(kind)
+        for task in tuple(self._served):
+            await cancel_task(task)
+
+    def know(self, nodes: Iterable[NodeEntry]) -> None:
+        """Take note of which nodes there are."""
+        self._nodes = tuple(nodes)
+
+    def restart(self, kind: str, heard: Heard) -> None:
+        """Take a whole list from the store."""
+        self._memories[kind].restart(heard)
+
+    def note(self, kind: str, heard: Heard) -> None:
+        """Take an answer to a watch, from whomever."""
+        self._memories[kind].note(heard)
+
+    async def ask(
+        self,
+        kind: str,
+        since: int,
+        wait: float,
+        *,
+        oldest: float,
+        alone: bool,
+    ) -> Heard | None:
+        """Ask a peer for what has changed.
+
+        :param oldest: seconds since a peer heard of the store itself, beyond
+            which its word is no use.
+        :param alone: whether the store does not answer this node; one that
+            watches for others then asks them too.
+        :returns: nothing if the store has to be asked.
+        """
+        peer = self._choose(alone=alone)
+        if peer is None:
+            return None
+        sent = self.clock.monotonic()
+        question = Question(kind, since, wait)
+        try:
+            async with asyncio.timeout(wait + CONNECT_SECONDS + REPLY_SECONDS):
+                reply = await self._exchange(kind, peer, question)
+        except _FAILURES as error:
+            # Timeouts are among them: a peer whose connections went silent.
+            self._leave(kind, peer, type(error).__name__)
+            return None
+        if reply.covered and reply.age > oldest:
+            self._leave(kind, peer, 'behind')
+            return None
+        if not reply.covered:
+            return None
+        known = sent + min(reply.waited, self.clock.monotonic() - sent)
+        return Heard(reply.at, known - reply.age, reply.changes, reply.outage)
+
+    @property
+    def feeds(self) -> bool:
+        """Whether this node watches the store for others."""
+        return feeds_others(self.startup.name, self.startup.zone, self._nodes)
+
+    def _choose(self, *, alone: bool) -> NodeEntry | None:
+        """Choose the peer to ask; none if this node asks the store."""
+        if not alone and not shares_watches(self._nodes):
+            return None
+        now = self.clock.monotonic()
+        me, zone = self.startup.name, self.startup.zone
+        offered = choose_feeders(me, zone, self._nodes)
+        near = [one for one in offered if alone or one.zone == zone]
+        return next(
+            (one for one in near if self._resting.get(one.name, 0) <= now),
+            None,
+        )
+
+    async def _exchange(
+        self,
+        kind: str,
+        peer: NodeEntry,
+        question: Question,
+    ) -> Reply:
+        line = self._lines.get(kind)
+        if line is None or line.address != peer.address:
+            self._drop(kind)
+            line = await _connect(peer.address)
+            self._lines[kind] = line
+        line.writer.write(encode(question))
+        await line.writer.drain()
+        return msgspec.msgpack.decode(await read_body(line.reader), type=Reply)
+
+    def _leave(self, kind: str, peer: NodeEntry, reason: str) -> None:
+        self._drop(kind)
+        self._resting[peer.name] = self.clock.monotonic() + REST_SECONDS
+        self.log.record(
+            catalogue.FEEDER_LEFT, peer=peer.name, kind_of=kind, reason=reason
+        )
+
+    def _drop(self, kind: str) -> None:
+        line = self._lines.pop(kind, None)
+        if line is not None:
+            line.writer.transport.abort()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answer one peer until it goes."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._served.add(task)
+        try:
+            while True:
+                await self._answer(reader, writer)
+        except _FAILURES:
+            # The peer has gone, or is none; it asks anew, or the store.
+            return
+        except asyncio.CancelledError:
+            # Only at the stop. The library's own callback looks at how this
+            # task ended and takes a cancelled one for a crash.
+            return
+        finally:
+            self._served.discard(task)
+            with contextlib.suppress(OSError):
+                writer.transport.abort()
+
+    async def _answer(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        body = await read_body(reader)
+        asked = self.clock.monotonic()
+        question = msgspec.msgpack.decode(body, type=Question)
+        memory = self._memories[question.kind]
+        wait = min(LONGEST_WAIT, max(0, question.wait))
+        await memory.wait(question.since, asked, wait)
+        now = self.clock.monotonic()
+        writer.write(encode(memory.tell(question.since, asked, now)))
+        await writer.drain()
+
+
+async def _connect(address: str) -> _Line:
+    host, _, port = address.rpartition(':')
+    async with asyncio.timeout(CONNECT_SECONDS):
+        reader, writer = await asyncio.open_connection(host, int(port))
+    return _Line(address, reader, writer)
+
+
+def setup(app: App) -> None:
+    """Add the service ``news``."""
+    news = News(
+        app.find('log', LineLog),
+        app.clock,
+        app.find('startup', RelayStartup),
+    )
+    app.add(Service('news', news, start=news.start, stop=news.stop))
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_startup.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_startup.py
@@ -17,6 +17,8 @@
     :param front: where clients connect.
     :param readiness: where the balancer asks whether this node is ready.
     :param metrics: where metrics are read.
+    :param peers: where other nodes ask this one.
+    :param link_mbps: of this VM's link.
     :param store: where the platform's store is.
     :param retry_ratio: retries allowed for each request, over all nodes.
     :param retry_extra: retries allowed besides in each window.
@@ -32,6 +34,8 @@
     front: Address
     readiness: Address
     metrics: Address
+    peers: Address
+    link_mbps: float
     store: Address
     zones: tuple[str, ...]
     retry_ratio: float
@@ -43,7 +47,15 @@
     fenced: bool
 
 
-FIXED = ('name', 'zone', 'front', 'readiness', 'metrics', 'store')
+FIXED = (
+    'name',
+    'zone',
+    'front',
+    'readiness',
+    'metrics',
+    'peers',
+    'store',
+)
 """Settings that take effect at a start, when sockets and names are made."""
 
 
--- a/tests/fleet/running.py
+++ b/tests/fleet/running.py
@@ -255,6 +255,8 @@
         front=Address(host, 0),
         readiness=Address(host, 0),
         metrics=Address(host, 0),
+        peers=Address(host, 0),
+        link_mbps=1000,
         store=Address(host, store_port),
         zones=('zone-a',),
         retry_ratio=0.2,
--- a/tests/platform/test_beliefs.py
+++ b/tests/platform/test_beliefs.py
@@ -87,7 +87,7 @@
     Another call tells that it is back. The old watch would wait for seconds
     more, and a replica that left meanwhile get work.
     """
-    follow = 'ryelatch_platform._follow'
+    follow = 'ryelatch_platform._kinds'
     monkeypatch.setattr(f'{follow}.REGISTRY_WAIT', 60)
     monkeypatch.setattr(f'{follow}.CONFIGURATION_WAIT', 0.2)
     async with run_node(make_plain(2)) as node:
@@ -111,7 +111,7 @@
     One call finds out. A watch on another of the old connections would wait
     for a minute here, and a replica that left get work.
     """
-    follow = 'ryelatch_platform._follow'
+    follow = 'ryelatch_platform._kinds'
     monkeypatch.setattr(f'{follow}.REGISTRY_WAIT', 60)
     monkeypatch.setattr(f'{follow}.CONFIGURATION_WAIT', 0.2)
     async with run_node(make_plain(2)) as node:
@@ -134,7 +134,7 @@
     again, and keyed requests were refused meanwhile, at each change and at a
     third of the nodes.
     """
-    monkeypatch.setattr('ryelatch_platform._follow.CONFIGURATION_WAIT', 4)
+    monkeypatch.setattr('ryelatch_platform._kinds.CONFIGURATION_WAIT', 4)
     async with run_node(make_plain(1), revoke_seconds=6) as node:
         await asyncio.sleep(3.5)
         node.store.put('config', 'main', make_configuration(7))
