--- a/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Engines that hold ranges of layers: what they can do, who holds what."""
 
+from ryelatch_core.fleet._accounts import AccountBook
 from ryelatch_core.fleet._failures import FailureBook
 from ryelatch_core.fleet._load import NO_LOAD, LoadBook, LoadEstimate
 from ryelatch_core.fleet._path import PathQuery, choose_path
@@ -31,6 +32,7 @@
     'NO_LOAD',
     'UNREACHABLE_SECONDS',
     'Accelerator',
+    'AccountBook',
     'FailureBook',
     'LayerRange',
     'LoadBook',
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_window.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_window.py
@@ -40,11 +40,13 @@
 Where there are more nodes than slots, one request of each would be too many.
 """
 
-LATE_WINDOW = 0.8
-"""Share of a window that requests may use whose answers are late anyway.
+YIELDING_SHARE = 0.8
+"""Share of a window that requests may use which leave a part to others.
 
-They were refused before and are worth a quarter. With the whole window for
-them, those who came for the first time were made late too.
+These are requests whose answers are late anyway, as they were refused before:
+with the whole window for them, those who came for the first time were made
+late too, and an answer in time is worth four late ones. And requests of
+client accounts that have more than their share in progress.
 """
 
 LATE_SHARE = 0.5
@@ -106,12 +108,12 @@
         if self.requests[name] <= 0:
             del self.requests[name]
 
-    def list_closed(self, *, late: bool = False) -> frozenset[str]:
+    def list_closed(self, *, yields: bool = False) -> frozenset[str]:
         """Name the first replicas that should get no more requests now.
 
-        :param late: whether the answer will be late whatever becomes of it.
+        :param yields: whether the request leaves a part to others.
         """
-        share = LATE_WINDOW if late else 1
+        share = YIELDING_SHARE if yields else 1
         return frozenset(
             name
             for name, window in self._windows.items()
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -45,13 +45,16 @@
     """Name the first replicas that are full for a request.
 
     A client that was refused and came back has less time left than clients
-    of this route mostly have. Its answer will be late.
+    of this route mostly have. Its answer will be late, and it leaves a part
+    of the places to others, as do accounts beyond their share.
     """
     route = inquiry.route
     patience = inquiry.terms.deadline or route.timeout
     longest = max(patience, parts.patience.get(route.name, 0))
     parts.patience[route.name] = longest
-    return parts.windows.list_closed(late=patience < longest - route.objective)
+    late = patience < longest - route.objective
+    heavy = parts.accounts.is_heavy(inquiry.account)
+    return parts.windows.list_closed(yields=late or heavy)
 
 
 def misses_layers(parts: Parts, inquiry: Inquiry) -> bool:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -107,6 +107,7 @@
     stream = LiveStream(exchange, inquiry, path, now, now, tokens, scope)
     parts.load.add(path, tokens, now)
     parts.windows.add(stream.head.name)
+    parts.accounts.add(inquiry.account)
     parts.returns.note_start(now)
     watch.streams.add(stream)
     try:
@@ -122,6 +123,7 @@
         stream.over = True
         watch.streams.discard(stream)
         parts.windows.remove(stream.head.name)
+        parts.accounts.remove(inquiry.account)
         parts.load.remove(stream.path, tokens, parts.clock.monotonic())
     return _Next.AGAIN
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
@@ -5,7 +5,13 @@
 from dataclasses import dataclass, field
 
 from ryelatch_core.events import LineLog
-from ryelatch_core.fleet import FailureBook, LoadBook, ReturnPlan, Windows
+from ryelatch_core.fleet import (
+    AccountBook,
+    FailureBook,
+    LoadBook,
+    ReturnPlan,
+    Windows,
+)
 from ryelatch_core.kernel import Clock
 from ryelatch_core.retries import RetryBudget
 from ryelatch_node.beliefs import ConfigurationView, ReplicaView
@@ -38,6 +44,7 @@
     budget: RetryBudget
     load: LoadBook = field(default_factory=LoadBook)
     windows: Windows = field(init=False)
+    accounts: AccountBook = field(default_factory=AccountBook)
     returns: ReturnPlan = field(default_factory=ReturnPlan)
     patience: dict[str, float] = field(default_factory=dict)
     failures: FailureBook = field(default_factory=FailureBook)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -93,12 +93,15 @@
         stream.exchange.ran += 1
         taken = stream.progress - stream.sent
         parts.load.note_first(stream.path, taken, stream.progress)
-        parts.windows.note_first(
-            stream.head.name,
-            taken,
-            stream.inquiry.route.objective,
-            stream.progress,
-        )
+        if not stream.hindered:
+            # A first event that waited for a lost replica tells nothing of
+            # how full the first one is.
+            parts.windows.note_first(
+                stream.head.name,
+                taken,
+                stream.inquiry.route.objective,
+                stream.progress,
+            )
         stream.exchange.detail.setdefault(
             'first', round_seconds(stream.progress - stream.inquiry.arrived)
         )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
@@ -19,6 +19,7 @@
     :param progress: when its last event came, or it was sent or moved.
     :param tokens: for which memory is taken on its path.
     :param told: whether its pause has been recorded.
+    :param hindered: whether it waited for a replica that was lost.
     :param tries: moves tried while it was flowing; the last at ``tried``.
     :param over: whether its reading has ended.
     :param scope: the timeout of its reading; moved up to interrupt it.
@@ -35,6 +36,7 @@
     moving: bool = False
     over: bool = False
     told: bool = False
+    hindered: bool = False
     reason: str = ''
     delivered: int = 0
     tries: int = 0
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -154,6 +154,7 @@
         """
         for stage in stream.path[1:]:
             if stage.replica.address == address:
+                stream.hindered = True
                 self.parts.replicas.suspect(stage.replica, 'stalls', full=False)
 
     def _leave_head(self, head: Replica) -> None:
@@ -173,6 +174,7 @@
             stream.interrupt(HEAD_LOST)
             return
         stream.moving = True
+        stream.hindered = True
         stream.tried = self.parts.clock.monotonic()
         resumable = self._may_resume(stream)
         try:
--- a/tests/core/fleet/test_window.py
+++ b/tests/core/fleet/test_window.py
@@ -168,7 +168,7 @@
     windows.remove('head')
     windows.remove('head')
     assert 'head' not in windows.list_closed()
-    assert 'head' in windows.list_closed(late=True)
+    assert 'head' in windows.list_closed(yields=True)
 
 
 def test_requests_sent_together_shrink_once() -> None:
--- /dev/null
+++ b/tests/node/relay/test_windows.py
@@ -0,0 +1,55 @@
+"""What a first event tells of how full a first replica is."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+from typing import Any, cast
+
+from core_fleet import make_replica
+from ryelatch_core.fleet import LayerRange, LoadBook, Stage, Windows
+from ryelatch_node.relay._progress import note_progress
+from ryelatch_node.relay._stream import LiveStream
+
+
+def _make_stream() -> LiveStream:
+    head = make_replica('head', 0, 80)
+    inquiry = SimpleNamespace(route=SimpleNamespace(objective=0.5), arrived=0.0)
+    return LiveStream(
+        cast(Any, SimpleNamespace(ran=0, detail={})),
+        cast(Any, inquiry),
+        (Stage(head, LayerRange(0, 80)),),
+        sent=0,
+        progress=0,
+        tokens=1,
+        scope=asyncio.timeout(None),
+    )
+
+
+def _make_parts() -> Any:
+    windows = Windows(random.Random(1).random)
+    for _ in range(10):
+        windows.add('head')
+    return SimpleNamespace(
+        clock=SimpleNamespace(monotonic=lambda: 1.0),
+        load=LoadBook(),
+        windows=windows,
+    )
+
+
+async def test_late_first_event_shrinks_a_window() -> None:
+    parts = _make_parts()
+    note_progress(parts, _make_stream())
+    assert parts.windows.read_limit('head') < 10
+
+
+async def test_loss_on_the_way_leaves_the_window() -> None:
+    """A replica in the middle of a path dies; its stream is moved.
+
+    The first event is late for that. Taken for a full first replica, the
+    zones that were left got smaller windows just when they had to serve all.
+    """
+    parts = _make_parts()
+    stream = _make_stream()
+    stream.hindered = True
+    note_progress(parts, stream)
+    assert parts.windows.read_limit('head') > 10
