--- a/tests/core/fleet/test_accounts.py
+++ b/tests/core/fleet/test_accounts.py
@@ -1,8 +1,9 @@
 """One account sends many times its usual; the others keep their share.
 
-The pattern: nine accounts of two to three requests a second each, and one that
-sends eight times as many, while a first replica has places for forty. The figures
-are those of a node with a window of forty and answers of a second.
+The pattern: nine accounts of two to three requests a second each, and one
+that sends eight times as many, while a first replica has places for forty.
+The figures are those of a node with a window of forty and answers of a
+second.
 """
 
 import heapq
