--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -8,13 +8,14 @@
 """
 
 import argparse
-import concurrent.futures
 import re
 import shlex
 import shutil
 import statistics
 import subprocess
+import sys
 import tempfile
+from concurrent import futures
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -129,7 +130,7 @@
         mechanism.pattern, mechanism.idle, path.read_text(), count=1
     )
     if count != 1:
-        raise SystemExit(f'{mechanism.name}: {mechanism.pattern} not found')
+        sys.exit(f'{mechanism.name}: {mechanism.pattern} not found')
     path.write_text(changed)
     return copy
 
@@ -140,7 +141,7 @@
     played = subprocess.run(words, cwd=copy, capture_output=True, text=True)
     found = _WORTH.search(played.stdout)
     if not found:
-        raise SystemExit(f'{copy.name}, {day}: no worth in\n{played.stdout}')
+        sys.exit(f'{copy.name}, {day}: no worth in\n{played.stdout}')
     return float(found[1])
 
 
@@ -155,7 +156,7 @@
     given = parser.parse_args()
     folder = Path(tempfile.mkdtemp(dir=given.folder))
     copies = {one.name: _copy(one, folder) for one in MECHANISMS}
-    with concurrent.futures.ThreadPoolExecutor(given.jobs) as pool:
+    with futures.ThreadPoolExecutor(given.jobs) as pool:
         for copy in copies.values():
             subprocess.run(shlex.split(given.prepare), cwd=copy, check=True)
         found = {
