Pass large objects on to a node that the store turns away

A node that can't read the store gets large objects too now.

test_node_cut_off_asks_its_peers, with a large configuration that changes while the node is cut off, failed before.

--- a/packages/ryelatch-node/src/ryelatch_node/news/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_frames.py
@@ -22,11 +22,14 @@
 
     :param since: revision of the store from which changes are wanted.
     :param wait: seconds after which an answer is wanted anyway.
+    :param whole: whether large objects are wanted too, as the asker can't
+        read them from the store.
     """
 
     kind: str
     since: int
     wait: float
+    whole: bool = False
 
 
 class Reply(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/ryelatch-node/src/ryelatch_node/news/_memory.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_memory.py
@@ -14,7 +14,7 @@
 
 A configuration with hundreds of routes has 100 kB. Passed on to sixteen nodes
 a few times a second it would fill a link that requests need; they read it
-from the store themselves.
+from the store themselves, unless it has turned them away.
 """
 
 
@@ -75,12 +75,22 @@
         except TimeoutError:
             return
 
-    def tell(self, since: int, asked: float, now: float) -> Reply:
-        """Tell what has changed since a revision."""
+    def tell(
+        self,
+        since: int,
+        asked: float,
+        now: float,
+        *,
+        whole: bool = False,
+    ) -> Reply:
+        """Tell what has changed since a revision.
+
+        :param whole: whether large objects are passed on too.
+        """
         steps = self._list_steps(since)
         changes = tuple(change for step in steps for change in step.changes)
         large = any(len(one.content) > MOST_CONTENT for one in changes)
-        if large or not self._covers(since):
+        if (large and not whole) or not self._covers(since):
             return Reply(covered=False)
         return Reply(
             True,
--- a/packages/ryelatch-node/src/ryelatch_node/news/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_service.py
@@ -126,7 +126,7 @@
         if peer is None:
             return None
         sent = self.clock.monotonic()
-        question = Question(kind, since, wait)
+        question = Question(kind, since, wait, alone)
         try:
             async with asyncio.timeout(wait + CONNECT_SECONDS + REPLY_SECONDS):
                 reply = await self._exchange(kind, peer, question)
@@ -223,7 +223,8 @@
         wait = min(LONGEST_WAIT, max(0, question.wait))
         await memory.wait(question.since, asked, wait)
         now = self.clock.monotonic()
-        writer.write(encode(memory.tell(question.since, asked, now)))
+        reply = memory.tell(question.since, asked, now, whole=question.whole)
+        writer.write(encode(reply))
         await writer.drain()
 
 
--- a/tests/node/news/test_memory.py
+++ b/tests/node/news/test_memory.py
@@ -54,6 +54,7 @@
     memory = _make_memory()
     memory.note(Heard(17, 5, (Change(b'x' * (MOST_CONTENT + 1), False),)))
     assert not memory.tell(15, 6, 7).covered
+    assert memory.tell(15, 6, 7, whole=True).covered
 
 
 def test_outage_is_passed_on() -> None:
--- a/tests/platform/test_news.py
+++ b/tests/platform/test_news.py
@@ -140,7 +140,9 @@
 ) -> None:
     """The store turns one node away, and serves the other.
 
-    Its callers were refused after 3.7 s, as their keys were unconfirmed.
+    Its callers were refused after 3.7 s, as their keys were unconfirmed, and
+    also where a configuration changed meanwhile that is too large to be
+    passed on to those who can read it themselves.
     """
     async with run_node(make_plain(2)) as node, _run_second(node) as (app, _):
         monkeypatch.setattr(
@@ -154,9 +156,18 @@
 
         monkeypatch.setattr(store, '_call', fail)
         configuration = app.find('configuration', ConfigurationView)
-        for _ in range(12):
+        accounts = [
+            {'name': f'ward-{number}', 'apiKeys': [f'key-{number}']}
+            for number in range(200)
+        ]
+        for step in range(18):
             await asyncio.sleep(0.5)
             assert configuration.allows_keys()
+            if step == 6:
+                node.store.put(
+                    'config', 'main', make_configuration(9, tenants=accounts)
+                )
+        assert configuration.version == 9
 
 
 async def test_bad_frames_end_a_connection_only() -> None:
