--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -112,8 +112,8 @@
         'KNOWN_SECONDS = 0.0',
     ),
     Mechanism(
-        'early door',
-        'packages/ryelatch-node/src/ryelatch_node/door.py',
+        'early listener',
+        'packages/ryelatch-node/src/ryelatch_node/listener.py',
         r'bound\.listen\(BACKLOG\)',
         'pass',
     ),
--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -322,9 +322,9 @@
     Level.WARNING,
 )
 
-FEEDER_LEFT = EventKind(
+WATCHER_LEFT = EventKind(
     1704,
-    'feeder-left',
+    'watcher-left',
     'A peer that watches the store for this node was of no use; the store is '
     'asked for some seconds.',
 )
--- a/packages/ryelatch-core/src/ryelatch_core/membership/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/membership/__init__.py
@@ -1,11 +1,5 @@
 """Who is there, who leaves, who speaks to whom."""
 
-from ryelatch_core.membership._feeders import (
-    NodeEntry,
-    choose_feeders,
-    feeds_others,
-    shares_watches,
-)
 from ryelatch_core.membership._lease import (
     ORDER_SECONDS,
     TTL_SECONDS,
@@ -21,6 +15,12 @@
     RosterChange,
     Vm,
 )
+from ryelatch_core.membership._watchers import (
+    NodeEntry,
+    choose_watchers,
+    shares_watches,
+    watches_for_others,
+)
 
 __all__ = [
     'ORDER_SECONDS',
@@ -31,12 +31,12 @@
     'Roster',
     'RosterChange',
     'Vm',
-    'choose_feeders',
     'choose_peers',
-    'feeds_others',
+    'choose_watchers',
     'may_order',
     'release_lease',
     'shares_watches',
     'should_watch',
     'take_lease',
+    'watches_for_others',
 ]
--- a/packages/ryelatch-core/src/ryelatch_core/membership/_feeders.py
+++ b/packages/ryelatch-core/src/ryelatch_core/membership/_watchers.py
@@ -38,7 +38,7 @@
     link_mbps: float = 0
 
 
-def choose_feeders(
+def choose_watchers(
     me: str,
     zone: str,
     nodes: Iterable[NodeEntry],
@@ -65,7 +65,7 @@
     return len([one for one in nodes if one.address]) >= FEWEST_NODES
 
 
-def feeds_others(me: str, zone: str, nodes: Iterable[NodeEntry]) -> bool:
+def watches_for_others(me: str, zone: str, nodes: Iterable[NodeEntry]) -> bool:
     """Whether a node is one of those that watch for others."""
     known = tuple(nodes)
     own = [one for one in known if one.zone == zone and one.address]
--- a/packages/ryelatch-node/src/ryelatch_node/door.py
+++ b/packages/ryelatch-node/src/ryelatch_node/listener.py
@@ -1,4 +1,4 @@
-"""Opens the door to clients before the libraries are loaded.
+"""Listens for clients before the libraries are loaded.
 
 A process that was killed starts again within half a second, most of which
 goes into loading libraries. Clients whose streams were cut come back at once
@@ -20,7 +20,7 @@
 
 
 @dataclass(frozen=True)
-class Door:
+class Listener:
     """Where clients connect.
 
     :param front: a socket that listens already; nothing if none does.
@@ -29,7 +29,7 @@
     front: socket.socket | None = None
 
 
-def bind_door(host: str, port: int) -> socket.socket:
+def bind_listener(host: str, port: int) -> socket.socket:
     """Bind a socket for clients.
 
     :raises OSError: if the address can't be had.
@@ -41,11 +41,11 @@
     return bound
 
 
-def open_door(host: str, port: int) -> socket.socket:
+def open_listener(host: str, port: int) -> socket.socket:
     """Bind a socket for clients, and let them wait there from now on.
 
     :raises OSError: if the address can't be had.
     """
-    bound = bind_door(host, port)
+    bound = bind_listener(host, port)
     bound.listen(BACKLOG)
     return bound
--- a/packages/ryelatch-node/src/ryelatch_node/news/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_service.py
@@ -12,9 +12,9 @@
 from ryelatch_core.kernel import App, Clock, Service, cancel_task
 from ryelatch_core.membership import (
     NodeEntry,
-    choose_feeders,
-    feeds_others,
+    choose_watchers,
     shares_watches,
+    watches_for_others,
 )
 from ryelatch_node.news._frames import (
     Question,
@@ -143,9 +143,11 @@
         return Heard(reply.at, known - reply.age, reply.changes, reply.outage)
 
     @property
-    def feeds(self) -> bool:
+    def watches_for_others(self) -> bool:
         """Whether this node watches the store for others."""
-        return feeds_others(self.startup.name, self.startup.zone, self._nodes)
+        return watches_for_others(
+            self.startup.name, self.startup.zone, self._nodes
+        )
 
     def _choose(self, *, alone: bool) -> NodeEntry | None:
         """Choose the peer to ask; none if this node asks the store."""
@@ -153,7 +155,7 @@
             return None
         now = self.clock.monotonic()
         me, zone = self.startup.name, self.startup.zone
-        offered = choose_feeders(me, zone, self._nodes)
+        offered = choose_watchers(me, zone, self._nodes)
         near = [one for one in offered if alone or one.zone == zone]
         return next(
             (one for one in near if self._resting.get(one.name, 0) <= now),
@@ -179,7 +181,7 @@
         self._drop(kind)
         self._resting[peer.name] = self.clock.monotonic() + REST_SECONDS
         self.log.record(
-            catalogue.FEEDER_LEFT, peer=peer.name, kind_of=kind, reason=reason
+            catalogue.WATCHER_LEFT, peer=peer.name, kind_of=kind, reason=reason
         )
 
     def _drop(self, kind: str) -> None:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -15,7 +15,7 @@
 
 from ryelatch_core.events import catalogue
 from ryelatch_core.routing import ClientLimits
-from ryelatch_node.door import BACKLOG, bind_door
+from ryelatch_node.listener import BACKLOG, bind_listener
 from ryelatch_node.ports import Address, SettingsChanged
 from ryelatch_node.relay._budget import (
     UNCOUNTED_NODES,
@@ -57,7 +57,7 @@
 class RelayServer:
     """Listens on three addresses and ends without cutting anything off.
 
-    :param door: where clients wait already, if they do.
+    :param listener: where clients wait already, if they do.
     """
 
     def __init__(
@@ -65,9 +65,9 @@
         parts: Parts,
         ingress: Ingress,
         metrics: RelayMetrics,
-        door: socket.socket | None = None,
+        listener: socket.socket | None = None,
     ) -> None:
-        self._door = door
+        self._listener = listener
         self._parts = parts
         self._ingress = ingress
         self._counted = metrics
@@ -111,9 +111,9 @@
         config.load()
         startup = self._parts.startup
         self._sockets = [
-            self._door or bind_door(*startup.front),
-            bind_door(*startup.readiness),
-            bind_door(*startup.metrics),
+            self._listener or bind_listener(*startup.front),
+            bind_listener(*startup.readiness),
+            bind_listener(*startup.metrics),
         ]
         bound = [Address(*one.getsockname()) for one in self._sockets]
         self.front = bound[0]
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -6,7 +6,7 @@
 from ryelatch_core.fleet import LoadBook
 from ryelatch_core.kernel import App, Service, cancel_task
 from ryelatch_node.beliefs import ConfigurationView, ReplicaView
-from ryelatch_node.door import Door
+from ryelatch_node.listener import Listener
 from ryelatch_node.ports import Orders, RelayStartup, SettingsChanged, Wire
 from ryelatch_node.relay._budget import RetryTerms, open_budget
 from ryelatch_node.relay._ingress import Ingress
@@ -81,7 +81,7 @@
         parts,
         Ingress(parts, watch, metrics),
         metrics,
-        app.find('door', Door).front,
+        app.find('listener', Listener).front,
     )
     keeper = Housekeeper(parts, server)
     app.hub.connect(SettingsChanged, server.apply_settings)
--- a/tests/core/membership/test_feeders.py
+++ b/tests/core/membership/test_watchers.py
@@ -4,9 +4,9 @@
 
 from ryelatch_core.membership import (
     NodeEntry,
-    choose_feeders,
-    feeds_others,
+    choose_watchers,
     shares_watches,
+    watches_for_others,
 )
 
 
@@ -25,7 +25,7 @@
 def test_small_fleets_watch_for_themselves() -> None:
     assert not shares_watches(_make_nodes(9))
     assert not any(
-        feeds_others(one.name, one.zone, _make_nodes(9))
+        watches_for_others(one.name, one.zone, _make_nodes(9))
         for one in _make_nodes(9)
     )
 
@@ -33,7 +33,9 @@
 def test_few_watch_for_a_large_fleet() -> None:
     """Ninety nodes: two of each zone watch, those with wide links first."""
     nodes = _make_nodes(90)
-    feeding = [one for one in nodes if feeds_others(one.name, one.zone, nodes)]
+    feeding = [
+        one for one in nodes if watches_for_others(one.name, one.zone, nodes)
+    ]
     assert len(feeding) == 6
     assert {one.name for one in feeding} >= {'node-00', 'node-01', 'node-02'}
 
@@ -41,19 +43,19 @@
 def test_nodes_ask_their_own_zone_first() -> None:
     nodes = _make_nodes(90)
     for node in nodes:
-        offered = choose_feeders(node.name, node.zone, nodes)
-        feeds = feeds_others(node.name, node.zone, nodes)
-        assert feeds or offered[0].zone == node.zone
+        offered = choose_watchers(node.name, node.zone, nodes)
+        watches = watches_for_others(node.name, node.zone, nodes)
+        assert watches or offered[0].zone == node.zone
         assert node.name not in {one.name for one in offered}
 
 
-def test_all_feeders_are_asked_alike() -> None:
+def test_all_watchers_are_asked_alike() -> None:
     """Sixteen nodes an address would overrun one of two and spare another."""
     nodes = _make_nodes(90)
     firsts = Counter(
-        choose_feeders(one.name, one.zone, nodes)[0].name
+        choose_watchers(one.name, one.zone, nodes)[0].name
         for one in nodes
-        if not feeds_others(one.name, one.zone, nodes)
+        if not watches_for_others(one.name, one.zone, nodes)
     )
     assert max(firsts.values()) <= 20
 
@@ -61,5 +63,5 @@
 def test_node_without_an_address_is_not_asked() -> None:
     nodes = [NodeEntry('old', 'zone-0'), *_make_nodes(30)]
     assert not any(
-        one.name == 'old' for one in choose_feeders('x', 'zone-0', nodes)
+        one.name == 'old' for one in choose_watchers('x', 'zone-0', nodes)
     )
--- a/tests/platform/test_news.py
+++ b/tests/platform/test_news.py
@@ -66,7 +66,7 @@
 
 @pytest.fixture(autouse=True)
 def _share(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr('ryelatch_core.membership._feeders.FEWEST_NODES', 1)
+    monkeypatch.setattr('ryelatch_core.membership._watchers.FEWEST_NODES', 1)
     # The first watch, before the peer is known, is not to last for long.
     monkeypatch.setattr('ryelatch_platform._kinds.REGISTRY_WAIT', 0.5)
 
@@ -94,7 +94,7 @@
         await wait_until(lambda: len(replicas.replicas) == 1, 2)
 
 
-async def test_lost_feeder_is_left() -> None:
+async def test_lost_watcher_is_left() -> None:
     """The node that watches for others is killed; the follower watches."""
     async with (
         run_node(make_plain(2)) as node,
@@ -105,11 +105,11 @@
         node.store.drop('servers', 'b-0')
         replicas = app.find('replicas', ReplicaView)
         await wait_until(lambda: len(replicas.replicas) == 1, 3)
-        assert any(line['name'] == 'feeder-left' for line in found)
+        assert any(line['name'] == 'watcher-left' for line in found)
 
 
-async def test_blind_feeder_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The feeder is cut off from the store and goes on to answer.
+async def test_blind_watcher_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The watcher is cut off from the store and goes on to answer.
 
     A replica that left would get work from its followers, and a key that was
     taken away be accepted.
@@ -130,7 +130,7 @@
         replicas = app.find('replicas', ReplicaView)
         await wait_until(lambda: len(replicas.replicas) == 1, 3)
         assert any(
-            line['name'] == 'feeder-left' and line['reason'] == 'behind'
+            line['name'] == 'watcher-left' and line['reason'] == 'behind'
             for line in found
         )
 
@@ -146,7 +146,7 @@
     """
     async with run_node(make_plain(2)) as node, _run_second(node) as (app, _):
         monkeypatch.setattr(
-            'ryelatch_core.membership._feeders.FEWEST_NODES', 20
+            'ryelatch_core.membership._watchers.FEWEST_NODES', 20
         )
         store = app.find('store', object)
 
