--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
 	$(BIN)/flake8 packages platform tests benchmarks
-	$(BIN)/mypy packages/*/src platform/src tests/standins tests/fleet tests/soak
+	$(BIN)/mypy packages/*/src platform/src tests/standins tests/fleet tests/soak tests/virtual
 
 format: setup
 	$(BIN)/ruff format $(SOURCES)
--- a/packages/ryelatch-node/src/ryelatch_node/news/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_service.py
@@ -3,8 +3,9 @@
 import asyncio
 import contextlib
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
+from typing import TypeAlias
 
 import msgspec
 
@@ -42,6 +43,12 @@
 """Longest wait that a peer may ask for."""
 
 
+Dial: TypeAlias = Callable[
+    [str, int],
+    Awaitable[tuple[asyncio.StreamReader, asyncio.StreamWriter]],
+]
+"""Opens a connection to a host and port."""
+
 _FAILURES = (OSError, EOFError, ValueError, msgspec.MsgspecError)
 
 
@@ -67,6 +74,7 @@
     log: LineLog
     clock: Clock
     startup: RelayStartup
+    dial: Dial = asyncio.open_connection
     address: Address = field(init=False)
     _memories: dict[str, Memory] = field(
         default_factory=lambda: defaultdict(Memory)
@@ -80,7 +88,7 @@
     async def start(self) -> None:
         """Listen for peers."""
         host, port = self.startup.peers
-        self._server = await asyncio.start_server(self._serve, host, port)
+        self._server = await asyncio.start_server(self.serve, host, port)
         bound = self._server.sockets[0].getsockname()
         self.address = Address(host, bound[1])
 
@@ -142,6 +150,30 @@
         known = sent + min(reply.waited, self.clock.monotonic() - sent)
         return Heard(reply.at, known - reply.age, reply.changes, reply.outage)
 
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answer one peer until it goes."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._served.add(task)
+        try:
+            while True:
+                await self._answer(reader, writer)
+        except _FAILURES:
+            # The peer has gone, or is none; it asks anew, or the store.
+            return
+        except asyncio.CancelledError:
+            # Only at the stop. The library's own callback looks at how this
+            # task ended and takes a cancelled one for a crash.
+            return
+        finally:
+            self._served.discard(task)
+            with contextlib.suppress(OSError):
+                writer.transport.abort()
+
     @property
     def watches_for_others(self) -> bool:
         """Whether this node watches the store for others."""
@@ -171,12 +203,18 @@
         line = self._lines.get(kind)
         if line is None or line.address != peer.address:
             self._drop(kind)
-            line = await _connect(peer.address)
+            line = await self._connect(peer.address)
             self._lines[kind] = line
         line.writer.write(encode(question))
         await line.writer.drain()
         return msgspec.msgpack.decode(await read_body(line.reader), type=Reply)
 
+    async def _connect(self, address: str) -> _Line:
+        host, _, port = address.rpartition(':')
+        async with asyncio.timeout(CONNECT_SECONDS):
+            reader, writer = await self.dial(host, int(port))
+        return _Line(address, reader, writer)
+
     def _leave(self, kind: str, peer: NodeEntry, reason: str) -> None:
         self._drop(kind)
         self._resting[peer.name] = self.clock.monotonic() + REST_SECONDS
@@ -189,30 +227,6 @@
         if line is not None:
             line.writer.transport.abort()
 
-    async def _serve(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        """Answer one peer until it goes."""
-        task = asyncio.current_task()
-        assert task is not None
-        self._served.add(task)
-        try:
-            while True:
-                await self._answer(reader, writer)
-        except _FAILURES:
-            # The peer has gone, or is none; it asks anew, or the store.
-            return
-        except asyncio.CancelledError:
-            # Only at the stop. The library's own callback looks at how this
-            # task ended and takes a cancelled one for a crash.
-            return
-        finally:
-            self._served.discard(task)
-            with contextlib.suppress(OSError):
-                writer.transport.abort()
-
     async def _answer(
         self,
         reader: asyncio.StreamReader,
@@ -230,13 +244,6 @@
         await writer.drain()
 
 
-async def _connect(address: str) -> _Line:
-    host, _, port = address.rpartition(':')
-    async with asyncio.timeout(CONNECT_SECONDS):
-        reader, writer = await asyncio.open_connection(host, int(port))
-    return _Line(address, reader, writer)
-
-
 def setup(app: App) -> None:
     """Add the service ``news``."""
     news = News(
--- a/tests/fleet/running.py
+++ b/tests/fleet/running.py
@@ -167,7 +167,7 @@
     store = ObjectStore()
     store.put('config', 'main', configuration or make_configuration())
     runner, port = await _serve(store.make_app())
-    startup = _make_startup(port)._replace(**changes)
+    startup = make_startup(port)._replace(**changes)
     lines: list[dict[str, Any]] = []
     clock = BootClock()
     log = LineLog('node-a', clock, _collect(lines))
@@ -247,7 +247,8 @@
     return write
 
 
-def _make_startup(store_port: int) -> RelayStartup:
+def make_startup(store_port: int) -> RelayStartup:
+    """Make the settings of a node, with the store on a loopback port."""
     host = '127.0.0.1'
     return RelayStartup(
         name='node-a',
--- /dev/null
+++ b/tests/virtual/world.py
@@ -0,0 +1,208 @@
+"""Nodes that follow the registry of a stand-in store, in virtual time."""
+
+import asyncio
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+from zlib import crc32
+
+from fleet.running import PLAIN_SERVICE, make_configuration, make_startup
+from ryelatch_core.events import LineLog
+from ryelatch_core.kernel import Hub
+from ryelatch_core.membership import NodeEntry
+from ryelatch_node.beliefs import ConfigurationView, ReplicaView
+from ryelatch_node.news import News
+from ryelatch_node.ports import Address
+from ryelatch_platform._follow import ARRIVAL_SECONDS, Follower
+from ryelatch_platform._kinds import follow_configuration, follow_registry
+from ryelatch_platform._store import StoreClient
+from virtual.loop import VirtualClock
+from virtual.store import VirtualStore
+
+HOUSEKEEPING_SECONDS = 0.5
+"""How often a node drops what is due; see the relay's housekeeper."""
+
+_LINK_SECONDS = 0.001
+
+
+class _Transport:
+    def __init__(self, near: asyncio.StreamReader, far: asyncio.StreamReader):
+        self._ends = (near, far)
+
+    def abort(self) -> None:
+        """End both directions."""
+        for end in self._ends:
+            if not end.at_eof():
+                end.feed_eof()
+
+
+class _Writer:
+    """One direction of a connection between nodes."""
+
+    def __init__(
+        self,
+        world: 'World',
+        names: tuple[str, str],
+        near: asyncio.StreamReader,
+        far: asyncio.StreamReader,
+    ) -> None:
+        self._world = world
+        self._names = names
+        self._far = far
+        self.transport = _Transport(near, far)
+
+    def write(self, data: bytes) -> None:
+        """Send, unless one of the two is cut off from the other."""
+        loop = asyncio.get_running_loop()
+        if not self._world.dark & set(self._names):
+            loop.call_later(_LINK_SECONDS, self._far.feed_data, data)
+
+    async def drain(self) -> None:
+        """Nothing waits."""
+
+
+@dataclass(eq=False)
+class VirtualNode:
+    """A node, as far as it follows the store."""
+
+    name: str
+    view: ReplicaView
+    configuration: ConfigurationView
+    news: News
+    store: StoreClient
+    follower: Follower
+    lines: list[dict[str, Any]]
+    tasks: list['asyncio.Task[None]'] = field(default_factory=list)
+
+    async def start(self) -> None:
+        """Start to follow, and to drop what is due."""
+        await self.store.start()
+        await self.follower.start()
+        self.tasks.append(asyncio.create_task(self._keep_house()))
+
+    async def stop(self) -> None:
+        """Stop all."""
+        await self.follower.stop()
+        for task in self.tasks:
+            task.cancel()
+        await self.store.stop()
+
+    def offers(self, name: str) -> bool:
+        """Whether a replica may get a request now."""
+        return any(
+            one.name == name for one in self.view.list_service(PLAIN_SERVICE)
+        )
+
+    def count(self, event: str) -> int:
+        """Count the lines of an event."""
+        return sum(line['name'] == event for line in self.lines)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_SECONDS)
+            self.view.drop_lapsed()
+
+
+@dataclass(eq=False)
+class World:
+    """A store and the nodes that follow it.
+
+    :param drain: seconds for which a replica that has left may get requests.
+    :param steady: seconds without trouble after which nodes are held to it.
+    :param dark: nodes whose links to other nodes carry nothing.
+    """
+
+    drain: float = 2.0
+    steady: float = 3.0
+    store: VirtualStore = field(default_factory=VirtualStore)
+    nodes: dict[str, VirtualNode] = field(default_factory=dict)
+    dark: set[str] = field(default_factory=set)
+
+    async def start(self, names: Iterable[str], replicas: int = 4) -> None:
+        """Start nodes that know each other, and let them settle."""
+        self.store.put('config', 'main', make_configuration())
+        for number in range(replicas):
+            self.register(f'b-{number}')
+        for name in names:
+            self.nodes[name] = self._make(name)
+        entries = [
+            NodeEntry(name, 'zone-a', f'{name}:1', 1000 - order)
+            for order, name in enumerate(self.nodes)
+        ]
+        for node in self.nodes.values():
+            node.news.know(entries)
+            await node.start()
+        await asyncio.sleep(ARRIVAL_SECONDS + 1)
+
+    async def stop(self) -> None:
+        """Stop all nodes."""
+        for node in self.nodes.values():
+            await node.stop()
+
+    def register(self, name: str, state: str = 'ready') -> None:
+        """Write a replica's entry."""
+        spec = {
+            'service': PLAIN_SERVICE,
+            'addr': f'10.0.0.{1 + crc32(name.encode()) % 200}:8000',
+            'zone': 'zone-a',
+            'version': '1',
+            'slots': 6,
+            'state': state,
+            'coldRemainingMs': 0,
+            'seq': 1,
+        }
+        self.store.put('servers', name, spec)
+
+    def leave(self, name: str) -> None:
+        """Let the store accept that a replica is gone."""
+        self.store.drop('servers', name)
+
+    def _make(self, name: str) -> VirtualNode:
+        clock = VirtualClock()
+        lines: list[dict[str, Any]] = []
+
+        def write(line: bytes) -> int:
+            lines.append(json.loads(line))
+            return len(line)
+
+        log = LineLog(name, clock, write)
+        startup = make_startup(1)._replace(name=name)
+        view = ReplicaView(log, clock, Hub())
+        configuration = ConfigurationView(log, clock, startup.revoke_seconds)
+        store = StoreClient(
+            startup.store,
+            log,
+            clock.monotonic,
+            lambda: self.store.open_session(name),  # type: ignore
+        )
+        news = News(log, clock, startup, self._dial(name))
+        news.address = Address(name, 1)
+        kinds = (
+            follow_configuration(log, configuration),
+            follow_registry(log, view),
+        )
+        follower = Follower(store, news, log, clock, kinds)
+        return VirtualNode(
+            name, view, configuration, news, store, follower, lines
+        )
+
+    def _dial(self, caller: str) -> Any:
+        async def dial(host: str, port: int) -> Any:
+            peer = self.nodes[host]
+            if self.dark & {caller, host}:
+                await asyncio.Event().wait()
+            await asyncio.sleep(_LINK_SECONDS)
+            near, far = asyncio.StreamReader(), asyncio.StreamReader()
+            ends = (caller, host)
+            peer.tasks.append(
+                asyncio.create_task(
+                    peer.news.serve(
+                        far,
+                        _Writer(self, ends, far, near),  # type: ignore[arg-type]
+                    )
+                )
+            )
+            return near, _Writer(self, ends, near, far)
+
+        return dial
