Take only this node's own trouble for a reason to keep a missing entry

Cause: found while the sum was tested for nodes that hear through peers. A peer passed on that the store was away just before; a follower that nothing had been done to then kept entries that had gone. Streams were let be at a leaving replica for a second from when a node heard of it, also where it heard late. Change: peers pass no outage on; a follower whose list grows old asks the store and meets the outage itself. Streams leave half a second before the replica may end, dated by what was known before.

--- a/packages/ryelatch-node/src/ryelatch_node/news/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_frames.py
@@ -39,15 +39,12 @@
     :param at: revision up to which it knows them.
     :param waited: seconds from the question to this reply.
     :param age: seconds since it knew that nothing else had changed.
-    :param quiet: seconds since the last call was sent that the store left
-        unanswered when the changes were heard of.
     """
 
     covered: bool
     at: int = 0
     waited: float = 0
     age: float = 0
-    quiet: float = float('inf')
     changes: tuple[Change, ...] = ()
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/news/_memory.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_memory.py
@@ -4,7 +4,6 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from ryelatch_core.membership import NEVER
 from ryelatch_node.news._frames import Change, Reply
 
 _MOST_STEPS = 256
@@ -25,14 +24,11 @@
 
     :param at: revision of the store up to which changes are known.
     :param known: monotonic seconds at which nothing else had changed.
-    :param unanswered: monotonic seconds at which the last call was sent that
-        the store left unanswered.
     """
 
     at: int
     known: float
     changes: tuple[Change, ...] = ()
-    unanswered: float = NEVER
 
 
 @dataclass(eq=False)
@@ -99,7 +95,6 @@
             self.at,
             now - asked,
             now - self.known,
-            now - max((one.unanswered for one in steps), default=NEVER),
             changes,
         )
 
--- a/packages/ryelatch-node/src/ryelatch_node/news/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_service.py
@@ -152,9 +152,7 @@
         if not reply.covered:
             return None
         told = sent + min(reply.waited, self.clock.monotonic() - sent)
-        return Heard(
-            reply.at, told - reply.age, reply.changes, told - reply.quiet
-        )
+        return Heard(reply.at, told - reply.age, reply.changes)
 
     async def serve(
         self,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_evacuation.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_evacuation.py
@@ -14,6 +14,14 @@
 an order with its price.
 """
 
+MOVE_SECONDS = 0.5
+"""Time before a replica may end in which its streams are moved.
+
+A move takes 0.15 s, and some are refused once. The replica may have said that
+it leaves just after the list was last known not to say so; where an outage
+delayed the word, the rest of its time can be shorter than a usual answer.
+"""
+
 RETRY_SECONDS = 0.3
 """Pause between tries to move a stream; neighbours load for half a second."""
 
@@ -57,13 +65,20 @@
         listed = self.replicas.replicas.get(replica.name)
         return listed is not None and listed.leaving
 
+    def _find_end(self, name: str, now: float) -> float:
+        """Tell when a replica that leaves may end at the earliest."""
+        since = self.replicas.find_leaving_since(name)
+        begun = now if since is None else since
+        return begun + self.replicas.known.terms.bound
+
     def _is_due(self, stage: Stage, now: float) -> bool:
         listed = self.replicas.replicas.get(stage.replica.name)
         if listed is None:
             self._since.pop(stage.replica.name, None)
             return False
         if listed.leaving:
-            since = self._since.setdefault(listed.name, now)
-            return now - since > LEAVING_SECONDS
+            noticed = self._since.setdefault(listed.name, now)
+            ends = self._find_end(listed.name, now)
+            return now > min(noticed + LEAVING_SECONDS, ends - MOVE_SECONDS)
         held = listed.layers
         return held is None or not held.covers(stage.layers)
--- a/tests/guards.py
+++ b/tests/guards.py
@@ -24,6 +24,7 @@
     'packages/ryelatch-core/src',
     'packages/ryelatch-node/src',
     'packages/ryelatch-cli/src',
+    'platform/src',
 )
 
 
--- /dev/null
+++ b/tests/node/beliefs/test_missing.py
@@ -0,0 +1,118 @@
+"""Entries that are missing since some trouble, and when they are left."""
+
+from collections.abc import Callable
+
+import pytest
+
+from ryelatch_core.events import LineLog
+from ryelatch_core.fleet import Replica
+from ryelatch_core.kernel import Hub
+from ryelatch_core.membership import NEVER, reckon_terms
+from ryelatch_node.beliefs import ReplicaView
+
+
+class _Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+
+def _make_view() -> tuple[ReplicaView, _Clock, Callable[[], list[str]]]:
+    clock = _Clock()
+    log = LineLog('node-a', clock, len)
+    view = ReplicaView(log, clock, Hub(), reckon_terms(2, 3))
+    for name in ('i-1', 'i-2'):
+        view.put(_make(name))
+
+    def offer() -> list[str]:
+        return [one.name for one in view.list_service('booking')]
+
+    return view, clock, offer
+
+
+def _make(name: str, *, leaving: bool = False) -> Replica:
+    return Replica(
+        name=name,
+        service='booking',
+        address=f'{name}:80',
+        zone='zone-a',
+        accelerator='',
+        layers=None,
+        version=0,
+        slots=6,
+        leaving=leaving,
+        entry=name,
+    )
+
+
+def test_entry_is_left_on_time() -> None:
+    """A kept entry's time is over between two rounds of housekeeping.
+
+    Requests reached its replica for up to half a second more.
+    """
+    view, clock, offer = _make_view()
+    view.remove('i-1', unanswered=99)
+    clock.now = 99 + view.known.terms.kept - 0.01
+    assert offer() == ['i-1', 'i-2']
+    clock.now += 0.02
+    assert offer() == ['i-2']
+
+
+def test_late_notice_keeps_nothing() -> None:
+    """An outage is noticed four seconds after the call that found it."""
+    view, _, offer = _make_view()
+    view.remove('i-1', unanswered=96)
+    assert offer() == ['i-2']
+
+
+def test_no_trouble_keeps_nothing() -> None:
+    view, _, offer = _make_view()
+    view.remove('i-1', unanswered=NEVER)
+    assert offer() == ['i-2']
+
+
+def test_replica_that_said_it_leaves_is_not_kept() -> None:
+    view, _, offer = _make_view()
+    view.put(_make('i-1', leaving=True))
+    view.remove('i-1', unanswered=100)
+    view.put(_make('i-1'))
+    assert offer() == ['i-2', 'i-1']
+
+
+def test_trouble_that_goes_on_keeps_no_longer() -> None:
+    """Calls fail now and then for minutes, and the entry stays missing."""
+    view, clock, offer = _make_view()
+    view.remove('i-1', unanswered=100)
+    clock.now = 101.5
+    view.replace([_make('i-2')], unanswered=101.4)
+    assert offer() == ['i-1', 'i-2']
+    clock.now = 100 + view.known.terms.kept
+    view.replace([_make('i-2')], unanswered=102.2)
+    assert offer() == ['i-2']
+
+
+def test_entry_that_is_back_stays() -> None:
+    view, clock, offer = _make_view()
+    view.remove('i-1', unanswered=100)
+    clock.now = 101.5
+    assert view.find_missing(['i-1', 'i-2']) == pytest.approx(1.5)
+    view.put(_make('i-1'))
+    clock.now = 110
+    view.drop_lapsed()
+    assert offer() == ['i-1', 'i-2']
+
+
+def test_leaving_is_dated_by_earlier_knowledge() -> None:
+    """A node hears late that a replica leaves; its streams have less time."""
+    view, clock, _ = _make_view()
+    view.known.confirm(100)
+    clock.now = 101.2
+    view.put(_make('i-1', leaving=True))
+    view.known.confirm(101.2)
+    assert view.find_leaving_since('i-1') == 100
+    assert view.find_leaving_since('i-2') is None
--- /dev/null
+++ b/tests/node/relay/test_evacuation.py
@@ -0,0 +1,74 @@
+"""Streams leave a replica before it ends."""
+
+from types import SimpleNamespace
+from typing import Any
+
+from ryelatch_core.events import LineLog
+from ryelatch_core.fleet import LayerRange, Replica, Stage
+from ryelatch_core.kernel import Hub
+from ryelatch_core.membership import reckon_terms
+from ryelatch_node.beliefs import ReplicaView
+from ryelatch_node.relay._evacuation import LEAVING_SECONDS, Evacuation
+
+
+class _Clock:
+    now = 100.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+
+def _make(name: str, *, leaving: bool = False) -> Replica:
+    return Replica(
+        name=name,
+        service='model',
+        address=f'{name}:80',
+        zone='zone-a',
+        accelerator='l4',
+        layers=LayerRange(0, 4),
+        version=0,
+        slots=96,
+        leaving=leaving,
+        entry=name,
+    )
+
+
+def _play(heard_after: float) -> tuple[Evacuation, Any, _Clock]:
+    """Let a replica say that it leaves, and a node hear of it late."""
+    clock = _Clock()
+    view = ReplicaView(
+        LineLog('node-a', clock, len), clock, Hub(), reckon_terms(2, 3)
+    )
+    view.put(_make('m-1'))
+    view.known.confirm(clock.now)
+    clock.now += heard_after
+    view.put(_make('m-1', leaving=True))
+    view.known.confirm(clock.now)
+    path = tuple(
+        Stage(_make(name), LayerRange(0, 4)) for name in ('m-0', 'm-1')
+    )
+    stream = SimpleNamespace(begun=True, tries=0, tried=0.0, path=path)
+    return Evacuation(view), stream, clock
+
+
+def test_streams_are_let_be_at_first() -> None:
+    """Most answers end by themselves, and each move has its price."""
+    evacuation, stream, clock = _play(heard_after=0.1)
+    assert not evacuation.find_due(stream, clock.now)
+    assert not evacuation.find_due(stream, clock.now + LEAVING_SECONDS)
+    late = clock.now + LEAVING_SECONDS + 0.4
+    assert evacuation.find_due(stream, late) == {'m-1'}
+
+
+def test_late_word_leaves_less_time() -> None:
+    """The store was silent as a replica said that it leaves.
+
+    The node heard 1.4 seconds late, gave its streams a whole second more, and
+    the replica ended under them: callers saw a pause, and some a cut.
+    """
+    evacuation, stream, clock = _play(heard_after=1.4)
+    assert not evacuation.find_due(stream, clock.now)
+    assert evacuation.find_due(stream, clock.now + 0.15) == {'m-1'}
