Take no entry against a replica's own word before the list is newer than it

What a replica said of itself went before its entry for a second from when it was noted; an entry heard later than that, as the store was silent, was taken although it was older. Change: such an entry waits until the list is known as of later than the word. Test: test_entry_heard_late_is_not_believed failed first. test_report_is_believed_before_the_entry confirms the list now, without which the entry rightly waits.

--- a/packages/ryelatch-node/src/ryelatch_node/beliefs/_replicas.py
+++ b/packages/ryelatch-node/src/ryelatch_node/beliefs/_replicas.py
@@ -147,7 +147,7 @@
         due = self._missing.list_due(now)
         for name in due:
             self._drop(name)
-        waiting = self._denials.take_due(now)
+        waiting = self._denials.take_due(now, self.known.at)
         for replica in waiting:
             self._put(replica)
         if waiting or due:
@@ -233,7 +233,8 @@
             self._log.record(catalogue.REPLICA_RETURNED, replica=replica.name)
         if self.replicas.get(replica.name) == replica:
             return
-        if self._denials.holds_against(replica, self._clock.monotonic()):
+        now = self._clock.monotonic()
+        if self._denials.holds_against(replica, now, self.known.at):
             return
         for ended in self._lives.list_replaced(replica, known):
             self._end(ended)
--- a/tests/node/beliefs/test_lives.py
+++ b/tests/node/beliefs/test_lives.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from fake_clock import FakeClock
 from ryelatch_core.events import LineLog
 from ryelatch_core.fleet import LayerRange, Replica, name_life
 from ryelatch_core.kernel import Hub
@@ -11,23 +12,8 @@
 _HELD = LayerRange(0, 8)
 
 
-class _FakeClock:
-    """A clock that a test moves."""
-
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def monotonic(self) -> float:
-        """Read it."""
-        return self.now
-
-    def wall(self) -> float:
-        """Read it."""
-        return self.now
-
-
-def _make_view() -> tuple[ReplicaView, _FakeClock]:
-    clock = _FakeClock()
+def _make_view() -> tuple[ReplicaView, FakeClock]:
+    clock = FakeClock()
     log = LineLog('node-a', clock, len)
     return ReplicaView(log, clock, Hub(), reckon_terms(2, 3)), clock
 
@@ -122,6 +108,27 @@
     view.put(_make())
     assert view.replicas['i-1'].layers is None
     clock.now += 5
+    view.known.confirm(clock.now - 1)
+    view.drop_lapsed()
+    assert view.replicas['i-1'].layers == _HELD
+
+
+def test_entry_heard_late_is_not_believed() -> None:
+    """The store is silent while a replica starts again and says it is empty.
+
+    The entry of before is heard three seconds later, when the store is back.
+    Every path through the replica was refused until the next entry came.
+    """
+    view, clock = _make_view()
+    view.put(_make(layers=LayerRange(0, 4)))
+    view.put(_make())
+    view.known.confirm(clock.now - 0.1)
+    view.learn(view.replicas['i-1'], None, 0)
+    clock.now += 3
+    view.put(_make())
+    view.drop_lapsed()
+    assert view.replicas['i-1'].layers is None
+    view.known.confirm(clock.now)
     view.drop_lapsed()
     assert view.replicas['i-1'].layers == _HELD
 
--- a/tests/node/beliefs/test_missing.py
+++ b/tests/node/beliefs/test_missing.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from fake_clock import FakeClock
 from ryelatch_core.events import LineLog
 from ryelatch_core.fleet import Replica
 from ryelatch_core.kernel import Hub
@@ -11,19 +12,8 @@
 from ryelatch_node.beliefs import ReplicaView
 
 
-class _Clock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def monotonic(self) -> float:
-        return self.now
-
-    def wall(self) -> float:
-        return self.now
-
-
-def _make_view() -> tuple[ReplicaView, _Clock, Callable[[], list[str]]]:
-    clock = _Clock()
+def _make_view() -> tuple[ReplicaView, FakeClock, Callable[[], list[str]]]:
+    clock = FakeClock()
     log = LineLog('node-a', clock, len)
     view = ReplicaView(log, clock, Hub(), reckon_terms(2, 3))
     for name in ('i-1', 'i-2'):
--- a/tests/node/relay/test_evacuation.py
+++ b/tests/node/relay/test_evacuation.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+from fake_clock import FakeClock
 from ryelatch_core.events import LineLog
 from ryelatch_core.fleet import LayerRange, Replica, Stage
 from ryelatch_core.kernel import Hub
@@ -11,16 +12,6 @@
 from ryelatch_node.relay._evacuation import LEAVING_SECONDS, Evacuation
 
 
-class _Clock:
-    now = 100.0
-
-    def monotonic(self) -> float:
-        return self.now
-
-    def wall(self) -> float:
-        return self.now
-
-
 def _make(name: str, *, leaving: bool = False) -> Replica:
     return Replica(
         name=name,
@@ -36,9 +27,9 @@
     )
 
 
-def _play(heard_after: float) -> tuple[Evacuation, Any, _Clock]:
+def _play(heard_after: float) -> tuple[Evacuation, Any, FakeClock]:
     """Let a replica say that it leaves, and a node hear of it late."""
-    clock = _Clock()
+    clock = FakeClock()
     view = ReplicaView(
         LineLog('node-a', clock, len), clock, Hub(), reckon_terms(2, 3)
     )
