--- a/packages/ryelatch-core/src/ryelatch_core/events/_story.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_story.py
@@ -16,6 +16,7 @@
     (
         'store-out',
         'store-back',
+        'store-call-cut',
         'history-lost',
         'configuration-applied',
         'configuration-refused',
@@ -23,6 +24,10 @@
         'configuration-fresh',
         'replica-leaving',
         'replica-gone',
+        'replica-lapsed',
+        'replica-returned',
+        'registry-stale',
+        'registry-fresh',
         'replica-suspected',
         'upstream-down',
         'order-sent',
@@ -120,7 +125,8 @@
         and line.process in processes
         and begin <= line.time <= own[-1].time
     )
-    return Story(own, beliefs, _find_cause(own, beliefs))
+    cause = _find_cause(own, beliefs) + _tell_missing(own)
+    return Story(own, beliefs, cause)
 
 
 def _find_cause(own: tuple[Line, ...], beliefs: tuple[Line, ...]) -> str:
@@ -146,6 +152,14 @@
     return 'its end is not in these lines'
 
 
+def _tell_missing(own: tuple[Line, ...]) -> str:
+    """Say so if a replica was chosen whose entry was missing by then."""
+    seconds = max((line.detail.get('missing', 0) for line in own), default=0)
+    if not seconds:
+        return ''
+    return f'; it went to a replica whose entry was missing for {seconds} s'
+
+
 def _add_belief(cause: str, beliefs: tuple[Line, ...]) -> str:
     if not beliefs:
         return cause
--- a/tests/core/events/test_story.py
+++ b/tests/core/events/test_story.py
@@ -51,3 +51,23 @@
         'exchange-refused: keys are unconfirmed': 1,
         'exchange-failed: silent': 1,
     }
+
+
+def test_request_to_a_missing_replica_is_told() -> None:
+    """A user was cut off by a replica that had left seconds before.
+
+    The lines lead to the entry that was kept in use, and to the outage.
+    """
+    lines = (
+        _write(99, 'store-out', reason='TimeoutError', sent_ago=1.3),
+        _write(99.1, 'replica-lapsed', replica='r-1', kept=1.1),
+        _write(100, 'exchange-sent', request='c', replica='r-1', missing=0.9),
+        _write(101, 'exchange-ended', request='c'),
+    )
+    story = explain_request(read_lines(lines), 'c')
+    assert story is not None
+    assert [line.name for line in story.beliefs] == [
+        'store-out',
+        'replica-lapsed',
+    ]
+    assert 'missing for 0.9 s' in story.cause
