Hold a node's own lateness against no replica and not against the store

Cause: the known red test_stream_in_progress_is_finished, and the same class as the requests to replicas that had left: a node that got no processor time read an answer after its timeout had struck, and took that for silence of the other side. Change: a timeout that strikes over 0.1 s late judges nobody; streams are not looked at in a round that runs late, as their events lie unread.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -249,6 +249,15 @@
     Level.WARNING,
 )
 
+REPORT_DOUBTFUL = EventKind(
+    1421,
+    'report-doubtful',
+    'A report was read late as this process stood still; that is not held '
+    'against the replica.',
+    'If it comes often, give the VM more processor time.',
+    Level.WARNING,
+)
+
 CLAIM_MADE = EventKind(
     1501, 'claim-made', 'An idempotency key was claimed in the store.'
 )
--- a/packages/ryelatch-core/src/ryelatch_core/kernel/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/kernel/__init__.py
@@ -4,6 +4,7 @@
 from ryelatch_core.kernel._clock import BootClock, Clock, SystemClock
 from ryelatch_core.kernel._errors import KernelError
 from ryelatch_core.kernel._hub import Hub
+from ryelatch_core.kernel._lag import LagMeter, ran_late
 from ryelatch_core.kernel._tasks import cancel_task
 
 __all__ = [
@@ -12,7 +13,9 @@
     'Clock',
     'Hub',
     'KernelError',
+    'LagMeter',
     'Service',
     'SystemClock',
     'cancel_task',
+    'ran_late',
 ]
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -14,7 +14,7 @@
 
 from ryelatch_core.events import catalogue, keep_running
 from ryelatch_core.fleet import Replica, choose_path
-from ryelatch_core.kernel import cancel_task
+from ryelatch_core.kernel import LagMeter, cancel_task
 from ryelatch_node.ports import OrderResult
 from ryelatch_node.relay._evacuation import Evacuation
 from ryelatch_node.relay._exchange import round_seconds
@@ -74,6 +74,7 @@
     _asked: dict[str, float] = field(default_factory=dict)
     _tasks: set['asyncio.Task[None]'] = field(default_factory=set)
     _ticker: 'asyncio.Task[None] | None' = None
+    _lag: LagMeter = field(default_factory=LagMeter)
 
     def __post_init__(self) -> None:
         """Make what moves streams."""
@@ -94,9 +95,13 @@
             await cancel_task(task)
 
     async def _run(self) -> None:
+        clock = self.parts.clock
         while True:
+            due = clock.monotonic() + TICK_SECONDS
             await asyncio.sleep(TICK_SECONDS)
-            if self.streams:
+            # Events that came while this process stood still lie unread, and
+            # each stream would seem to have stood still for as long.
+            if not self._lag.note(due, clock.monotonic()):
                 self._look()
 
     def _look(self) -> None:
@@ -133,10 +138,19 @@
         self._spawn(self._consult(head))
 
     async def _consult(self, head: Replica) -> None:
+        sent = self.parts.clock.monotonic()
         try:
             async with asyncio.timeout(_REPORT_SECONDS):
                 report = await self.parts.orders.read_report(head)
         except TimeoutError:
+            self._lag.note(sent + _REPORT_SECONDS, self.parts.clock.monotonic())
+            if self._lag.was_late(sent):
+                # The answer may lie unread. Its streams still stand still if
+                # it was lost, and it is asked again at once.
+                self.parts.log.record(
+                    catalogue.REPORT_DOUBTFUL, replica=head.name
+                )
+                return
             report = None
         if report is None:
             self.parts.replicas.suspect(head, 'no report', full=False)
--- a/tests/platform/test_departure.py
+++ b/tests/platform/test_departure.py
@@ -16,7 +16,7 @@
 import pytest
 
 from ryelatch_core.membership import SEND_SECONDS
-from virtual.loop import run
+from virtual.loop import VirtualLoop, run
 from virtual.store import Trouble
 from virtual.world import World
 
@@ -114,6 +114,30 @@
     run(play())
 
 
+def test_standing_still_is_no_outage() -> None:
+    """A node gets no processor time for two seconds; the store is well.
+
+    The answer to its watch came in time and was read after the timeout.
+    """
+
+    async def play() -> None:
+        world = World()
+        await world.start(('node-a',))
+        node = world.nodes['node-a']
+        for _ in itertools.repeat(None, 8):
+            await asyncio.sleep(0.31)
+            loop = asyncio.get_running_loop()
+            assert isinstance(loop, VirtualLoop)
+            loop.stand_still(2)
+            await asyncio.sleep(0.01)
+            await _expect_gone(world, 'b-0')
+            world.register('b-0')
+        assert not node.count('store-out')
+        await world.stop()
+
+    run(play())
+
+
 def test_leaving_while_connections_are_left() -> None:
     """The store was silent for a moment and is slow after that.
 
--- a/tests/virtual/loop.py
+++ b/tests/virtual/loop.py
@@ -20,6 +20,10 @@
         """Tell the virtual time in seconds."""
         return self._now
 
+    def stand_still(self, seconds: float) -> None:
+        """Let time pass in which nothing runs, as without a processor."""
+        self._now += seconds
+
     def _run_once(self) -> None:
         if not self._ready and self._scheduled:
             self._now = max(self._now, self._scheduled[0].when())
