Let only the registry end an entry's being missing

What a replica reported of itself was put in place like an entry of the registry, and ended the entry's being missing. One that left without a word and answered a report with other layers, or with a later start, stayed in use for good: its entry could not go a second time. Change: only entries end it, and a later life takes over for how long its entry is missing. Tests: three in test_missing, each red on the code before.

--- a/packages/ryelatch-node/src/ryelatch_node/beliefs/_missing.py
+++ b/packages/ryelatch-node/src/ryelatch_node/beliefs/_missing.py
@@ -38,6 +38,12 @@
         """
         return self._spans.pop(name, None) is not None
 
+    def pass_on(self, name: str, successor: str) -> None:
+        """Let a later life under the same entry be missing for as long."""
+        span = self._spans.get(name)
+        if span is not None:
+            self._spans.setdefault(successor, span)
+
     def list_due(self, now: float) -> list[str]:
         """List those that have not come back in time."""
         return [name for name, one in self._spans.items() if one.until <= now]
--- a/packages/ryelatch-node/src/ryelatch_node/beliefs/_replicas.py
+++ b/packages/ryelatch-node/src/ryelatch_node/beliefs/_replicas.py
@@ -81,7 +81,7 @@
             if replica.entry not in fresh:
                 self._let_go(replica.name, unanswered)
         for replica in fresh.values():
-            self._put(replica)
+            self._put(replica, listed=True)
         self.listed = True
         self._suspects.keep(self.replicas)
         self._unreachable.keep(self.replicas)
@@ -89,7 +89,7 @@
 
     def put(self, replica: Replica) -> None:
         """Take an entry that is new or has changed."""
-        self._put(replica)
+        self._put(replica, listed=True)
         self._tell()
 
     def remove(self, entry: str, *, unanswered: float) -> None:
@@ -121,6 +121,7 @@
             return
         if born > known.born:
             name = name_life(known.entry, born)
+            self._missing.pass_on(known.name, name)
             self._put(replace(known, name=name, born=born, layers=layers))
             self._tell()
             return
@@ -224,12 +225,17 @@
         self._suspects.clear(replica.name)
         self._unreachable.clear(replica.name)
 
-    def _put(self, replica: Replica) -> None:
+    def _put(self, replica: Replica, *, listed: bool = False) -> None:
+        """Take what is known of a replica.
+
+        :param listed: whether its entry says so. Only that ends its being
+            missing: a replica that leaves answers reports until its end.
+        """
         known = tuple(self.replicas.values())
         self._lives.see(replica)
         if self._lives.is_over(replica, known, self._clock.monotonic()):
             return
-        if self._missing.forget(replica.name):
+        if listed and self._missing.forget(replica.name):
             self._log.record(catalogue.REPLICA_RETURNED, replica=replica.name)
         if self.replicas.get(replica.name) == replica:
             return
--- a/tests/node/beliefs/test_missing.py
+++ b/tests/node/beliefs/test_missing.py
@@ -1,12 +1,13 @@
 """Entries that are missing since some trouble, and when they are left."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
 from fake_clock import FakeClock
 from ryelatch_core.events import LineLog
-from ryelatch_core.fleet import Replica
+from ryelatch_core.fleet import LayerRange, Replica, name_life
 from ryelatch_core.kernel import Hub
 from ryelatch_core.membership import NEVER, reckon_terms
 from ryelatch_node.beliefs import ReplicaView
@@ -97,6 +98,45 @@
     assert offer() == ['i-1', 'i-2']
 
 
+def test_report_is_no_entry() -> None:
+    """A replica left without a word, and answers reports while it ends.
+
+    What it said of itself was taken for its entry's return. It stayed in use
+    for good, as its entry could not go a second time.
+    """
+    view, clock, offer = _make_view()
+    view.remove('i-1', unanswered=99.9)
+    view.learn(view.replicas['i-1'], LayerRange(0, 4), 0)
+    clock.now += 5
+    assert offer() == ['i-2']
+
+
+def test_report_of_a_later_life_is_no_entry() -> None:
+    """A replica whose entry is missing starts again, and its report says so."""
+    view, clock, offer = _make_view()
+    view.remove('i-1', unanswered=99.9)
+    view.learn(view.replicas['i-1'], None, 2000)
+    assert offer() == ['i-2', name_life('i-1', 2000)]
+    clock.now += 5
+    assert offer() == ['i-2']
+    view.drop_lapsed()
+    assert list(view.replicas) == ['i-2']
+
+
+def test_denied_entry_does_not_bring_back() -> None:
+    """An entry that its replica denied waits, and goes while it does."""
+    view, clock, offer = _make_view()
+    view.put(replace(_make('i-1'), layers=LayerRange(0, 4)))
+    view.learn(view.replicas['i-1'], None, 0)
+    view.put(replace(_make('i-1'), layers=LayerRange(0, 4)))
+    view.remove('i-1', unanswered=99.9)
+    clock.now += 1.5
+    view.known.confirm(clock.now)
+    view.drop_lapsed()
+    clock.now += 5
+    assert offer() == ['i-2']
+
+
 def test_leaving_is_dated_by_earlier_knowledge() -> None:
     """A node hears late that a replica leaves; its streams have less time."""
     view, clock, _ = _make_view()
