Account of what a node spends on calls, questions and work

Calls to the store by kind of object, kind of call, reason and outcome; processor time of plans, looks for gaps, paths and what is read from the store. As metrics, and as a line of each node every ten seconds.

--- a/packages/ryelatch-core/src/ryelatch_core/events/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/__init__.py
@@ -3,6 +3,7 @@
 from ryelatch_core.events import _catalogue as catalogue
 from ryelatch_core.events._catalogue import EventKind, Level, list_kinds
 from ryelatch_core.events._clock import HybridClock, Stamp
+from ryelatch_core.events._costs import CostBook
 from ryelatch_core.events._lines import LineLog, open_stdout
 from ryelatch_core.events._story import (
     Line,
@@ -15,6 +16,7 @@
 from ryelatch_core.events._timeline import Event, Timeline, merge_events
 
 __all__ = [
+    'CostBook',
     'Event',
     'EventKind',
     'HybridClock',
--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -359,6 +359,12 @@
     'asked for some seconds.',
 )
 
+NODE_COSTS = EventKind(
+    1705,
+    'node-costs',
+    'What this process has spent so far on calls, questions and work.',
+)
+
 LEASE_TAKEN = EventKind(1801, 'lease-taken', 'This node holds a duty.')
 LEASE_LOST = EventKind(
     1802, 'lease-lost', 'This node gave back or lost a duty.'
--- a/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
-from ryelatch_core.events import LineLog, keep_running
+from ryelatch_core.events import CostBook, LineLog, keep_running
 from ryelatch_core.fleet import (
     ModelProfile,
     Move,
@@ -24,6 +24,7 @@
 from ryelatch_node.duty._timing import PlanTiming
 from ryelatch_node.ports import (
     LeaseStore,
+    NodesCounted,
     OrderResult,
     Orders,
     RelayStartup,
@@ -78,6 +79,7 @@
     replicas: ReplicaView
     orders: Orders
     lease: LeaseKeeper
+    costs: CostBook = field(default_factory=CostBook)
     _planned: _State | None = None
     _seen: tuple[_Pools, bool] | None = None
     _timing: PlanTiming = field(default_factory=PlanTiming)
@@ -110,6 +112,10 @@
         """Look again, as something has changed."""
         self._wake.set()
 
+    def share_among(self, counted: NodesCounted) -> None:
+        """Be as patient as the number of nodes demands."""
+        self.lease.nodes = counted.nodes
+
     async def _run(self) -> None:
         while True:
             try:
@@ -124,7 +130,8 @@
     async def _tend(self) -> None:
         await self._book.review_late()
         now = self.clock.monotonic()
-        state = self._observe(now)
+        with self.costs.spend('look for gaps'):
+            state = self._observe(now)
         needed = state is not None and state != self._planned
         self._timing.note_need(now, needed=needed)
         if state is None or not needed:
@@ -132,7 +139,8 @@
         need_since = self._date_need(state)
         if not await self._take_turn(state, now, need_since):
             return
-        moves = self._plan(state, now)
+        with self.costs.spend('plan'):
+            moves = self._plan(state, now)
         # Where a plan orders nothing it stays as it is until something
         # changes. Made anew at each tick, plans took more than half of a
         # node's processor time on a calm day: 0.083 of a core, 0.037 without.
@@ -233,6 +241,7 @@
         configuration=app.find('configuration', ConfigurationView),
         replicas=app.find('replicas', ReplicaView),
         orders=app.find('orders', Orders),
+        costs=app.find('costs', CostBook),
         lease=LeaseKeeper(
             log=log,
             clock=app.clock,
@@ -242,6 +251,7 @@
         ),
     )
     app.hub.connect(ReplicasChanged, duty.wake)
+    app.hub.connect(NodesCounted, duty.share_among)
     app.add(
         Service(
             'placement',
--- a/packages/ryelatch-node/src/ryelatch_node/news/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_service.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ryelatch_core.events import LineLog, catalogue
+from ryelatch_core.events import CostBook, LineLog, catalogue
 from ryelatch_core.kernel import App, Clock, Service, cancel_task
 from ryelatch_core.membership import (
     NodeEntry,
@@ -75,6 +75,7 @@
     clock: Clock
     startup: RelayStartup
     dial: Dial = asyncio.open_connection
+    costs: CostBook = field(default_factory=CostBook)
     address: Address = field(init=False)
     _memories: dict[str, Memory] = field(
         default_factory=lambda: defaultdict(Memory)
@@ -254,5 +255,6 @@
         app.find('log', LineLog),
         app.clock,
         app.find('startup', RelayStartup),
+        costs=app.find('costs', CostBook),
     )
     app.add(Service('news', news, start=news.start, stop=news.stop))
--- a/packages/ryelatch-node/src/ryelatch_node/ports/__init__.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/__init__.py
@@ -10,6 +10,7 @@
 )
 from ryelatch_node.ports._startup import (
     Address,
+    NodesCounted,
     RelayStartup,
     SettingsChanged,
     keep_fixed,
@@ -31,6 +32,7 @@
     'LeaseRecord',
     'LeaseStore',
     'MoveAnswer',
+    'NodesCounted',
     'OrderResult',
     'Orders',
     'RelayStartup',
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_startup.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_startup.py
@@ -71,6 +71,13 @@
     startup: RelayStartup
 
 
+@dataclass(frozen=True)
+class NodesCounted:
+    """How many nodes there are, as far as they have entered themselves."""
+
+    nodes: int
+
+
 def keep_fixed(
     old: RelayStartup,
     new: RelayStartup,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -19,6 +19,16 @@
 
     :returns: its stages; empty if there is none.
     """
+    with parts.costs.spend('paths'):
+        return _choose(parts, exchange, inquiry, progress)
+
+
+def _choose(
+    parts: Parts,
+    exchange: Exchange,
+    inquiry: Inquiry,
+    progress: Progress,
+) -> tuple[Stage, ...]:
     suspects = parts.replicas.list_suspects()
     query = make_query(parts, inquiry, suspects)
     if query is None:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_metrics.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_metrics.py
@@ -6,7 +6,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from ryelatch_core.events import LineLog
+from ryelatch_core.events import CostBook, LineLog
 
 _LOWEST_MS = 1
 _HIGHEST_MS = 60_000
@@ -25,9 +25,11 @@
         self,
         log: LineLog,
         gauges: Mapping[str, Callable[[], float]],
+        costs: CostBook | None = None,
     ) -> None:
         self._log = log
         self._gauges = gauges
+        self._costs = costs or CostBook()
         self._outcomes: Counter[tuple[str, str]] = Counter()
         self._times: dict[str, HdrHistogram] = {}
 
@@ -47,6 +49,7 @@
         lines = itertools.chain(
             self._expose_counters(),
             self._expose_times(),
+            self._expose_costs(),
             (
                 f'ryelatch_{name} {read():g}'
                 for name, read in self._gauges.items()
@@ -61,6 +64,13 @@
         for event, count in sorted(self._log.counts.items()):
             yield f'ryelatch_events_total{{event="{event}"}} {count}'
 
+    def _expose_costs(self) -> Iterator[str]:
+        for name, count in self._costs.list_counts().items():
+            yield f'ryelatch_costs_total{{of="{name}"}} {count}'
+        for activity, spent in self._costs.list_seconds().items():
+            label = f'{{activity="{activity}"}}'
+            yield f'ryelatch_processor_seconds_total{label} {spent:g}'
+
     def _expose_times(self) -> Iterator[str]:
         for kind, histogram in sorted(self._times.items()):
             for percentile in _PERCENTILES:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from ryelatch_core.events import LineLog
+from ryelatch_core.events import CostBook, LineLog
 from ryelatch_core.fleet import (
     AccountBook,
     FailureBook,
@@ -42,6 +42,7 @@
     wire: Wire
     orders: Orders
     budget: RetryBudget
+    costs: CostBook = field(default_factory=CostBook)
     load: LoadBook = field(default_factory=LoadBook)
     windows: Windows = field(init=False)
     accounts: AccountBook = field(default_factory=AccountBook)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -2,12 +2,18 @@
 
 import asyncio
 
-from ryelatch_core.events import LineLog, keep_running
+from ryelatch_core.events import CostBook, LineLog, catalogue, keep_running
 from ryelatch_core.fleet import LoadBook
 from ryelatch_core.kernel import App, Service, cancel_task
 from ryelatch_node.beliefs import ConfigurationView, ReplicaView
 from ryelatch_node.listener import Listener
-from ryelatch_node.ports import Orders, RelayStartup, SettingsChanged, Wire
+from ryelatch_node.ports import (
+    NodesCounted,
+    Orders,
+    RelayStartup,
+    SettingsChanged,
+    Wire,
+)
 from ryelatch_node.relay._budget import RetryTerms, open_budget
 from ryelatch_node.relay._ingress import Ingress
 from ryelatch_node.relay._metrics import RelayMetrics
@@ -26,6 +32,9 @@
 
 HOUSEKEEPING_SECONDS = 0.5
 
+COSTS_SECONDS = 10.0
+"""How often a node writes what it has spent; a line of about 1 kB."""
+
 
 class Housekeeper:
     """Does what has to be done now and then."""
@@ -34,6 +43,7 @@
         self._parts = parts
         self._server = server
         self._task: asyncio.Task[None] | None = None
+        self._told = 0.0
 
     async def start(self) -> None:
         """Begin."""
@@ -44,6 +54,7 @@
     async def stop(self) -> None:
         """End."""
         await cancel_task(self._task)
+        self._tell_costs()
 
     async def _run(self) -> None:
         while True:
@@ -57,8 +68,18 @@
             self._parts.replicas.known.check()
             self._server.apply_limits()
             self._parts.log.report_dropped()
+            if self._parts.clock.monotonic() - self._told > COSTS_SECONDS:
+                self._tell_costs()
             self._parts.log.flush()
 
+    def _tell_costs(self) -> None:
+        self._told = self._parts.clock.monotonic()
+        self._parts.log.record(
+            catalogue.NODE_COSTS,
+            counts=self._parts.costs.list_counts(),
+            seconds=self._parts.costs.list_seconds(),
+        )
+
 
 def setup(app: App) -> None:
     """Add the services ``upstreams``, ``streams`` and ``server``."""
@@ -78,6 +99,7 @@
             'retries_left': lambda: parts.budget.left,
             'log_lines_dropped': lambda: parts.log.dropped,
         },
+        parts.costs,
     )
     server = RelayServer(
         parts,
@@ -87,6 +109,9 @@
     )
     keeper = Housekeeper(parts, server)
     app.hub.connect(SettingsChanged, server.apply_settings)
+    app.hub.connect(
+        NodesCounted, lambda counted: server.share_among(counted.nodes)
+    )
     upstreams = parts.upstreams
     app.add(
         Service(
@@ -142,5 +167,6 @@
                 startup.retry_ratio, startup.retry_extra, startup.retry_window
             )
         ),
+        costs=app.find('costs', CostBook),
         load=load,
     )
