Let few nodes of a large fleet find out an outage, and share leases

Cause: in a fleet whose nodes watch for each other every node asked the store itself as soon as it was out, or as the node that watches for its zone was: two kinds of object, twice a second each. Leases were watched by every node, so each renewal woke all of them. Configurations beyond 4 kB were read from the store by each node. Change: a peer tells whether the store answers it and when it last did not; those who follow ask peers, of other zones too, and look for themselves every three seconds. They need a failed call of their own before a peer's word of the outage counts, so a watcher's own trouble keeps no replica in use. Changes are compressed; leases go by way of peers.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_costs.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_costs.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -21,7 +21,9 @@
 
     clock: Callable[[], float] = time.process_time
     counts: Counter[str] = field(default_factory=Counter)
-    seconds: Counter[str] = field(default_factory=Counter)
+    seconds: dict[str, float] = field(
+        default_factory=lambda: defaultdict(float)
+    )
 
     def count(self, *parts: str, number: int = 1) -> None:
         """Count something that was done."""
--- a/packages/ryelatch-core/src/ryelatch_core/membership/_watchers.py
+++ b/packages/ryelatch-core/src/ryelatch_core/membership/_watchers.py
@@ -16,11 +16,11 @@
 noticed in time; below twenty nodes this costs what the others save.
 """
 
-FOLLOWERS = 16
+FOLLOWERS = 32
 """Nodes of a zone for each one that watches for them.
 
-Each asks three things at a time over a link of its own; a change of a hundred
-entries is 40 kB for each of them, a tenth of a second on the weakest links.
+A change of a hundred entries is 6 kB for each of them as it is sent, a sixth
+of a second on the weakest links, and those with the widest are asked.
 """
 
 
@@ -47,7 +47,9 @@
 
     :param me: name of the node that asks.
     :returns: none of the own zone's if this node is one of them; they watch
-        for themselves while they can.
+        for themselves while they can. Where all of a zone are cut off, its
+        nodes ask another zone's: asking the store they would be as many calls
+        at once as the zone has nodes.
     """
     zones: dict[str, list[NodeEntry]] = {}
     for node in nodes:
--- a/packages/ryelatch-core/src/ryelatch_core/routing/_confirmation.py
+++ b/packages/ryelatch-core/src/ryelatch_core/routing/_confirmation.py
@@ -32,6 +32,11 @@
         """Note that a call sent at this time showed nothing newer."""
         self.confirmed = max(self.confirmed, sent)
 
+    @property
+    def oldest(self) -> float:
+        """Age at which keys are no longer accepted."""
+        return self.bound - REVOKE_MARGIN
+
     def age(self, now: float) -> float:
         """Seconds for which the configuration is unconfirmed."""
         return now - self.confirmed
@@ -42,4 +47,4 @@
 
     def left(self, now: float) -> float:
         """Seconds for which keys may be accepted without another word."""
-        return self.bound - REVOKE_MARGIN - self.age(now)
+        return self.oldest - self.age(now)
--- a/packages/ryelatch-node/src/ryelatch_node/beliefs/_configuration.py
+++ b/packages/ryelatch-node/src/ryelatch_node/beliefs/_configuration.py
@@ -39,6 +39,11 @@
         age = self._confirmation.age(self._clock.monotonic())
         return min(age, NEVER_SECONDS)
 
+    @property
+    def oldest(self) -> float:
+        """Age in seconds at which keys are no longer accepted."""
+        return self._confirmation.oldest
+
     @property
     def left(self) -> float:
         """Seconds for which keys are accepted if nothing confirms them."""
--- a/packages/ryelatch-node/src/ryelatch_node/news/__init__.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/__init__.py
@@ -1,7 +1,7 @@
 """What the store says, by way of peers."""
 
 from ryelatch_node.news._frames import Change
-from ryelatch_node.news._memory import Heard
-from ryelatch_node.news._service import News, setup
+from ryelatch_node.news._memory import Blind, Heard
+from ryelatch_node.news._service import News, StoreTrouble, setup
 
-__all__ = ['Change', 'Heard', 'News', 'setup']
+__all__ = ['Blind', 'Change', 'Heard', 'News', 'StoreTrouble', 'setup']
--- a/packages/ryelatch-node/src/ryelatch_node/news/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_frames.py
@@ -1,6 +1,7 @@
 """What nodes ask each other of the store, as a stream of msgpack frames."""
 
 import asyncio
+import zlib
 
 import msgspec
 
@@ -8,6 +9,7 @@
 """Longest frame that is read; a change of a thousand entries has 400 kB."""
 
 _LENGTH_BYTES = 4
+_LEVEL = 1
 
 
 class Change(msgspec.Struct, frozen=True, array_like=True):
@@ -22,7 +24,7 @@
 
     :param since: revision of the store from which changes are wanted.
     :param wait: seconds after which an answer is wanted anyway.
-    :param whole: whether large objects are wanted too, as the asker can't
+    :param whole: whether large changes are wanted too, as the asker can't
         read them from the store.
     """
 
@@ -39,13 +41,43 @@
     :param at: revision up to which it knows them.
     :param waited: seconds from the question to this reply.
     :param age: seconds since it knew that nothing else had changed.
+    :param packed: the changes, see :func:`pack`.
+    :param unanswered: seconds since it last made a call that the store left
+        unanswered; nothing if there was none.
+    :param out: whether the store is out for it.
     """
 
     covered: bool
     at: int = 0
     waited: float = 0
     age: float = 0
-    changes: tuple[Change, ...] = ()
+    packed: bytes = b''
+    unanswered: float | None = None
+    out: bool = False
+
+
+def pack(changes: tuple[Change, ...]) -> bytes:
+    """Compress changes: a registration in a run of them takes 60 bytes."""
+    if not changes:
+        return b''
+    return zlib.compress(msgspec.msgpack.encode(changes), _LEVEL)
+
+
+def unpack(packed: bytes) -> tuple[Change, ...]:
+    """Read changes.
+
+    :raises ValueError: if these bytes are none, or too many once unpacked.
+    """
+    if not packed:
+        return ()
+    reader = zlib.decompressobj()
+    try:
+        body = reader.decompress(packed, MOST_BYTES)
+    except zlib.error as error:
+        raise ValueError('changes that are not compressed') from error
+    if not reader.eof:
+        raise ValueError('changes that are too long or cut off')
+    return msgspec.msgpack.decode(body, type=tuple[Change, ...])
 
 
 def encode(frame: Question | Reply) -> bytes:
--- a/packages/ryelatch-node/src/ryelatch_node/news/_memory.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_memory.py
@@ -4,19 +4,24 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from ryelatch_node.news._frames import Change, Reply
+from ryelatch_node.news._frames import Change, Reply, pack
 
 _MOST_STEPS = 256
 """Answers of the store that are kept; a peer that is further behind lists."""
 
-MOST_CONTENT = 4096
-"""Longest content of an object that is passed on, in bytes.
+MOST_PACKED = 32_768
+"""Most bytes of changes that are passed on to one who may ask the store.
 
-A configuration with hundreds of routes has 100 kB. Passed on to sixteen nodes
-a few times a second it would fill a link that requests need; they read it
-from the store themselves, unless it has turned them away.
+A configuration with 1,600 routes has 20 kB when it is compressed: for each of
+thirty nodes an eighth of a second of a link of 40 Mbit/s, where each of them
+reading it from the store is a call a node at each change. More would fill a
+link that requests need; it is passed on only to those that the store has
+turned away.
 """
 
+_NEVER_SECONDS = 1e9
+"""Age told for what was never known; the wire holds no infinity."""
+
 
 @dataclass(frozen=True, slots=True)
 class Heard:
@@ -24,11 +29,27 @@
 
     :param at: revision of the store up to which changes are known.
     :param known: monotonic seconds at which nothing else had changed.
+    :param unanswered: monotonic seconds at which the peer's last call was
+        sent that the store left unanswered; nothing if there was none.
+    :param out: whether the store is out for that peer.
     """
 
     at: int
     known: float
     changes: tuple[Change, ...] = ()
+    unanswered: float | None = None
+    out: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Blind:
+    """A peer's word that the store does not answer it either.
+
+    :param unanswered: monotonic seconds at which its last call was sent that
+        got no answer.
+    """
+
+    unanswered: float
 
 
 @dataclass(eq=False)
@@ -42,6 +63,7 @@
     at: int = -1
     known: float = float('-inf')
     _steps: deque[Heard] = field(default_factory=deque)
+    _packed: dict[int, bytes] = field(default_factory=dict)
     _heard: asyncio.Event = field(default_factory=asyncio.Event)
 
     def restart(self, heard: Heard) -> None:
@@ -83,20 +105,26 @@
     ) -> Reply:
         """Tell what has changed since a revision.
 
-        :param whole: whether large objects are passed on too.
+        :param whole: whether many changes are passed on too.
         """
-        steps = self._list_steps(since)
-        changes = tuple(change for step in steps for change in step.changes)
-        large = any(len(one.content) > MOST_CONTENT for one in changes)
-        if (large and not whole) or not self._covers(since):
-            return Reply(covered=False)
-        return Reply(
-            True,
-            self.at,
-            now - asked,
-            now - self.known,
-            changes,
-        )
+        covered = self._covers(since)
+        packed = self._pack_since(since) if covered else b''
+        if len(packed) > MOST_PACKED and not whole:
+            covered, packed = False, b''
+        age = min(now - self.known, _NEVER_SECONDS)
+        return Reply(covered, self.at, now - asked, age, packed)
+
+    def _pack_since(self, since: int) -> bytes:
+        """Pack what has changed; those who ask are mostly at one revision."""
+        if since not in self._packed:
+            self._packed[since] = pack(
+                tuple(
+                    change
+                    for step in self._list_steps(since)
+                    for change in step.changes
+                )
+            )
+        return self._packed[since]
 
     def _covers(self, since: int) -> bool:
         """Whether all changes since a revision are kept."""
@@ -106,6 +134,8 @@
         return [step for step in self._steps if step.at > since]
 
     def _advance(self, heard: Heard) -> None:
+        if heard.at != self.at or heard.changes:
+            self._packed.clear()
         self.at = heard.at
         self.known = max(self.known, heard.known)
         self._heard.set()
--- a/packages/ryelatch-node/src/ryelatch_node/news/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_service.py
@@ -12,6 +12,7 @@
 from ryelatch_core.events import CostBook, LineLog, catalogue
 from ryelatch_core.kernel import App, Clock, Service, cancel_task
 from ryelatch_core.membership import (
+    NEVER,
     NodeEntry,
     choose_watchers,
     shares_watches,
@@ -22,8 +23,9 @@
     Reply,
     encode,
     read_body,
+    unpack,
 )
-from ryelatch_node.news._memory import Heard, Memory
+from ryelatch_node.news._memory import Blind, Heard, Memory
 from ryelatch_node.ports import Address, RelayStartup
 
 CONNECT_SECONDS = 0.3
@@ -39,6 +41,14 @@
 and what is confirmed grows old meanwhile.
 """
 
+BLIND_SECONDS = 0.5
+"""The same while the store answers this node as little as that peer.
+
+One that watches asks the store again several times a second and is the first
+to know when the store is back; those who wait for that ask it, not the store.
+A peer that is blind or behind alone is left for as long as any other.
+"""
+
 LONGEST_WAIT = 30.0
 """Longest wait that a peer may ask for."""
 
@@ -49,6 +59,22 @@
 ]
 """Opens a connection to a host and port."""
 
+
+@dataclass(frozen=True, slots=True)
+class StoreTrouble:
+    """How the store answers a node.
+
+    :param unanswered: when the last call was sent that it left unanswered, in
+        monotonic seconds.
+    :param out: whether its last answer was none.
+    """
+
+    unanswered: float = NEVER
+    out: bool = False
+
+
+_NO_TROUBLE = StoreTrouble()
+
 _FAILURES = (OSError, EOFError, ValueError, msgspec.MsgspecError)
 
 
@@ -69,6 +95,8 @@
     nothing else had changed, counted on one clock at either end, and is dated
     from when the question was sent. A peer that is cut off, silent or behind
     is left, and the store asked as if there were no peers.
+
+    :param find_trouble: tells how the store answers this node.
     """
 
     log: LineLog
@@ -77,6 +105,7 @@
     dial: Dial = asyncio.open_connection
     costs: CostBook = field(default_factory=CostBook)
     address: Address = field(init=False)
+    find_trouble: Callable[[], StoreTrouble] = lambda: _NO_TROUBLE
     _memories: dict[str, Memory] = field(
         default_factory=lambda: defaultdict(Memory)
     )
@@ -122,14 +151,14 @@
         *,
         oldest: float,
         alone: bool,
-    ) -> Heard | None:
+    ) -> Heard | Blind | None:
         """Ask a peer for what has changed.
 
         :param oldest: seconds since a peer heard of the store itself, beyond
             which its word is no use.
         :param alone: whether the store does not answer this node; one that
             watches for others then asks them too.
-        :returns: nothing if the store has to be asked.
+        :returns: nothing if the peer is of no use.
         """
         peer = self._choose(alone=alone)
         if peer is None:
@@ -139,6 +168,7 @@
         try:
             async with asyncio.timeout(wait + CONNECT_SECONDS + REPLY_SECONDS):
                 reply = await self._exchange(kind, peer, question)
+            changes = unpack(reply.packed)
         except asyncio.CancelledError:
             # Its reply is still to come, and would answer the next question.
             self._drop(kind)
@@ -147,13 +177,23 @@
             # Timeouts are among them: a peer whose connections went silent.
             self._leave(kind, peer, type(error).__name__)
             return None
-        if reply.covered and reply.age > oldest:
-            self._leave(kind, peer, 'behind')
-            return None
-        if not reply.covered:
-            return None
         told = sent + min(reply.waited, self.clock.monotonic() - sent)
-        return Heard(reply.at, told - reply.age, reply.changes)
+        unanswered = (
+            None if reply.unanswered is None else told - reply.unanswered
+        )
+        if reply.age <= oldest:
+            if not reply.covered:
+                return None
+            return Heard(
+                reply.at, told - reply.age, changes, unanswered, reply.out
+            )
+        waits = self.shares and self.find_trouble().out
+        rest = BLIND_SECONDS if waits else REST_SECONDS
+        if reply.out and unanswered is not None:
+            self._leave(kind, peer, 'blind', rest)
+            return Blind(unanswered)
+        self._leave(kind, peer, 'behind', rest)
+        return None
 
     async def serve(
         self,
@@ -179,6 +219,11 @@
             with contextlib.suppress(OSError):
                 writer.transport.abort()
 
+    @property
+    def shares(self) -> bool:
+        """Whether some nodes of this fleet watch for others."""
+        return shares_watches(self._nodes)
+
     @property
     def watches_for_others(self) -> bool:
         """Whether this node watches the store for others."""
@@ -188,14 +233,13 @@
 
     def _choose(self, *, alone: bool) -> NodeEntry | None:
         """Choose the peer to ask; none if this node asks the store."""
-        if not alone and not shares_watches(self._nodes):
+        if not alone and (not self.shares or self.watches_for_others):
             return None
         now = self.clock.monotonic()
         me, zone = self.startup.name, self.startup.zone
         offered = choose_watchers(me, zone, self._nodes)
-        near = [one for one in offered if alone or one.zone == zone]
         return next(
-            (one for one in near if self._resting.get(one.name, 0) <= now),
+            (one for one in offered if self._resting.get(one.name, 0) <= now),
             None,
         )
 
@@ -210,6 +254,7 @@
             self._drop(kind)
             line = await self._connect(peer.address)
             self._lines[kind] = line
+        self.costs.count('peers', kind, 'questions')
         line.writer.write(encode(question))
         await line.writer.drain()
         return msgspec.msgpack.decode(await read_body(line.reader), type=Reply)
@@ -220,9 +265,15 @@
             reader, writer = await self.dial(host, int(port))
         return _Line(address, reader, writer)
 
-    def _leave(self, kind: str, peer: NodeEntry, reason: str) -> None:
+    def _leave(
+        self,
+        kind: str,
+        peer: NodeEntry,
+        reason: str,
+        rest: float = REST_SECONDS,
+    ) -> None:
         self._drop(kind)
-        self._resting[peer.name] = self.clock.monotonic() + REST_SECONDS
+        self._resting[peer.name] = self.clock.monotonic() + rest
         self.log.record(
             catalogue.WATCHER_LEFT, peer=peer.name, kind_of=kind, reason=reason
         )
@@ -245,7 +296,15 @@
         await memory.wait(question.since, asked, wait)
         now = self.clock.monotonic()
         reply = memory.tell(question.since, asked, now, whole=question.whole)
-        writer.write(encode(reply))
+        trouble = self.find_trouble()
+        if trouble.unanswered > NEVER:
+            reply = msgspec.structs.replace(
+                reply, unanswered=now - trouble.unanswered, out=trouble.out
+            )
+        frame = encode(reply)
+        self.costs.count('peers', question.kind, 'answers')
+        self.costs.count('peers', question.kind, 'bytes', number=len(frame))
+        writer.write(frame)
         await writer.drain()
 
 
--- a/tests/node/news/test_memory.py
+++ b/tests/node/news/test_memory.py
@@ -1,9 +1,10 @@
 """What a node tells those who ask it."""
 
 import asyncio
+import random
 
-from ryelatch_node.news._frames import Change
-from ryelatch_node.news._memory import MOST_CONTENT, Heard, Memory
+from ryelatch_node.news._frames import Change, unpack
+from ryelatch_node.news._memory import MOST_PACKED, Heard, Memory
 
 _CHANGE = Change(b'{}', False)
 
@@ -19,9 +20,9 @@
 
 def test_all_changes_since_a_revision_are_told() -> None:
     memory = _make_memory()
-    assert len(memory.tell(10, 5, 6).changes) == 3
-    assert len(memory.tell(12, 5, 6).changes) == 2
-    assert not memory.tell(15, 5, 6).changes
+    assert len(unpack(memory.tell(10, 5, 6).packed)) == 3
+    assert len(unpack(memory.tell(12, 5, 6).packed)) == 2
+    assert not unpack(memory.tell(15, 5, 6).packed)
 
 
 def test_what_is_not_known_is_not_told() -> None:
@@ -50,9 +51,10 @@
 
 
 def test_large_objects_are_left_to_the_store() -> None:
-    """Sixteen nodes would each be sent 100 kB a few times a second."""
+    """Thirty nodes would each be sent 100 kB a few times a second."""
     memory = _make_memory()
-    memory.note(Heard(17, 5, (Change(b'x' * (MOST_CONTENT + 1), False),)))
+    content = random.Random(1).randbytes(MOST_PACKED + 1)
+    memory.note(Heard(17, 5, (Change(content, False),)))
     assert not memory.tell(15, 6, 7).covered
     assert memory.tell(15, 6, 7, whole=True).covered
 
