--- a/packages/ryelatch-cli/src/ryelatch_cli/_explain.py
+++ b/packages/ryelatch-cli/src/ryelatch_cli/_explain.py
@@ -43,7 +43,7 @@
 
         :raises CommandError: if no line names the request.
         """
-        lines = list(read_lines(_read_texts(self.files)))
+        lines = list(read_lines(read_texts(self.files)))
         if self.request == 'all':
             for reason, count in count_reasons(lines).items():
                 sys.stdout.write(f'{count:6d}  {reason}\n')
@@ -63,7 +63,11 @@
         sys.stdout.write(f'likely cause: {story.cause}\n')
 
 
-def _read_texts(files: list[Path]) -> Iterator[str]:
+def read_texts(files: list[Path]) -> Iterator[str]:
+    """Read the lines of files, or of standard input if there are none.
+
+    :raises CommandError: if a file can't be read.
+    """
     if not files:
         yield from sys.stdin
     for path in files:
--- a/packages/ryelatch-cli/src/ryelatch_cli/main.py
+++ b/packages/ryelatch-cli/src/ryelatch_cli/main.py
@@ -8,6 +8,7 @@
 import cappa
 
 from ryelatch_cli._context import Context
+from ryelatch_cli._costs import Costs
 from ryelatch_cli._explain import Explain
 from ryelatch_cli._fleet import (
     Drain,
@@ -30,6 +31,8 @@
 
     ryelatch explain 9c41d07be2a35f68 node-a.log node-b.log
 
+    ryelatch costs node-a.log node-b.log
+
 Exit codes: 0 done; 1 refused, and nothing changed; 2 wrong usage; 3 the
 platform does not answer; 4 accepted, and not in force on all nodes yet.
 """
@@ -51,6 +54,7 @@
         | TimelineCommand
         | Drain
         | Explain
+        | Costs
         | HashKey
     ]
     platform_url: Annotated[
--- a/packages/ryelatch-core/src/ryelatch_core/events/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/__init__.py
@@ -3,7 +3,7 @@
 from ryelatch_core.events import _catalogue as catalogue
 from ryelatch_core.events._catalogue import EventKind, Level, list_kinds
 from ryelatch_core.events._clock import HybridClock, Stamp
-from ryelatch_core.events._costs import CostBook
+from ryelatch_core.events._costs import CostBook, FleetCosts, sum_costs
 from ryelatch_core.events._lines import LineLog, open_stdout
 from ryelatch_core.events._story import (
     Line,
@@ -19,6 +19,7 @@
     'CostBook',
     'Event',
     'EventKind',
+    'FleetCosts',
     'HybridClock',
     'Level',
     'Line',
@@ -34,4 +35,5 @@
     'merge_events',
     'open_stdout',
     'read_lines',
+    'sum_costs',
 ]
--- a/packages/ryelatch-core/src/ryelatch_core/events/_costs.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_costs.py
@@ -1,30 +1,44 @@
-"""What a process spends on control: calls, questions, processor time."""
+"""What processes spend on control: calls, questions, processor time."""
 
 import contextlib
 import time
+import uuid
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
+from ryelatch_core.events._catalogue import NODE_COSTS
+from ryelatch_core.events._story import Line
+
+PROCESS = 'process'
+"""The activity that stands for all of a process's time since its start."""
+
 _DIGITS = 4
+_LIFE_DIGITS = 8
 
 
 @dataclass(eq=False)
 class CostBook:
     """Counts what is spent, each count by a name of its parts.
 
-    Parts are joined by a slash, the field's most general one first, such as
+    Parts are joined by a slash, the most general one first, such as
     ``store/servers/watch/steady/empty``; a fleet's table is made of them.
 
     :param clock: processor time of the process, in seconds.
+    :param life: tells processes of one name apart that followed each other.
     """
 
     clock: Callable[[], float] = time.process_time
+    life: str = field(default_factory=lambda: uuid.uuid4().hex[:_LIFE_DIGITS])
     counts: Counter[str] = field(default_factory=Counter)
     seconds: dict[str, float] = field(
         default_factory=lambda: defaultdict(float)
     )
 
+    def __post_init__(self) -> None:
+        """Begin to count the processor time."""
+        self._began = self.clock()
+
     def count(self, *parts: str, number: int = 1) -> None:
         """Count something that was done."""
         self.counts['/'.join(parts)] += number
@@ -51,4 +65,35 @@
             name: round(spent, _DIGITS)
             for name, spent in sorted(self.seconds.items())
         }
-        return {**spent, 'process': round(self.clock(), _DIGITS)}
+        return {**spent, PROCESS: round(self.clock() - self._began, _DIGITS)}
+
+
+@dataclass(frozen=True)
+class FleetCosts:
+    """What all processes together have spent.
+
+    :param lives: processes that wrote what they spent, restarts included.
+    """
+
+    lives: int
+    counts: Counter[str]
+    seconds: dict[str, float]
+
+
+def sum_costs(lines: Iterable[Line]) -> FleetCosts:
+    """Add up the last account of each life of each process.
+
+    A life that was killed is counted up to its last line.
+    """
+    latest = {
+        (line.process, line.detail.get('life')): line.detail
+        for line in lines
+        if line.name == NODE_COSTS.name
+    }
+    counts: Counter[str] = Counter()
+    seconds: dict[str, float] = defaultdict(float)
+    for detail in latest.values():
+        counts.update(detail.get('counts', {}))
+        for activity, spent in detail.get('seconds', {}).items():
+            seconds[activity] += spent
+    return FleetCosts(len(latest), counts, dict(seconds))
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -76,6 +76,7 @@
         self._told = self._parts.clock.monotonic()
         self._parts.log.record(
             catalogue.NODE_COSTS,
+            life=self._parts.costs.life,
             counts=self._parts.costs.list_counts(),
             seconds=self._parts.costs.list_seconds(),
         )
