Let a node that is asked watch for those who ask

The watcher's own count of the nodes was from before the others came, so it watched as for itself alone, 2.2 s. Ruled out by lines of its watches: slow answers, parts of milliseconds. Test: red without it (three nodes left their watcher three times in 20 s).

--- a/packages/ryelatch-node/src/ryelatch_node/news/_memory.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_memory.py
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Blind:
-    """A peer's word that the store does not answer it either.
+    """The word of a peer of no use that the store has not answered it.
 
     :param unanswered: monotonic seconds at which its last call was sent that
         got no answer.
--- a/packages/ryelatch-node/src/ryelatch_node/news/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_service.py
@@ -114,6 +114,7 @@
     _resting: dict[str, float] = field(default_factory=dict)
     _server: asyncio.Server | None = None
     _served: set['asyncio.Task[None]'] = field(default_factory=set)
+    _asked: float = NEVER
 
     async def start(self) -> None:
         """Listen for peers."""
@@ -189,11 +190,8 @@
             )
         waits = self.shares and self.find_trouble().out
         rest = BLIND_SECONDS if waits else REST_SECONDS
-        if reply.out and unanswered is not None:
-            self._leave(kind, peer, 'blind', rest)
-            return Blind(unanswered)
-        self._leave(kind, peer, 'behind', rest)
-        return None
+        self._leave(kind, peer, 'blind' if reply.out else 'behind', rest)
+        return None if unanswered is None else Blind(unanswered)
 
     async def serve(
         self,
@@ -226,7 +224,14 @@
 
     @property
     def watches_for_others(self) -> bool:
-        """Whether this node watches the store for others."""
+        """Whether this node watches the store for others.
+
+        One that is asked does, whatever its own count of the nodes says: with
+        a count from before the others came it watched as for itself alone,
+        and its followers left it every two seconds.
+        """
+        if self.clock.monotonic() - self._asked < REST_SECONDS:
+            return True
         return watches_for_others(
             self.startup.name, self.startup.zone, self._nodes
         )
@@ -291,6 +296,8 @@
         body = await read_body(reader)
         asked = self.clock.monotonic()
         question = msgspec.msgpack.decode(body, type=Question)
+        if not question.whole:
+            self._asked = asked
         memory = self._memories[question.kind]
         wait = min(LONGEST_WAIT, max(0, question.wait))
         await memory.wait(question.since, asked, wait)
--- a/tests/platform/test_news.py
+++ b/tests/platform/test_news.py
@@ -23,6 +23,8 @@
 from ryelatch_node.news import News
 from ryelatch_platform._main import build_app
 from ryelatch_platform._store import StoreFailure
+from virtual.loop import run
+from virtual.world import World
 
 
 @contextlib.asynccontextmanager
@@ -186,3 +188,27 @@
             writer.close()
         await asyncio.sleep(1)
         assert app.find('configuration', ConfigurationView).age <= 3
+
+
+def test_node_that_is_asked_watches_for_those_who_ask() -> None:
+    """Nodes start together, and the first one's count misses the others.
+
+    It watches as for itself alone. The others know it for the one that
+    watches for them; they took what it told for too old, left it every two
+    seconds and asked the store, all of them at the same moment.
+    """
+
+    async def play() -> None:
+        world = World(4.0, 5.0)
+        await world.start([f'node-{number}' for number in range(4)])
+        world.nodes['node-0'].news.know([])
+        await asyncio.sleep(2)
+        before = len(world.store.calls)
+        await asyncio.sleep(20)
+        left = [node.count('watcher-left') for node in world.nodes.values()]
+        assert left == [0, 0, 0, 0]
+        # Two kinds of object, a watch of one second each, and one to spare.
+        assert len(world.store.calls) - before <= 2 * 20 * 1.1
+        await world.stop()
+
+    run(play())
