Ask peers again soon that answered but were behind, in an outage

Cause: a follower left its only watcher for six seconds as blind just before it met the outage itself, and dropped all replicas when that was over.

--- a/packages/ryelatch-node/src/ryelatch_node/news/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_service.py
@@ -78,6 +78,18 @@
 _FAILURES = (OSError, EOFError, ValueError, msgspec.MsgspecError)
 
 
+@dataclass(frozen=True, slots=True)
+class _Left:
+    """That a peer was left.
+
+    :param at: when, in monotonic seconds.
+    :param answered: whether it answered, with what was too old.
+    """
+
+    at: float
+    answered: bool
+
+
 @dataclass(eq=False)
 class _Line:
     """A connection to a peer for one kind of object."""
@@ -111,7 +123,7 @@
     )
     _nodes: tuple[NodeEntry, ...] = ()
     _lines: dict[str, _Line] = field(default_factory=dict)
-    _resting: dict[str, float] = field(default_factory=dict)
+    _left: dict[str, _Left] = field(default_factory=dict)
     _server: asyncio.Server | None = None
     _served: set['asyncio.Task[None]'] = field(default_factory=set)
     _asked: float = NEVER
@@ -188,9 +200,8 @@
             return Heard(
                 reply.at, told - reply.age, changes, unanswered, reply.out
             )
-        waits = self.shares and self.find_trouble().out
-        rest = BLIND_SECONDS if waits else REST_SECONDS
-        self._leave(kind, peer, 'blind' if reply.out else 'behind', rest)
+        reason = 'blind' if reply.out else 'behind'
+        self._leave(kind, peer, reason, answered=True)
         return None if unanswered is None else Blind(unanswered)
 
     async def serve(
@@ -244,10 +255,18 @@
         me, zone = self.startup.name, self.startup.zone
         offered = choose_watchers(me, zone, self._nodes)
         return next(
-            (one for one in offered if self._resting.get(one.name, 0) <= now),
+            (one for one in offered if not self._rests(one, now)),
             None,
         )
 
+    def _rests(self, peer: NodeEntry, now: float) -> bool:
+        """Whether a peer was of no use a short while ago."""
+        left = self._left.get(peer.name)
+        if left is None:
+            return False
+        waits = left.answered and self.shares and self.find_trouble().out
+        return now - left.at < (BLIND_SECONDS if waits else REST_SECONDS)
+
     async def _exchange(
         self,
         kind: str,
@@ -275,10 +294,11 @@
         kind: str,
         peer: NodeEntry,
         reason: str,
-        rest: float = REST_SECONDS,
+        *,
+        answered: bool = False,
     ) -> None:
         self._drop(kind)
-        self._resting[peer.name] = self.clock.monotonic() + rest
+        self._left[peer.name] = _Left(self.clock.monotonic(), answered)
         self.log.record(
             catalogue.WATCHER_LEFT, peer=peer.name, kind_of=kind, reason=reason
         )
