--- /dev/null
+++ b/tests/cli/test_costs.py
@@ -0,0 +1,46 @@
+"""``ryelatch costs`` reads files of log lines."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+_RYELATCH = str(Path(sys.executable).parent / 'ryelatch')
+
+
+def _run(*words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [_RYELATCH, 'costs', *words],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+def test_table_tells_fleet_and_mean(tmp_path: Path) -> None:
+    path = tmp_path / 'fleet.log'
+    lines = (
+        {
+            'time': 1,
+            'process': f'node-{name}',
+            'name': 'node-costs',
+            'life': name,
+            'counts': {'store/servers/watch/steady/empty': calls},
+            'seconds': {'plan': 0.5},
+        }
+        for name, calls in (('a', 3), ('b', 4))
+    )
+    path.write_text(''.join(f'{json.dumps(line)}\n' for line in lines))
+    told = _run(str(path))
+    assert told.returncode == 0
+    rows = [row.split() for row in told.stdout.splitlines()]
+    assert ['7', '3.50', 'store/servers/watch/steady/empty'] in rows
+    assert ['1.000', '0.5000', 'seconds/plan'] in rows
+
+
+def test_lines_without_costs_are_an_error(tmp_path: Path) -> None:
+    path = tmp_path / 'other.log'
+    path.write_text('no line of a node\n')
+    told = _run(str(path))
+    assert told.returncode == 1
+    assert 'no line tells costs' in told.stderr
--- /dev/null
+++ b/tests/core/events/test_costs.py
@@ -0,0 +1,44 @@
+"""What a fleet has spent is added up from the lines of its nodes."""
+
+from ryelatch_core.events import CostBook, Line, sum_costs
+
+
+def _write(process: str, book: CostBook) -> Line:
+    detail = {
+        'life': book.life,
+        'counts': book.list_counts(),
+        'seconds': book.list_seconds(),
+    }
+    return Line(1.0, process, 'node-costs', detail)
+
+
+def test_time_of_a_block_is_added_to_its_activity() -> None:
+    times = iter((10.0, 11.0, 11.5, 12.0, 14.0, 15.0))
+    book = CostBook(lambda: next(times))
+    for _ in range(2):
+        with book.spend('plan'):
+            pass
+    assert book.list_seconds() == {'plan': 2.5, 'process': 5.0}
+
+
+def test_last_line_of_each_life_counts() -> None:
+    """A node is killed and starts again under its name, and counts anew.
+
+    Each line tells all that a life has spent so far; taken for what was spent
+    since the line before, or for one life, the table would be wrong.
+    """
+    first, second = CostBook(), CostBook()
+    first.count('store', 'servers', 'watch')
+    lines = [_write('node-a', first)]
+    first.count('store', 'servers', 'watch', number=4)
+    lines.append(_write('node-a', first))
+    second.count('store', 'servers', 'watch')
+    lines.append(_write('node-a', second))
+    found = sum_costs(lines)
+    assert found.lives == 2
+    assert found.counts == {'store/servers/watch': 6}
+
+
+def test_other_lines_tell_no_costs() -> None:
+    found = sum_costs([Line(1.0, 'node-a', 'node-started', {})])
+    assert (found.lives, found.counts, found.seconds) == (0, {}, {})
