Split what follows the store, and search few of many zones for a path

Waits and availability are modules of their own. A path is sought in three zones at most, the own one among them, and in the others only if these have none: what a choice costs follows a zone and not the fleet.

--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
@@ -46,6 +46,15 @@
 requests between the zones share.
 """
 
+SEARCHED_ZONES = 3
+"""Zones in which a path is sought, the own one among them.
+
+A search of all takes time in proportion to the fleet: 2.4 ms of a core for 205
+replicas in five zones, 20 ms for 3,900. Which zones are searched beside the
+own one is drawn for each request, so that what a crowded zone sends away goes
+to all others alike.
+"""
+
 _CROWDED = 2.0
 """Estimated share of a replica's memory beyond which more changes nothing.
 
@@ -185,13 +194,26 @@
     """Find the cheapest path that stays in its zone.
 
     Zones are searched one by one: a path is sought among a third of the
-    replicas three times, which takes a third of the time.
+    replicas three times, which takes a third of the time. Of many zones some
+    are searched, and the others only where these have no path.
     """
     zones: dict[str, list[Replica]] = {}
     for replica in group:
         zones.setdefault(replica.zone, []).append(replica)
-    paths = filter(None, (_search(zone, query) for zone in zones.values()))
-    return min(paths, key=lambda found: found.cost, default=None)
+    ordered = _order_zones(zones, query)
+    for some in (ordered[:SEARCHED_ZONES], ordered[SEARCHED_ZONES:]):
+        found = [_search(zones[name], query) for name in some]
+        best = min(filter(None, found), key=lambda one: one.cost, default=None)
+        if best is not None:
+            return best
+    return None
+
+
+def _order_zones(zones: Iterable[str], query: PathQuery) -> list[str]:
+    """Put the request's own zone first, and the others by chance."""
+    return sorted(
+        zones, key=lambda name: (name != query.zone, query.draw(), name)
+    )
 
 
 def _search(usable: list[Replica], query: PathQuery) -> _Found | None:
--- a/packages/ryelatch-node/src/ryelatch_node/news/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_service.py
@@ -265,7 +265,8 @@
         if left is None:
             return False
         waits = left.answered and self.shares and self.find_trouble().out
-        return now - left.at < (BLIND_SECONDS if waits else REST_SECONDS)
+        rest = BLIND_SECONDS if waits else REST_SECONDS
+        return now - left.at < rest
 
     async def _exchange(
         self,
--- a/tests/core/events/test_costs.py
+++ b/tests/core/events/test_costs.py
@@ -15,9 +15,9 @@
 def test_time_of_a_block_is_added_to_its_activity() -> None:
     times = iter((10.0, 11.0, 11.5, 12.0, 14.0, 15.0))
     book = CostBook(lambda: next(times))
-    for _ in range(2):
+    for seconds in (1.0, 1.5):
         with book.spend('plan'):
-            pass
+            assert seconds
     assert book.list_seconds() == {'plan': 2.5, 'process': 5.0}
 
 
--- a/tests/core/fleet/test_path.py
+++ b/tests/core/fleet/test_path.py
@@ -22,6 +22,7 @@
     choose_path,
     plan_moves,
 )
+from ryelatch_core.fleet._path import SEARCHED_ZONES
 
 
 def _place() -> list[object]:
@@ -234,3 +235,57 @@
     book.estimate(0)
     book.add(path, 991, 0.1)
     assert book.estimate(0.5).requests['one'] > 20
+
+
+def _make_zones(names: list[str]) -> list[object]:
+    return [
+        make_replica(f'{name}-{first}', first, first + 20, name)
+        for name in names
+        for first in (0, 20, 40, 60)
+    ]
+
+
+def test_few_of_many_zones_are_searched() -> None:
+    """A fleet of thirteen zones; its nodes spent most of their time on paths.
+
+    Each request was priced at every replica of every zone, though it mostly
+    stays in its own.
+    """
+    offered = _make_zones([f'zone-{number:02}' for number in range(13)])
+    drawn: list[float] = []
+
+    def draw() -> float:
+        drawn.append(0.5)
+        return drawn[-1]
+
+    path = choose_path(offered, make_query(zone='zone-05', draw=draw))
+    assert {stage.replica.zone for stage in path} == {'zone-05'}
+    # One draw a zone for their order, and one a replica that is priced.
+    assert len(drawn) == 13 + SEARCHED_ZONES * 4
+
+
+def test_overflow_of_a_zone_spreads_over_all() -> None:
+    """One zone is late; each request of it goes to another one's paths."""
+    names = [f'zone-{number:02}' for number in range(8)]
+    offered = _make_zones(names)
+    late = {f'zone-00-{first}': 9.0 for first in (0, 20, 40, 60)}
+    used = Counter(
+        choose_path(offered, make_query(seed, zone='zone-00', excess=late))[
+            0
+        ].replica.zone
+        for seed in range(140)
+    )
+    assert set(used) == set(names[1:])
+    assert max(used.values()) <= 3 * 140 / 7
+
+
+def test_only_zone_with_a_path_is_found() -> None:
+    """All other zones have lost a layer; whichever is drawn, none is lost."""
+    offered = [
+        one
+        for one in _make_zones([f'zone-{number:02}' for number in range(8)])
+        if one.zone == 'zone-07' or one.layers.first != 40
+    ]
+    for seed in range(20):
+        path = choose_path(offered, make_query(seed, zone='zone-00'))
+        assert {stage.replica.zone for stage in path} == {'zone-07'}
--- a/tests/node/duty/test_placement.py
+++ b/tests/node/duty/test_placement.py
@@ -404,7 +404,7 @@
     assert len(planned) == 1
 
 
-async def test_lost_holder_is_followed_where_nothing_is_missing() -> None:
+async def test_empty_replica_is_used_without_the_holder() -> None:
     """The holder of the lease is gone, and a replica comes in empty.
 
     No layer is missing, so nobody is in a hurry; but it is put to use.
@@ -422,7 +422,7 @@
     assert platform.orders[0][2] == 8
 
 
-def test_patience_keeps_claims_rare_in_large_fleets() -> None:
+def test_claims_stay_rare_in_large_fleets() -> None:
     """A holder is lost in a fleet of two hundred nodes.
 
     With a spread for eight, three hundred turns fall into each second and
@@ -434,5 +434,6 @@
         duty = platform.add_node(f'node-{draw}', TAKE_SPREAD_SECONDS * draw)
         duty.lease.nodes = len(draws)
     waits = [duty.lease.patience for duty in platform.duties]
-    assert sum(wait < 0.1 for wait in waits) <= 4
+    early = [wait for wait in waits if wait < TAKE_SPREAD_SECONDS / 6]
+    assert len(early) <= 4
     assert max(waits) <= LONGEST_SPREAD_SECONDS
--- a/tests/node/news/test_frames.py
+++ b/tests/node/news/test_frames.py
@@ -14,7 +14,7 @@
         for number in range(50)
     )
     assert unpack(pack(changes)) == changes
-    assert unpack(pack(())) == ()
+    assert not unpack(pack(()))
 
 
 def test_run_of_registrations_is_small() -> None:
--- a/tests/platform/test_departure.py
+++ b/tests/platform/test_departure.py
@@ -162,7 +162,7 @@
         await asyncio.gather(*calls)
         assert world.nodes['node-a'].count('store-out')
         assert world.nodes['node-a'].count('store-call-cut')
-        assert store.unanswered < silent_until
+        assert store.availability.unanswered < silent_until
         await world.stop()
 
     run(play())
--- a/tests/platform/test_fleet_calls.py
+++ b/tests/platform/test_fleet_calls.py
@@ -51,7 +51,7 @@
     run(play())
 
 
-def test_a_zone_whose_watcher_is_turned_away_asks_another_zone() -> None:
+def test_zone_without_its_watcher_asks_another() -> None:
     """The store turns away the node that watches for a zone.
 
     All nodes of the zone went to the store instead, each with three watches.
@@ -74,7 +74,7 @@
     run(play())
 
 
-def test_nodes_that_are_turned_away_live_on_the_word_of_others() -> None:
+def test_nodes_turned_away_live_on_others_word() -> None:
     """The store turns two thirds of the followers away for twenty seconds."""
 
     async def play() -> None:
--- a/tests/platform/test_news.py
+++ b/tests/platform/test_news.py
@@ -158,7 +158,7 @@
         store = app.find('store', object)
 
         async def fail(*_: Any, **given: Any) -> Any:
-            store._note_out('cut off', 0)  # type: ignore[attr-defined]
+            store.availability.note_out('cut off', 0)  # type: ignore[attr-defined]
             return Err(StoreFailure.OUT)
 
         monkeypatch.setattr(store, '_call', fail)
@@ -190,7 +190,7 @@
         assert app.find('configuration', ConfigurationView).age <= 3
 
 
-def test_node_that_is_asked_watches_for_those_who_ask() -> None:
+def test_node_that_is_asked_watches() -> None:
     """Nodes start together, and the first one's count misses the others.
 
     It watches as for itself alone. The others know it for the one that
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -14,9 +14,10 @@
 from ryelatch_node.beliefs import ConfigurationView, ReplicaView
 from ryelatch_node.news import News
 from ryelatch_node.ports import Address
-from ryelatch_platform._follow import ARRIVAL_SECONDS, Follower
+from ryelatch_platform._follow import Follower
 from ryelatch_platform._kinds import follow_configuration, follow_registry
 from ryelatch_platform._store import StoreClient
+from ryelatch_platform._waits import ARRIVAL_SECONDS
 from virtual.loop import VirtualClock
 from virtual.store import VirtualStore
 
