Take no peer's nonsense for knowledge, and keep nothing for strangers

Cause: ages that a peer tells were not checked; one below nothing dated what is known into the future, and keys that had been taken away were accepted so long. Any kind of object that was asked for left a memory behind.

--- a/packages/ryelatch-node/src/ryelatch_node/news/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_frames.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import zlib
+from typing import Annotated
 
 import msgspec
 
@@ -12,6 +13,14 @@
 _LEVEL = 1
 
 
+Span = Annotated[float, msgspec.Meta(ge=0)]
+"""Seconds; less than none would date knowledge into the future, and keys that
+were taken away be accepted meanwhile."""
+
+Revision = Annotated[int, msgspec.Meta(ge=-1)]
+"""Of the store; -1 where nothing is known."""
+
+
 class Change(msgspec.Struct, frozen=True, array_like=True):
     """An object that was written or deleted, as the store told of it."""
 
@@ -48,11 +57,11 @@
     """
 
     covered: bool
-    at: int = 0
-    waited: float = 0
-    age: float = 0
+    at: Revision = 0
+    waited: Span = 0
+    age: Span = 0
     packed: bytes = b''
-    unanswered: float | None = None
+    unanswered: Span | None = None
     out: bool = False
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/news/_memory.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_memory.py
@@ -19,7 +19,7 @@
 turned away.
 """
 
-_NEVER_SECONDS = 1e9
+NEVER_SECONDS = 1e9
 """Age told for what was never known; the wire holds no infinity."""
 
 
@@ -111,7 +111,7 @@
         packed = self._pack_since(since) if covered else b''
         if len(packed) > MOST_PACKED and not whole:
             covered, packed = False, b''
-        age = min(now - self.known, _NEVER_SECONDS)
+        age = min(now - self.known, NEVER_SECONDS)
         return Reply(covered, self.at, now - asked, age, packed)
 
     def _pack_since(self, since: int) -> bytes:
--- a/packages/ryelatch-node/src/ryelatch_node/news/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_service.py
@@ -25,7 +25,7 @@
     read_body,
     unpack,
 )
-from ryelatch_node.news._memory import Blind, Heard, Memory
+from ryelatch_node.news._memory import NEVER_SECONDS, Blind, Heard, Memory
 from ryelatch_node.ports import Address, RelayStartup
 
 CONNECT_SECONDS = 0.3
@@ -319,22 +319,30 @@
         question = msgspec.msgpack.decode(body, type=Question)
         if not question.whole:
             self._asked = asked
-        memory = self._memories[question.kind]
-        wait = min(LONGEST_WAIT, max(0, question.wait))
-        await memory.wait(question.since, asked, wait)
+        reply = await self._tell(question, asked)
         now = self.clock.monotonic()
-        reply = memory.tell(question.since, asked, now, whole=question.whole)
         trouble = self.find_trouble()
         if trouble.unanswered > NEVER:
             reply = msgspec.structs.replace(
                 reply, unanswered=now - trouble.unanswered, out=trouble.out
             )
         frame = encode(reply)
-        self.costs.count('peers', question.kind, 'answers')
-        self.costs.count('peers', question.kind, 'bytes', number=len(frame))
+        if question.kind in self._memories:
+            self.costs.count('peers', question.kind, 'answers')
+            self.costs.count('peers', question.kind, 'bytes', number=len(frame))
         writer.write(frame)
         await writer.drain()
 
+    async def _tell(self, question: Question, asked: float) -> Reply:
+        """Tell what is known of a kind; nothing of one that isn't followed."""
+        memory = self._memories.get(question.kind)
+        if memory is None:
+            return Reply(covered=False, age=NEVER_SECONDS)
+        wait = min(LONGEST_WAIT, max(0, question.wait))
+        await memory.wait(question.since, asked, wait)
+        now = self.clock.monotonic()
+        return memory.tell(question.since, asked, now, whole=question.whole)
+
 
 def setup(app: App) -> None:
     """Add the service ``news``."""
