--- /dev/null
+++ b/tests/fleet/placing.py
@@ -0,0 +1,134 @@
+"""Nodes that place layers, over a stand-in for all that they share."""
+
+import asyncio
+import dataclasses
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import msgspec
+
+from fleet.running import make_configuration
+from ryelatch_core.events import LineLog
+from ryelatch_core.fleet import LayerRange, Replica
+from ryelatch_core.kernel import BootClock, Hub
+from ryelatch_core.membership import NEVER, Lease, reckon_terms
+from ryelatch_node.beliefs import ConfigurationView, ReplicaView
+from ryelatch_node.duty import LeaseKeeper, PlacementDuty
+from ryelatch_node.ports import (
+    LeaseRecord,
+    LeaseStore,
+    OrderResult,
+    Orders,
+    Report,
+)
+from ryelatch_platform._objects import Metadata, StoredObject
+from ryelatch_platform._translate import translate_configuration
+
+_MODEL = 'model'
+
+
+@dataclasses.dataclass
+class FakePlatform:
+    """What all nodes of a test share.
+
+    :param load_seconds: after which an order is carried out.
+    :param result: what engines answer to orders.
+    """
+
+    load_seconds: float = 0.5
+    result: OrderResult = OrderResult.BEGUN
+    record: LeaseRecord = dataclasses.field(
+        default_factory=lambda: LeaseRecord(None, 0)
+    )
+    orders: list[tuple[str, str, int]] = dataclasses.field(default_factory=list)
+    duties: list[PlacementDuty] = dataclasses.field(default_factory=list)
+    lose_writes: bool = False
+
+    async def write(self, lease: Lease, revision: int) -> LeaseRecord | None:
+        """Write the lease under a condition, and tell all nodes."""
+        if self.lose_writes:
+            return None
+        if revision != self.record.revision:
+            return self.record
+        self.record = LeaseRecord(lease, revision + 1, revision)
+        for duty in self.duties:
+            duty.lease.follow(self.record)
+        return self.record
+
+    def add_node(self, name: str, spread: float) -> PlacementDuty:
+        """Make the duty of one more node."""
+        clock = BootClock()
+        log = LineLog(name, clock, len)
+        configuration = ConfigurationView(log, clock, 5)
+        raw = _encode(make_configuration())
+        configuration.offer(translate_configuration(raw), clock.monotonic())
+        view = ReplicaView(log, clock, Hub(), reckon_terms(2, 3))
+        orders = Orders(
+            place=self._make_place(name), move=_refuse, read_report=_report
+        )
+        duty = PlacementDuty(
+            log=log,
+            clock=clock,
+            configuration=configuration,
+            replicas=view,
+            orders=orders,
+            lease=LeaseKeeper(log, clock, LeaseStore(self.write), spread, name),
+        )
+        duty.lease.follow(self.record)
+        self.duties.append(duty)
+        return duty
+
+    def list_replicas(self, replicas: list[Replica]) -> None:
+        """Give all nodes a list."""
+        for duty in self.duties:
+            duty.replicas.replace(replicas, unanswered=NEVER)
+            duty.wake(None)  # type: ignore[arg-type]
+
+    def _make_place(self, name: str) -> Callable[..., Any]:
+        async def place(
+            replica: Replica, layers: LayerRange, fence: int, sequence: int
+        ) -> OrderResult:
+            self.orders.append((name, replica.name, fence))
+            if self.result is OrderResult.BEGUN:
+                held = dataclasses.replace(replica, layers=layers)
+                loop = asyncio.get_running_loop()
+                loop.call_later(self.load_seconds, self._finish, held)
+            return self.result
+
+        return place
+
+    def _finish(self, replica: Replica) -> None:
+        for duty in self.duties:
+            duty.replicas.put(replica)
+
+
+def _encode(configuration: dict[str, Any]) -> StoredObject:
+    raw = msgspec.Raw(msgspec.json.encode(configuration))
+    return StoredObject(Metadata('main', 1), raw)
+
+
+async def _refuse(*_: object) -> Any:
+    raise NotImplementedError
+
+
+async def _report(_: Replica) -> Report:
+    return Report(sequence=3, busy=True, used=0, stalled={})
+
+
+def make_replica(name: str, layers: LayerRange | None) -> Replica:
+    return Replica(name, _MODEL, f'{name}:80', 'zone-a', 'big', layers, 1)
+
+
+@asynccontextmanager
+async def run_nodes(platform: FakePlatform, count: int) -> AsyncIterator[None]:
+    """Run the duty of some nodes."""
+    for number in range(count):
+        platform.add_node(f'node-{number}', spread=0.1 + number * 0.1)
+    for duty in platform.duties:
+        await duty.start()
+    try:
+        yield
+    finally:
+        for duty in platform.duties:
+            await duty.stop()
--- a/tests/node/duty/test_placement.py
+++ b/tests/node/duty/test_placement.py
@@ -2,141 +2,18 @@
 
 import asyncio
 import dataclasses
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-from typing import Any
 
-import msgspec
 import pytest
 
-from fleet.running import make_configuration, wait_until
-from ryelatch_core.events import LineLog
-from ryelatch_core.fleet import LayerRange, Replica
-from ryelatch_core.kernel import BootClock, Hub
-from ryelatch_core.membership import NEVER, Lease, reckon_terms
-from ryelatch_node.beliefs import ConfigurationView, ReplicaView
-from ryelatch_node.duty import LeaseKeeper, PlacementDuty
-from ryelatch_node.duty._lease import (
-    LONGEST_SPREAD_SECONDS,
-    TAKE_SPREAD_SECONDS,
-)
+from fleet.placing import FakePlatform, make_replica, run_nodes
+from fleet.running import wait_until
+from ryelatch_core.fleet import LayerRange
+from ryelatch_core.membership import NEVER, Lease
 from ryelatch_node.ports import (
     LeaseRecord,
     LeaseStore,
     OrderResult,
-    Orders,
-    Report,
 )
-from ryelatch_platform._objects import Metadata, StoredObject
-from ryelatch_platform._translate import translate_configuration
-
-_MODEL = 'model'
-
-
-@dataclasses.dataclass
-class FakePlatform:
-    """What all nodes of a test share.
-
-    :param load_seconds: after which an order is carried out.
-    :param result: what engines answer to orders.
-    """
-
-    load_seconds: float = 0.5
-    result: OrderResult = OrderResult.BEGUN
-    record: LeaseRecord = dataclasses.field(
-        default_factory=lambda: LeaseRecord(None, 0)
-    )
-    orders: list[tuple[str, str, int]] = dataclasses.field(default_factory=list)
-    duties: list[PlacementDuty] = dataclasses.field(default_factory=list)
-    lose_writes: bool = False
-
-    async def write(self, lease: Lease, revision: int) -> LeaseRecord | None:
-        """Write the lease under a condition, and tell all nodes."""
-        if self.lose_writes:
-            return None
-        if revision != self.record.revision:
-            return self.record
-        self.record = LeaseRecord(lease, revision + 1, revision)
-        for duty in self.duties:
-            duty.lease.follow(self.record)
-        return self.record
-
-    def add_node(self, name: str, spread: float) -> PlacementDuty:
-        """Make the duty of one more node."""
-        clock = BootClock()
-        log = LineLog(name, clock, len)
-        configuration = ConfigurationView(log, clock, 5)
-        raw = _encode(make_configuration())
-        configuration.offer(translate_configuration(raw), clock.monotonic())
-        view = ReplicaView(log, clock, Hub(), reckon_terms(2, 3))
-        orders = Orders(
-            place=self._make_place(name), move=_refuse, read_report=_report
-        )
-        duty = PlacementDuty(
-            log=log,
-            clock=clock,
-            configuration=configuration,
-            replicas=view,
-            orders=orders,
-            lease=LeaseKeeper(log, clock, LeaseStore(self.write), spread, name),
-        )
-        duty.lease.follow(self.record)
-        self.duties.append(duty)
-        return duty
-
-    def list_replicas(self, replicas: list[Replica]) -> None:
-        """Give all nodes a list."""
-        for duty in self.duties:
-            duty.replicas.replace(replicas, unanswered=NEVER)
-            duty.wake(None)  # type: ignore[arg-type]
-
-    def _make_place(self, name: str) -> Callable[..., Any]:
-        async def place(
-            replica: Replica, layers: LayerRange, fence: int, sequence: int
-        ) -> OrderResult:
-            self.orders.append((name, replica.name, fence))
-            if self.result is OrderResult.BEGUN:
-                held = dataclasses.replace(replica, layers=layers)
-                loop = asyncio.get_running_loop()
-                loop.call_later(self.load_seconds, self._finish, held)
-            return self.result
-
-        return place
-
-    def _finish(self, replica: Replica) -> None:
-        for duty in self.duties:
-            duty.replicas.put(replica)
-
-
-def _encode(configuration: dict[str, Any]) -> StoredObject:
-    raw = msgspec.Raw(msgspec.json.encode(configuration))
-    return StoredObject(Metadata('main', 1), raw)
-
-
-async def _refuse(*_: object) -> Any:
-    raise NotImplementedError
-
-
-async def _report(_: Replica) -> Report:
-    return Report(sequence=3, busy=True, used=0, stalled={})
-
-
-def _make_replica(name: str, layers: LayerRange | None) -> Replica:
-    return Replica(name, _MODEL, f'{name}:80', 'zone-a', 'big', layers, 1)
-
-
-@asynccontextmanager
-async def run_nodes(platform: FakePlatform, count: int) -> AsyncIterator[None]:
-    """Run the duty of some nodes."""
-    for number in range(count):
-        platform.add_node(f'node-{number}', spread=0.1 + number * 0.1)
-    for duty in platform.duties:
-        await duty.start()
-    try:
-        yield
-    finally:
-        for duty in platform.duties:
-            await duty.stop()
 
 
 async def test_one_node_orders_while_a_load_lasts() -> None:
@@ -150,8 +27,8 @@
     async with run_nodes(platform, 4):
         platform.list_replicas(
             [
-                _make_replica('m-0', LayerRange(0, 4)),
-                _make_replica('m-1', None),
+                make_replica('m-0', LayerRange(0, 4)),
+                make_replica('m-1', None),
             ]
         )
         await wait_until(lambda: platform.orders)
@@ -171,8 +48,8 @@
     async with run_nodes(platform, 2):
         platform.list_replicas(
             [
-                _make_replica('m-0', LayerRange(0, 4)),
-                _make_replica('m-1', None),
+                make_replica('m-0', LayerRange(0, 4)),
+                make_replica('m-1', None),
             ]
         )
         await wait_until(lambda: platform.orders, 5)
@@ -188,8 +65,8 @@
     async with run_nodes(platform, 1):
         platform.list_replicas(
             [
-                _make_replica('m-0', LayerRange(0, 4)),
-                _make_replica('m-1', None),
+                make_replica('m-0', LayerRange(0, 4)),
+                make_replica('m-1', None),
             ]
         )
         await wait_until(lambda: platform.orders)
@@ -203,8 +80,8 @@
     async with run_nodes(platform, 2):
         platform.list_replicas(
             [
-                _make_replica('m-0', LayerRange(0, 4)),
-                _make_replica('m-1', None),
+                make_replica('m-0', LayerRange(0, 4)),
+                make_replica('m-1', None),
             ]
         )
         await asyncio.sleep(1.5)
@@ -220,8 +97,8 @@
     async with run_nodes(platform, 1):
         platform.list_replicas(
             [
-                _make_replica('m-0', LayerRange(0, 4)),
-                _make_replica('m-1', LayerRange(4, 7)),
+                make_replica('m-0', LayerRange(0, 4)),
+                make_replica('m-1', LayerRange(4, 7)),
             ]
         )
         await wait_until(lambda: platform.orders)
@@ -252,8 +129,8 @@
         duty.lease.store = LeaseStore(write_and_lose)
         platform.list_replicas(
             [
-                _make_replica('m-0', LayerRange(0, 4)),
-                _make_replica('m-1', None),
+                make_replica('m-0', LayerRange(0, 4)),
+                make_replica('m-1', None),
             ]
         )
         await asyncio.sleep(1)
@@ -273,11 +150,11 @@
     monkeypatch.setattr('ryelatch_node.duty._service.plan_moves', count)
     platform = FakePlatform()
     async with run_nodes(platform, 1):
-        platform.list_replicas([_make_replica('m-0', LayerRange(0, 8))])
+        platform.list_replicas([make_replica('m-0', LayerRange(0, 8))])
         await wait_until(lambda: plans)
         await asyncio.sleep(1.5)
         assert len(plans) == 1
-        platform.list_replicas([_make_replica('m-1', LayerRange(0, 8))])
+        platform.list_replicas([make_replica('m-1', LayerRange(0, 8))])
         await wait_until(lambda: len(plans) == 2)
 
 
@@ -292,7 +169,7 @@
     # neither can cover for the other.
     held = [
         dataclasses.replace(
-            _make_replica(f'm-{first}', LayerRange(first, first + 4)),
+            make_replica(f'm-{first}', LayerRange(first, first + 4)),
             accelerator='small',
         )
         for first in (0, 1)
@@ -300,7 +177,7 @@
     async with run_nodes(platform, 1):
         for number in range(8):
             changing = dataclasses.replace(
-                _make_replica(f'other-{number}', None), accelerator=''
+                make_replica(f'other-{number}', None), accelerator=''
             )
             platform.list_replicas([*held, changing])
             await asyncio.sleep(0.5)
@@ -318,9 +195,9 @@
     async with run_nodes(platform, 1):
         platform.list_replicas(
             [
-                _make_replica('m-0', LayerRange(0, 4)),
-                _make_replica('m-1', None),
-                _make_replica('m-2', None),
+                make_replica('m-0', LayerRange(0, 4)),
+                make_replica('m-1', None),
+                make_replica('m-2', None),
             ]
         )
         await wait_until(lambda: platform.orders)
@@ -338,7 +215,7 @@
     other orders to the same replicas.
     """
     platform = FakePlatform(load_seconds=2.5)
-    gap = [_make_replica('m-0', LayerRange(0, 4)), _make_replica('m-1', None)]
+    gap = [make_replica('m-0', LayerRange(0, 4)), make_replica('m-1', None)]
     async with run_nodes(platform, 2):
         first, second = platform.duties
         second.replicas.replace([], unanswered=NEVER)
@@ -350,90 +227,3 @@
         second.wake(None)  # type: ignore[arg-type]
         await asyncio.sleep(1.8)
         assert {node for node, _, _ in platform.orders} == {'node-0'}
-
-
-async def test_only_the_holder_plans_changes(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Replicas change one after the other in a fleet of many nodes.
-
-    Each node used to plan at each change, also those that may order nothing:
-    with two hundred nodes that was nine tenths of the fleet's processor time,
-    and callers waited behind plans that nobody carried out.
-    """
-    planned: list[object] = []
-
-    def count(alive: object, *known: object, **options: object) -> tuple[()]:
-        planned.append(alive)
-        return ()
-
-    monkeypatch.setattr('ryelatch_node.duty._service.plan_moves', count)
-    platform = FakePlatform(record=LeaseRecord(Lease('node-0', 1), 1))
-    async with run_nodes(platform, 12):
-        for number in range(10):
-            platform.list_replicas(
-                [
-                    _make_replica('m-0', LayerRange(0, 8)),
-                    _make_replica(f'other-{number}', None),
-                ]
-            )
-            await asyncio.sleep(0.2)
-    assert 1 <= len(planned) <= 10
-
-
-async def test_first_layout_is_planned_by_one_node(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """A whole fleet starts, and nobody holds any layer yet.
-
-    The first plan is the longest one. Nodes whose turns lay closer together
-    than that all worked it out before they heard that one had the lease.
-    """
-    planned: list[object] = []
-
-    def count(alive: object, *known: object, **options: object) -> tuple[()]:
-        planned.append(alive)
-        return ()
-
-    monkeypatch.setattr('ryelatch_node.duty._service.plan_moves', count)
-    platform = FakePlatform()
-    async with run_nodes(platform, 12):
-        platform.list_replicas([_make_replica('m-0', None)])
-        await wait_until(lambda: planned, 5)
-        await asyncio.sleep(1)
-    assert len(planned) == 1
-
-
-async def test_empty_replica_is_used_without_the_holder() -> None:
-    """The holder of the lease is gone, and a replica comes in empty.
-
-    No layer is missing, so nobody is in a hurry; but it is put to use.
-    """
-    platform = FakePlatform(record=LeaseRecord(Lease('gone', 7), 3))
-    async with run_nodes(platform, 1):
-        platform.duties[0].lease.spread = 0
-        platform.list_replicas(
-            [
-                _make_replica('m-0', LayerRange(0, 8)),
-                *(_make_replica(f'm-{one}', None) for one in (1, 2, 3)),
-            ]
-        )
-        await wait_until(lambda: platform.orders, 8)
-    assert platform.orders[0][2] == 8
-
-
-def test_claims_stay_rare_in_large_fleets() -> None:
-    """A holder is lost in a fleet of two hundred nodes.
-
-    With a spread for eight, three hundred turns fall into each second and
-    as many nodes plan the same repair.
-    """
-    platform = FakePlatform()
-    draws = [one / 200 for one in range(200)]
-    for draw in draws:
-        duty = platform.add_node(f'node-{draw}', TAKE_SPREAD_SECONDS * draw)
-        duty.lease.nodes = len(draws)
-    waits = [duty.lease.patience for duty in platform.duties]
-    early = [wait for wait in waits if wait < TAKE_SPREAD_SECONDS / 6]
-    assert len(early) <= 4
-    assert max(waits) <= LONGEST_SPREAD_SECONDS
