--- a/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/duty/_service.py
@@ -213,9 +213,9 @@
         """Tell whether this node is the one to plan now.
 
         Every node sees what the holder of the lease sees. Planned by all at
-        each change, a fleet of two hundred nodes spent most of its processor
-        time on plans that nobody carried out: a plan of 205 replicas takes
-        56 ms, and the first one 257 ms, where a look for gaps takes 0.6 ms.
+        each change, a fleet spends processor time on plans that nobody carries
+        out, in proportion to its nodes: a plan of 205 replicas takes 56 ms of a
+        core, the first one 257 ms, where a look for gaps takes 0.6 ms.
         Where layers are missing the lease comes first, so that nodes whose
         turns are close don't all work out the same repair.
         """
--- a/tests/node/duty/test_turns.py
+++ b/tests/node/duty/test_turns.py
@@ -22,9 +22,9 @@
 ) -> None:
     """Replicas change one after the other in a fleet of many nodes.
 
-    Each node used to plan at each change, also those that may order nothing:
-    with two hundred nodes that was nine tenths of the fleet's processor time,
-    and callers waited behind plans that nobody carried out.
+    Each node used to plan at each change, also those that may order nothing.
+    A plan of two hundred replicas takes 56 ms of a core, and callers of all
+    nodes waited behind plans that nobody carried out.
     """
     planned: list[object] = []
 
