Tell in the lines whether two requests are the same, and whether a lost run had begun

Nobody could see from the lines of all nodes that one request came again and again and ended the replicas that ran it: an attempt has an id of its own, and neither path nor body left a trace. exchange-sent now has a digest of host, method, path, query, client account and body; exchange-failed says whether the head of an answer had come. No decision reads them.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -35,6 +35,7 @@
     :param arrived: when its head came, in seconds.
     :param ends: when it must have its final answer.
     :param account: name of its client account; empty if anonymous.
+    :param digest: the same for each request that asks for the same.
     """
 
     method: str
@@ -48,6 +49,7 @@
     arrived: float
     ends: float
     version: int
+    digest: str
 
     @property
     def repeatable(self) -> bool:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -9,6 +9,7 @@
 
 from ryelatch_core.events import catalogue
 from ryelatch_core.kernel import cancel_task
+from ryelatch_core.retries import digest_request
 from ryelatch_core.routing import (
     ClientLimits,
     Route,
@@ -201,8 +202,9 @@
             return _Refusal(_UNAVAILABLE, 'no registry yet', LIST_RETRY)
         if self.last_call:
             return _Refusal(_UNAVAILABLE, 'this node stops', 0)
+        host = _read_host(scope)
         path = scope['raw_path'].decode('latin-1')
-        route = table.find_route(_read_host(scope), path)
+        route = table.find_route(host, path)
         if route is None:
             return self._deny(_NOT_FOUND, 'no such route')
         if self.refuses_streams and route.streaming:
@@ -210,11 +212,11 @@
         account = self._identify(table, route, terms)
         if isinstance(account, _Refusal):
             return account
-        query = scope['query_string'].decode('latin-1')
+        method, target = scope['method'], _read_target(scope, path)
         patience = min(route.timeout, terms.deadline or route.timeout)
         return Inquiry(
-            scope['method'],
-            f'{path}?{query}' if query else path,
+            method,
+            target,
             scope['headers'],
             body,
             terms,
@@ -224,6 +226,7 @@
             arrived,
             arrived + patience,
             table.configuration.version,
+            digest_request(host, method, target, account, body),
         )
 
     def _identify(
@@ -330,3 +333,9 @@
 def _read_host(scope: Scope) -> str:
     hosts = (entry for name, entry in scope['headers'] if name == b'host')
     return next(hosts, b'').decode('latin-1')
+
+
+def _read_target(scope: Scope, path: str) -> str:
+    """Join path and query, byte for byte."""
+    query = scope['query_string'].decode('latin-1')
+    return f'{path}?{query}' if query else path
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -145,6 +145,7 @@
             for stage in path
         ],
         service=inquiry.service,
+        digest=inquiry.digest,
         attempt=exchange.sends,
         left=round_seconds(inquiry.ends - parts.clock.monotonic()),
         version=inquiry.version,
@@ -180,6 +181,7 @@
         identity=inquiry.terms.identity,
         repeatable=inquiry.repeatable,
     ) as answer:
+        stream.answered = True
         if answer.terms.not_run:
             note_refusal(parts, prober, stream, answer)
             return _Next.AGAIN
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
@@ -156,6 +156,7 @@
         catalogue.EXCHANGE_SENT,
         replica=replica.name,
         service=inquiry.service,
+        digest=inquiry.digest,
         attempt=exchange.sends,
         left=round_seconds(left),
         version=inquiry.version,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -126,6 +126,7 @@
         replica=stream.head.name,
         reason=reason,
         outcome=kind.value,
+        answered=stream.answered,
         events=stream.delivered,
         last_event=progress.cutter.last,
     )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
@@ -21,6 +21,7 @@
     :param told: whether its pause has been recorded.
     :param hindered: whether it waited for a replica that was lost.
     :param tries: moves tried while it was flowing; the last at ``tried``.
+    :param answered: whether the head of its answer has come.
     :param over: whether its reading has ended.
     :param scope: the timeout of its reading; moved up to interrupt it.
     """
@@ -32,6 +33,7 @@
     progress: float
     tokens: int
     scope: asyncio.Timeout
+    answered: bool = False
     begun: bool = False
     moving: bool = False
     over: bool = False
--- /dev/null
+++ b/tests/core/retries/test_digest.py
@@ -0,0 +1,28 @@
+"""Digests of requests."""
+
+import pytest
+
+from ryelatch_core.retries import digest_request
+
+_ASKED = ('city.example', 'POST', '/plan/x', 'ward-1', b'question')
+
+
+def test_same_request_has_the_same_digest() -> None:
+    assert digest_request(*_ASKED) == digest_request(*_ASKED)
+
+
+@pytest.mark.parametrize(
+    'other',
+    [
+        ('town.example', 'POST', '/plan/x', 'ward-1', b'question'),
+        ('city.example', 'PUT', '/plan/x', 'ward-1', b'question'),
+        ('city.example', 'POST', '/plan/x?a', 'ward-1', b'question'),
+        ('city.example', 'POST', '/plan/x', 'ward-2', b'question'),
+        ('city.example', 'POST', '/plan/x', 'ward-1', b'questions'),
+        ('city.example', 'POST', '/plan/', 'xward-1', b'question'),
+    ],
+)
+def test_other_requests_have_other_digests(
+    other: tuple[str, str, str, str, bytes],
+) -> None:
+    assert digest_request(*other) != digest_request(*_ASKED)
