A test of a request that ends the replicas that run it, which fails

Three nodes, fourteen replicas of one kind; the same request comes twelve times, half a second apart, to one node after the other. Seen: 14 of 14 replicas of the model ended under it, and 11 of 14 of the plain service, where six may (three, and three retries).

--- a/tests/fleet/running.py
+++ b/tests/fleet/running.py
@@ -157,6 +157,22 @@
     ]
 
 
+@contextlib.asynccontextmanager
+async def run_peer(
+    node: RunningNode,
+    name: str,
+    **changes: Any,
+) -> AsyncIterator[RunningNode]:
+    """Start another node beside one, at the same store and replicas."""
+    startup = node.startup._replace(name=name, **changes)
+    peer = _make_node(node.store, node.replicas, startup, node.http)
+    try:
+        await _start(peer)
+        yield peer
+    finally:
+        await peer.app.stop()
+
+
 @contextlib.asynccontextmanager
 async def run_node(
     replicas: Iterable[ReplicaStandIn],
@@ -168,33 +184,46 @@
     store.put('config', 'main', configuration or make_configuration())
     runner, port = await _serve(store.make_app())
     startup = make_startup(port)._replace(**changes)
-    lines: list[dict[str, Any]] = []
-    clock = BootClock()
-    log = LineLog('node-a', clock, _collect(lines))
-    app = build_app(startup, log, clock)
     async with ClientSession(auto_decompress=False) as http:
-        node = RunningNode(store, {}, app, startup, http, lines, [runner])
+        node = _make_node(store, {}, startup, http)
+        node.runners.append(runner)
         try:
             for replica in replicas:
                 await node.add(replica)
-            await app.start()
-            await wait_until(lambda: node.count('configuration-applied'))
-            await wait_until(
-                lambda: node.count('replica-listed') >= len(node.replicas)
-            )
+            await _start(node)
             yield node
         finally:
-            await app.stop()
+            await node.app.stop()
             for one in node.runners:
                 await one.cleanup()
 
 
+def _make_node(
+    store: ObjectStore,
+    replicas: dict[str, ReplicaStandIn],
+    startup: RelayStartup,
+    http: ClientSession,
+) -> RunningNode:
+    lines: list[dict[str, Any]] = []
+    clock = BootClock()
+    log = LineLog(startup.name, clock, _collect(lines))
+    app = build_app(startup, log, clock)
+    return RunningNode(store, replicas, app, startup, http, lines)
+
+
+async def _start(node: RunningNode) -> None:
+    await node.app.start()
+    await wait_until(lambda: node.count('configuration-applied'))
+    await wait_until(lambda: node.count('replica-listed') >= len(node.replicas))
+
+
 async def ask(
     node: RunningNode,
     path: str,
     *,
     method: str = 'POST',
     identity: str = 'r-1',
+    content: bytes = b'question',
     **headers: str,
 ) -> tuple[int, bytes, dict[str, str]]:
     """Ask as a client does.
@@ -202,7 +231,12 @@
     :returns: status, body, headers in lower case.
     """
     async with open_request(
-        node, path, method=method, identity=identity, **headers
+        node,
+        path,
+        method=method,
+        identity=identity,
+        content=content,
+        **headers,
     ) as response:
         body = await response.read()
         found = {name.lower(): text for name, text in response.headers.items()}
@@ -215,6 +249,7 @@
     *,
     method: str = 'POST',
     identity: str = 'r-1',
+    content: bytes = b'question',
     **headers: str,
 ) -> Any:
     """Open a request as a client does."""
@@ -227,7 +262,7 @@
         **{name.replace('_', '-'): text for name, text in headers.items()},
     }
     return node.http.request(
-        method, f'{node.url}{path}', headers=sent, data=b'question'
+        method, f'{node.url}{path}', headers=sent, data=content
     )
 
 
--- /dev/null
+++ b/tests/platform/test_crashing_requests.py
@@ -0,0 +1,70 @@
+"""Requests under which replicas end."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator
+
+import pytest
+
+from fleet.running import (
+    RunningNode,
+    ask,
+    make_model,
+    make_plain,
+    run_node,
+    run_peer,
+    wait_until,
+)
+from standins.replica import ReplicaStandIn
+
+_CRASHING = b'a question under which replicas end'
+_MOST_RETRIES = 3
+_KNOWN_SECONDS = 0.5
+
+
+@contextlib.asynccontextmanager
+async def _run_nodes(
+    replicas: list[ReplicaStandIn],
+) -> AsyncIterator[list[RunningNode]]:
+    """Run three nodes that know each other."""
+    for replica in replicas:
+        replica.ends_on = _CRASHING
+    async with (
+        run_node(replicas) as first,
+        run_peer(first, 'node-b') as second,
+        run_peer(first, 'node-c') as third,
+    ):
+        nodes = [first, second, third]
+        names = [node.startup.name for node in nodes]
+        await wait_until(
+            lambda: all(first.store.get('ryelatch-nodes', one) for one in names)
+        )
+        await asyncio.sleep(1)
+        yield nodes
+
+
+def _list_ended(replicas: list[ReplicaStandIn]) -> list[str]:
+    return [one.name for one in replicas if one.ended]
+
+
+@pytest.mark.parametrize('path', ['/plan/x', '/ping/x'])
+async def test_request_that_ends_replicas_meets_few(path: str) -> None:
+    """One request takes a service down, replica by replica.
+
+    Each replica that begins to run it ends, and with it all that others had
+    there. Its client comes back, each time to another node and as another
+    request. Every node took it for a new one: seen were eighteen replicas
+    that ended under one request, found by its digest in the lines of all.
+    """
+    streams = path.startswith('/plan')
+    replicas = make_model(*[(0, 8)] * 14) if streams else make_plain(14)
+    async with _run_nodes(replicas) as nodes:
+        senders = itertools.cycle(nodes)
+        for number in range(12):
+            await ask(
+                next(senders), path, identity=f'c-{number}', content=_CRASHING
+            )
+            await asyncio.sleep(_KNOWN_SECONDS)
+        assert len(_list_ended(replicas)) <= 3 + _MOST_RETRIES
+        assert sum(len(one.runs) for one in replicas) <= 3 + _MOST_RETRIES
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -49,6 +49,9 @@
     :param other_identity: whether it answers under another request's name.
     :param born: milliseconds; 0 if it does not say when it began.
     :param unframed_part: whether it sends a part without a length and resets.
+    :param ends_on: body of a request under which it ends, once the head of
+        its answer has gone out; nothing can be reached there from then on.
+    :param ended: whether it has.
     """
 
     name: str
@@ -68,6 +71,8 @@
     hang: bool = False
     other_identity: bool = False
     unframed_part: bool = False
+    ends_on: bytes = b''
+    ended: bool = False
     address: str = ''
     born: int = 0
     runs: list[Run] = field(default_factory=list)
@@ -77,6 +82,7 @@
     store: ObjectStore | None = None
     _moved: asyncio.Event = field(default_factory=asyncio.Event)
     _stalled: dict[str, str] = field(default_factory=dict)
+    _open: set[asyncio.Transport] = field(default_factory=set)
 
     def register(self, state: str = 'ready') -> None:
         """Write the entry in the registry."""
@@ -118,6 +124,7 @@
         """
         self.name = name or self.name
         self.born += 1000
+        self.ended = False
         self.layers = None
         self.sequence = 0
         self.fence = 0
@@ -130,6 +137,9 @@
         return {'from': first, 'to': end, 'version': 1}
 
     async def _report(self, request: web.Request) -> web.Response:
+        if self.ended:
+            assert request.transport is not None
+            request.transport.abort()
         stalled = [
             {'id': identity, 'addr': address}
             for identity, address in self._stalled.items()
@@ -161,6 +171,18 @@
         return web.json_response({}, status=202)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
+        transport = request.transport
+        assert transport is not None
+        if self.ended:
+            transport.abort()
+            return web.Response()
+        self._open.add(transport)
+        try:
+            return await self._answer(request)
+        finally:
+            self._open.discard(transport)
+
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
         identity = request.headers.get('X-Ryelatch-Request-Id', '')
         expected = request.headers.get('X-Ryelatch-Expect-Replica', self.name)
         if expected != self.name:
@@ -201,6 +223,8 @@
     async def _run(self, request: web.Request, run: Run) -> web.StreamResponse:
         if self.hang:
             await asyncio.Event().wait()
+        if self.ends_on and run.body == self.ends_on:
+            return await self._end(request, run)
         headers = self._sign('other' if self.other_identity else run.identity)
         if self.failures:
             self.failures -= 1
@@ -215,6 +239,16 @@
             body=f'answer of {self.name}'.encode(), headers=headers
         )
 
+    async def _end(self, request: web.Request, run: Run) -> web.StreamResponse:
+        response = web.StreamResponse(headers=self._sign(run.identity))
+        if 'X-Ryelatch-Hop-Count' in run.headers:
+            await response.prepare(request)
+        await asyncio.sleep(self.pause)
+        self.ended = True
+        for transport in tuple(self._open):
+            transport.abort()
+        return response
+
     async def _tear_unframed(
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
