Refuse a request under which three replicas have ended, at every node

Callers saw streams break and refusals for seconds, again and again: one request ended each replica that began to run it, 12 and 18 of them, and with each 16 to 63 requests of others lost their run. Cause: nothing was kept beyond one attempt of a client. Each node took the request for a new one, and one attempt alone ended up to five replicas, as a run that ends with its replica does not count.

Now an end of a replica (its connections were lost and nothing listens at its address) counts against the requests that had just begun there, by a digest of what they ask for. The store holds the ends by request; all nodes follow it, those that start included. From the third end on it is refused at once, as not run, at every node. A request that ran on elsewhere is cleared, and what had only waited at a replica is cleared by one that had begun there. An operator lets a request in by deleting its object.

Ruled out: retries to dead replicas (each send in question was run by a replica that lived); the budget of retries alone (11 of 14 plain replicas ended with two sends an attempt).

Why it holds: the third end is told at once by the node that saw it, and the others hear within the watch, 0.3 s, where the bound is 3 s; a node that the store does not answer keeps its own count.

The follower's kinds are one more, so the test of lost history waits for that too.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -249,6 +249,24 @@
     Level.WARNING,
 )
 
+REQUEST_SUSPECTED = EventKind(
+    1422,
+    'request-suspected',
+    'A replica ended just as it began to run a request, or while it waited.',
+    'None; if the same digest comes with other replicas, it is refused.',
+    Level.WARNING,
+)
+REQUEST_QUARANTINED = EventKind(
+    1423,
+    'request-quarantined',
+    'Three replicas ended under a request, which is refused from now on.',
+    'Find the request by its digest and report it with the replicas; delete '
+    'its object from the store to let it in again.',
+    Level.WARNING,
+)
+REQUEST_RELEASED = EventKind(
+    1424, 'request-released', 'A request that was refused is let in again.'
+)
 REPORT_DOUBTFUL = EventKind(
     1421,
     'report-doubtful',
--- /dev/null
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_book.py
@@ -0,0 +1,301 @@
+"""Tells which requests are refused as replicas end under them.
+
+A replica that ends takes along all that it was running, ninety requests at
+most, and one of them may be the cause. It is the one under which others end
+too. So each end counts against those that had just begun there, by what they
+ask for, and is forgotten for those that then run on elsewhere.
+"""
+
+import itertools
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+
+from ryelatch_core.quarantine._case import (
+    NO_CASE,
+    Case,
+    Manner,
+    StoredCase,
+)
+
+MOST_ENDS = 3
+"""Replicas that may end under a request before it is refused.
+
+Two may end by chance under one that is resent where a group of them is lost;
+each more costs all that others have there.
+"""
+
+FRESH_SECONDS = 0.5
+"""How long after its answer began a run is taken for a cause of an end.
+
+A request that ends replicas does so as it begins to run. One that has run for
+longer somewhere is cleared, as it would have ended that replica.
+"""
+
+SETTLE_SECONDS = 1.0
+"""How long those that had not begun wait for a better cause to be told.
+
+The node that sent the request which had begun tells within 0.8 s.
+"""
+
+TELL_SECONDS = 0.5
+"""How long the first end under a request is kept to this node, at the mean.
+
+Most requests run on elsewhere within that time, and the store hears nothing
+of them. The second end is told at once.
+"""
+
+SUSPECT_SECONDS = 120.0
+"""How long ends count that are too few for a refusal."""
+
+REFUSED_SECONDS = 86_400.0
+"""How long a request is refused; a mended replica is there by then."""
+
+LEFT_SECONDS = 600.0
+"""By how much longer others leave it to a node to delete what it has told."""
+
+REWRITE_SECONDS = 3.0
+"""Spread of writing again what the store has lost, so that one node does."""
+
+MOST_CASES = 4096
+"""Requests of which ends are kept; beyond that the oldest are forgotten."""
+
+CLEARED_SECONDS = 60.0
+"""How long a request that has run is not taken for the cause of an end.
+
+Requests that many ask for, of one account alike, would else be suspected
+with each replica that ends. With other software they may be the cause later.
+"""
+
+MOST_CLEARED = 4096
+"""Requests that are remembered to have run; at 18 a second, all in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """What the store is to be told.
+
+    :param case: what its object is to say; nothing if it is to go.
+    :param revision: that the object must have; 0 if there must be none.
+    """
+
+    digest: str
+    case: Case | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Known:
+    """What is known of a request.
+
+    :param own: what this node has seen, or keeps for the others.
+    :param stored: what the store holds.
+    :param changed: when anything of it was new, in monotonic seconds.
+    :param due: when the store is told of it.
+    """
+
+    own: Case = NO_CASE
+    stored: StoredCase | None = None
+    changed: float = 0
+    due: float = 0
+
+    @property
+    def told(self) -> Case:
+        """What the store holds."""
+        return self.stored.case if self.stored else NO_CASE
+
+    @property
+    def case(self) -> Case:
+        """All that is known."""
+        return self.own.merge(self.told)
+
+
+class Book:
+    """The ends that this node and others have seen, by request.
+
+    :param patience: from 0 to 1; nodes differ in it, so that they do not
+        all do the same at once.
+    """
+
+    def __init__(self, patience: float) -> None:
+        self._patience = patience
+        self._known: OrderedDict[str, _Known] = OrderedDict()
+        self._cleared: OrderedDict[str, float] = OrderedDict()
+        self._many: set[str] = set()
+        self._refused: dict[str, Case] = {}
+
+    def __len__(self) -> int:
+        """Count the requests under which replicas have ended."""
+        return len(self._known)
+
+    @property
+    def refused(self) -> dict[str, Case]:
+        """The requests that are refused, as of the last judgement."""
+        return dict(self._refused)
+
+    def find_refused(self, digest: str) -> Case | None:
+        """Find why a request is refused; nothing if it isn't."""
+        return self._refused.get(digest)
+
+    def has_news(self, now: float) -> bool:
+        """Whether the store is to be told of something, now or later."""
+        return any(
+            self._is_cleared(digest, now) or not known.told.covers(known.own)
+            for digest, known in self._known.items()
+        )
+
+    def is_suspect(self, digest: str, now: float) -> bool:
+        """Whether a replica has ended under a request that may be why."""
+        return digest in self._known and not self._is_cleared(digest, now)
+
+    def note_end(
+        self,
+        digest: str,
+        life: str,
+        manner: Manner,
+        now: float,
+    ) -> bool:
+        """Note that a replica has ended under a request.
+
+        :returns: whether that is new.
+        """
+        known = self._known.get(digest, _Known())
+        seen = NO_CASE.add(life, manner)
+        if self._is_cleared(digest, now) or known.case.covers(seen):
+            return False
+        again = bool(known.case.lives)
+        wait = 0 if again else TELL_SECONDS * (0.5 + self._patience)
+        due = min(known.due or now + wait, now + wait)
+        own = known.own.add(life, manner)
+        self._keep(digest, replace(known, own=own, changed=now, due=due))
+        self.judge(now)
+        return True
+
+    def note_run(self, digest: str, now: float) -> bool:
+        """Note that a request has run and its replica is still there.
+
+        :returns: whether a replica had ended under it.
+        """
+        self._cleared[digest] = now
+        self._cleared.move_to_end(digest)
+        if len(self._cleared) > MOST_CLEARED:
+            self._cleared.popitem(last=False)
+        known = self._known.get(digest)
+        if known is None:
+            return False
+        if known.stored is None:
+            del self._known[digest]
+        else:
+            self._keep(digest, replace(known, own=NO_CASE))
+        self.judge(now)
+        return True
+
+    def put(self, stored: StoredCase, now: float) -> None:
+        """Take what the store holds of a request."""
+        known = self._known.get(stored.digest, _Known())
+        if known.stored and known.stored.revision >= stored.revision:
+            return
+        self._keep(stored.digest, replace(known, stored=stored, changed=now))
+        self.judge(now)
+
+    def remove(self, digest: str, now: float) -> None:
+        """Take note that an object was deleted: the request is let in again."""
+        self._known.pop(digest, None)
+        self.judge(now)
+
+    def replace(self, listed: Iterable[StoredCase], now: float) -> None:
+        """Take all that the store holds.
+
+        What it has lost of requests that are refused is written again: the
+        store may have come back from an older copy, and three more replicas
+        would end until they are refused again.
+        """
+        fresh = {stored.digest: stored for stored in listed}
+        for digest, known in tuple(self._known.items()):
+            if digest in fresh or known.stored is None:
+                continue
+            if digest in self._refused:
+                due = now + REWRITE_SECONDS * self._patience
+                self._keep(digest, _Known(known.case, None, now, due))
+            elif known.own == NO_CASE:
+                del self._known[digest]
+            else:
+                self._keep(digest, replace(known, stored=None))
+        for stored in fresh.values():
+            known = self._known.get(stored.digest, _Known())
+            self._keep(
+                stored.digest, replace(known, stored=stored, changed=now)
+            )
+        self.judge(now)
+
+    def judge(self, now: float) -> None:
+        """Decide anew which requests are refused."""
+        self._many &= self._known.keys()
+        self._refused = {
+            digest: self._known[digest].case
+            for digest in self._many
+            if not self._is_cleared(digest, now)
+            and self._is_cause(self._known[digest], now)
+        }
+
+    def list_due(self, now: float) -> list[Step]:
+        """List what the store is to be told now, and forget what lapsed."""
+        steps = [
+            step
+            for digest, known in self._known.items()
+            if (step := self._find_step(digest, known, now))
+        ]
+        for digest, known in tuple(self._known.items()):
+            if known.stored is None and self._has_lapsed(digest, known, now):
+                del self._known[digest]
+        return steps
+
+    def _is_cause(self, known: _Known, now: float) -> bool:
+        """Whether enough replicas have ended for which nothing else speaks.
+
+        Those that waited at a replica are cleared of its end by a request that
+        had begun there. Its node may not have told of it yet.
+        """
+        begun = known.case.begun
+        if len(begun) >= MOST_ENDS:
+            return True
+        if now - known.changed < SETTLE_SECONDS:
+            return False
+        explained = frozenset(self._list_begun())
+        unexplained = known.case.waiting - explained
+        return len(begun | unexplained) >= MOST_ENDS
+
+    def _list_begun(self) -> Iterator[str]:
+        cases = (known.case.begun for known in self._known.values())
+        return itertools.chain.from_iterable(cases)
+
+    def _find_step(self, digest: str, known: _Known, now: float) -> Step | None:
+        stored = known.stored
+        cleared = self._is_cleared(digest, now)
+        if cleared or self._has_lapsed(digest, known, now):
+            return Step(digest, None, stored.revision) if stored else None
+        if now < known.due or known.told.covers(known.own):
+            return None
+        return Step(digest, known.case, stored.revision if stored else 0)
+
+    def _is_cleared(self, digest: str, now: float) -> bool:
+        ran = self._cleared.get(digest)
+        return ran is not None and now - ran < CLEARED_SECONDS
+
+    def _has_lapsed(self, digest: str, known: _Known, now: float) -> bool:
+        lasts = SUSPECT_SECONDS
+        if digest in self._refused:
+            lasts = REFUSED_SECONDS
+        if known.own == NO_CASE:
+            lasts += LEFT_SECONDS * (0.5 + self._patience)
+        return now - known.changed > lasts
+
+    def _keep(self, digest: str, known: _Known) -> None:
+        """Keep what is known, and forget the oldest that is not refused."""
+        self._known[digest] = known
+        self._known.move_to_end(digest)
+        if len(known.case.lives) >= MOST_ENDS:
+            self._many.add(digest)
+        if len(self._known) > MOST_CASES:
+            oldest = (one for one in self._known if one not in self._refused)
+            del self._known[next(oldest, digest)]
--- a/packages/ryelatch-node/src/ryelatch_node/ports/__init__.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/__init__.py
@@ -6,8 +6,10 @@
     MoveAnswer,
     OrderResult,
     Orders,
+    Reach,
     Report,
 )
+from ryelatch_node.ports._quarantine import QuarantineStore, StepResult
 from ryelatch_node.ports._startup import (
     Address,
     NodesCounted,
@@ -35,10 +37,13 @@
     'NodesCounted',
     'OrderResult',
     'Orders',
+    'QuarantineStore',
+    'Reach',
     'RelayStartup',
     'Report',
     'RequestTerms',
     'SettingsChanged',
+    'StepResult',
     'Wire',
     'keep_fixed',
 ]
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_orders.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_orders.py
@@ -69,6 +69,17 @@
     fault: str = ''
 
 
+class Reach(enum.Enum):
+    """Whether something listens at a replica's address."""
+
+    LISTENS = 'listens'
+    REFUSED = 'refused'
+    """Nothing does: the process that did has ended."""
+
+    UNKNOWN = 'unknown'
+    """No word came; the way there may be cut."""
+
+
 @dataclass(frozen=True)
 class Orders:
     """Calls to engines."""
@@ -80,3 +91,6 @@
     """First replica, identity of the request, its new path."""
 
     read_report: Callable[[Replica], Awaitable[Report | None]]
+
+    reach: Callable[[Replica], Awaitable[Reach]]
+    """Opens a connection and closes it; nothing is asked."""
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -43,6 +43,11 @@
     sound = replace(query, avoid=suspects | unsound, crosses=False)
     path = choose_path(offered, sound) if unsound else ()
     path = path or choose_path(offered, query)
+    if path and parts.quarantine.is_suspect(inquiry.digest):
+        # Others that lost their replica with this one go to the best first
+        # replica; if it is why, they would lose that one with it too.
+        apart = replace(query, avoid=query.avoid | {path[0].replica.name})
+        return choose_path(offered, apart) or path
     if path or not exchange.started:
         return path
     # A stream whose beginning the client has is lost if it goes nowhere;
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -9,7 +9,7 @@
 
 from ryelatch_core.events import catalogue
 from ryelatch_core.kernel import cancel_task
-from ryelatch_core.retries import digest_request
+from ryelatch_core.quarantine import digest_request
 from ryelatch_core.routing import (
     ClientLimits,
     Route,
@@ -44,6 +44,12 @@
 
 _POLL_SECONDS = 0.01
 
+QUARANTINE_RETRY = 60.0
+"""When a client may come back with a request under which replicas ended.
+
+It is refused until an operator lets it in; sooner tries are of no use.
+"""
+
 LIST_RETRY = 0.2
 """When a client may come back to a node that is about to list replicas.
 
@@ -60,11 +66,17 @@
 
 @dataclass(frozen=True, slots=True)
 class _Refusal:
-    """Why a request isn't served."""
+    """Why a request isn't served.
+
+    :param digest: of a request under which replicas ended.
+    :param ended: those replicas, by the names of their lives.
+    """
 
     status: int
     reason: str
     retry_after: float | None = None
+    digest: str = ''
+    ended: tuple[str, ...] = ()
 
 
 class _TooLarge(Exception):
@@ -144,6 +156,8 @@
             retry_after=refusal.retry_after,
             version=configuration.version,
             age=round_seconds(configuration.age),
+            digest=refusal.digest,
+            ended=refusal.ended,
         )
 
     async def _read_body(self, receive: Receive) -> bytes:
@@ -213,6 +227,16 @@
         if isinstance(account, _Refusal):
             return account
         method, target = scope['method'], _read_target(scope, path)
+        digest = digest_request(host, method, target, account, body)
+        case = self._parts.quarantine.find_refused(digest)
+        if case is not None:
+            return _Refusal(
+                _UNAVAILABLE,
+                'replicas ended under this request',
+                QUARANTINE_RETRY,
+                digest,
+                tuple(sorted(case.lives)),
+            )
         patience = min(route.timeout, terms.deadline or route.timeout)
         return Inquiry(
             method,
@@ -226,7 +250,7 @@
             arrived,
             arrived + patience,
             table.configuration.version,
-            digest_request(host, method, target, account, body),
+            digest,
         )
 
     def _identify(
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -5,9 +5,11 @@
 
 from ryelatch_core.events import catalogue
 from ryelatch_core.fleet import Stage
+from ryelatch_core.quarantine import MOST_ENDS
 from ryelatch_core.streams import EventCutter, StreamError
 from ryelatch_node.ports import Dispatch
 from ryelatch_node.relay._choice import choose_request_path, misses_layers
+from ryelatch_node.relay._ends import note_stream_end
 from ryelatch_node.relay._errors import (
     AnswerBroken,
     SendError,
@@ -88,6 +90,10 @@
         return False
     if progress.lost and not inquiry.repeatable:
         return False
+    if progress.ends >= MOST_ENDS:
+        return False
+    if parts.quarantine.find_refused(inquiry.digest):
+        return False
     return parts.budget.spend()
 
 
@@ -117,6 +123,9 @@
         note_failure(parts, stream, progress, SendErrorKind.LOST, stream.reason)
     except SendError as error:
         note_failure(parts, stream, progress, error.kind, error.reason)
+        if await note_stream_end(parts, stream, error):
+            progress.ends += 1
+            exchange.ran += stream.answered is not None
     except StreamError as error:
         note_failure(parts, stream, progress, SendErrorKind.SPOILED, str(error))
     finally:
@@ -181,7 +190,7 @@
         identity=inquiry.terms.identity,
         repeatable=inquiry.repeatable,
     ) as answer:
-        stream.answered = True
+        stream.answered = parts.clock.monotonic()
         if answer.terms.not_run:
             note_refusal(parts, prober, stream, answer)
             return _Next.AGAIN
@@ -200,6 +209,7 @@
 ) -> _Next:
     """Keep a replica's own failure, or pass it on where nothing follows."""
     body = await answer.read()
+    parts.quarantine.note_run(stream.inquiry.digest)
     stream.exchange.ran += 1
     stream.exchange.record(
         catalogue.EXCHANGE_FAILED,
@@ -244,6 +254,7 @@
         await exchange.start(answer.status, _strip_length(answer))
     await exchange.write(b'', more=False)
     parts.replicas.trust(stream.head)
+    parts.quarantine.note_run(stream.inquiry.digest)
     note_outcome(parts, stream, failed=False)
     return _Next.DONE
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
@@ -16,6 +16,8 @@
 from ryelatch_core.retries import RetryBudget
 from ryelatch_node.beliefs import ConfigurationView, ReplicaView
 from ryelatch_node.ports import Orders, RelayStartup, Wire
+from ryelatch_node.quarantine import Quarantine
+from ryelatch_node.relay._reach import EndChecks
 from ryelatch_node.relay._upstream import Upstreams
 
 _WEIGHT = 0.2
@@ -42,8 +44,10 @@
     wire: Wire
     orders: Orders
     budget: RetryBudget
+    quarantine: Quarantine
     costs: CostBook = field(default_factory=CostBook)
     load: LoadBook = field(default_factory=LoadBook)
+    ends: EndChecks = field(init=False)
     windows: Windows = field(init=False)
     accounts: AccountBook = field(default_factory=AccountBook)
     returns: ReturnPlan = field(default_factory=ReturnPlan)
@@ -53,8 +57,13 @@
 
     def __post_init__(self) -> None:
         """Make what needs the other parts."""
+        self.ends = EndChecks(self.orders)
         self.windows = Windows(self.draw)
 
+    def now(self) -> float:
+        """Tell the time in monotonic seconds."""
+        return self.clock.monotonic()
+
     def draw(self) -> float:
         """Draw a number from 0 to 1."""
         return self.chance.random()
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
@@ -6,6 +6,7 @@
 from ryelatch_core.events import catalogue
 from ryelatch_core.fleet import Replica
 from ryelatch_node.ports import Dispatch
+from ryelatch_node.relay._ends import SILENT, note_plain_end
 from ryelatch_node.relay._errors import SendError, SendErrorKind
 from ryelatch_node.relay._exchange import Exchange, Inquiry, round_seconds
 from ryelatch_node.relay._parts import Parts
@@ -76,6 +77,7 @@
         held = await _try_replica(parts, exchange, inquiry, replica)
     except SendError as error:
         _note_failure(parts, exchange, replica, error)
+        await note_plain_end(parts, exchange, inquiry, replica, error)
         tries.lost = tries.lost or error.kind is not SendErrorKind.UNSENT
         return
     tries.held = held or tries.held
@@ -132,6 +134,8 @@
 def _may_send(parts: Parts, exchange: Exchange, inquiry: Inquiry) -> bool:
     if exchange.ran >= inquiry.route.max_attempts:
         return False
+    if parts.quarantine.find_refused(inquiry.digest):
+        return False
     if not exchange.sends:
         return True
     return parts.clock.monotonic() < inquiry.ends and parts.budget.spend()
@@ -173,7 +177,7 @@
             return await _ask(parts, exchange, inquiry, replica, dispatch)
     except TimeoutError as error:
         exchange.ran += 1
-        raise SendError(SendErrorKind.LOST, 'silent') from error
+        raise SendError(SendErrorKind.LOST, SILENT) from error
     except SendError as error:
         exchange.ran += error.kind is not SendErrorKind.UNSENT
         raise
@@ -213,6 +217,7 @@
         if not answer.terms.signed:
             raise SendError(SendErrorKind.SPOILED, 'unsigned answer')
     exchange.ran += 1
+    parts.quarantine.note_run(inquiry.digest)
     failed = answer.status >= _SERVER_ERROR
     parts.failures.note(
         replica.name,
@@ -239,5 +244,5 @@
     )
     if error.kind is SendErrorKind.UNSENT:
         parts.replicas.suspect(replica, error.reason, full=False)
-    elif error.reason == 'silent':
+    elif error.reason == SILENT:
         parts.replicas.suspect(replica, error.reason, full=True)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -24,11 +24,13 @@
     :param lost: whether one of them may have run without an answer.
     :param held: a replica's own failure, passed on if nothing better comes.
     :param left: first replicas whose runs this node cut off.
+    :param ends: first replicas that ended just as it began at them.
     """
 
     cutter: EventCutter
     left: set[str] = field(default_factory=set)
     lost: bool = False
+    ends: int = 0
     held: tuple[Answer, bytes] | None = None
 
 
@@ -88,6 +90,9 @@
     stream.progress = parts.clock.monotonic()
     stream.delivered += 1
     stream.told = False
+    if not stream.cleared and stream.ran(stream.progress):
+        stream.cleared = True
+        parts.quarantine.note_run(stream.inquiry.digest)
     if not stream.begun:
         stream.begun = True
         stream.exchange.ran += 1
@@ -126,7 +131,7 @@
         replica=stream.head.name,
         reason=reason,
         outcome=kind.value,
-        answered=stream.answered,
+        answered=stream.answered is not None,
         events=stream.delivered,
         last_event=progress.cutter.last,
     )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -14,6 +14,7 @@
     SettingsChanged,
     Wire,
 )
+from ryelatch_node.quarantine import Quarantine
 from ryelatch_node.relay._budget import RetryTerms, open_budget
 from ryelatch_node.relay._ingress import Ingress
 from ryelatch_node.relay._metrics import RelayMetrics
@@ -64,6 +65,7 @@
             self._parts.load.keep(self._parts.replicas.replicas)
             self._parts.windows.keep(self._parts.replicas.replicas)
             self._parts.failures.keep(self._parts.replicas.replicas)
+            self._parts.quarantine.judge()
             self._parts.configuration.allows_keys()
             self._parts.replicas.known.check()
             self._server.apply_limits()
@@ -97,6 +99,8 @@
             'entries_refused': lambda: parts.replicas.refused,
             'replicas_suspected': lambda: len(parts.replicas.list_suspects()),
             'first_replicas_full': lambda: len(parts.windows.list_closed()),
+            'requests_quarantined': lambda: parts.quarantine.count_refused(),
+            'requests_suspected': lambda: parts.quarantine.count_suspects(),
             'retries_left': lambda: parts.budget.left,
             'log_lines_dropped': lambda: parts.log.dropped,
         },
@@ -132,7 +136,7 @@
         Service(
             'server',
             server,
-            ('streams', 'configuration', 'replicas'),
+            ('streams', 'configuration', 'replicas', 'quarantine'),
             start=server.start,
             stop=server.stop,
         )
@@ -168,6 +172,7 @@
                 startup.retry_ratio, startup.retry_extra, startup.retry_window
             )
         ),
+        quarantine=app.find('quarantine', Quarantine),
         costs=app.find('costs', CostBook),
         load=load,
     )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from ryelatch_core.fleet import Replica, Stage
+from ryelatch_core.quarantine import FRESH_SECONDS
 from ryelatch_node.relay._exchange import Exchange, Inquiry
 
 HEAD_LOST = 'first replica lost'
@@ -21,7 +22,8 @@
     :param told: whether its pause has been recorded.
     :param hindered: whether it waited for a replica that was lost.
     :param tries: moves tried while it was flowing; the last at ``tried``.
-    :param answered: whether the head of its answer has come.
+    :param answered: when the head of its answer came, in monotonic seconds.
+    :param cleared: whether it is known not to end the replicas that run it.
     :param over: whether its reading has ended.
     :param scope: the timeout of its reading; moved up to interrupt it.
     """
@@ -33,8 +35,9 @@
     progress: float
     tokens: int
     scope: asyncio.Timeout
-    answered: bool = False
+    answered: float | None = None
     begun: bool = False
+    cleared: bool = False
     moving: bool = False
     over: bool = False
     told: bool = False
@@ -49,6 +52,12 @@
         """The first replica of its path."""
         return self.path[0].replica
 
+    def ran(self, now: float) -> bool:
+        """Whether it has run for too long to be why its replica ended."""
+        return (
+            self.answered is not None and now - self.answered >= FRESH_SECONDS
+        )
+
     def interrupt(self, reason: str) -> None:
         """End its reading, so that it goes on elsewhere.
 
--- a/tests/core/retries/test_digest.py
+++ b/tests/core/quarantine/test_digest.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ryelatch_core.retries import digest_request
+from ryelatch_core.quarantine import digest_request
 
 _ASKED = ('city.example', 'POST', '/plan/x', 'ward-1', b'question')
 
--- a/tests/fleet/placing.py
+++ b/tests/fleet/placing.py
@@ -65,7 +65,10 @@
         configuration.offer(translate_configuration(raw), clock.monotonic())
         view = ReplicaView(log, clock, Hub(), reckon_terms(2, 3))
         orders = Orders(
-            place=self._make_place(name), move=_refuse, read_report=_report
+            place=self._make_place(name),
+            move=_refuse,
+            read_report=_report,
+            reach=_refuse,
         )
         duty = PlacementDuty(
             log=log,
--- a/tests/platform/test_beliefs.py
+++ b/tests/platform/test_beliefs.py
@@ -72,7 +72,12 @@
         node.store.forget_history()
         await wait_until(lambda: node.count('configuration-applied') == 2)
         await wait_until(lambda: node.count('replica-gone') == 1)
-        kinds = {'config', 'servers', 'ryelatch-leases'}
+        kinds = {
+            'config',
+            'servers',
+            'ryelatch-leases',
+            'ryelatch-quarantine',
+        }
         await wait_until(lambda: _list_lost(node) == kinds)
         assert not node.count('task-crashed')
         status, _, _ = await ask(node, '/ping/x')
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -21,6 +21,7 @@
 _CRASHING = b'a question under which replicas end'
 _MOST_RETRIES = 3
 _KNOWN_SECONDS = 0.5
+_SETTLED_SECONDS = 3
 
 
 @contextlib.asynccontextmanager
@@ -40,7 +41,7 @@
         await wait_until(
             lambda: all(first.store.get('ryelatch-nodes', one) for one in names)
         )
-        await asyncio.sleep(1)
+        await asyncio.sleep(_SETTLED_SECONDS)
         yield nodes
 
 
@@ -54,8 +55,9 @@
 
     Each replica that begins to run it ends, and with it all that others had
     there. Its client comes back, each time to another node and as another
-    request. Every node took it for a new one: seen were eighteen replicas
-    that ended under one request, found by its digest in the lines of all.
+    request. Nothing was kept beyond one attempt, so every node took it for a
+    new one: its digest in the lines of all nodes showed one request under
+    which eighteen replicas had ended.
     """
     streams = path.startswith('/plan')
     replicas = make_model(*[(0, 8)] * 14) if streams else make_plain(14)
--- /dev/null
+++ b/tests/platform/test_quarantine.py
@@ -0,0 +1,221 @@
+"""What all nodes know of requests under which replicas end."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+
+from fleet.running import (
+    KEY,
+    RunningNode,
+    ask,
+    make_configuration,
+    make_model,
+    make_plain,
+    run_node,
+    run_peer,
+    wait_until,
+)
+from ryelatch_core.quarantine import digest_request
+from standins.replica import ReplicaStandIn
+
+_CRASHING = b'a question under which replicas end'
+_DIGEST = digest_request('city.example', 'POST', '/ping/x', 'ward-1', _CRASHING)
+_KIND = 'ryelatch-quarantine'
+
+
+@contextlib.asynccontextmanager
+async def _run_node(
+    replicas: list[ReplicaStandIn],
+    **changes: Any,
+) -> AsyncIterator[RunningNode]:
+    for replica in replicas:
+        replica.ends_on = _CRASHING
+    accounts = [
+        {'name': 'ward-1', 'apiKeys': [KEY]},
+    ]
+    configuration = make_configuration(tenants=accounts, **changes)
+    async with run_node(replicas, configuration) as node:
+        yield node
+
+
+async def _end_three(node: RunningNode) -> None:
+    """Let replicas end under a request until it is refused."""
+    for number in range(3):
+        await ask(node, '/ping/x', identity=f'e-{number}', content=_CRASHING)
+    await wait_until(lambda: node.count('request-quarantined'))
+
+
+def _count_ended(node: RunningNode) -> int:
+    return sum(one.ended for one in node.replicas.values())
+
+
+async def test_refusal_tells_that_it_did_not_run() -> None:
+    """The refusal promises that this attempt has not run, which is true.
+
+    The line has what led to it, so an operator finds the cause by the id.
+    """
+    async with _run_node(make_plain(6)) as node:
+        await _end_three(node)
+        status, body, headers = await ask(
+            node, '/ping/x', identity='again', content=_CRASHING
+        )
+        assert (status, float(headers['retry-after'])) == (503, 60)
+        assert b'replicas ended under this request' in body
+        refused = (one for one in node.lines if one.get('request') == 'again')
+        line = next(refused)
+        assert line['name'] == 'exchange-refused'
+        assert line['digest'] == _DIGEST
+        assert len(line['ended']) == 3
+        assert _count_ended(node) == 3
+        assert node.find('request-quarantined')['begun'] == line['ended']
+
+
+async def test_node_that_starts_knows_what_is_refused() -> None:
+    """All nodes are killed at once, and start again with nothing known.
+
+    Three more replicas would end under the request at each such start.
+    """
+    async with _run_node(make_plain(6)) as node:
+        await _end_three(node)
+        await wait_until(lambda: node.store.get(_KIND, _DIGEST))
+        async with run_peer(node, 'node-b') as peer:
+            await wait_until(lambda: peer.count('request-quarantined'))
+            status, _, _ = await ask(peer, '/ping/x', content=_CRASHING)
+            assert status == 503
+            assert _count_ended(node) == 3
+
+
+async def test_operator_lets_a_request_in_again() -> None:
+    """A replica's software is mended; the object is deleted by hand."""
+    async with (
+        _run_node(make_plain(6)) as node,
+        run_peer(node, 'node-b') as peer,
+    ):
+        await _end_three(node)
+        await wait_until(lambda: peer.count('request-quarantined'))
+        for replica in node.replicas.values():
+            replica.ends_on = b''
+        node.store.drop(_KIND, _DIGEST)
+        await wait_until(lambda: node.count('request-released'))
+        await wait_until(lambda: peer.count('request-released'))
+        for one in (node, peer):
+            status, _, _ = await ask(one, '/ping/x', content=_CRASHING)
+            assert status == 200
+
+
+async def test_ends_of_an_outage_are_told_after_it() -> None:
+    """Replicas end under a request while the store answers nobody.
+
+    This node refuses it at once, the others when the store is back.
+    """
+    async with (
+        _run_node(make_plain(6)) as node,
+        run_peer(node, 'node-b') as peer,
+    ):
+        node.store.mode = 'busy'
+        await _end_three(node)
+        assert not peer.count('request-quarantined')
+        node.store.mode = 'ok'
+        await wait_until(lambda: peer.count('request-quarantined'))
+
+
+async def test_lost_answer_of_the_store_is_settled() -> None:
+    """A write takes effect, and its answer is lost."""
+    async with _run_node(make_plain(6)) as node:
+        node.store.lose_answers = 1
+        await _end_three(node)
+        await wait_until(lambda: node.store.get(_KIND, _DIGEST))
+        await wait_until(
+            lambda: len(node.store.get(_KIND, _DIGEST)['spec']['begun']) == 3
+        )
+
+
+async def test_lost_connections_are_no_ends() -> None:
+    """Replicas cut answers off and serve on, or the way there is cut.
+
+    Taken for ends, a link that loses connections would have all that goes
+    over it refused.
+    """
+    replicas = make_plain(4)
+    async with _run_node(replicas) as node:
+        for replica in replicas:
+            replica.unframed_part = True
+        for number in range(6):
+            status, _, _ = await ask(node, '/ping/x', identity=f'c-{number}')
+            assert status == 502
+        for replica in replicas:
+            replica.unframed_part = False
+        status, _, _ = await ask(node, '/ping/x')
+        assert status == 200
+        assert not node.count('request-suspected')
+
+
+async def test_stream_that_ran_is_not_suspected() -> None:
+    """A long stream loses one replica after the other, and goes on.
+
+    VMs are taken back one by one, and each ends in the middle of streams
+    that began long before. None of them is why.
+    """
+    replicas = make_model(*[(0, 8)] * 6)
+    for replica in replicas:
+        replica.events = 40
+        replica.pause = 0.05
+    async with _run_node(replicas) as node:
+        asked = asyncio.create_task(ask(node, '/plan/x'))
+        for _ in range(3):
+            running = await _find_running(replicas)
+            await asyncio.sleep(0.6)
+            await running.end()
+        status, body, _ = await asked
+        assert (status, body.count(b'id: ')) == (200, 40)
+        assert not node.count('request-suspected')
+
+
+async def test_one_attempt_ends_few_replicas() -> None:
+    """One attempt of a client ended five replicas where its route allows two.
+
+    A run that ended with its replica did not count among the attempts, as a
+    lost replica is no reason to fail its streams.
+    """
+    async with _run_node(make_model(*[(0, 8)] * 8)) as node:
+        await ask(node, '/plan/x', content=_CRASHING)
+        assert _count_ended(node) == 2
+
+
+@pytest.mark.parametrize(
+    ('name', 'spec'),
+    [
+        (_DIGEST, {'begun': 'r-1'}),
+        (_DIGEST, {'begun': [1, 2, 3]}),
+        (_DIGEST, ['r-1', 'r-2', 'r-3']),
+        (_DIGEST, {'waiting': [''] * 3}),
+        ('no digest', {'begun': ['r-1', 'r-2', 'r-3']}),
+    ],
+)
+async def test_object_that_can_not_be_read_refuses_none(
+    name: str, spec: Any
+) -> None:
+    """Anyone may write to the store; what is read of it is known again."""
+    async with _run_node(make_plain(6)) as node:
+        node.store.put(_KIND, name, spec)
+        await wait_until(lambda: node.count('configuration-refused'))
+        status, _, _ = await ask(node, '/ping/x')
+        assert status == 200
+        await _end_three(node)
+        await wait_until(lambda: _holds_three(node))
+
+
+def _holds_three(node: RunningNode) -> bool:
+    found = node.store.get(_KIND, _DIGEST)
+    if found is None or not isinstance(found['spec'], dict):
+        return False
+    return len(found['spec'].get('begun', ())) == 3
+
+
+async def _find_running(replicas: list[ReplicaStandIn]) -> ReplicaStandIn:
+    """Wait until one of some replicas has a stream."""
+    await wait_until(lambda: any(one.streams for one in replicas))
+    return next(one for one in replicas if one.streams)
--- a/tests/standins/objects.py
+++ b/tests/standins/objects.py
@@ -62,6 +62,7 @@
         app.router.add_post('/objects/{kind}', self._create)
         app.router.add_get('/objects/{kind}/{name}', self._read)
         app.router.add_put('/objects/{kind}/{name}', self._replace)
+        app.router.add_delete('/objects/{kind}/{name}', self._delete)
         return app
 
     def _note(self, kind: str, event: dict[str, Any]) -> None:
@@ -152,6 +153,21 @@
             return web.json_response(held, status=409)
         return await self._write(request, kind, name, body)
 
+    async def _delete(self, request: web.Request) -> web.StreamResponse:
+        trouble = await self._trouble(request)
+        if trouble is not None:
+            return trouble
+        kind = request.match_info['kind']
+        name = request.match_info['name']
+        held = self.get(kind, name)
+        if held is None:
+            return web.json_response({}, status=404)
+        wanted = request.query.get('revision', held['metadata']['revision'])
+        if int(wanted) != held['metadata']['revision']:
+            return web.json_response(held, status=409)
+        self.drop(kind, name)
+        return web.json_response(held)
+
     async def _write(
         self,
         request: web.Request,
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -52,6 +52,7 @@
     :param ends_on: body of a request under which it ends, once the head of
         its answer has gone out; nothing can be reached there from then on.
     :param ended: whether it has.
+    :param site: where it listens.
     """
 
     name: str
@@ -82,6 +83,7 @@
     store: ObjectStore | None = None
     _moved: asyncio.Event = field(default_factory=asyncio.Event)
     _stalled: dict[str, str] = field(default_factory=dict)
+    site: web.BaseSite | None = None
     _open: set[asyncio.Transport] = field(default_factory=set)
 
     def register(self, state: str = 'ready') -> None:
@@ -104,6 +106,19 @@
             entry['layers'] = self._write_layers()
         self.store.put('servers', self.name, entry)
 
+    @property
+    def streams(self) -> int:
+        """Count the requests that it is running."""
+        return 0 if self.ended else len(self._open)
+
+    async def end(self) -> None:
+        """End as a process does: nothing listens, connections are reset."""
+        self.ended = True
+        assert self.site is not None
+        await self.site.stop()
+        for transport in tuple(self._open):
+            transport.abort()
+
     def resume(self) -> None:
         """Let streams that stand still go on."""
         self._stalled.clear()
@@ -224,7 +239,7 @@
         if self.hang:
             await asyncio.Event().wait()
         if self.ends_on and run.body == self.ends_on:
-            return await self._end(request, run)
+            return await self._end_under(request, run)
         headers = self._sign('other' if self.other_identity else run.identity)
         if self.failures:
             self.failures -= 1
@@ -239,14 +254,14 @@
             body=f'answer of {self.name}'.encode(), headers=headers
         )
 
-    async def _end(self, request: web.Request, run: Run) -> web.StreamResponse:
+    async def _end_under(
+        self, request: web.Request, run: Run
+    ) -> web.StreamResponse:
         response = web.StreamResponse(headers=self._sign(run.identity))
         if 'X-Ryelatch-Hop-Count' in run.headers:
             await response.prepare(request)
         await asyncio.sleep(self.pause)
-        self.ended = True
-        for transport in tuple(self._open):
-            transport.abort()
+        await self.end()
         return response
 
     async def _tear_unframed(
