Keep away from a replica that is known to have ended

Callers that had nothing to do with a lost replica of a plain service were refused with 503 for seconds: it stayed in use until its entry lapsed, each request sent there cost a retry, and none was left.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ends.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ends.py
@@ -16,16 +16,23 @@
     stream: LiveStream,
     error: SendError,
 ) -> bool:
-    """Note it if the first replica of a stream ended as the stream began.
+    """Note it if the first replica of a stream has ended.
 
-    :returns: whether it did.
+    :returns: whether it did just as the stream began there.
     """
-    if not _was_cut(error) or stream.reason or stream.ran(parts.now()):
+    if not _was_cut(error) or stream.reason:
+        return False
+    ran = stream.ran(parts.now())
+    if not await _has_ended(parts, stream.head) or ran:
         return False
     manner = Manner.WAITING if stream.answered is None else Manner.BEGUN
-    return await _note_end(
-        parts, stream.exchange, stream.inquiry, stream.head, manner
+    parts.quarantine.note_end(
+        stream.inquiry.digest,
+        stream.head.name,
+        manner,
+        stream.exchange.identity,
     )
+    return True
 
 
 async def note_plain_end(
@@ -35,28 +42,27 @@
     replica: Replica,
     error: SendError,
 ) -> None:
-    """Note it if a replica of a plain service ended under a request.
+    """Note it if a replica of a plain service has ended under a request.
 
     Nothing of its answer comes before the whole, so it may have begun.
     """
-    if _was_cut(error):
-        await _note_end(parts, exchange, inquiry, replica, Manner.BEGUN)
+    if _was_cut(error) and await _has_ended(parts, replica):
+        parts.quarantine.note_end(
+            inquiry.digest, replica.name, Manner.BEGUN, exchange.identity
+        )
 
 
 def _was_cut(error: SendError) -> bool:
     return error.kind is SendErrorKind.LOST and error.reason != SILENT
 
 
-async def _note_end(
-    parts: Parts,
-    exchange: Exchange,
-    inquiry: Inquiry,
-    replica: Replica,
-    manner: Manner,
-) -> bool:
+async def _has_ended(parts: Parts, replica: Replica) -> bool:
+    """Tell whether a replica has ended, and keep away from it if so.
+
+    Its entry lapses seconds later. Sent there meanwhile, each request costs
+    a retry, and those without one left are refused.
+    """
     if not await parts.ends.has_ended(replica):
         return False
-    parts.quarantine.note_end(
-        inquiry.digest, replica.name, manner, exchange.identity
-    )
+    parts.replicas.suspect(replica, 'ended', full=False)
     return True
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -24,6 +24,7 @@
 _CRASHING = b'a question under which replicas end'
 _DIGEST = digest_request('city.example', 'POST', '/ping/x', 'ward-1', _CRASHING)
 _KIND = 'ryelatch-quarantine'
+_OTHER_KEY = 'ward-2-key'
 
 
 @contextlib.asynccontextmanager
@@ -35,6 +36,7 @@
         replica.ends_on = _CRASHING
     accounts = [
         {'name': 'ward-1', 'apiKeys': [KEY]},
+        {'name': 'ward-2', 'apiKeys': [_OTHER_KEY]},
     ]
     configuration = make_configuration(tenants=accounts, **changes)
     async with run_node(replicas, configuration) as node:
@@ -73,6 +75,24 @@
         assert node.find('request-quarantined')['begun'] == line['ended']
 
 
+async def test_others_are_served_on() -> None:
+    """Another account asks the same, and the same account asks other things.
+
+    If one account could get what another asks for refused, it would have to
+    send but three bad requests.
+    """
+    async with _run_node(make_plain(6)) as node:
+        await _end_three(node)
+        status, _, _ = await ask(node, '/ping/x')
+        assert status == 200
+        for replica in node.replicas.values():
+            replica.ends_on = b''
+        status, _, _ = await ask(
+            node, '/ping/x', content=_CRASHING, Api_Key=_OTHER_KEY
+        )
+        assert status == 200
+
+
 async def test_node_that_starts_knows_what_is_refused() -> None:
     """All nodes are killed at once, and start again with nothing known.
 
@@ -174,6 +194,29 @@
         assert not node.count('request-suspected')
 
 
+async def test_popular_request_is_not_refused() -> None:
+    """Many ask for the same; replicas end for another reason meanwhile.
+
+    Each end takes one of those many along, and none of them is why.
+    """
+    replicas = make_plain(6)
+    async with _run_node(replicas) as node:
+        for loss in range(4):
+            for number in range(3):
+                status, _, _ = await ask(
+                    node, '/book/x', identity=f'p-{loss}-{number}'
+                )
+                assert status == 200
+            for replica in replicas:
+                replica.ends_on = b'question'
+            await ask(node, '/book/x', identity=f'lost-{loss}')
+            for replica in replicas:
+                replica.ends_on = b''
+        assert _count_ended(node) == 4
+        assert not node.count('request-suspected')
+        assert not node.count('request-quarantined')
+
+
 async def test_one_attempt_ends_few_replicas() -> None:
     """One attempt of a client ended five replicas where its route allows two.
 
