Blame a request also where its stream was cut off for the lost replica

A replica ends under a request; one stream's connection breaks after the others'. The node knows by then that the replica is lost and cuts the stream off itself, and its request was not suspected: had it been the cause, nobody would have been. The test, red without this, lets a replica stop listening with its connections left open.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ends.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ends.py
@@ -5,7 +5,7 @@
 from ryelatch_node.relay._errors import SendError, SendErrorKind
 from ryelatch_node.relay._exchange import Exchange, Inquiry
 from ryelatch_node.relay._parts import Parts
-from ryelatch_node.relay._stream import LiveStream
+from ryelatch_node.relay._stream import HEAD_LOST, LiveStream
 
 SILENT = 'silent'
 """Why a run was given up whose replica said nothing; nothing has ended."""
@@ -18,9 +18,12 @@
 ) -> bool:
     """Note it if the first replica of a stream has ended.
 
+    One that this node cut off because its replica is lost counts too: another
+    stream may have found that out a moment before its own connection broke.
+
     :returns: whether it did just as the stream began there.
     """
-    if not _was_cut(error) or stream.reason:
+    if not _was_cut(error) or stream.reason not in {'', HEAD_LOST}:
         return False
     ran = stream.ran(parts.now())
     if not await _has_ended(parts, stream.head) or ran:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -120,12 +120,10 @@
         async with scope:
             return await _run(parts, watch.prober, stream, progress)
     except TimeoutError:
-        note_failure(parts, stream, progress, SendErrorKind.LOST, stream.reason)
+        interrupted = SendError(SendErrorKind.LOST, stream.reason)
+        await _note_lost(parts, stream, progress, interrupted)
     except SendError as error:
-        note_failure(parts, stream, progress, error.kind, error.reason)
-        if await note_stream_end(parts, stream, error):
-            progress.ends += 1
-            exchange.ran += stream.answered is not None
+        await _note_lost(parts, stream, progress, error)
     except StreamError as error:
         note_failure(parts, stream, progress, SendErrorKind.SPOILED, str(error))
     finally:
@@ -137,6 +135,23 @@
     return _Next.AGAIN
 
 
+async def _note_lost(
+    parts: Parts,
+    stream: LiveStream,
+    progress: Progress,
+    error: SendError,
+) -> None:
+    """Note that a try ended without an answer, and whether its replica did.
+
+    A run that had just begun as its replica ended counts among the attempts:
+    it may be why, and each attempt takes another replica along.
+    """
+    note_failure(parts, stream, progress, error.kind, error.reason)
+    if await note_stream_end(parts, stream, error):
+        progress.ends += 1
+        stream.exchange.ran += stream.answered is not None
+
+
 def _log_send(
     parts: Parts,
     exchange: Exchange,
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -19,6 +19,7 @@
     wait_until,
 )
 from ryelatch_core.quarantine import digest_request
+from ryelatch_node.beliefs import ReplicaView
 from standins.replica import ReplicaStandIn
 
 _CRASHING = b'a question under which replicas end'
@@ -194,6 +195,27 @@
         assert not node.count('request-suspected')
 
 
+async def test_stream_that_is_cut_off_first_counts() -> None:
+    """A replica ends; one stream's connection breaks after the others'.
+
+    The node knows by then that the replica is lost, and cuts the stream off
+    itself. Where that was the request that ended it, nobody would be blamed.
+    """
+    replicas = make_model((0, 8), (0, 8))
+    async with _run_node(replicas) as node:
+        for replica in replicas:
+            replica.hang = True
+        asked = asyncio.create_task(ask(node, '/plan/x'))
+        running = await _find_running(replicas)
+        assert running.site is not None
+        await running.site.stop()
+        view = node.app.find('replicas', ReplicaView)
+        view.suspect(view.replicas[running.name], 'ended', full=False)
+        await wait_until(lambda: node.count('request-suspected'))
+        assert node.find('request-suspected')['replica'] == running.name
+        asked.cancel()
+
+
 async def test_popular_request_is_not_refused() -> None:
     """Many ask for the same; replicas end for another reason meanwhile.
 
