--- a/tests/virtual/store.py
+++ b/tests/virtual/store.py
@@ -21,6 +21,8 @@
 """A time so short that adding it may leave the clock where it is."""
 
 _GONE = 410
+_CONFLICT = 409
+_MISSING = 404
 _BUSY = 503
 _OK = 200
 
@@ -100,7 +102,13 @@
         """Open what stands for a pool of connections."""
         return VirtualSession(self, caller)
 
-    async def answer(self, caller: str, path: str) -> _Answer:
+    async def answer(
+        self,
+        caller: str,
+        path: str,
+        method: str = 'GET',
+        body: bytes | None = None,
+    ) -> _Answer:
         """Answer a call as the troubles of its caller allow.
 
         What waits when the store goes silent is answered in the end, what is
@@ -116,7 +124,11 @@
             return _Answer(_BUSY, b'{}')
         if trouble is Trouble.RESET:
             raise aiohttp.ServerDisconnectedError
+        if method != 'GET':
+            return self._change(method, path, body)
         kind = re.split(r'[?/]', path)[0]
+        if '/' in path:
+            return self._read(kind, path.partition('/')[2])
         watch = re.search(r'watch=(\d+)&waitMs=(\d+)', path)
         if watch is None:
             return self._list(kind)
@@ -124,6 +136,31 @@
             caller, kind, int(watch[1]), int(watch[2]) / 1000
         )
 
+    def _read(self, kind: str, name: str) -> _Answer:
+        found = self._objects.get(kind, {}).get(name)
+        return _Answer(_MISSING, b'{}') if found is None else _write(**found)
+
+    def _change(self, method: str, path: str, body: bytes | None) -> _Answer:
+        """Write or delete an object under the condition that is given."""
+        place, _, query = path.partition('?')
+        kind, _, name = place.partition('/')
+        wanted = query.removeprefix('revision=')
+        spec = None
+        if body is not None:
+            content = json.loads(body)
+            name, spec = content['metadata']['name'], content['spec']
+            wanted = str(content['metadata'].get('revision', ''))
+        held = self._objects.get(kind, {}).get(name)
+        if held is None and method != 'POST':
+            return _Answer(_MISSING, b'{}')
+        if held is not None and str(held['metadata']['revision']) != wanted:
+            return _Answer(_CONFLICT, json.dumps(held).encode())
+        if method == 'DELETE':
+            self.drop(kind, name)
+            return _write()
+        self.put(kind, name, spec)
+        return self._read(kind, name)
+
     def _list(self, kind: str) -> _Answer:
         entries = list(self._objects.get(kind, {}).values())
         return _write(entries=entries, hasMore=False, at=self.revision)
@@ -191,11 +228,14 @@
         url: str,
         *,
         timeout: aiohttp.ClientTimeout,
+        data: bytes | None = None,
         **_: Any,
     ) -> AsyncIterator[_Answer]:
         """Make a call within its time."""
         path = url.partition('/objects/')[2]
-        call = asyncio.create_task(self.store.answer(self.caller, path))
+        call = asyncio.create_task(
+            self.store.answer(self.caller, path, method, data)
+        )
         self._calls.add(call)
         try:
             async with asyncio.timeout(timeout.total):
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -11,11 +11,18 @@
 from ryelatch_core.events import LineLog
 from ryelatch_core.kernel import Hub
 from ryelatch_core.membership import NodeEntry, reckon_terms
+from ryelatch_core.quarantine import Book
 from ryelatch_node.beliefs import ConfigurationView, ReplicaView
 from ryelatch_node.news import News
 from ryelatch_node.ports import Address
+from ryelatch_node.quarantine import Quarantine
 from ryelatch_platform._follow import Follower
-from ryelatch_platform._kinds import follow_configuration, follow_registry
+from ryelatch_platform._kinds import (
+    follow_configuration,
+    follow_quarantine,
+    follow_registry,
+)
+from ryelatch_platform._quarantine import make_quarantine_store
 from ryelatch_platform._store import StoreClient
 from ryelatch_platform._waits import ARRIVAL_SECONDS
 from virtual.loop import VirtualClock
@@ -77,18 +84,21 @@
     news: News
     store: StoreClient
     follower: Follower
+    quarantine: Quarantine
     lines: list[dict[str, Any]]
     tasks: list['asyncio.Task[None]'] = field(default_factory=list)
 
     async def start(self) -> None:
         """Start to follow, and to drop what is due."""
         await self.store.start()
+        await self.quarantine.start()
         await self.follower.start()
         self.tasks.append(asyncio.create_task(self._keep_house()))
 
     async def stop(self) -> None:
         """Stop all."""
         await self.follower.stop()
+        await self.quarantine.stop()
         for task in self.tasks:
             task.cancel()
         await self.store.stop()
@@ -107,6 +117,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self.view.drop_lapsed()
+            self.quarantine.judge()
 
 
 @dataclass(eq=False)
@@ -117,6 +128,7 @@
     :param steady: seconds without trouble after which nodes are held to it.
     :param dark: nodes whose links to other nodes carry nothing.
     :param zones: of nodes that are not in ``zone-a``.
+    :param refuses: whether the nodes follow what is refused, too.
     """
 
     drain: float = 2.0
@@ -125,6 +137,7 @@
     nodes: dict[str, VirtualNode] = field(default_factory=dict)
     dark: set[str] = field(default_factory=set)
     zones: dict[str, str] = field(default_factory=dict)
+    refuses: bool = False
 
     async def start(self, names: Iterable[str], replicas: int = 4) -> None:
         """Start nodes that know each other, and let them settle."""
@@ -191,13 +204,19 @@
         )
         news = News(log, clock, startup, self._dial(name))
         news.address = Address(name, 1)
-        kinds = (
+        patience = crc32(name.encode()) % 100 / 100
+        quarantine = Quarantine(
+            log, clock, make_quarantine_store(store), Book(patience)
+        )
+        kinds = [
             follow_configuration(log, configuration),
             follow_registry(log, view),
-        )
-        follower = Follower(store, news, log, clock, kinds)
+        ]
+        if self.refuses:
+            kinds.append(follow_quarantine(log, quarantine))
+        follower = Follower(store, news, log, clock, tuple(kinds))
         return VirtualNode(
-            name, view, configuration, news, store, follower, lines
+            name, view, configuration, news, store, follower, quarantine, lines
         )
 
     def _dial(self, caller: str) -> Any:
