--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ends.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ends.py
@@ -16,16 +16,17 @@
     stream: LiveStream,
     error: SendError,
 ) -> bool:
-    """Note it if the first replica of a stream ended as the stream began.
+    """Note it if the first replica of a stream has ended.
 
     One that this node cut off because its replica is lost counts too: another
     stream may have found that out a moment before its own connection broke.
 
-    :returns: whether it did.
+    :returns: whether it did just as the stream began there.
     """
     if not _was_cut(error) or stream.reason not in {'', HEAD_LOST}:
         return False
-    if stream.ran(parts.now()) or not await parts.ends.has_ended(stream.head):
+    ran = stream.ran(parts.now())
+    if not await _has_ended(parts, stream.head) or ran:
         return False
     manner = Manner.WAITING if stream.answered is None else Manner.BEGUN
     parts.quarantine.note_end(
@@ -46,12 +47,9 @@
 ) -> None:
     """Note it if a replica of a plain service has ended under a request.
 
-    Nothing of its answer comes before the whole, so it may have begun. Its
-    entry lapses seconds later; sent there meanwhile, each request of others
-    would cost a retry, and those without one left were refused.
+    Nothing of its answer comes before the whole, so it may have begun.
     """
-    if _was_cut(error) and await parts.ends.has_ended(replica):
-        parts.replicas.suspect(replica, 'ended', full=False)
+    if _was_cut(error) and await _has_ended(parts, replica):
         parts.quarantine.note_end(
             inquiry.digest, replica.name, Manner.BEGUN, exchange.identity
         )
@@ -59,3 +57,15 @@
 
 def _was_cut(error: SendError) -> bool:
     return error.kind is SendErrorKind.LOST and error.reason != SILENT
+
+
+async def _has_ended(parts: Parts, replica: Replica) -> bool:
+    """Tell whether a replica has ended, and keep away from it if so.
+
+    Its entry lapses seconds later. Sent there meanwhile, each request costs
+    a retry, and those without one left are refused.
+    """
+    if not await parts.ends.has_ended(replica):
+        return False
+    parts.replicas.suspect(replica, 'ended', full=False)
+    return True
