--- a/packages/ryelatch-core/src/ryelatch_core/events/_story.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_story.py
@@ -43,6 +43,11 @@
     )
 )
 
+_ENDS = frozenset(
+    ('request-suspected', 'request-quarantined', 'request-released')
+)
+"""What is known of all requests that ask for the same, at any process."""
+
 _CAUSES = MappingProxyType(
     {
         'keys are unconfirmed': (
@@ -55,6 +60,10 @@
         'the answer was lost': (
             'an upstream took the request and its answer did not come back'
         ),
+        'replicas ended under this request': (
+            'replicas had ended that began to run what it asks for, so it is '
+            'kept from others; see request-suspected for each of them'
+        ),
         'the time is over': 'no answer came within the time of its route',
         'this node stops': 'the node was at the end of its planned stop',
         'no configuration yet': 'the node had just started',
@@ -116,19 +125,31 @@
     )
     if not own:
         return None
-    processes = {line.process for line in own}
-    begin = own[0].time - BEFORE_SECONDS
     beliefs = tuple(
         line
         for line in ordered
-        if line.name in _BELIEFS
-        and line.process in processes
-        and begin <= line.time <= own[-1].time
+        if line.time <= own[-1].time
+        and (_was_believed(line, own) or _asks_the_same(line, own))
     )
     cause = _find_cause(own, beliefs) + _tell_missing(own)
     return Story(own, beliefs, cause)
 
 
+def _was_believed(line: Line, own: tuple[Line, ...]) -> bool:
+    """Whether a line tells of a change at a request's process by then."""
+    return (
+        line.name in _BELIEFS
+        and line.time >= own[0].time - BEFORE_SECONDS
+        and line.process in {one.process for one in own}
+    )
+
+
+def _asks_the_same(line: Line, own: tuple[Line, ...]) -> bool:
+    """Whether a line tells of replicas that ended under the same."""
+    digests = {one.detail.get('digest') for one in own} - {None, ''}
+    return line.name in _ENDS and line.detail.get('digest') in digests
+
+
 def _find_cause(own: tuple[Line, ...], beliefs: tuple[Line, ...]) -> str:
     reasons = [
         str(line.detail.get('reason'))
--- a/tests/core/events/test_story.py
+++ b/tests/core/events/test_story.py
@@ -71,3 +71,29 @@
         'replica-lapsed',
     ]
     assert 'missing for 0.9 s' in story.cause
+
+
+def test_refusal_leads_to_the_ends_behind_it() -> None:
+    """A user is refused as replicas ended under the request elsewhere.
+
+    Two other nodes saw the ends, under other identities; the digest joins
+    them. An end of another request is no part of it.
+    """
+    lines = [
+        _write(50, 'request-suspected', digest='d', replica='r-1', request='x'),
+        _write(51, 'request-suspected', digest='e', replica='r-2', request='y'),
+        _write(52, 'request-quarantined', digest='d', begun=['r-1']),
+        _write(
+            90,
+            'exchange-refused',
+            request='a',
+            digest='d',
+            reason='replicas ended under this request',
+        ),
+        _write(95, 'request-released', digest='d'),
+    ]
+    elsewhere = [text.replace('edge-1', 'edge-2') for text in lines[:2]]
+    story = explain_request(read_lines([*elsewhere, *lines[2:]]), 'a')
+    assert story is not None
+    assert [line.time for line in story.beliefs] == [50, 52]
+    assert story.cause.startswith('replicas had ended')
