A soak with a request that ends replicas

Three processes amid kills, pauses, cuts and outages; a client sends what ends each replica that runs it. Checked: in calm at most three replicas run it, and nothing else is refused as a cause.

--- a/tests/fleet/running.py
+++ b/tests/fleet/running.py
@@ -61,7 +61,7 @@
         """Start a replica and register it."""
         replica.store = self.store
         runner, port = await _serve(replica.make_app())
-        replica.site = next(iter(runner.sites))
+        replica.stop_listening = next(iter(runner.sites)).stop
         self.runners.append(runner)
         replica.address = f'127.0.0.1:{port}'
         self.replicas[replica.name] = replica
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -207,8 +207,8 @@
             replica.hang = True
         asked = asyncio.create_task(ask(node, '/plan/x'))
         running = await _find_running(replicas)
-        assert running.site is not None
-        await running.site.stop()
+        assert running.stop_listening is not None
+        await running.stop_listening()
         view = node.app.find('replicas', ReplicaView)
         view.suspect(view.replicas[running.name], 'ended', full=False)
         await wait_until(lambda: node.count('request-suspected'))
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -15,6 +15,11 @@
     parser.add_argument('--seeds', type=int, default=10)
     parser.add_argument('--seconds', type=float, default=10)
     parser.add_argument('--folder', type=Path, default=Path('build/soak'))
+    parser.add_argument(
+        '--crashing',
+        action='store_true',
+        help='with a request that ends replicas',
+    )
     return parser.parse_args()
 
 
@@ -26,7 +31,9 @@
     for seed in range(first, first + options.seeds):
         folder = options.folder / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
-        outcome = asyncio.run(play_seed(seed, options.seconds, folder))
+        outcome = asyncio.run(
+            play_seed(seed, options.seconds, folder, crashing=options.crashing)
+        )
         failed += bool(outcome.violations)
         sys.stdout.write(
             f'seed {seed}: {len(outcome.faults)} faults, '
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,7 +6,8 @@
 
 from fleet.running import expect_events
 from soak.clients import Attempt, Clients
-from soak.world import EVENTS, SPARE_KEY, World
+from soak.crashing import CRASHING_KINDS, find_digest
+from soak.world import CRASHING, EVENTS, SPARE_KEY, World
 from standins.replica import Run
 
 REVOKE_SECONDS = 5.0
@@ -15,6 +16,9 @@
 LEAVING_SECONDS = 6.0
 """When a replica that leaves must get no more, with the store in trouble."""
 
+MOST_RETRIES = 3
+"""Replicas that may run a request under which three have ended."""
+
 _NOT_RUN = frozenset((408, 421, 429, 503))
 _CRASHES = frozenset(('task-crashed', 'exchange-crashed', 'no-json'))
 _LEAST_SERVED = 0.9
@@ -97,6 +101,28 @@
                 yield f'{node.name} wrote {line}'
 
 
+def check_crashing(world: World, clients: Clients) -> Iterator[str]:
+    """What ends replicas meets few of them, and nothing else is refused.
+
+    While faults go on a node may not be able to hear of the ends; in calm all
+    know of them.
+    """
+    ended = sum(one.ended for one in world.replicas)
+    late = [
+        run
+        for _, run in _list_runs(world)
+        if run.body == CRASHING and run.at > world.calm
+    ]
+    if len(late) > MOST_RETRIES:
+        yield f'{ended} replicas ended, in calm under {late}'
+    known = {find_digest(kind) for kind in CRASHING_KINDS}
+    for node in world.nodes:
+        for line in node.read_lines():
+            wrong = line.get('digest') not in known
+            if line['name'] == 'request-quarantined' and wrong:
+                yield f'{node.name} refuses what ended nothing: {line}'
+
+
 def check_recovery(calm: list[Attempt]) -> Iterator[str]:
     """After the last fault requests are served as if nothing had been."""
     served = sum(one.status == 200 and one.whole for one in calm)
@@ -112,6 +138,7 @@
     check_revoked,
     check_leaving,
     check_processes,
+    check_crashing,
 )
 
 
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -8,7 +8,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from fleet.running import KEY
-from soak.world import SPARE_KEY, World
+from soak.world import SPARE_KEY, Node, World
 
 CLIENTS = 8
 _DEADLINE_MS = 4000
@@ -57,17 +57,15 @@
                 attempts.append(await self._ask(http, KEY))
         return attempts
 
-    async def _run_one(self, until: asyncio.Event) -> None:
-        chance = self.world.chance
-        async with ClientSession() as http:
-            while not until.is_set():
-                await self._ask(http, chance.choice((KEY, KEY, SPARE_KEY)))
-                await asyncio.sleep(chance.uniform(*_REST_SECONDS))
-
-    async def _ask(self, http: ClientSession, key: str) -> Attempt:
-        chance = self.world.chance
-        node = chance.choice(self.world.nodes)
-        kind = chance.choice(_KINDS)
+    async def send(
+        self,
+        http: ClientSession,
+        node: Node,
+        kind: str,
+        key: str,
+        body: bytes = b'question',
+    ) -> Attempt:
+        """Send a request and read its answer."""
         loop = asyncio.get_running_loop()
         number = next(self._numbers)
         attempt = Attempt(f'r-{number}', kind, key, loop.time())
@@ -83,7 +81,7 @@
         timeout = ClientTimeout(total=_DEADLINE_MS / 1000)
         try:
             async with http.post(
-                url, headers=headers, data=b'question', timeout=timeout
+                url, headers=headers, data=body, timeout=timeout
             ) as response:
                 attempt.status = response.status
                 attempt.signature = response.headers.get(
@@ -95,3 +93,16 @@
         except (ClientError, OSError, TimeoutError):
             attempt.whole = False
         return attempt
+
+    async def _run_one(self, until: asyncio.Event) -> None:
+        chance = self.world.chance
+        async with ClientSession() as http:
+            while not until.is_set():
+                await self._ask(http, chance.choice((KEY, KEY, SPARE_KEY)))
+                await asyncio.sleep(chance.uniform(*_REST_SECONDS))
+
+    async def _ask(self, http: ClientSession, key: str) -> Attempt:
+        chance = self.world.chance
+        node = chance.choice(self.world.nodes)
+        kind = chance.choice(_KINDS)
+        return await self.send(http, node, kind, key)
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -64,6 +64,12 @@
         self.reset()
         await wait_until(lambda: not self._writers)
 
+    async def close(self) -> None:
+        """Refuse connections from now on, and reset all that are open."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
     def switch(self, mode: LinkMode) -> None:
         """Change what it does; a reset also ends what is open."""
         self.mode = mode
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,6 +1,7 @@
 """Plays a seed: faults, clients, then calm, then the checks."""
 
 import asyncio
+import random
 from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
@@ -8,6 +9,7 @@
 from fleet.running import KEY
 from soak.checks import list_violations
 from soak.clients import Clients
+from soak.crashing import CrashingClient
 from soak.faults import inject_faults
 from soak.world import World, run_world
 
@@ -34,15 +36,25 @@
     violations: list[str]
 
 
-async def play_seed(seed: int, seconds: float, folder: Path) -> Outcome:
+async def play_seed(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    *,
+    crashing: bool = False,
+) -> Outcome:
     """Play one seed.
 
     :param seconds: for which faults begin; the last ones end later.
     :param folder: for settings and what the processes write.
+    :param crashing: whether a client sends what ends the replicas that run it.
     """
     async with run_world(seed, folder) as world:
         clients = Clients(world)
         until = asyncio.Event()
+        crashes = CrashingClient(world, clients, random.Random(seed))
+        if crashing:
+            crashes.start()
         sending = asyncio.create_task(clients.run(until))
         revoking = asyncio.create_task(_revoke(world, seconds / 3))
         faults = await inject_faults(world, seconds)
@@ -50,7 +62,11 @@
         await _settle(world)
         until.set()
         await sending
+        world.calm = asyncio.get_running_loop().time()
+        if crashing:
+            await crashes.go_on()
         calm = await clients.ask_calmly(CALM_REQUESTS)
+        await crashes.stop()
         statuses = Counter(one.status for one in clients.attempts)
         violations = list_violations(world, clients, calm)
     return Outcome(seed, faults, statuses, violations)
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -1,6 +1,7 @@
 """Seeds that CI plays."""
 
 CI_SEEDS = (1, 2)
+CRASHING_SEED = 7401
 CI_SECONDS = 6.0
 
 REGRESSIONS: dict[int, str] = {
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -28,6 +28,8 @@
 FIRST_LINE_SECONDS = 0.3
 """From the start of a process to its first line, also on a busy machine."""
 
+CRASHING = b'a question under which replicas end'
+
 SPARE_KEY = 'ward-2-key'
 """A key that is taken away in the middle of a run."""
 
@@ -128,6 +130,7 @@
     revoked: float | None = None
     leaving: dict[str, float] = field(default_factory=dict)
     born: int = 0
+    calm: float = 0
 
     async def add_replica(self, replica: ReplicaStandIn) -> ReplicaStandIn:
         """Start a replica behind a link and register it."""
@@ -138,6 +141,8 @@
         replica.pause = 0.05
         link = await self._open_link(replica.make_app())
         self.links[replica.name] = link
+        replica.stop_listening = link.close
+        replica.ends_on = CRASHING
         replica.address = link.address
         self.replicas.append(replica)
         replica.register()
--- a/tests/soak_tests/test_soak.py
+++ b/tests/soak_tests/test_soak.py
@@ -5,7 +5,7 @@
 import pytest
 
 from soak.play import play_seed
-from soak.seeds import CI_SECONDS, CI_SEEDS, REGRESSIONS
+from soak.seeds import CI_SECONDS, CI_SEEDS, CRASHING_SEED, REGRESSIONS
 
 
 @pytest.mark.parametrize('seed', [*CI_SEEDS, *REGRESSIONS])
@@ -18,3 +18,16 @@
     outcome = await play_seed(seed, CI_SECONDS, tmp_path)
     assert outcome.faults
     assert not outcome.violations
+
+
+async def test_crashing_request_is_kept_out(tmp_path: Path) -> None:
+    """A client sends what ends each replica that runs it, amid the faults.
+
+    Each of three processes sees some of the ends. What others ask is served,
+    and in calm no more than three replicas run it, as nodes agree by then.
+    """
+    outcome = await play_seed(
+        CRASHING_SEED, CI_SECONDS, tmp_path, crashing=True
+    )
+    assert outcome.faults
+    assert not outcome.violations
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -52,7 +53,7 @@
     :param ends_on: body of a request under which it ends, once the head of
         its answer has gone out; nothing can be reached there from then on.
     :param ended: whether it has.
-    :param site: where it listens.
+    :param stop_listening: makes its address refuse connections.
     """
 
     name: str
@@ -83,7 +84,7 @@
     store: ObjectStore | None = None
     _moved: asyncio.Event = field(default_factory=asyncio.Event)
     _stalled: dict[str, str] = field(default_factory=dict)
-    site: web.BaseSite | None = None
+    stop_listening: Callable[[], Awaitable[None]] | None = None
     _open: set[asyncio.Transport] = field(default_factory=set)
 
     def register(self, state: str = 'ready') -> None:
@@ -114,8 +115,8 @@
     async def end(self) -> None:
         """End as a process does: nothing listens, connections are reset."""
         self.ended = True
-        assert self.site is not None
-        await self.site.stop()
+        assert self.stop_listening is not None
+        await self.stop_listening()
         for transport in tuple(self._open):
             transport.abort()
 
