Suspect a request also where a slow replica ended late under it

A run was taken for too old to be the cause 0.5 s after the head of its answer. A replica that is slowed several times may take that long to its first event, and one that ends then blamed nobody. The time counts from the first event now; the test is red without. Besides: a suspect also keeps away from replicas that fail much when it is sent apart from others, and the store's writer looks for work only when something has changed.

--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_book.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_book.py
@@ -26,7 +26,7 @@
 """
 
 FRESH_SECONDS = 0.5
-"""How long after its answer began a run is taken for a cause of an end.
+"""How long after its first event a run is taken for a cause of an end.
 
 A request that ends replicas does so as it begins to run. One that has run for
 longer somewhere is cleared, as it would have ended that replica.
--- a/packages/ryelatch-node/src/ryelatch_node/quarantine/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/quarantine/_service.py
@@ -113,9 +113,14 @@
     def judge(self) -> None:
         """Decide anew what is refused, as time has passed."""
         self.book.judge(self.clock.monotonic())
-        self._tell()
+        self._record()
 
     def _tell(self) -> None:
+        """Record what has changed, and look for what the store is to know."""
+        self._record()
+        self._changed.set()
+
+    def _record(self) -> None:
         """Record which requests are refused from now on, and which no more."""
         refused = self.book.refused
         for digest in refused.keys() - self._told:
@@ -129,7 +134,6 @@
         for digest in self._told - refused.keys():
             self.log.record(catalogue.REQUEST_RELEASED, digest=digest)
         self._told = frozenset(refused)
-        self._changed.set()
 
     async def _run(self) -> None:
         pause = _FIRST_PAUSE
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -46,7 +46,7 @@
     if path and parts.quarantine.is_suspect(inquiry.digest):
         # Others that lost their replica with this one go to the best first
         # replica; if it is why, they would lose that one with it too.
-        apart = replace(query, avoid=query.avoid | {path[0].replica.name})
+        apart = replace(sound, avoid=sound.avoid | {path[0].replica.name})
         return choose_path(offered, apart) or path
     if path or not exchange.started:
         return path
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ends.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ends.py
@@ -28,7 +28,7 @@
     ran = stream.ran(parts.now())
     if not await _has_ended(parts, stream.head) or ran:
         return False
-    manner = Manner.WAITING if stream.answered is None else Manner.BEGUN
+    manner = Manner.BEGUN if stream.answered else Manner.WAITING
     parts.quarantine.note_end(
         stream.inquiry.digest,
         stream.head.name,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -149,7 +149,7 @@
     note_failure(parts, stream, progress, error.kind, error.reason)
     if await note_stream_end(parts, stream, error):
         progress.ends += 1
-        stream.exchange.ran += stream.answered is not None
+        stream.exchange.ran += stream.answered
 
 
 def _log_send(
@@ -205,7 +205,7 @@
         identity=inquiry.terms.identity,
         repeatable=inquiry.repeatable,
     ) as answer:
-        stream.answered = parts.clock.monotonic()
+        stream.answered = True
         if answer.terms.not_run:
             note_refusal(parts, prober, stream, answer)
             return _Next.AGAIN
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -95,6 +95,7 @@
         parts.quarantine.note_run(stream.inquiry.digest)
     if not stream.begun:
         stream.begun = True
+        stream.first_event = stream.progress
         stream.exchange.ran += 1
         taken = stream.progress - stream.sent
         parts.load.note_first(stream.path, taken, stream.progress)
@@ -131,7 +132,7 @@
         replica=stream.head.name,
         reason=reason,
         outcome=kind.value,
-        answered=stream.answered is not None,
+        answered=stream.answered,
         events=stream.delivered,
         last_event=progress.cutter.last,
     )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
@@ -22,7 +22,8 @@
     :param told: whether its pause has been recorded.
     :param hindered: whether it waited for a replica that was lost.
     :param tries: moves tried while it was flowing; the last at ``tried``.
-    :param answered: when the head of its answer came, in monotonic seconds.
+    :param answered: whether the head of its answer has come.
+    :param first_event: when its first event came, in monotonic seconds.
     :param cleared: whether it is known not to end the replicas that run it.
     :param over: whether its reading has ended.
     :param scope: the timeout of its reading; moved up to interrupt it.
@@ -35,7 +36,8 @@
     progress: float
     tokens: int
     scope: asyncio.Timeout
-    answered: float | None = None
+    answered: bool = False
+    first_event: float | None = None
     begun: bool = False
     cleared: bool = False
     moving: bool = False
@@ -53,10 +55,12 @@
         return self.path[0].replica
 
     def ran(self, now: float) -> bool:
-        """Whether it has run for too long to be why its replica ended."""
-        return (
-            self.answered is not None and now - self.answered >= FRESH_SECONDS
-        )
+        """Whether it has run for too long to be why its replica ended.
+
+        From its first event on: a slow replica may take long to begin.
+        """
+        first = self.first_event
+        return first is not None and now - first >= FRESH_SECONDS
 
     def interrupt(self, reason: str) -> None:
         """End its reading, so that it goes on elsewhere.
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -216,6 +216,22 @@
         asked.cancel()
 
 
+async def test_slow_replica_is_no_alibi() -> None:
+    """Slow replicas take most of a second from an answer's head to their end.
+
+    Counted from the head, the request would have run for too long to be why.
+    """
+    replicas = make_model(*[(0, 8)] * 4)
+    for replica in replicas:
+        replica.pause = 0.8
+    async with _run_node(replicas) as node:
+        for number in range(2):
+            identity = f'c-{number}'
+            await ask(node, '/plan/x', identity=identity, content=_CRASHING)
+        assert node.count('request-quarantined')
+        assert _count_ended(node) == 3
+
+
 async def test_popular_request_is_not_refused() -> None:
     """Many ask for the same; replicas end for another reason meanwhile.
 
