--- a/packages/ryelatch-node/src/ryelatch_node/peers/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peers/_service.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import itertools
-import ssl
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 
 from ryelatch_core.events import Stamp, Timeline, catalogue
 from ryelatch_core.kernel import App, Service
-from ryelatch_core.membership import Vm, choose_peers, should_watch
-from ryelatch_core.settings import Bundle, Index, Startup, Tls
+from ryelatch_core.membership import choose_peers, should_watch
+from ryelatch_core.settings import Bundle, Index, Startup
 from ryelatch_node.admission import Admission
 from ryelatch_node.config import SettingsApplied, SettingsHolder
 from ryelatch_node.peers import _frames as frames
@@ -19,46 +17,21 @@
     accept_peer,
     join_peer,
 )
+from ryelatch_node.peers._stream import Peer
+from ryelatch_node.peers._tls import make_client_tls, make_server_tls
 from ryelatch_node.upstreams import RosterChanged, Upstreams
 
 BEAT_SECONDS = 1.0
 SILENT_SECONDS = 3.5
 DIAL_SECONDS = 1.0
 _CHUNK = 65536
-_OUTBOX_BYTES = 4 * frames.MAX_STREAM_BYTES
-
-
-@dataclass
-class _Peer:
-    """An open stream to another node."""
-
-    name: str
-    zone: str
-    writer: asyncio.StreamWriter
-    reader: frames.FrameReader
-    revision: int = 0
-    draining: bool = False
-    index: Index | None = None
-    vms: tuple[Vm, ...] = field(default_factory=tuple)
-
-    def send(self, frame: frames.Frame) -> None:
-        """Queue a frame.
-
-        A peer that reads nothing would let the outbox grow until this node
-        has no memory left; its stream is cut instead, and dialled again.
-        """
-        transport = self.writer.transport
-        if transport.get_write_buffer_size() > _OUTBOX_BYTES:
-            transport.abort()
-        elif not transport.is_closing():
-            self.writer.write(frames.encode_frame(frame))
 
 
 class Peers:
     """Streams to other nodes."""
 
     def __init__(self, app: App, startup: Startup) -> None:
-        self.peers: dict[str, _Peer] = {}
+        self.peers: dict[str, Peer] = {}
         self.draining = False
         self.bytes_sent = 0
         self._app = app
@@ -82,7 +55,7 @@
             self._accept,
             address.host,
             address.port,
-            ssl=_make_server_tls(self._startup.tls),
+            ssl=make_server_tls(self._startup.tls),
         )
         self._keep(self._beat())
         self._keep(self._dial_all())
@@ -154,7 +127,7 @@
         for peer in self.peers.values():
             self._offer(peer)
 
-    def _offer(self, peer: _Peer) -> None:
+    def _offer(self, peer: Peer) -> None:
         known = self._holder.previous.index.revision
         if peer.revision >= self._holder.revision:
             return
@@ -201,7 +174,7 @@
         try:
             async with asyncio.timeout(DIAL_SECONDS):
                 reader, writer = await asyncio.open_connection(
-                    host, int(port), ssl=_make_client_tls(self._startup.tls)
+                    host, int(port), ssl=make_client_tls(self._startup.tls)
                 )
         except (OSError, TimeoutError):
             return
@@ -230,10 +203,10 @@
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             writer.transport.abort()
             return
-        peer = _Peer(name, zone, writer, cutter)
+        peer = Peer(name, zone, writer, cutter)
         await self._serve(peer, reader)
 
-    async def _serve(self, peer: _Peer, reader: asyncio.StreamReader) -> None:
+    async def _serve(self, peer: Peer, reader: asyncio.StreamReader) -> None:
         self.peers[peer.name] = peer
         self._timeline.record(catalogue.PEER_UP, peer=peer.name)
         self._beat_all()
@@ -255,14 +228,14 @@
         async with asyncio.timeout(SILENT_SECONDS):
             return await reader.read(_CHUNK)
 
-    def _drop(self, peer: _Peer, reason: str) -> None:
+    def _drop(self, peer: Peer, reason: str) -> None:
         del self.peers[peer.name]
         self._timeline.record(
             catalogue.PEER_DOWN, peer=peer.name, reason=reason
         )
         self._admission.drop_peer(peer.name)
 
-    def _take(self, peer: _Peer, frame: frames.Frame) -> None:
+    def _take(self, peer: Peer, frame: frames.Frame) -> None:
         match frame:
             case frames.Beat():
                 self._take_beat(peer, frame)
@@ -289,7 +262,7 @@
                 if not self.should_watch():
                     self._keep(self._upstreams.take_list(vms, settled=True))
 
-    def _take_beat(self, peer: _Peer, beat: frames.Beat) -> None:
+    def _take_beat(self, peer: Peer, beat: frames.Beat) -> None:
         self._timeline.clock.observe(Stamp(beat.wall, beat.tick))
         peer.revision = beat.revision
         peer.draining = beat.draining
@@ -300,7 +273,7 @@
             self._admission.apply_peer(peer.name, beat.demands)
         self._offer(peer)
 
-    def _take_index(self, peer: _Peer, index: Index) -> None:
+    def _take_index(self, peer: Peer, index: Index) -> None:
         if index.revision <= self._holder.revision:
             return
         peer.index = index
@@ -308,7 +281,7 @@
         missing = set(index.parts.values()) - held.keys()
         peer.send(frames.Wanted(tuple(sorted(missing))))
 
-    def _take_parts(self, peer: _Peer, blobs: dict[str, bytes]) -> None:
+    def _take_parts(self, peer: Peer, blobs: dict[str, bytes]) -> None:
         if peer.index is None:
             return
         known = dict(self._holder.bundle.blobs) | blobs
@@ -321,27 +294,6 @@
         peer.index = None
 
 
-def _make_server_tls(tls: Tls | None) -> ssl.SSLContext | None:
-    if tls is None:
-        return None
-    context = ssl.create_default_context(
-        ssl.Purpose.CLIENT_AUTH, cafile=tls.authority
-    )
-    context.load_cert_chain(tls.certificate, tls.key)
-    context.verify_mode = ssl.CERT_REQUIRED
-    return context
-
-
-def _make_client_tls(tls: Tls | None) -> ssl.SSLContext | None:
-    if tls is None:
-        return None
-    context = ssl.create_default_context(cafile=tls.authority)
-    context.load_cert_chain(tls.certificate, tls.key)
-    # Peers are named by address; that the authority signed is what counts.
-    context.check_hostname = False
-    return context
-
-
 def setup(app: App) -> None:
     """Add the service ``peers``."""
     peers = Peers(app, app.find('startup', Startup))
