--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_digest.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_digest.py
@@ -3,7 +3,8 @@
 import hashlib
 
 _DIGEST_BYTES = 8
-"""Sixty-four bits: two of a million requests share one in 10^7 cases."""
+"""Sixty-four bits: that two of a million requests share one has odds of about
+one in thirty million."""
 
 
 def digest_request(
