Refuse one request for what all lost, and try a refused one again

Ends that one refused request explains speak against no other now, and a refusal ends after ten minutes with the ends kept: if the request runs it is cleared, with the next end it is refused for longer.

--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_book.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_book.py
@@ -48,8 +48,19 @@
 SUSPECT_SECONDS = 120.0
 """How long ends count that are too few for a refusal."""
 
-REFUSED_SECONDS = 86_400.0
-"""How long a request is refused; a mended replica is there by then."""
+REFUSED_SECONDS = 600.0
+"""How long a request is refused after its third end.
+
+Replicas may have ended for a reason of their own, one after the other, and
+taken each request along that came. It is let in again then, with its ends
+kept: if it runs it is cleared, and if a replica ends it is refused for longer.
+"""
+
+REFUSED_GROWTH = 6.0
+"""By how much longer with each further end: an hour, six hours, a day."""
+
+KEPT_SECONDS = 86_400.0
+"""How long ends of a request that was refused are kept, the longest refusal."""
 
 LEFT_SECONDS = 600.0
 """By how much longer others leave it to a node to delete what it has told."""
@@ -231,12 +242,7 @@
     def judge(self, now: float) -> None:
         """Decide anew which requests are refused."""
         self._many &= self._known.keys()
-        self._refused = {
-            digest: self._known[digest].case
-            for digest in self._many
-            if not self._is_cleared(digest, now)
-            and self._is_cause(self._known[digest], now)
-        }
+        self._refused = dict(self._list_causes(now))
 
     def list_due(self, now: float) -> list[Step]:
         """List what the store is to be told now, and forget what lapsed."""
@@ -250,24 +256,49 @@
                 del self._known[digest]
         return steps
 
-    def _is_cause(self, known: _Known, now: float) -> bool:
+    def _list_causes(self, now: float) -> Iterator[tuple[str, Case]]:
+        """List the requests that explain the ends, those of most ends first.
+
+        What one of them explains speaks against no other. Requests that were
+        resent together with it lost the same replicas, and where replicas end
+        for a reason of their own all that come lose them.
+        """
+        explained: set[str] = set()
+        for digest in sorted(self._many, key=self._rank):
+            known = self._known[digest]
+            if self._is_cleared(digest, now):
+                continue
+            if self._is_cause(known, now, frozenset(explained)):
+                explained |= known.case.lives
+                if now - known.changed < _find_term(known.case):
+                    yield digest, known.case
+
+    def _rank(self, digest: str) -> tuple[int, int, str]:
+        case = self._known[digest].case
+        return -len(case.begun), -len(case.waiting), digest
+
+    def _is_cause(
+        self,
+        known: _Known,
+        now: float,
+        explained: frozenset[str],
+    ) -> bool:
         """Whether enough replicas have ended for which nothing else speaks.
 
         Those that waited at a replica are cleared of its end by a request that
         had begun there. Its node may not have told of it yet.
         """
-        begun = known.case.begun
+        begun = known.case.begun - explained
         if len(begun) >= MOST_ENDS:
             return True
         if now - known.changed < SETTLE_SECONDS:
             return False
-        explained = frozenset(self._list_begun())
-        unexplained = known.case.waiting - explained
+        unexplained = known.case.waiting - explained - self._list_begun()
         return len(begun | unexplained) >= MOST_ENDS
 
-    def _list_begun(self) -> Iterator[str]:
+    def _list_begun(self) -> frozenset[str]:
         cases = (known.case.begun for known in self._known.values())
-        return itertools.chain.from_iterable(cases)
+        return frozenset(itertools.chain.from_iterable(cases))
 
     def _find_step(self, digest: str, known: _Known, now: float) -> Step | None:
         stored = known.stored
@@ -284,8 +315,8 @@
 
     def _has_lapsed(self, digest: str, known: _Known, now: float) -> bool:
         lasts = SUSPECT_SECONDS
-        if digest in self._refused:
-            lasts = REFUSED_SECONDS
+        if digest in self._many:
+            lasts = KEPT_SECONDS
         if known.own == NO_CASE:
             lasts += LEFT_SECONDS * (0.5 + self._patience)
         return now - known.changed > lasts
@@ -299,3 +330,9 @@
         if len(self._known) > MOST_CASES:
             oldest = (one for one in self._known if one not in self._refused)
             del self._known[next(oldest, digest)]
+
+
+def _find_term(case: Case) -> float:
+    """Find for how many seconds a request is refused after its last end."""
+    more = len(case.lives) - MOST_ENDS
+    return min(KEPT_SECONDS, REFUSED_SECONDS * REFUSED_GROWTH**more)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -47,7 +47,7 @@
 QUARANTINE_RETRY = 60.0
 """When a client may come back with a request under which replicas ended.
 
-It is refused until an operator lets it in; sooner tries are of no use.
+It is refused for minutes, or until an operator lets it in.
 """
 
 LIST_RETRY = 0.2
