--- a/tests/core/quarantine/test_book.py
+++ b/tests/core/quarantine/test_book.py
@@ -97,6 +97,22 @@
     assert _refuses(book, 'cause')
 
 
+def test_waiting_tells_less_than_beginning() -> None:
+    """Each replica was lost as another request had just begun there.
+
+    None of those has ended three, but each speaks for itself more than one
+    that still waited at all of them.
+    """
+    book = _make()
+    _wait_and_end(book, 'waiting', 'r-1', 'r-2', 'r-3')
+    _end(book, 'b', 'r-1')
+    _end(book, 'c', 'r-2')
+    assert not _refuses(book, 'waiting', _LATER)
+    _end(book, 'a', 'r-4')
+    _wait_and_end(book, 'waiting', 'r-5', 'r-6')
+    assert _refuses(book, 'waiting', _LATER)
+
+
 def test_unread_request_may_be_the_cause() -> None:
     """A prompt ends the replicas that read it, before their answers begin."""
     book = _make()
