Begin each copy of the model at small replicas, and twice where there is one

What callers saw: one request that ends replicas ended the first replicas of all three copies within two seconds; for a second nobody found a path, and for fifteen more half of all callers were late or refused while a quarter of the model was loaded thrice.

Cause: a plan laid the largest replica first, 22 of 80 layers, and once a zone. A stream that loses another replica is moved; one that loses its first replica is cut off, and no empty replica is large enough to stand in.

A plan in force weighs what the loss of one first replica costs, so a lost second one is made up for by an empty replica.

--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_plan.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_plan.py
@@ -15,41 +15,18 @@
 import itertools
 from collections.abc import Iterable, Iterator
 
+from ryelatch_core.fleet._copies import lay_anew, lay_copies
 from ryelatch_core.fleet._performance import estimate_capacity
 from ryelatch_core.fleet._pool import (
     Move,
     PoolPlan,
     Step,
-    fit_pool,
     fit_replica,
 )
 from ryelatch_core.fleet._release import list_releases
-from ryelatch_core.fleet._rows import choose_rows
 from ryelatch_core.fleet._types import LayerRange, ModelProfile, Replica
 from ryelatch_core.fleet._zones import LEAST_ROOM, make_pools
 
-_MOST_ROOM = 200
-"""Most usual requests for which a replica keeps room; slots end at 192."""
-
-_SPARE_SHARE = 0.65
-"""Share of the room that a copy must keep if a replica is left empty.
-
-In pools of ten to fifteen a spare costs up to three tenths of the room. In one
-of nine it cost 45 in 100, and a replica with room for 25 requests made callers
-wait a second on a calm day.
-"""
-
-_ROOMS = range(_MOST_ROOM, LEAST_ROOM - 1, -4)
-"""Usual requests for which a replica keeps room, tried from the most."""
-
-_SPARES = 1
-"""Replicas of a pool that a first plan leaves empty.
-
-An empty replica takes over a lost one's layers in the time of one load,
-0.9 s for five layers. One that serves must first wait for the requests that
-pass through what it gives up, and these last up to ten seconds.
-"""
-
 _REPAIR_ROOMS = (110, 80, 60, 44, 30, 20, LEAST_ROOM)
 """Rooms that a repair leaves to the replicas that it changes, best first.
 
@@ -130,48 +107,10 @@
     thorough: bool,
 ) -> list[Move]:
     if not any(replica.layers for replica in pool):
-        return _plan_empty(pool, profile)
+        return lay_copies(pool, profile)
     return _improve(pool, profile, thorough=thorough)
 
 
-def _plan_empty(pool: list[Replica], profile: ModelProfile) -> list[Move]:
-    """Plan a pool that holds nothing: the copies that serve the most.
-
-    What is left over when they are whole is for steps that improve them.
-    """
-    return [
-        Move(replica, layers)
-        for row in choose_rows(pool, profile, _ROOMS, _find_room)
-        for replica, layers in _lay_row(
-            row, _choose_sizes(row, profile), profile.layers
-        )
-    ]
-
-
-def _choose_sizes(ordered: list[Replica], profile: ModelProfile) -> list[int]:
-    """Choose the ranges' sizes that leave the most room in a whole copy.
-
-    A spare is kept unless it would cost too much of that room.
-    """
-    most = _find_room(ordered, profile)
-    spared = _find_room(ordered[:-_SPARES], profile)
-    if spared >= most * _SPARE_SHARE:
-        most = spared
-    return fit_pool(ordered, profile, most or LEAST_ROOM)
-
-
-def _find_room(ordered: list[Replica], profile: ModelProfile) -> int:
-    """Find the most room that a whole copy leaves; 0 if there is none."""
-    return next(
-        (
-            room
-            for room in _ROOMS
-            if sum(fit_pool(ordered, profile, room)) >= profile.layers
-        ),
-        0,
-    )
-
-
 def _improve(
     pool: list[Replica],
     profile: ModelProfile,
@@ -184,43 +123,7 @@
         moves = _take_steps(pool, plan, room, thorough=thorough)
         if plan.find_gap() is None:
             return moves
-    return _lay_out(pool, profile) if thorough else moves
-
-
-def _lay_out(pool: list[Replica], profile: ModelProfile) -> list[Move]:
-    """Spread the layers anew over a pool whose gaps no steps can close.
-
-    Such a pool has lost a replica that held much; its paths go through other
-    pools until all of it is done. Replicas keep their order, so that most of
-    them keep some of what they hold.
-    """
-    last = profile.layers
-    ordered = sorted(
-        pool,
-        key=lambda one: (one.layers.first if one.layers else last, one.name),
-    )
-    sizes = _choose_sizes(ordered, profile)
-    return [
-        Move(replica, layers)
-        for replica, layers in _lay_row(ordered, sizes, last)
-        if layers != replica.layers
-    ]
-
-
-def _lay_row(
-    ordered: list[Replica],
-    sizes: list[int],
-    layers: int,
-) -> Iterator[tuple[Replica, LayerRange]]:
-    """Lay ranges of some sizes one after the other over all layers."""
-    first = 0
-    for replica, size in zip(ordered, sizes, strict=True):
-        if size and first < layers:
-            end = min(first + size, layers)
-            # The last range reaches back to its full size: held twice is
-            # better than memory that lies idle.
-            yield replica, LayerRange(max(0, end - size), end)
-            first = end
+    return lay_anew(pool, profile) if thorough else moves
 
 
 def _take_steps(
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_pool.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_pool.py
@@ -11,6 +11,13 @@
 _MISSING = 1000.0
 """Weight of a layer that nobody holds, in layers with room for one request."""
 
+HEAD_SHARE = 0.3
+"""Weight of one replica alone that begins all paths of a pool.
+
+In shares of a copy's weight. Its loss cuts off all streams of the pool, and
+none begins until its layers are loaded elsewhere.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class Move:
@@ -50,11 +57,13 @@
         self.held = {one.name: one.layers for one in pool}
         self.tokens = list(itertools.repeat(0.0, profile.layers))
         self._usual = profile.usual_prompt + profile.usual_answer
+        self._heads = 0
+        self._head_weight = HEAD_SHARE * self._weigh_even(pool)
         for replica in pool:
             self._add(replica, replica.layers, 1)
 
     def weigh(self) -> float:
-        """Weigh the plan; less is better."""
+        """Weigh the layers of the plan; less is better."""
         return sum(map(self._weigh_layer, self.tokens))
 
     def find_gap(self) -> LayerRange | None:
@@ -76,14 +85,18 @@
         first = min(one.first for one in changed)
         end = max(one.end for one in changed)
         before = list(self.tokens)
+        heads = self._heads
+        saved = self._weigh_heads()
         self.apply(step)
-        saved = sum(map(self._weigh_layer, before[first:end]))
+        saved -= self._weigh_heads()
+        saved += sum(map(self._weigh_layer, before[first:end]))
         saved -= sum(map(self._weigh_layer, self.tokens[first:end]))
         self.held.update(
             (move.replica.name, layers)
             for move, layers in zip(step, held, strict=True)
         )
         self.tokens = before
+        self._heads = heads
         return saved
 
     def apply(self, step: Step) -> None:
@@ -104,6 +117,8 @@
     ) -> None:
         if layers is None:
             return
+        if not layers.first:
+            self._heads += sign
         room = self._find_room(replica, layers) * sign
         for layer in range(layers.first, min(layers.end, len(self.tokens))):
             self.tokens[layer] += room
@@ -112,6 +127,21 @@
         accelerator = self.profile.accelerators[replica.accelerator]
         return estimate_capacity(self.profile, accelerator, layers)
 
+    def _weigh_heads(self) -> float:
+        """Weigh the risk that the replicas that begin paths are lost."""
+        return self._head_weight / max(1, self._heads) ** 2
+
+    def _weigh_even(self, pool: list[Replica]) -> float:
+        """Weigh a copy for which a pool's memory is spread evenly."""
+        profile = self.profile
+        memory = sum(
+            profile.accelerators[one.accelerator].memory_mb for one in pool
+        )
+        free = memory / profile.layers - profile.layer_mb
+        if free <= 0:
+            return 0
+        return profile.layers * (self._usual * profile.cache_mb / free) ** 2
+
     def _weigh_layer(self, tokens: float) -> float:
         if tokens <= 1:
             return _MISSING
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_rows.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_rows.py
@@ -18,7 +18,7 @@
     pool: Sequence[Replica],
     profile: ModelProfile,
     rooms: Iterable[int],
-    find_room: Callable[[list[Replica], ModelProfile], int],
+    find_room: Callable[[Sequence[Replica], ModelProfile], int],
 ) -> list[list[Replica]]:
     """Cut a pool into rows that hold a copy each, the fastest ones first.
 
