Part requests that lost a replica together, and let copies of one meet

What callers saw: one request ended six first replicas within a second and innocent ones were refused in its place.

Cause: all that lost a replica were sent on to the same next one, with the request that had ended it. After three ends several looked alike, one of them was refused by the order of digests, its ends explained those of the guilty one, and that went on to three more. A client that goes on with its stream came to a node that had not been told, and met all others at the best first replica.

Now a suspect, and a stream that its client resumes, goes to the first replica that ranks first for its digest, the last one of a zone never before others: copies of a request meet at one replica, and others part.

The test of resumed streams was red on the code before.

--- a/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from ryelatch_core.fleet._accounts import AccountBook
 from ryelatch_core.fleet._failures import FailureBook
+from ryelatch_core.fleet._heads import rank_heads
 from ryelatch_core.fleet._load import NO_LOAD, LoadBook, LoadEstimate
 from ryelatch_core.fleet._path import PathQuery, choose_path
 from ryelatch_core.fleet._performance import (
@@ -52,4 +53,5 @@
     'misses_layers',
     'name_life',
     'plan_moves',
+    'rank_heads',
 ]
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -2,12 +2,22 @@
 
 from dataclasses import replace
 
-from ryelatch_core.fleet import NO_LOAD, Stage, choose_path
+from ryelatch_core.fleet import (
+    NO_LOAD,
+    PathQuery,
+    Replica,
+    Stage,
+    choose_path,
+    rank_heads,
+)
 from ryelatch_node.relay._exchange import Exchange, Inquiry
 from ryelatch_node.relay._parts import Parts
 from ryelatch_node.relay._progress import Progress
 from ryelatch_node.relay._query import make_query
 
+MOST_HEADS = 3
+"""First replicas from which a path is sought for one that may end them."""
+
 
 def choose_request_path(
     parts: Parts,
@@ -43,11 +53,8 @@
     sound = replace(query, avoid=suspects | unsound, crosses=False)
     path = choose_path(offered, sound) if unsound else ()
     path = path or choose_path(offered, query)
-    if path and parts.quarantine.is_suspect(inquiry.digest):
-        # Others that lost their replica with this one go to the best first
-        # replica; if it is why, they would lose that one with it too.
-        apart = replace(sound, avoid=sound.avoid | {path[0].replica.name})
-        return choose_path(offered, apart) or path
+    if path and _may_end_replicas(parts, exchange, inquiry):
+        return _choose_apart(offered, sound, inquiry.digest) or path
     if path or not exchange.started:
         return path
     # A stream whose beginning the client has is lost if it goes nowhere;
@@ -56,6 +63,42 @@
     return choose_path(offered, bold)
 
 
+def _may_end_replicas(
+    parts: Parts,
+    exchange: Exchange,
+    inquiry: Inquiry,
+) -> bool:
+    """Whether a replica may have ended under a request.
+
+    A client that goes on with a stream lost it at another node, which may not
+    have told yet what ended there.
+    """
+    resumed = inquiry.terms.last_event is not None and not exchange.sends
+    return resumed or parts.quarantine.is_suspect(inquiry.digest)
+
+
+def _choose_apart(
+    offered: list[Replica],
+    query: PathQuery,
+    digest: str,
+) -> tuple[Stage, ...]:
+    """Choose a path for a request that may be why a replica has ended.
+
+    :returns: its stages; empty if there is none from the first few replicas.
+    """
+    ruled_out = query.avoid | query.closed
+    heads = rank_heads(
+        digest, [one for one in offered if one.name not in ruled_out]
+    )
+    names = frozenset(head.name for head in heads)
+    queries = (
+        replace(query, closed=query.closed | names - {head.name})
+        for head in heads[:MOST_HEADS]
+    )
+    paths = (choose_path(offered, one) for one in queries)
+    return next(filter(None, paths), ())
+
+
 def _list_closed(parts: Parts, inquiry: Inquiry) -> frozenset[str]:
     """Name the first replicas that are full for a request.
 
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -70,3 +70,35 @@
             await asyncio.sleep(_KNOWN_SECONDS)
         assert len(_list_ended(replicas)) <= 3 + _MOST_RETRIES
         assert sum(len(one.runs) for one in replicas) <= 3 + _MOST_RETRIES
+
+
+async def test_resumed_stream_goes_where_its_copies_go() -> None:
+    """A client goes on with a stream at a node that knows of no end.
+
+    Sent to the best first replica, a request that ends replicas would meet
+    all others there; its copies at all nodes go to one replica instead, and
+    other streams that are resumed to others.
+    """
+    replicas = make_model(*[(0, 8)] * 6)
+    async with _run_nodes(replicas) as nodes:
+        for (number, node), letter in itertools.product(
+            enumerate(nodes), 'abcdef'
+        ):
+            await ask(
+                node,
+                '/plan/x',
+                identity=f'c-{number}-{letter}',
+                content=letter.encode(),
+                Last_Event_Id='1',
+            )
+        met = {
+            letter: {
+                replica.name
+                for replica in replicas
+                for run in replica.runs
+                if run.identity.endswith(letter)
+            }
+            for letter in 'abcdef'
+        }
+        assert all(len(names) == 1 for names in met.values())
+        assert len(set.union(*met.values())) > 1
