Draw replicas in proportion to their pace while a node knows no load

What callers saw: after all nodes of a fleet had lost power, 425 requests that had waited came within a fifth of a second; 237 were refused as all paths were full, while a dozen first replicas had next to nothing.

Cause: nodes that have just started take all replicas for empty and choose the fastest, which is the same for all. 464 of a thousand sends met one first replica; each refusal there spent one of the few retries a node begins with.

--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_load.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_load.py
@@ -28,6 +28,12 @@
 node of eight has several at once, and the mean follows within half a second.
 """
 
+DOUBT_SECONDS = 2.0
+"""Time in which a node that starts learns of the others, at least.
+
+That of a usual answer; it may not know yet how many nodes there are.
+"""
+
 _LEAST_MATURITY = 0.05
 """Share of its final value that a mean is taken to have at least.
 
@@ -49,10 +55,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadEstimate:
-    """What all nodes together are taken to have at each replica, by name."""
+    """What all nodes together are taken to have at each replica, by name.
+
+    :param doubt: from 0 to 1, how little a node knows of that yet.
+    """
 
     requests: Mapping[str, float]
     tokens: Mapping[str, float]
+    doubt: float = 0
 
 
 NO_LOAD = LoadEstimate({}, {})
@@ -146,8 +156,15 @@
                 name: self.tokens[name] + others * mean.tokens
                 for name, mean in self._means.items()
             },
+            self._find_doubt(now),
         )
 
+    def _find_doubt(self, now: float) -> float:
+        """Tell how little this node knows yet of what the others send."""
+        began = now if self._began is None else self._began
+        learning = max(DOUBT_SECONDS, MEAN_SECONDS * self._nodes)
+        return math.exp((began - now) / learning)
+
     def _find_maturity(self, now: float) -> float:
         """Tell how much of their final value means have reached.
 
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
@@ -11,6 +11,7 @@
 """
 
 import itertools
+import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -82,6 +83,9 @@
 
 _SLOTS_POWER = 4
 
+_LEAST_DOUBT = 0.01
+"""Doubt below which a node goes by what it knows alone."""
+
 _JITTER = 0.15
 """Spread of the costs between nodes.
 
@@ -264,7 +268,7 @@
     step = estimate_step(profile, accelerator, 1, writers)
     reading = estimate_reading(profile, accelerator, 1, query.prompt)
     crowding = 1 + min(fullness, _CROWDED) ** 2
-    noise = 1 + _JITTER * query.draw()
+    noise = _draw_noise(query)
     if replica.name in query.kept:
         reading = 0
         noise = 1
@@ -272,6 +276,21 @@
     return (step * query.answer + reading) * crowding * noise + late
 
 
+def _draw_noise(query: PathQuery) -> float:
+    """Draw by what factor a request takes a replica to be slower.
+
+    While a node knows little of the others, factors are exponential: the
+    fastest of some replicas is then each one's turn in proportion to its
+    pace. Nodes that start together, with all who waited for them, would else
+    send everything to the same few.
+    """
+    noise = 1 + _JITTER * query.draw()
+    doubt = query.load.doubt
+    if doubt < _LEAST_DOUBT:
+        return noise
+    return noise * (1 - doubt) - doubt * math.log(1 - query.draw())
+
+
 def _find_way(
     usable: list[Replica],
     rates: Mapping[str, float],
