Ask the replicas of late paths for their pace, and price it

Cause: a slow replica was known only by late first events, which were held against all replicas of their paths alike, and forgotten in three seconds. A replica's report says by what factor it is slow; nobody read it.

Now the replicas of a path whose first event took half of its objective, or whose pause is near to be noticed, are asked, once a second at most, and a factor beyond 1.3 multiplies their price for three seconds.

A factor below one makes no replica faster, none beyond 100 is believed.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -215,6 +215,13 @@
     Level.WARNING,
 )
 
+REPLICA_SLOW = EventKind(
+    1425,
+    'replica-slow',
+    'A replica said that its passes take longer than those of its kind.',
+    'Paths avoid it for some seconds. If it stays slow, look at it.',
+    Level.WARNING,
+)
 REPLICA_LAPSED = EventKind(
     1415,
     'replica-lapsed',
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
@@ -4,6 +4,7 @@
 from ryelatch_core.fleet._failures import FailureBook
 from ryelatch_core.fleet._heads import rank_heads
 from ryelatch_core.fleet._load import NO_LOAD, LoadBook, LoadEstimate
+from ryelatch_core.fleet._paces import PaceBook
 from ryelatch_core.fleet._path import PathQuery, choose_path
 from ryelatch_core.fleet._performance import (
     estimate_capacity,
@@ -26,10 +27,11 @@
     Stage,
     name_life,
 )
-from ryelatch_core.fleet._window import Windows
+from ryelatch_core.fleet._window import LATE_SHARE, Windows
 
 __all__ = [
     'FULL_SECONDS',
+    'LATE_SHARE',
     'NO_LOAD',
     'UNREACHABLE_SECONDS',
     'Accelerator',
@@ -40,6 +42,7 @@
     'LoadEstimate',
     'ModelProfile',
     'Move',
+    'PaceBook',
     'PathQuery',
     'Replica',
     'ReturnPlan',
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_path.py
@@ -105,6 +105,7 @@
     :param own_tokens: tokens of this node's requests at each replica.
     :param load: what all nodes are taken to have there.
     :param excess: seconds by which paths through a replica were late.
+    :param paces: factors by which replicas said that they are slower.
     :param closed: names of replicas where no path may begin.
     :param head: the stage that must come first, if any.
     :param kept: names of replicas that have read the request already.
@@ -120,6 +121,7 @@
     own_tokens: Mapping[str, int] = field(default_factory=dict)
     load: LoadEstimate = NO_LOAD
     excess: Mapping[str, float] = field(default_factory=dict)
+    paces: Mapping[str, float] = field(default_factory=dict)
     closed: frozenset[str] = frozenset()
     head: Stage | None = None
     kept: frozenset[str] = frozenset()
@@ -273,7 +275,8 @@
         reading = 0
         noise = 1
     late = query.excess.get(replica.name, 0) * EXCESS_WEIGHT / profile.layers
-    return (step * query.answer + reading) * crowding * noise + late
+    pace = query.paces.get(replica.name, 1)
+    return (step * query.answer + reading) * pace * crowding * noise + late
 
 
 def _draw_noise(query: PathQuery) -> float:
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_orders.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_orders.py
@@ -49,6 +49,8 @@
     :param stalled: addresses of replicas that its requests wait for, by the
         identity of the request.
     :param holding: nothing if it does not say what it holds.
+    :param pace: factor by which its passes take longer than those of its
+        kind of accelerator.
     """
 
     sequence: int
@@ -56,6 +58,7 @@
     used: float
     stalled: dict[str, str]
     holding: Holding | None = None
+    pace: float = 1
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_paces.py
@@ -0,0 +1,82 @@
+"""Asks the replicas of paths that were late how slow they are."""
+
+import asyncio
+import traceback
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ryelatch_core.events import LineLog, catalogue
+from ryelatch_core.fleet import PaceBook, Replica, Stage
+from ryelatch_core.kernel import Clock, cancel_task
+from ryelatch_node.ports import Orders
+
+REPORT_SECONDS = 0.4
+"""Longest wait for a report; it needs no place."""
+
+REST_SECONDS = 1.0
+"""How long a replica that was asked is not asked again; reports are priced."""
+
+
+@dataclass(eq=False)
+class PaceChecks:
+    """Reads reports, and notes what they say of a replica's pace."""
+
+    log: LineLog
+    clock: Clock
+    orders: Orders
+    book: PaceBook = field(default_factory=PaceBook)
+    _asked: dict[str, float] = field(default_factory=dict)
+    _tasks: set['asyncio.Task[None]'] = field(default_factory=set)
+
+    async def stop(self) -> None:
+        """Ask no more."""
+        for task in tuple(self._tasks):
+            await cancel_task(task)
+
+    def check(self, path: Iterable[Stage]) -> None:
+        """Ask the replicas of a path that were not asked lately."""
+        now = self.clock.monotonic()
+        due = [
+            stage.replica
+            for stage in path
+            if now - self._asked.get(stage.replica.name, float('-inf'))
+            > REST_SECONDS
+        ]
+        if not due:
+            return
+        self._asked = {
+            name: asked
+            for name, asked in self._asked.items()
+            if now - asked <= REST_SECONDS
+        }
+        self._asked.update((one.name, now) for one in due)
+        task = asyncio.create_task(self._check(due))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _check(self, replicas: list[Replica]) -> None:
+        try:
+            await asyncio.gather(*map(self._ask, replicas))
+        except Exception:
+            # Nobody awaits this task; the line is all that would tell.
+            self.log.record(
+                catalogue.TASK_CRASHED,
+                part='paces',
+                trace=traceback.format_exc(),
+            )
+
+    async def _ask(self, replica: Replica) -> None:
+        try:
+            async with asyncio.timeout(REPORT_SECONDS):
+                report = await self.orders.read_report(replica)
+        except TimeoutError:
+            return
+        if report is None:
+            return
+        now = self.clock.monotonic()
+        if self.book.note(replica.name, report.pace, now):
+            self.log.record(
+                catalogue.REPLICA_SLOW,
+                replica=replica.name,
+                pace=report.pace,
+            )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
@@ -17,6 +17,7 @@
 from ryelatch_node.beliefs import ConfigurationView, ReplicaView
 from ryelatch_node.ports import Orders, RelayStartup, Wire
 from ryelatch_node.quarantine import Quarantine
+from ryelatch_node.relay._paces import PaceChecks
 from ryelatch_node.relay._reach import EndChecks
 from ryelatch_node.relay._upstream import Upstreams
 
@@ -48,6 +49,7 @@
     costs: CostBook = field(default_factory=CostBook)
     load: LoadBook = field(default_factory=LoadBook)
     ends: EndChecks = field(init=False)
+    paces: PaceChecks = field(init=False)
     windows: Windows = field(init=False)
     accounts: AccountBook = field(default_factory=AccountBook)
     returns: ReturnPlan = field(default_factory=ReturnPlan)
@@ -58,6 +60,7 @@
     def __post_init__(self) -> None:
         """Make what needs the other parts."""
         self.ends = EndChecks(self.orders)
+        self.paces = PaceChecks(self.log, self.clock, self.orders)
         self.windows = Windows(self.draw)
 
     def now(self) -> float:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from ryelatch_core.events import catalogue
-from ryelatch_core.fleet import Replica
+from ryelatch_core.fleet import LATE_SHARE, Replica
 from ryelatch_core.streams import EventCutter
 from ryelatch_node.relay._errors import SendErrorKind
 from ryelatch_node.relay._exchange import round_seconds
@@ -99,6 +99,8 @@
         stream.exchange.ran += 1
         taken = stream.progress - stream.sent
         parts.load.note_first(stream.path, taken, stream.progress)
+        if taken > stream.inquiry.route.objective * LATE_SHARE:
+            parts.paces.check(stream.path)
         if not stream.hindered:
             # A first event that waited for a lost replica tells nothing of
             # how full the first one is.
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_query.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_query.py
@@ -35,6 +35,7 @@
         own_tokens=parts.load.tokens,
         load=parts.load.estimate(now),
         excess=parts.load.list_excess(now),
+        paces=parts.paces.book.list_slow(now),
     )
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -64,6 +64,7 @@
             self._parts.budget.refill(HOUSEKEEPING_SECONDS)
             self._parts.load.keep(self._parts.replicas.replicas)
             self._parts.windows.keep(self._parts.replicas.replicas)
+            self._parts.paces.book.keep(self._parts.replicas.replicas)
             self._parts.failures.keep(self._parts.replicas.replicas)
             self._parts.quarantine.judge()
             self._parts.configuration.allows_keys()
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -48,6 +48,9 @@
 SILENT_GAPS = 1.6
 """The same, in usual pauses of the stream."""
 
+SLOW_SHARE = 0.6
+"""Share of the pause that a caller notices from which a path seems slow."""
+
 FIRST_SILENT_SECONDS = 0.25
 """The same before a stream has a usual pause, as its prompt is read."""
 
@@ -104,6 +107,7 @@
         await cancel_task(self._ticker)
         await self.prober.stop()
         await self._checks.stop()
+        await self.parts.paces.stop()
         for task in tuple(self._tasks):
             await cancel_task(task)
 
@@ -138,6 +142,8 @@
             return
         if pause > silence * self._checks.patience:
             self._checks.check(stream.path)
+        if pause > max(silence, stream.inquiry.route.gap * SLOW_SHARE):
+            self.parts.paces.check(stream.path)
         if pause > _limit(stream):
             _tell_stall(stream, pause)
             self._ask(stream.head, now)
--- a/tests/node/relay/test_lag.py
+++ b/tests/node/relay/test_lag.py
@@ -54,6 +54,9 @@
         replicas=view,
         orders=SimpleNamespace(read_report=read_report, reach=reach),
         budget=SimpleNamespace(left=0),
+        paces=SimpleNamespace(
+            check=lambda _: None, stop=lambda: asyncio.sleep(0)
+        ),
     )
     prober: Any = SimpleNamespace(stop=lambda: asyncio.sleep(0))
     interrupted: list[str] = []
--- a/tests/node/relay/test_windows.py
+++ b/tests/node/relay/test_windows.py
@@ -33,6 +33,7 @@
         clock=SimpleNamespace(monotonic=lambda: 1.0),
         load=LoadBook(),
         windows=windows,
+        paces=SimpleNamespace(check=lambda _: None),
     )
 
 
