--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -41,6 +41,7 @@
     streaming: bool = False
     first: float | None = None
     seconds: float = 0
+    pause: float = 0
     refused: str = ''
     ended: str = ''
     troubles: list[str] = field(default_factory=list)
@@ -90,6 +91,7 @@
             attempt.ended = name.removeprefix('exchange-')
             attempt.first = line.get('first')
             attempt.seconds = line['seconds']
+            attempt.pause = line.get('pause', 0)
 
 
 def _name_failure(line: Mapping[str, Any]) -> str:
@@ -107,18 +109,20 @@
 def find_losses(
     attempts: Iterable[Attempt],
     objective: float,
+    pause: float,
 ) -> Iterator[Loss]:
     """Name the cause of each attempt that was not served in time.
 
     :param objective: seconds to the first event or the whole answer.
+    :param pause: seconds between events from which a stream is late.
     """
     for attempt in attempts:
-        loss = _judge(attempt, objective)
+        loss = _judge(attempt, objective, pause)
         if loss is not None:
             yield loss
 
 
-def _judge(attempt: Attempt, objective: float) -> Loss | None:
+def _judge(attempt: Attempt, objective: float, pause: float) -> Loss | None:
     if attempt.refused and attempt.refused not in _DENIED:
         return Loss(attempt.began, f'refused: {attempt.refused}', 1)
     if attempt.refused or not attempt.ended:
@@ -127,7 +131,7 @@
     if attempt.ended != 'ended':
         return Loss(attempt.began, f'{attempt.ended}: {cause}', 1)
     took = attempt.first if attempt.streaming else attempt.seconds
-    stood = 'stream stalled' in attempt.troubles
+    stood = 'stream stalled' in attempt.troubles or attempt.pause > pause
     if stood or (took or 0) > objective:
         return Loss(attempt.began, f'late: {cause}', LATE_SHARE)
     return None
@@ -167,12 +171,13 @@
     """Print the tables."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--objective', type=float, default=0.5)
+    parser.add_argument('--pause', type=float, default=0.25)
     parser.add_argument('lines', nargs='*')
     options = parser.parse_args()
     with fileinput.input(options.lines) as texts:
         attempts = gather(read_lines(texts))
     served = [one for one in attempts if one.refused not in _DENIED]
-    losses = list(find_losses(served, options.objective))
+    losses = list(find_losses(served, options.objective, options.pause))
     if not served:
         print('no attempt in these lines')
         return
