--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_plan.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_plan.py
@@ -14,9 +14,9 @@
 
 import itertools
 from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 
 from ryelatch_core.fleet._copies import lay_anew, lay_copies
-from ryelatch_core.fleet._performance import estimate_capacity
 from ryelatch_core.fleet._pool import (
     Move,
     PoolPlan,
@@ -27,7 +27,7 @@
 from ryelatch_core.fleet._types import LayerRange, ModelProfile, Replica
 from ryelatch_core.fleet._zones import LEAST_ROOM, make_pools
 
-_REPAIR_ROOMS = (110, 80, 60, 44, 30, 20, LEAST_ROOM)
+_AMPLE_ROOMS = (110, 80, 60, 44)
 """Rooms that a repair leaves to the replicas that it changes, best first.
 
 Two neighbours that take a half of a gap each keep more room than one that
@@ -35,6 +35,9 @@
 another zone is out.
 """
 
+_SCARCE_ROOMS = (30, 20, LEAST_ROOM)
+"""The same where no ample room can be left."""
+
 _WINDOW_ROOMS = (150, 110, 80, 60, 44, 30, 20, 8)
 """Rooms for which ranges are tried in a step; more finds little more."""
 
@@ -117,21 +120,43 @@
     *,
     thorough: bool,
 ) -> list[Move]:
-    """Close the gaps with the most room left, and improve what is whole."""
-    for room in _REPAIR_ROOMS:
+    """Close the gaps with the most room left, and improve what is whole.
+
+    Replicas that stand in for others move only where all others together
+    can't leave ample room: they give up their layers when the streams that
+    pass have ended, ten seconds later at most.
+    """
+    moves: list[Move] = []
+    for room, moves_spared in (
+        *itertools.product(_AMPLE_ROOMS, (False,)),
+        *itertools.product(_AMPLE_ROOMS + _SCARCE_ROOMS, (True,)),
+    ):
         plan = PoolPlan(pool, profile)
-        moves = _take_steps(pool, plan, room, thorough=thorough)
+        terms = _Terms(room, thorough, moves_spared)
+        moves = _take_steps(pool, plan, terms)
         if plan.find_gap() is None:
             return moves
     return lay_anew(pool, profile) if thorough else moves
 
 
+@dataclass(frozen=True, slots=True)
+class _Terms:
+    """What the steps of a plan may do.
+
+    :param room: usual requests for which a changed replica keeps room.
+    :param thorough: whether gaps have lasted.
+    :param moves_spared: whether replicas may move that stand in for others.
+    """
+
+    room: int
+    thorough: bool
+    moves_spared: bool
+
+
 def _take_steps(
     pool: list[Replica],
     plan: PoolPlan,
-    room: float,
-    *,
-    thorough: bool,
+    terms: _Terms,
 ) -> list[Move]:
     """Take the steps that help most, one a replica."""
     moves: dict[str, Move] = {}
@@ -139,8 +164,10 @@
         weight = plan.weigh()
         free = [one for one in pool if one.name not in moves]
         steps = itertools.chain(
-            _list_single_steps(free, plan, room, thorough=thorough),
-            list_releases(free, plan, room),
+            _list_single_steps(free, plan, terms),
+            list_releases(
+                free, plan, terms.room, moves_spared=terms.moves_spared
+            ),
         )
         options = [(plan.rate(step), step) for step in steps]
         best = max(options, key=lambda pair: pair[0], default=None)
@@ -161,21 +188,17 @@
 def _list_single_steps(
     free: Iterable[Replica],
     plan: PoolPlan,
-    room: float,
-    *,
-    thorough: bool,
+    terms: _Terms,
 ) -> Iterator[Step]:
     for replica in free:
-        for move in _list_steps(replica, plan, room, thorough=thorough):
+        for move in _list_steps(replica, plan, terms):
             yield (move,)
 
 
 def _list_steps(
     replica: Replica,
     plan: PoolPlan,
-    room: float,
-    *,
-    thorough: bool,
+    terms: _Terms,
 ) -> Iterator[Move]:
     """List the ranges that a replica may be ordered to hold next.
 
@@ -186,12 +209,13 @@
     layers = plan.held[replica.name]
     gap = plan.find_gap()
     if layers is None:
-        yield from _list_windows(replica, plan, room, gap)
+        yield from _list_windows(replica, plan, terms.room, gap)
     elif gap is not None:
-        most = fit_replica(replica, plan.profile, room)
+        most = fit_replica(replica, plan.profile, terms.room)
         yield from _list_growths(replica, layers, most, gap)
-        if thorough and _is_spared(replica, layers, plan):
-            yield from _list_windows(replica, plan, room, gap)
+        moves = terms.thorough and terms.moves_spared
+        if moves and plan.is_spared(replica):
+            yield from _list_windows(replica, plan, terms.room, gap)
 
 
 def _list_windows(
@@ -232,22 +256,3 @@
             yield Move(replica, LayerRange(layers.first, layers.end + added))
         if layers.first == gap.end and added <= len(gap):
             yield Move(replica, LayerRange(layers.first - added, layers.end))
-
-
-def _holds_more(
-    replica: Replica,
-    layers: LayerRange,
-    plan: PoolPlan,
-    layer: int,
-) -> bool:
-    """Whether others hold a layer that a replica holds."""
-    accelerator = plan.profile.accelerators[replica.accelerator]
-    room = estimate_capacity(plan.profile, accelerator, layers)
-    return plan.tokens[layer] > room + 1
-
-
-def _is_spared(replica: Replica, layers: LayerRange, plan: PoolPlan) -> bool:
-    return all(
-        _holds_more(replica, layers, plan, layer)
-        for layer in range(layers.first, layers.end)
-    )
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_pool.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_pool.py
@@ -78,6 +78,15 @@
         )
         return LayerRange(missing[0], missing[0] + len(list(run)))
 
+    def is_spared(self, replica: Replica) -> bool:
+        """Whether others hold all layers that a replica holds."""
+        layers = self.held[replica.name]
+        if layers is None:
+            return True
+        room = self._find_room(replica, layers)
+        held = self.tokens[layers.first : layers.end]
+        return all(tokens > room + 1 for tokens in held)
+
     def rate(self, step: Step) -> float:
         """Tell how much a step would save."""
         held = [self.held[move.replica.name] for move in step]
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_release.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_release.py
@@ -19,17 +19,22 @@
     free: Iterable[Replica],
     plan: PoolPlan,
     room: float,
+    *,
+    moves_spared: bool,
 ) -> Iterator[Step]:
     """List the steps that move a replica into a gap and cover what it held.
 
     :param free: replicas that may be given orders.
     :param room: usual requests for which a changed replica keeps room.
+    :param moves_spared: whether replicas may move that stand in for others.
     """
     gap = plan.find_gap()
     if gap is None:
         return
     holders = [one for one in free if plan.held[one.name]]
     for replica in holders:
+        if plan.is_spared(replica) and not moves_spared:
+            continue
         windows = list(_list_windows(replica, plan, room, gap))
         covers = _list_covers(replica, holders, plan, room) if windows else ()
         for cover, window in itertools.product(covers, windows):
--- a/tests/core/fleet/test_copies.py
+++ b/tests/core/fleet/test_copies.py
@@ -69,6 +69,25 @@
     assert len(_list_heads(rest, zone)) >= 2
 
 
+@pytest.mark.parametrize('zone', ZONES)
+def test_second_first_replica_closes_no_gap(zone: str) -> None:
+    """Another replica is lost and none is empty: neighbours reach into the gap.
+
+    Moved there, the second first replica would first wait for the streams
+    that began at it, ten seconds at most, and the zone has no path meanwhile.
+    """
+    placed = _place(make_fleet())
+    heads = _list_heads(placed, zone)
+    lost = next(
+        one for one in placed if one.name == f'{zone}-v100-3' and one.layers
+    )
+    rest = [one for one in placed if one is not lost and one.layers]
+    moved = {move.replica.name: move.layers for move in plan_moves(rest, USUAL)}
+    for head in heads:
+        assert head.layers
+        assert moved.get(head.name, head.layers).covers(head.layers)
+
+
 def test_pool_without_room_begins_once() -> None:
     """Held twice, the first layers would leave a small pool too little room."""
     fleet = [
