Let streams that cross zones leave a replica that gives up its layers

What callers saw: a zone without a path for 13.6 s, as an empty replica that had taken over six layers was to close another gap.

Cause: a replica gives up layers when the streams through them have ended, and streams are moved off it inside their zone only, so that no activations cross. Those that cross already had no other path there than over the gap. They may cross on now.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
@@ -54,6 +54,11 @@
         """The first replica of its path."""
         return self.path[0].replica
 
+    @property
+    def crosses(self) -> bool:
+        """Whether its path changes availability zones already."""
+        return len({stage.replica.zone for stage in self.path}) > 1
+
     def ran(self, now: float) -> bool:
         """Whether it has run for too long to be why its replica ended.
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -294,7 +294,7 @@
     ) -> None:
         stream.moving = True
         try:
-            await self._mover.move(stream, retreating, crosses=False)
+            await self._mover.move(stream, retreating, crosses=stream.crosses)
         finally:
             stream.moving = False
 
--- a/tests/node/relay/test_evacuation.py
+++ b/tests/node/relay/test_evacuation.py
@@ -1,7 +1,9 @@
 """Streams leave a replica before it ends."""
 
+import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, cast
 
 from fake_clock import FakeClock
 from ryelatch_core.events import LineLog
@@ -10,6 +12,7 @@
 from ryelatch_core.membership import reckon_terms
 from ryelatch_node.beliefs import ReplicaView
 from ryelatch_node.relay._evacuation import LEAVING_SECONDS, Evacuation
+from ryelatch_node.relay._stream import LiveStream
 
 
 def _make(name: str, *, leaving: bool = False) -> Replica:
@@ -63,3 +66,30 @@
     evacuation, stream, clock = _play(heard_after=1.4)
     assert not evacuation.find_due(stream, clock.now)
     assert evacuation.find_due(stream, clock.now + 0.15) == {'m-1'}
+
+
+async def test_stream_that_crosses_may_go_on_to() -> None:
+    """Its zone has a gap, which the replica it holds up is to close.
+
+    Moved only inside a zone it had no path, and the zone none until it ended:
+    streams of ten seconds held up one load of six layers for fourteen.
+    """
+    near, far = _make('m-0'), replace(_make('m-1'), zone='zone-b')
+    paths = {
+        'inside': (near, _make('m-2')),
+        'across': (near, far),
+    }
+    streams = {
+        name: LiveStream(
+            cast(Any, SimpleNamespace()),
+            cast(Any, SimpleNamespace()),
+            tuple(Stage(one, LayerRange(0, 4)) for one in path),
+            sent=0,
+            progress=0,
+            tokens=1,
+            scope=asyncio.timeout(None),
+        )
+        for name, path in paths.items()
+    }
+    assert streams['across'].crosses
+    assert not streams['inside'].crosses
