Read no certificates of the system at a start

Clients of a restarted node wait for its start on half a core. Loading the libraries read the system's certificates, 0.04 s of processor time, though all is spoken in the clear.

--- /dev/null
+++ b/tests/platform/test_begin.py
@@ -0,0 +1,23 @@
+"""What a process does before it loads the libraries."""
+
+import subprocess
+import sys
+
+_COUNT = """
+from ryelatch_platform._begin import skip_certificates
+skip_certificates()
+import ssl
+print(ssl.create_default_context().cert_store_stats()['x509'])
+"""
+
+
+def test_no_certificates_are_read_at_a_start() -> None:
+    """A restarted node reads them all, and its clients wait for it."""
+    made = subprocess.run(
+        [sys.executable, '-c', _COUNT],
+        capture_output=True,
+        text=True,
+        check=True,
+        env={},
+    )
+    assert made.stdout.strip() == '0'
