--- a/tests/node/relay/test_silence.py
+++ b/tests/node/relay/test_silence.py
@@ -26,6 +26,7 @@
 _NEVER = 100.0
 _ALMOST_USUAL = 1.1
 _REACHED_SECONDS = 0.002
+_ROUNDS = 5
 _STAGES = tuple(
     Stage(
         Replica(
@@ -52,6 +53,9 @@
         tries[replica.name] += 1
         seconds, found = answer(replica.name, tries[replica.name])
         await asyncio.sleep(seconds)
+        # Timers that are due come first, as on the loop that nodes run on.
+        for _ in range(_ROUNDS):
+            await asyncio.sleep(0)
         return found
 
     clock = VirtualClock()
@@ -123,12 +127,13 @@
 
 
 def test_late_reading_of_tries_is_no_loss() -> None:
-    """A node without processor time reads answers after their timeout."""
-    found = _play(
-        lambda *_: (_REACHED_SECONDS, Reach.LISTENS),
-        late=TRY_SECONDS * 3,
-    )
-    assert not found
+    """A node without processor time reads most answers after their timeout."""
+
+    def answer(name: str, _: int) -> tuple[float, Reach]:
+        soon = _REACHED_SECONDS / 4
+        return (soon if name == 'm-0' else _REACHED_SECONDS), Reach.LISTENS
+
+    assert not _play(answer, late=TRY_SECONDS * 3)
 
 
 def test_pauses_for_nothing_are_tried_less() -> None:
