--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -65,24 +65,26 @@
         r'RETURN_SHARE = .*',
         'RETURN_SHARE = 1e9',
     ),
-    Mechanism('jitter', f'{_CORE}/_path.py', r'_JITTER = .*', '_JITTER = 0.0'),
+    Mechanism(
+        'jitter', f'{_CORE}/_prices.py', r'_JITTER = .*', '_JITTER = 0.0'
+    ),
     Mechanism(
         'excess',
-        f'{_CORE}/_path.py',
+        f'{_CORE}/_prices.py',
         r'EXCESS_WEIGHT = .*',
         'EXCESS_WEIGHT = 0.0',
     ),
     Mechanism(
         'slots price',
-        f'{_CORE}/_path.py',
+        f'{_CORE}/_prices.py',
         r'SLOTS_SECONDS = .*',
         'SLOTS_SECONDS = 0.0',
     ),
     Mechanism(
         'spares',
-        f'{_CORE}/_plan.py',
-        r'_SPARE_SHARE = .*',
-        '_SPARE_SHARE = 9.0',
+        f'{_CORE}/_copies.py',
+        r'_RESERVE_SHARE = .*',
+        '_RESERVE_SHARE = 9.0',
     ),
     Mechanism(
         'failing replicas',
--- a/benchmarks/plots.py
+++ b/benchmarks/plots.py
@@ -22,6 +22,25 @@
     plt.close(figure)
 
 
+def draw_lines(
+    name: str,
+    title: str,
+    seconds: list[float],
+    lines: dict[str, list[float]],
+) -> None:
+    """Draw shares over time."""
+    figure, axes = plt.subplots(figsize=(7, 3))
+    for label, shares in lines.items():
+        axes.step(seconds, shares, where='post', label=label)
+    axes.set_ylim(0, 1.05)
+    axes.set_xlabel('seconds')
+    axes.set_title(title)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(_PLOTS / f'{name}.png', dpi=90, metadata={'Software': None})
+    plt.close(figure)
+
+
 def main() -> None:
     """Draw all."""
     _PLOTS.mkdir(exist_ok=True)
@@ -40,6 +59,13 @@
             if row['first_p99_ratio'] < 10
         },
     )
+    deadly = load_result('deadly')
+    draw_lines(
+        'deadly',
+        'Share served in time as two requests end replicas',
+        deadly['seconds'],
+        {label: deadly[label] for label in ('before', 'after')},
+    )
 
 
 if __name__ == '__main__':
