--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_copies.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_copies.py
@@ -36,7 +36,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Cast:
+class _Roles:
     """What each replica of a row is for.
 
     :param holders: hold the layers, one after the other; some of the last
@@ -54,14 +54,16 @@
     What is left over when they are whole is for steps that improve them.
     """
     rows = choose_rows(pool, profile, _ROOMS, _find_room)
-    casts = [
-        _cast(_put_smallest_first(row, profile), profile, alone=len(rows) == 1)
+    copies = [
+        _assign_roles(
+            _put_smallest_first(row, profile), profile, alone=len(rows) == 1
+        )
         for row in rows
     ]
     return [
         Move(replica, layers)
-        for cast in casts
-        for replica, layers in _lay_cast(cast, profile)
+        for roles in copies
+        for replica, layers in _lay_copy(roles, profile)
     ]
 
 
@@ -77,10 +79,10 @@
         pool,
         key=lambda one: (one.layers.first if one.layers else last, one.name),
     )
-    cast = _cast(ordered, profile, alone=_begin_alike(ordered[:2]))
+    roles = _assign_roles(ordered, profile, alone=_begin_alike(ordered[:2]))
     return [
         Move(replica, layers)
-        for replica, layers in _lay_cast(cast, profile)
+        for replica, layers in _lay_copy(roles, profile)
         if layers != replica.layers
     ]
 
@@ -102,18 +104,18 @@
     return [*smallest, *(one for one in row if one.name not in names)]
 
 
-def _cast(
+def _assign_roles(
     ordered: Sequence[Replica],
     profile: ModelProfile,
     *,
     alone: bool,
-) -> _Cast:
+) -> _Roles:
     """Choose who holds the first layers twice, if the row has room for it.
 
     :param ordered: the second one is the one to do it.
     :param alone: whether no other row of the pool begins a copy.
     """
-    whole = _Cast(ordered, None)
+    whole = _Roles(ordered, None)
     if not alone or len(ordered) < 2:
         return whole
     first, standby, *others = ordered
@@ -121,17 +123,17 @@
     least = _find_room(ordered, profile) * _RESERVE_SHARE
     if _find_room(holders, profile) < max(least, LEAST_ROOM):
         return whole
-    return _Cast(holders, standby)
+    return _Roles(holders, standby)
 
 
-def _lay_cast(
-    cast: _Cast,
+def _lay_copy(
+    roles: _Roles,
     profile: ModelProfile,
 ) -> Iterator[tuple[Replica, LayerRange]]:
-    sizes = _choose_sizes(cast.holders, profile)
-    if cast.standby and sizes[0]:
-        yield cast.standby, LayerRange(0, sizes[0])
-    yield from _lay_row(cast.holders, sizes, profile.layers)
+    sizes = _choose_sizes(roles.holders, profile)
+    if roles.standby and sizes[0]:
+        yield roles.standby, LayerRange(0, sizes[0])
+    yield from _lay_row(roles.holders, sizes, profile.layers)
 
 
 def _lay_row(
--- a/tests/core/fleet/test_copies.py
+++ b/tests/core/fleet/test_copies.py
@@ -71,11 +71,7 @@
 
 @pytest.mark.parametrize('zone', ZONES)
 def test_second_first_replica_closes_no_gap(zone: str) -> None:
-    """Another replica is lost and none is empty: neighbours reach into the gap.
-
-    Moved there, the second first replica would first wait for the streams
-    that began at it, ten seconds at most, and the zone has no path meanwhile.
-    """
+    """Moved there, it would first wait for the streams that began at it."""
     placed = _place(make_fleet())
     heads = _list_heads(placed, zone)
     lost = next(
--- a/tests/node/relay/test_evacuation.py
+++ b/tests/node/relay/test_evacuation.py
@@ -69,11 +69,7 @@
 
 
 async def test_stream_that_crosses_may_go_on_to() -> None:
-    """Its zone has a gap, which the replica it holds up is to close.
-
-    Moved only inside a zone it had no path, and the zone none until it ended:
-    streams of ten seconds held up one load of six layers for fourteen.
-    """
+    """Its zone has a gap, which the replica it holds up is to close."""
     near, far = _make('m-0'), replace(_make('m-1'), zone='zone-b')
     paths = {
         'inside': (near, _make('m-2')),
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -73,12 +73,7 @@
 
 
 async def test_resumed_stream_goes_where_its_copies_go() -> None:
-    """A client goes on with a stream at a node that knows of no end.
-
-    Sent to the best first replica, a request that ends replicas would meet
-    all others there; its copies at all nodes go to one replica instead, and
-    other streams that are resumed to others.
-    """
+    """One that ends replicas is resumed at a node that knows of no end."""
     replicas = make_model(*[(0, 8)] * 6)
     async with _run_nodes(replicas) as nodes:
         for (number, node), letter in itertools.product(
