--- a/packages/ryelatch-node/src/ryelatch_node/relay/_paces.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_paces.py
@@ -1,14 +1,14 @@
 """Asks the replicas of paths that were late how slow they are."""
 
 import asyncio
-import traceback
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ryelatch_core.events import LineLog, catalogue
 from ryelatch_core.fleet import PaceBook, Replica, Stage
-from ryelatch_core.kernel import Clock, cancel_task
+from ryelatch_core.kernel import Clock
 from ryelatch_node.ports import Orders
+from ryelatch_node.relay._tasks import Tasks
 
 REPORT_SECONDS = 0.4
 """Longest wait for a report; it needs no place."""
@@ -26,12 +26,15 @@
     orders: Orders
     book: PaceBook = field(default_factory=PaceBook)
     _asked: dict[str, float] = field(default_factory=dict)
-    _tasks: set['asyncio.Task[None]'] = field(default_factory=set)
+    _tasks: Tasks = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Make what runs the questions."""
+        self._tasks = Tasks(self.log, 'paces')
 
     async def stop(self) -> None:
         """Ask no more."""
-        for task in tuple(self._tasks):
-            await cancel_task(task)
+        await self._tasks.stop()
 
     def check(self, path: Iterable[Stage]) -> None:
         """Ask the replicas of a path that were not asked lately."""
@@ -50,20 +53,10 @@
             if now - asked <= REST_SECONDS
         }
         self._asked.update((one.name, now) for one in due)
-        task = asyncio.create_task(self._check(due))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._check(due))
 
     async def _check(self, replicas: list[Replica]) -> None:
-        try:
-            await asyncio.gather(*map(self._ask, replicas))
-        except Exception:
-            # Nobody awaits this task; the line is all that would tell.
-            self.log.record(
-                catalogue.TASK_CRASHED,
-                part='paces',
-                trace=traceback.format_exc(),
-            )
+        await asyncio.gather(*map(self._ask, replicas))
 
     async def _ask(self, replica: Replica) -> None:
         try:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_probe.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_probe.py
@@ -1,14 +1,12 @@
 """Finds out whether a replica that is blamed for a refusal is lost."""
 
 import asyncio
-import traceback
 from dataclasses import dataclass, field
 
-from ryelatch_core.events import catalogue
 from ryelatch_core.fleet import Replica
-from ryelatch_core.kernel import cancel_task
 from ryelatch_node.ports import Report
 from ryelatch_node.relay._parts import Parts
+from ryelatch_node.relay._tasks import Tasks
 
 PROBE_SECONDS = 0.4
 """Longest wait for a report.
@@ -40,12 +38,15 @@
 
     parts: Parts
     _asked: dict[str, float] = field(default_factory=dict)
-    _tasks: set['asyncio.Task[None]'] = field(default_factory=set)
+    _tasks: Tasks = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Make what runs the questions."""
+        self._tasks = Tasks(self.parts.log, 'probe')
 
     async def stop(self) -> None:
         """Ask no more."""
-        for task in tuple(self._tasks):
-            await cancel_task(task)
+        await self._tasks.stop()
 
     def check(self, replica: Replica) -> None:
         """Ask a replica for a report, unless it was just asked."""
@@ -53,23 +54,12 @@
         if now - self._asked.get(replica.name, float('-inf')) < REST_SECONDS:
             return
         self._asked[replica.name] = now
-        task = asyncio.create_task(self._check(replica))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._check(replica))
 
     async def _check(self, replica: Replica) -> None:
-        try:
-            for _ in range(TRIES):
-                if await self._answers(replica):
-                    return
-        except Exception:
-            # Nobody awaits this task; the line is all that would tell.
-            self.parts.log.record(
-                catalogue.TASK_CRASHED,
-                part='probe',
-                trace=traceback.format_exc(),
-            )
-            return
+        for _ in range(TRIES):
+            if await self._answers(replica):
+                return
         self.parts.replicas.suspect(replica, 'no report', full=False)
 
     async def _answers(self, replica: Replica) -> bool:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_silence.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_silence.py
@@ -8,15 +8,13 @@
 import asyncio
 import itertools
 import math
-import traceback
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ryelatch_core.events import catalogue
 from ryelatch_core.fleet import Replica, Stage
-from ryelatch_core.kernel import cancel_task
 from ryelatch_node.ports import Reach
 from ryelatch_node.relay._parts import Parts
+from ryelatch_node.relay._tasks import Tasks
 
 TRY_SECONDS = 0.03
 """Longest wait for a connection; in a region it takes 2 ms."""
@@ -60,12 +58,15 @@
     _reached: float = _NEVER
     _alarm: float = 1
     _alarmed: float = 0
-    _tasks: set['asyncio.Task[None]'] = field(default_factory=set)
+    _tasks: Tasks = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Make what runs the tries."""
+        self._tasks = Tasks(self.parts.log, 'path checks')
 
     async def stop(self) -> None:
         """Try no more."""
-        for task in tuple(self._tasks):
-            await cancel_task(task)
+        await self._tasks.stop()
 
     @property
     def patience(self) -> float:
@@ -89,20 +90,7 @@
             if now - tried <= REST_SECONDS
         }
         self._tried.update((one.name, now) for one in due)
-        task = asyncio.create_task(self._guard(due))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _guard(self, replicas: list[Replica]) -> None:
-        try:
-            await self._check(replicas)
-        except Exception:
-            # Nobody awaits this task; the line is all that would tell.
-            self.parts.log.record(
-                catalogue.TASK_CRASHED,
-                part='path checks',
-                trace=traceback.format_exc(),
-            )
+        self._tasks.spawn(self._check(due))
 
     async def _check(self, replicas: list[Replica]) -> None:
         clock = self.parts.clock
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -7,10 +7,7 @@
 """
 
 import asyncio
-import traceback
-from collections.abc import Coroutine
 from dataclasses import dataclass, field, replace
-from typing import Any
 
 from ryelatch_core.events import catalogue, keep_running
 from ryelatch_core.fleet import Replica, choose_path
@@ -24,6 +21,7 @@
 from ryelatch_node.relay._query import find_profile, make_query
 from ryelatch_node.relay._silence import PathChecks
 from ryelatch_node.relay._stream import HEAD_LOST, LiveStream
+from ryelatch_node.relay._tasks import Tasks
 
 TICK_SECONDS = 0.02
 """How often streams are looked at; a third of a pause that counts."""
@@ -86,7 +84,7 @@
     prober: Prober
     streams: set[LiveStream] = field(default_factory=set)
     _asked: dict[str, float] = field(default_factory=dict)
-    _tasks: set['asyncio.Task[None]'] = field(default_factory=set)
+    _tasks: Tasks = field(init=False)
     _ticker: 'asyncio.Task[None] | None' = None
     _lag: LagMeter = field(default_factory=LagMeter)
 
@@ -95,6 +93,7 @@
         self._mover = Mover(self.parts, self.prober)
         self._evacuation = Evacuation(self.parts.replicas)
         self._checks = PathChecks(self.parts)
+        self._tasks = Tasks(self.parts.log, 'streams')
 
     async def start(self) -> None:
         """Begin to look."""
@@ -108,8 +107,7 @@
         await self.prober.stop()
         await self._checks.stop()
         await self.parts.paces.stop()
-        for task in tuple(self._tasks):
-            await cancel_task(task)
+        await self._tasks.stop()
 
     async def _run(self) -> None:
         clock = self.parts.clock
@@ -138,7 +136,7 @@
         silence = _find_silence(stream)
         if lost and pause > silence and stream.uses(lost):
             if now - stream.tried > MOVE_PAUSE_SECONDS:
-                self._spawn(self._move(stream, pause))
+                self._tasks.spawn(self._move(stream, pause))
             return
         if pause > silence * self._checks.patience:
             self._checks.check(stream.path)
@@ -157,7 +155,7 @@
         if now - self._asked.get(head.name, 0) < _REPORT_SECONDS / 2:
             return
         self._asked[head.name] = now
-        self._spawn(self._consult(head))
+        self._tasks.spawn(self._consult(head))
 
     async def _consult(self, head: Replica) -> None:
         sent = self.parts.clock.monotonic()
@@ -285,7 +283,7 @@
             return
         retreating = self._evacuation.find_due(stream, now)
         if retreating:
-            self._spawn(self._move_off(stream, retreating))
+            self._tasks.spawn(self._move_off(stream, retreating))
 
     async def _move_off(
         self,
@@ -298,23 +296,6 @@
         finally:
             stream.moving = False
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(self._guard(work))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _guard(self, work: Coroutine[Any, Any, None]) -> None:
-        try:
-            await work
-        except Exception:
-            # Nobody awaits it; without the line its streams would stand
-            # still until they are given up, and nothing would tell why.
-            self.parts.log.record(
-                catalogue.TASK_CRASHED,
-                part='streams',
-                trace=traceback.format_exc(),
-            )
-
 
 def _tell_stall(stream: LiveStream, pause: float) -> None:
     """Record a pause once, however often the stream is looked at."""
