--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -222,6 +222,23 @@
     'Paths avoid it for some seconds. If it stays slow, look at it.',
     Level.WARNING,
 )
+REPLICA_LIMITED = EventKind(
+    1426,
+    'replica-limited',
+    'A replica named how many requests a second it takes from all nodes.',
+    'It is short of something. If it says so for long, look at it.',
+    Level.WARNING,
+)
+REPLICA_UNLIMITED = EventKind(
+    1427, 'replica-unlimited', 'A replica names no limit any more.'
+)
+LIMIT_UNREADABLE = EventKind(
+    1428,
+    'limit-unreadable',
+    'A replica named a limit that can not be read; the one before stands.',
+    'Look at the software of that replica.',
+    Level.WARNING,
+)
 REPLICA_LAPSED = EventKind(
     1415,
     'replica-lapsed',
--- /dev/null
+++ b/packages/ryelatch-core/src/ryelatch_core/throttle/_limits.py
@@ -0,0 +1,68 @@
+"""The limits that replicas named, as far as a node has heard."""
+
+import math
+from collections.abc import Container
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """What a replica said of its limit.
+
+    :param limit: requests a second from all nodes together; nothing if it
+        said that it has none.
+    :param at: when it said so, in monotonic seconds.
+    """
+
+    limit: float | None
+    at: float
+
+
+@dataclass(eq=False)
+class LimitBook:
+    """The newest word of each replica, by the name of its life."""
+
+    _heard: dict[str, Heard] = field(default_factory=dict)
+
+    def hear(self, name: str, heard: Heard) -> bool:
+        """Take what a replica said, unless a newer word is known.
+
+        :returns: whether it has a limit now and had none, or the reverse.
+        """
+        known = self._heard.get(name)
+        if known is not None and known.at > heard.at:
+            return False
+        if heard.limit is not None and not _is_usable(heard.limit):
+            return False
+        if known is None and heard.limit is None:
+            return False
+        self._heard[name] = heard
+        before = None if known is None else known.limit
+        return (before is None) != (heard.limit is None)
+
+    def find(self, name: str) -> Heard | None:
+        """Find the newest word of one that has, or had, a limit."""
+        return self._heard.get(name)
+
+    def find_limit(self, name: str) -> float | None:
+        """Find the limit of a replica; nothing if it has none."""
+        known = self._heard.get(name)
+        return None if known is None else known.limit
+
+    def list_limited(self) -> frozenset[str]:
+        """Name the replicas that have a limit."""
+        return frozenset(
+            name
+            for name, known in self._heard.items()
+            if known.limit is not None
+        )
+
+    def keep(self, names: Container[str]) -> None:
+        """Forget all replicas but some."""
+        self._heard = {
+            name: known for name, known in self._heard.items() if name in names
+        }
+
+
+def _is_usable(limit: float) -> bool:
+    return math.isfinite(limit) and limit >= 0
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_wire.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_wire.py
@@ -59,6 +59,9 @@
     :param fault: address of the replica that caused a refusal.
     :param encoded: whether the body isn't as the replica wrote it.
     :param entry: the registry's name of the replica that answers, if said.
+    :param limit: requests a second that the replica takes from all nodes
+        together; nothing if it names no limit, not a number if it can't be
+        read.
     """
 
     identity: str
@@ -67,6 +70,7 @@
     fault: str
     encoded: bool
     entry: str = ''
+    limit: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
@@ -20,6 +20,7 @@
 from ryelatch_node.relay._paces import PaceChecks
 from ryelatch_node.relay._reach import EndChecks
 from ryelatch_node.relay._upstream import Upstreams
+from ryelatch_node.throttle import Throttle
 
 _WEIGHT = 0.2
 """Weight of the newest time in the mean of a replica's times.
@@ -46,6 +47,7 @@
     orders: Orders
     budget: RetryBudget
     quarantine: Quarantine
+    throttle: Throttle
     costs: CostBook = field(default_factory=CostBook)
     load: LoadBook = field(default_factory=LoadBook)
     ends: EndChecks = field(init=False)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -23,6 +23,7 @@
 from ryelatch_node.relay._server import RelayServer
 from ryelatch_node.relay._upstream import Upstreams
 from ryelatch_node.relay._watch import StreamWatch
+from ryelatch_node.throttle import Throttle
 
 USUAL_NODES = 8
 """Nodes among which work is taken to be shared until they are counted.
@@ -66,6 +67,7 @@
             self._parts.windows.keep(self._parts.replicas.replicas)
             self._parts.paces.book.keep(self._parts.replicas.replicas)
             self._parts.failures.keep(self._parts.replicas.replicas)
+            self._parts.throttle.keep(self._parts.replicas.replicas)
             self._parts.quarantine.judge()
             self._parts.configuration.allows_keys()
             self._parts.replicas.known.check()
@@ -101,6 +103,7 @@
             'replicas_suspected': lambda: len(parts.replicas.list_suspects()),
             'first_replicas_full': lambda: len(parts.windows.list_closed()),
             'requests_quarantined': lambda: parts.quarantine.count_refused(),
+            'replicas_limited': lambda: parts.throttle.count_limited(),
             'requests_suspected': lambda: parts.quarantine.count_suspects(),
             'retries_left': lambda: parts.budget.left,
             'log_lines_dropped': lambda: parts.log.dropped,
@@ -158,6 +161,7 @@
     wire = app.find('wire', Wire)
     load = LoadBook()
     load.share_among(USUAL_NODES)
+    throttle = app.find('throttle', Throttle)
     return Parts(
         startup=startup,
         log=app.find('log', LineLog),
@@ -165,7 +169,7 @@
         chance=app.chance,
         configuration=app.find('configuration', ConfigurationView),
         replicas=app.find('replicas', ReplicaView),
-        upstreams=Upstreams(wire),
+        upstreams=Upstreams(wire, throttle),
         wire=wire,
         orders=app.find('orders', Orders),
         budget=open_budget(
@@ -174,6 +178,7 @@
             )
         ),
         quarantine=app.find('quarantine', Quarantine),
+        throttle=throttle,
         costs=app.find('costs', CostBook),
         load=load,
     )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -12,6 +12,7 @@
 from ryelatch_core.membership import SEND_SECONDS
 from ryelatch_node.ports import AnswerTerms, Headers, Wire
 from ryelatch_node.relay._errors import SendError, SendErrorKind
+from ryelatch_node.throttle import Throttle
 
 IDLE_SECONDS = 4.0
 """How long an unused connection is kept.
@@ -83,8 +84,9 @@
 class Upstreams:
     """Connections to upstreams; some are kept, some are used once."""
 
-    def __init__(self, wire: Wire) -> None:
+    def __init__(self, wire: Wire, throttle: Throttle) -> None:
         self._wire = wire
+        self._throttle = throttle
         self._kept: aiohttp.ClientSession | None = None
         self._single: aiohttp.ClientSession | None = None
 
@@ -136,7 +138,9 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise SendError(SendErrorKind.LOST, _name(error)) from error
         try:
-            yield self._accept(response, identity)
+            answer = self._accept(response, identity)
+            self._throttle.note_answer(replica, answer.terms)
+            yield answer
         finally:
             # Closing cancels the work at the upstream; after a whole body
             # the connection is back in its pool already and stays open.
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/__init__.py
@@ -0,0 +1,5 @@
+"""Keeps what is sent to a replica within what it says that it takes."""
+
+from ryelatch_node.throttle._service import Throttle, setup
+
+__all__ = ['Throttle', 'setup']
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -10,7 +10,7 @@
     r'X-Ryelatch-(Request-Id|Deadline-Ms|Hop-Count|Expect-Replica|Expect-'
     r'Version|Token-Usage|Prefix-Hash|Replica-Signature|Not-Executed|Tenant|'
     r'Request-Priority|Length-Hint|Weight-Versions|Replica-Id)|Api-Key|'
-    r'At-Server|Last-Event-Id',
+    r'At-Server|Last-Event-Id|Server-Limit|Server-Leaving',
     re.IGNORECASE,
 )
 
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -53,6 +53,7 @@
     :param ends_on: body of a request under which it ends, once the head of
         its answer has gone out; nothing can be reached there from then on.
     :param ended: whether it has.
+    :param says: headers that it adds to all its answers.
     :param stop_listening: makes its address refuse connections.
     """
 
@@ -75,6 +76,7 @@
     unframed_part: bool = False
     ends_on: bytes = b''
     ended: bool = False
+    says: dict[str, str] = field(default_factory=dict)
     address: str = ''
     born: int = 0
     runs: list[Run] = field(default_factory=list)
@@ -313,7 +315,7 @@
             await self._moved.wait()
 
     def _name(self, identity: str) -> dict[str, str]:
-        return {'X-Ryelatch-Request-Id': identity}
+        return {'X-Ryelatch-Request-Id': identity, **self.says}
 
     def _sign(self, identity: str) -> dict[str, str]:
         signature = f'signed-{self.name}'
