--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -63,11 +63,7 @@
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._parts.replicas.drop_lapsed()
             self._parts.budget.refill(HOUSEKEEPING_SECONDS)
-            self._parts.load.keep(self._parts.replicas.replicas)
-            self._parts.windows.keep(self._parts.replicas.replicas)
-            self._parts.paces.book.keep(self._parts.replicas.replicas)
-            self._parts.failures.keep(self._parts.replicas.replicas)
-            self._parts.throttle.keep(self._parts.replicas.replicas)
+            self._forget_gone()
             self._parts.quarantine.judge()
             self._parts.configuration.allows_keys()
             self._parts.replicas.known.check()
@@ -77,6 +73,19 @@
                 self._tell_costs()
             self._parts.log.flush()
 
+    def _forget_gone(self) -> None:
+        """Forget what was learned of replicas that are gone."""
+        parts = self._parts
+        names = parts.replicas.replicas
+        for book in (
+            parts.load,
+            parts.windows,
+            parts.paces.book,
+            parts.failures,
+            parts.throttle,
+        ):
+            book.keep(names)
+
     def _tell_costs(self) -> None:
         self._told = self._parts.clock.monotonic()
         self._parts.log.record(
--- a/tests/fleet/running.py
+++ b/tests/fleet/running.py
@@ -25,6 +25,7 @@
 PLAIN_SERVICE = 'booking'
 KEY = 'ward-1-key'
 LAYERS = 8
+SETTLED_SECONDS = 3
 
 
 @dataclass
@@ -174,6 +175,28 @@
         await peer.app.stop()
 
 
+@contextlib.asynccontextmanager
+async def run_nodes(
+    replicas: Iterable[ReplicaStandIn],
+    count: int,
+) -> AsyncIterator[list[RunningNode]]:
+    """Run some nodes at one store that know each other."""
+    async with contextlib.AsyncExitStack() as stack:
+        first = await stack.enter_async_context(run_node(replicas))
+        peers = [
+            await stack.enter_async_context(run_peer(first, f'peer-{number}'))
+            for number in range(1, count)
+        ]
+        nodes = [first, *peers]
+        names = [node.startup.name for node in nodes]
+        await wait_until(
+            lambda: all(first.store.get('ryelatch-nodes', one) for one in names)
+        )
+        # Nodes are counted some times after their start, the last time then.
+        await asyncio.sleep(SETTLED_SECONDS)
+        yield nodes
+
+
 @contextlib.asynccontextmanager
 async def run_node(
     replicas: Iterable[ReplicaStandIn],
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -12,36 +12,23 @@
     ask,
     make_model,
     make_plain,
-    run_node,
-    run_peer,
-    wait_until,
+    run_nodes,
 )
 from standins.replica import ReplicaStandIn
 
 _CRASHING = b'a question under which replicas end'
 _MOST_RETRIES = 3
 _KNOWN_SECONDS = 0.5
-_SETTLED_SECONDS = 3
 
 
 @contextlib.asynccontextmanager
 async def _run_nodes(
     replicas: list[ReplicaStandIn],
 ) -> AsyncIterator[list[RunningNode]]:
-    """Run three nodes that know each other."""
+    """Run three nodes beside replicas that end under one request."""
     for replica in replicas:
         replica.ends_on = _CRASHING
-    async with (
-        run_node(replicas) as first,
-        run_peer(first, 'node-b') as second,
-        run_peer(first, 'node-c') as third,
-    ):
-        nodes = [first, second, third]
-        names = [node.startup.name for node in nodes]
-        await wait_until(
-            lambda: all(first.store.get('ryelatch-nodes', one) for one in names)
-        )
-        await asyncio.sleep(_SETTLED_SECONDS)
+    async with run_nodes(replicas, 3) as nodes:
         yield nodes
 
 
