Send a replica that named a limit no more than it takes from all nodes together

What callers saw: nothing yet; a replica in need had said how many requests a second it takes, and got two to four times as many, so it would fail them next. Two replicas that named one request a second got 22 and 14 in 4 s, 11 allowed.

Six sends came from one node, six from six others: a limit that each kept for itself would still be exceeded, and a share each is less than one request in 4 s in most fleets.

Now one node deals the permits of a replica, by a hash of both names over the list of nodes, and the others ask it over the stream that peers have already; a request without a permit goes to another replica within a reply's time. What the replica said goes along both ways, the newest word counts, and the end of a limit is known to all who ask. What only asks a replica in need, reports of its pace and after refusals, is left; others and moves take a permit too.

Why it holds: one dealer gives at most two saved permits and 0.75 of the limit, so two at once, as lists differ or one is cut off, stay within 1.5 times the limit and five.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -239,6 +239,18 @@
     'Look at the software of that replica.',
     Level.WARNING,
 )
+DEALER_LEFT = EventKind(
+    1429,
+    'dealer-left',
+    'A node did not answer a question for a permit; another one is asked.',
+    'If it comes often, look at the links between the nodes.',
+    Level.WARNING,
+)
+PERMIT_DENIED = EventKind(
+    1430,
+    'permit-denied',
+    'A replica that named a limit takes no more now; another one is chosen.',
+)
 REPLICA_LAPSED = EventKind(
     1415,
     'replica-lapsed',
--- a/packages/ryelatch-core/src/ryelatch_core/throttle/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/throttle/__init__.py
@@ -1,5 +1,7 @@
 """What replicas say in their answers of how much they take, and from whom."""
 
+from ryelatch_core.throttle._bucket import Bucket
+from ryelatch_core.throttle._dealers import rank_dealers
 from ryelatch_core.throttle._limits import Heard, LimitBook
 
-__all__ = ['Heard', 'LimitBook']
+__all__ = ['Bucket', 'Heard', 'LimitBook', 'rank_dealers']
--- a/packages/ryelatch-node/src/ryelatch_node/beliefs/_replicas.py
+++ b/packages/ryelatch-node/src/ryelatch_node/beliefs/_replicas.py
@@ -170,6 +170,11 @@
             and replica.name not in due
         ]
 
+    def offers(self, replica: Replica) -> bool:
+        """Whether a replica may get new work now."""
+        offered = self.list_service(replica.service)
+        return any(one.name == replica.name for one in offered)
+
     def list_alive(self, service: str) -> list[Replica]:
         """List the replicas of a service that aren't taken to be lost."""
         lost = self.list_unreachable()
--- a/packages/ryelatch-node/src/ryelatch_node/news/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_frames.py
@@ -21,6 +21,15 @@
 """Of the store; -1 where nothing is known."""
 
 
+Pace = Annotated[float, msgspec.Meta(ge=0)]
+"""Requests a second."""
+
+_LONGEST_NAME = 256
+
+LifeName = Annotated[str, msgspec.Meta(min_length=1, max_length=_LONGEST_NAME)]
+"""Of a replica's life; an entry's name and when it began."""
+
+
 class Change(msgspec.Struct, frozen=True, array_like=True):
     """An object that was written or deleted, as the store told of it."""
 
@@ -28,7 +37,7 @@
     deleted: bool
 
 
-class Question(msgspec.Struct, frozen=True, array_like=True):
+class Question(msgspec.Struct, frozen=True, array_like=True, tag='watch'):
     """A watch of a kind of object.
 
     :param since: revision of the store from which changes are wanted.
@@ -43,6 +52,37 @@
     whole: bool = False
 
 
+class PermitQuestion(
+    msgspec.Struct, frozen=True, array_like=True, tag='permit'
+):
+    """A question for leave to send a request to a replica.
+
+    :param replica: name of its life.
+    :param limit: what it said of its limit last, as far as the asker knows;
+        nothing if it has none any more, which is told and asks for nothing.
+    :param age: seconds since it said so.
+    """
+
+    replica: LifeName
+    limit: Pace | None
+    age: Span
+
+
+class PermitReply(msgspec.Struct, frozen=True, array_like=True):
+    """Whether a request may be sent.
+
+    :param wait: seconds until there is leave again, where there is none.
+    :param limit: what the replica said last, as far as the dealer knows;
+        nothing if it has no limit any more.
+    :param age: seconds since it said so.
+    """
+
+    granted: bool
+    wait: Span
+    limit: Pace | None
+    age: Span
+
+
 class Reply(msgspec.Struct, frozen=True, array_like=True):
     """What a node knows of a kind.
 
@@ -89,7 +129,7 @@
     return msgspec.msgpack.decode(body, type=tuple[Change, ...])
 
 
-def encode(frame: Question | Reply) -> bytes:
+def encode(frame: msgspec.Struct) -> bytes:
     """Write a frame with its length in front."""
     body = msgspec.msgpack.encode(frame)
     return len(body).to_bytes(_LENGTH_BYTES) + body
--- a/packages/ryelatch-node/src/ryelatch_node/news/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_service.py
@@ -3,9 +3,8 @@
 import asyncio
 import contextlib
 from collections import defaultdict
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import TypeAlias
 
 import msgspec
 
@@ -19,12 +18,21 @@
     watches_for_others,
 )
 from ryelatch_node.news._frames import (
+    PermitQuestion,
+    PermitReply,
     Question,
     Reply,
     encode,
     read_body,
     unpack,
 )
+from ryelatch_node.news._line import (
+    CONNECT_SECONDS,
+    FAILURES,
+    Dial,
+    Line,
+    open_line,
+)
 from ryelatch_node.news._memory import (
     NEVER_SECONDS,
     NO_TROUBLE,
@@ -35,9 +43,6 @@
 )
 from ryelatch_node.ports import Address, RelayStartup
 
-CONNECT_SECONDS = 0.3
-"""Longest wait for a connection to a peer; in a region it takes 2 ms."""
-
 REPLY_SECONDS = 0.4
 """How long beyond its wait a reply may take, a slowed VM's included."""
 
@@ -60,16 +65,6 @@
 """Longest wait that a peer may ask for."""
 
 
-Dial: TypeAlias = Callable[
-    [str, int],
-    Awaitable[tuple[asyncio.StreamReader, asyncio.StreamWriter]],
-]
-"""Opens a connection to a host and port."""
-
-
-_FAILURES = (OSError, EOFError, ValueError, msgspec.MsgspecError)
-
-
 @dataclass(frozen=True, slots=True)
 class _Left:
     """That a peer was left.
@@ -82,13 +77,8 @@
     answered: bool
 
 
-@dataclass(eq=False)
-class _Line:
-    """A connection to a peer for one kind of object."""
-
-    address: str
-    reader: asyncio.StreamReader
-    writer: asyncio.StreamWriter
+def _deny(question: PermitQuestion) -> PermitReply:
+    return PermitReply(False, REST_SECONDS, question.limit, question.age)
 
 
 @dataclass(eq=False)
@@ -101,6 +91,7 @@
     is left, and the store asked as if there were no peers.
 
     :param find_trouble: tells how the store answers this node.
+    :param answer_permit: tells a peer whether it may send to a replica.
     """
 
     log: LineLog
@@ -110,11 +101,12 @@
     costs: CostBook = field(default_factory=CostBook)
     address: Address = field(init=False)
     find_trouble: Callable[[], StoreTrouble] = lambda: NO_TROUBLE
+    answer_permit: Callable[[PermitQuestion], PermitReply] = _deny
     _memories: dict[str, Memory] = field(
         default_factory=lambda: defaultdict(Memory)
     )
     _nodes: tuple[NodeEntry, ...] = ()
-    _lines: dict[str, _Line] = field(default_factory=dict)
+    _lines: dict[str, Line] = field(default_factory=dict)
     _left: dict[str, _Left] = field(default_factory=dict)
     _server: asyncio.Server | None = None
     _served: set['asyncio.Task[None]'] = field(default_factory=set)
@@ -178,7 +170,7 @@
             # Its reply is still to come, and would answer the next question.
             self._drop(kind)
             raise
-        except _FAILURES as error:
+        except FAILURES as error:
             # Timeouts are among them: a peer whose connections went silent.
             self._leave(kind, peer, type(error).__name__)
             return None
@@ -208,7 +200,7 @@
         try:
             while True:
                 await self._answer(reader, writer)
-        except _FAILURES:
+        except FAILURES:
             # The peer has gone, or is none; it asks anew, or the store.
             return
         except asyncio.CancelledError:
@@ -220,6 +212,11 @@
             with contextlib.suppress(OSError):
                 writer.transport.abort()
 
+    @property
+    def nodes(self) -> tuple[NodeEntry, ...]:
+        """The nodes that there are, this one included."""
+        return self._nodes
+
     @property
     def shares(self) -> bool:
         """Whether some nodes of this fleet watch for others."""
@@ -269,18 +266,10 @@
         line = self._lines.get(kind)
         if line is None or line.address != peer.address:
             self._drop(kind)
-            line = await self._connect(peer.address)
+            line = await open_line(self.dial, peer.address)
             self._lines[kind] = line
         self.costs.count('peers', kind, 'questions')
-        line.writer.write(encode(question))
-        await line.writer.drain()
-        return msgspec.msgpack.decode(await read_body(line.reader), type=Reply)
-
-    async def _connect(self, address: str) -> _Line:
-        host, _, port = address.rpartition(':')
-        async with asyncio.timeout(CONNECT_SECONDS):
-            reader, writer = await self.dial(host, int(port))
-        return _Line(address, reader, writer)
+        return msgspec.msgpack.decode(await line.ask(question), type=Reply)
 
     def _leave(
         self,
@@ -299,7 +288,7 @@
     def _drop(self, kind: str) -> None:
         line = self._lines.pop(kind, None)
         if line is not None:
-            line.writer.transport.abort()
+            line.drop()
 
     async def _answer(
         self,
@@ -307,8 +296,16 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         body = await read_body(reader)
+        question = msgspec.msgpack.decode(body, type=Question | PermitQuestion)
+        if isinstance(question, PermitQuestion):
+            frame = encode(self.answer_permit(question))
+        else:
+            frame = await self._answer_watch(question)
+        writer.write(frame)
+        await writer.drain()
+
+    async def _answer_watch(self, question: Question) -> bytes:
         asked = self.clock.monotonic()
-        question = msgspec.msgpack.decode(body, type=Question)
         if not question.whole:
             self._asked = asked
         reply = await self._tell(question, asked)
@@ -322,8 +319,7 @@
         if question.kind in self._memories:
             self.costs.count('peers', question.kind, 'answers')
             self.costs.count('peers', question.kind, 'bytes', number=len(frame))
-        writer.write(frame)
-        await writer.drain()
+        return frame
 
     async def _tell(self, question: Question, asked: float) -> Reply:
         """Tell what is known of a kind; nothing of one that isn't followed."""
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -43,8 +43,9 @@
     query = make_query(parts, inquiry, suspects)
     if query is None:
         return ()
-    if not exchange.started:
-        query = replace(query, closed=_list_closed(parts, inquiry))
+    held = parts.throttle.list_closed()
+    full = frozenset() if exchange.started else _list_closed(parts, inquiry)
+    query = replace(query, closed=held | full)
     offered = parts.replicas.list_service(inquiry.service)
     # A first replica that failed this request, or let it stand still, would
     # most likely do so again, and others that fail much would too.
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -17,6 +17,7 @@
 )
 from ryelatch_node.relay._exchange import Exchange, Inquiry, round_seconds
 from ryelatch_node.relay._parts import Parts
+from ryelatch_node.relay._permits import take_permit
 from ryelatch_node.relay._probe import Prober
 from ryelatch_node.relay._progress import (
     Progress,
@@ -67,7 +68,7 @@
     """
     progress = Progress(EventCutter(inquiry.terms.last_event))
     while _may_send(parts, exchange, inquiry, progress):
-        path = choose_request_path(parts, exchange, inquiry, progress)
+        path = await _find_path(parts, exchange, inquiry, progress)
         if not path:
             break
         step = await _try_path(parts, watch, exchange, inquiry, path, progress)
@@ -76,6 +77,19 @@
     await _give_up(parts, exchange, inquiry, progress)
 
 
+async def _find_path(
+    parts: Parts,
+    exchange: Exchange,
+    inquiry: Inquiry,
+    progress: Progress,
+) -> tuple[Stage, ...]:
+    """Choose a path whose first replica takes one more request."""
+    while True:
+        path = choose_request_path(parts, exchange, inquiry, progress)
+        if not path or await take_permit(parts, exchange, path[0].replica):
+            return path
+
+
 def _may_send(
     parts: Parts,
     exchange: Exchange,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_mover.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_mover.py
@@ -59,6 +59,8 @@
     ) -> MoveAnswer:
         identity = stream.inquiry.terms.identity
         pause = self.parts.clock.monotonic() - stream.progress
+        if not await self.parts.throttle.take(stream.head):
+            return MoveAnswer(OrderResult.REFUSED)
         moved = await self.parts.orders.move(stream.head, identity, path)
         stream.exchange.record(
             catalogue.STREAM_MOVED,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_paces.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_paces.py
@@ -1,14 +1,14 @@
 """Asks the replicas of paths that were late how slow they are."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from ryelatch_core.events import LineLog, catalogue
 from ryelatch_core.fleet import PaceBook, Replica, Stage
 from ryelatch_core.kernel import Clock
 from ryelatch_node.ports import Orders
-from ryelatch_node.relay._tasks import Tasks
+from ryelatch_node.tasks import Tasks
 
 REPORT_SECONDS = 0.4
 """Longest wait for a report; it needs no place."""
@@ -19,11 +19,15 @@
 
 @dataclass(eq=False)
 class PaceChecks:
-    """Reads reports, and notes what they say of a replica's pace."""
+    """Reads reports, and notes what they say of a replica's pace.
+
+    :param is_limited: tells whether a replica named a limit, by its name.
+    """
 
     log: LineLog
     clock: Clock
     orders: Orders
+    is_limited: Callable[[str], bool] = lambda _: False
     book: PaceBook = field(default_factory=PaceBook)
     _asked: dict[str, float] = field(default_factory=dict)
     _tasks: Tasks = field(init=False)
@@ -42,8 +46,7 @@
         due = [
             stage.replica
             for stage in path
-            if now - self._asked.get(stage.replica.name, float('-inf'))
-            > REST_SECONDS
+            if not self._rests(stage.replica.name, now)
         ]
         if not due:
             return
@@ -55,6 +58,14 @@
         self._asked.update((one.name, now) for one in due)
         self._tasks.spawn(self._check(due))
 
+    def _rests(self, name: str, now: float) -> bool:
+        """Whether a replica is not to be asked now.
+
+        One that named a limit is short of something and says so itself.
+        """
+        asked = self._asked.get(name, float('-inf'))
+        return now - asked <= REST_SECONDS or self.is_limited(name)
+
     async def _check(self, replicas: list[Replica]) -> None:
         await asyncio.gather(*map(self._ask, replicas))
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
@@ -62,7 +62,9 @@
     def __post_init__(self) -> None:
         """Make what needs the other parts."""
         self.ends = EndChecks(self.orders)
-        self.paces = PaceChecks(self.log, self.clock, self.orders)
+        self.paces = PaceChecks(
+            self.log, self.clock, self.orders, self.throttle.is_limited
+        )
         self.windows = Windows(self.draw)
 
     def now(self) -> float:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
@@ -10,6 +10,7 @@
 from ryelatch_node.relay._errors import SendError, SendErrorKind
 from ryelatch_node.relay._exchange import Exchange, Inquiry, round_seconds
 from ryelatch_node.relay._parts import Parts
+from ryelatch_node.relay._permits import take_permit
 from ryelatch_node.relay._upstream import Answer
 
 FIRST_SHARE = 0.5
@@ -56,7 +57,7 @@
     """Send a request to a replica and pass its answer back."""
     tries = _Tries()
     while True:
-        replica = _choose(parts, inquiry, tries.names)
+        replica = await _find_replica(parts, exchange, inquiry, tries)
         if replica is None or not _may_send(parts, exchange, inquiry):
             break
         tries.names.add(replica.name)
@@ -66,6 +67,19 @@
     await _finish(exchange, tries)
 
 
+async def _find_replica(
+    parts: Parts,
+    exchange: Exchange,
+    inquiry: Inquiry,
+    tries: _Tries,
+) -> Replica | None:
+    """Choose a replica that takes one more request."""
+    while True:
+        replica = _choose(parts, inquiry, tries.names)
+        if replica is None or await take_permit(parts, exchange, replica):
+            return replica
+
+
 async def _try_once(
     parts: Parts,
     exchange: Exchange,
@@ -114,7 +128,8 @@
     """Choose the replica with the fewest requests of this node."""
     offered = parts.replicas.list_service(inquiry.service)
     avoided = parts.replicas.list_suspects()
-    fresh = [one for one in offered if one.name not in tried]
+    ruled_out = tried | parts.throttle.list_closed()
+    fresh = [one for one in offered if one.name not in ruled_out]
     trusted = [one for one in fresh if one.name not in avoided]
     failing = parts.failures.list_failing(parts.clock.monotonic())
     sound = [one for one in trusted if one.name not in failing]
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_probe.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_probe.py
@@ -6,7 +6,7 @@
 from ryelatch_core.fleet import Replica
 from ryelatch_node.ports import Report
 from ryelatch_node.relay._parts import Parts
-from ryelatch_node.relay._tasks import Tasks
+from ryelatch_node.tasks import Tasks
 
 PROBE_SECONDS = 0.4
 """Longest wait for a report.
@@ -49,7 +49,12 @@
         await self._tasks.stop()
 
     def check(self, replica: Replica) -> None:
-        """Ask a replica for a report, unless it was just asked."""
+        """Ask a replica for a report, unless it was just asked.
+
+        One that named a limit is short of something and says so itself.
+        """
+        if self.parts.throttle.is_limited(replica.name):
+            return
         now = self.parts.clock.monotonic()
         if now - self._asked.get(replica.name, float('-inf')) < REST_SECONDS:
             return
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_silence.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_silence.py
@@ -14,7 +14,7 @@
 from ryelatch_core.fleet import Replica, Stage
 from ryelatch_node.ports import Reach
 from ryelatch_node.relay._parts import Parts
-from ryelatch_node.relay._tasks import Tasks
+from ryelatch_node.tasks import Tasks
 
 TRY_SECONDS = 0.03
 """Longest wait for a connection; in a region it takes 2 ms."""
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -21,7 +21,7 @@
 from ryelatch_node.relay._query import find_profile, make_query
 from ryelatch_node.relay._silence import PathChecks
 from ryelatch_node.relay._stream import HEAD_LOST, LiveStream
-from ryelatch_node.relay._tasks import Tasks
+from ryelatch_node.tasks import Tasks
 
 TICK_SECONDS = 0.02
 """How often streams are looked at; a third of a pause that counts."""
@@ -158,6 +158,8 @@
         self._tasks.spawn(self._consult(head))
 
     async def _consult(self, head: Replica) -> None:
+        if not await self.parts.throttle.take(head):
+            return
         sent = self.parts.clock.monotonic()
         try:
             async with asyncio.timeout(_REPORT_SECONDS):
--- a/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
@@ -4,50 +4,205 @@
 from collections.abc import Container
 from dataclasses import dataclass, field
 
-from ryelatch_core.events import LineLog, catalogue
+from ryelatch_core.events import CostBook, LineLog, catalogue
 from ryelatch_core.fleet import Replica
 from ryelatch_core.kernel import App, Clock, Service
-from ryelatch_core.throttle import Heard, LimitBook
-from ryelatch_node.ports import AnswerTerms
+from ryelatch_core.membership import NodeEntry
+from ryelatch_core.throttle import Bucket, Heard, LimitBook, rank_dealers
+from ryelatch_node.news import News, PermitQuestion, PermitReply
+from ryelatch_node.ports import AnswerTerms, RelayStartup
+from ryelatch_node.tasks import Tasks
+from ryelatch_node.throttle._lines import PermitLines
+
+MOST_DEALERS = 2
+"""Nodes that are asked for a permit at most, one after the other."""
+
+LEAST_WAIT = 0.05
+"""Seconds for which a replica is left at least where there is no permit."""
+
+LONGEST_WAIT = 1.0
+"""The same at most: another node may have left permits meanwhile."""
 
 
 @dataclass(eq=False)
 class Throttle:
-    """What replicas said of their limits."""
+    """Permits for requests to replicas that named a limit.
+
+    The limit is for all nodes together, and each knows its own requests only.
+    So one node deals the permits of a replica, and the others ask it. Which
+    one follows from the list of nodes; if it does not answer, the next one.
+    Without a permit a request goes to another replica.
+
+    What a replica said goes along with each question and each reply, so a
+    limit that is over at one node is soon over at all.
+    """
 
     log: LineLog
     clock: Clock
+    startup: RelayStartup
+    news: News
+    lines: PermitLines
+    costs: CostBook = field(default_factory=CostBook)
     _limits: LimitBook = field(default_factory=LimitBook)
+    _buckets: dict[str, Bucket] = field(default_factory=dict)
+    _closed: dict[str, float] = field(default_factory=dict)
+    _ranked: dict[str, list[NodeEntry]] = field(default_factory=dict)
+    _ranked_nodes: tuple[NodeEntry, ...] = ()
+    _tasks: Tasks = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Make what tells others, and answer them."""
+        self._tasks = Tasks(self.log, 'throttle')
+        self.news.answer_permit = self.answer
+
+    async def stop(self) -> None:
+        """Ask and tell nothing more."""
+        await self._tasks.stop()
+        self.lines.stop()
 
     def note_answer(self, replica: Replica, terms: AnswerTerms) -> None:
         """Take what an answer says of the replica that gave it."""
         if terms.entry not in {'', replica.entry}:
             return
+        name = replica.name
         if terms.limit is not None and math.isnan(terms.limit):
-            self.log.record(catalogue.LIMIT_UNREADABLE, replica=replica.name)
+            self.log.record(catalogue.LIMIT_UNREADABLE, replica=name)
             return
-        self._hear(replica.name, Heard(terms.limit, self.clock.monotonic()))
+        changed = self._hear(name, Heard(terms.limit, self.clock.monotonic()))
+        if changed and terms.limit is None:
+            self._tasks.spawn(self._tell_free(name))
+
+    def is_limited(self, name: str) -> bool:
+        """Whether a replica has a limit, by the name of its life."""
+        return self._limits.find_limit(name) is not None
 
     def count_limited(self) -> int:
         """Count the replicas that have a limit."""
         return len(self._limits.list_limited())
 
+    def list_closed(self) -> frozenset[str]:
+        """Name the replicas for which there was no permit a moment ago."""
+        now = self.clock.monotonic()
+        self._closed = {
+            name: until for name, until in self._closed.items() if until > now
+        }
+        return frozenset(self._closed)
+
+    async def take(self, replica: Replica) -> bool:
+        """Take leave to send one request to a replica.
+
+        :returns: whether it may be sent; always where there is no limit.
+        """
+        name = replica.name
+        if not self.is_limited(name):
+            return True
+        reply = await self._seek(name)
+        outcome = 'granted' if reply.granted else 'denied'
+        self.costs.count('permits', outcome)
+        if not reply.granted:
+            wait = min(LONGEST_WAIT, max(LEAST_WAIT, reply.wait))
+            self._closed[name] = self.clock.monotonic() + wait
+        return reply.granted
+
+    def answer(self, question: PermitQuestion) -> PermitReply:
+        """Deal a permit to a node that asks."""
+        name, now = question.replica, self.clock.monotonic()
+        self._hear(name, Heard(question.limit, now - question.age))
+        heard = self._limits.find(name)
+        if heard is None or heard.limit is None:
+            self._buckets.pop(name, None)
+            age = question.age if heard is None else max(0, now - heard.at)
+            return PermitReply(True, 0, None, age)
+        bucket = self._buckets.setdefault(name, Bucket(heard.limit, now))
+        bucket.resize(heard.limit, now)
+        granted = question.limit is not None and bucket.take(now)
+        wait = bucket.find_wait(now)
+        return PermitReply(granted, wait, heard.limit, max(0, now - heard.at))
+
     def keep(self, names: Container[str]) -> None:
-        """Forget all replicas but some."""
+        """Forget all replicas but some.
+
+        Permits that this node deals are kept while others ask for them; it
+        may hear of a replica later than they do, and would begin anew with
+        each question.
+        """
+        now = self.clock.monotonic()
         self._limits.keep(names)
+        self._buckets = {
+            name: bucket
+            for name, bucket in self._buckets.items()
+            if not bucket.is_idle(now)
+        }
+
+    async def _seek(self, name: str) -> PermitReply:
+        """Ask the nodes that deal the permits of a replica, in their order."""
+        if not self.news.nodes:
+            # Just started, and no list of the nodes has come yet.
+            return self.answer(self._make_question(name))
+        for dealer in self._list_dealers(name):
+            reply = await self._ask(dealer, name)
+            if reply is not None:
+                return reply
+        self.costs.count('permits', 'unanswered')
+        return PermitReply(False, LONGEST_WAIT, None, 0)
+
+    def _list_dealers(self, name: str) -> list[NodeEntry]:
+        """List the nodes to ask; ranking a large fleet takes a millisecond."""
+        if self._ranked_nodes is not self.news.nodes:
+            self._ranked_nodes = self.news.nodes
+            self._ranked.clear()
+        if name not in self._ranked:
+            ranked = rank_dealers(name, self._ranked_nodes)
+            self._ranked[name] = ranked[:MOST_DEALERS]
+        return self._ranked[name]
 
-    def _hear(self, name: str, heard: Heard) -> None:
+    async def _ask(self, dealer: NodeEntry, name: str) -> PermitReply | None:
+        question = self._make_question(name)
+        if dealer.name == self.startup.name:
+            return self.answer(question)
+        if self.lines.rests(dealer):
+            return None
+        asked = self.clock.monotonic()
+        reply = await self.lines.ask(dealer, question)
+        if reply is not None:
+            self._hear(name, Heard(reply.limit, asked - reply.age))
+        return reply
+
+    async def _tell_free(self, name: str) -> None:
+        """Tell the node that deals permits that a limit is over."""
+        for dealer in self._list_dealers(name)[:1]:
+            await self._ask(dealer, name)
+
+    def _make_question(self, name: str) -> PermitQuestion:
+        heard = self._limits.find(name)
+        now = self.clock.monotonic()
+        if heard is None:
+            return PermitQuestion(name, None, 0)
+        return PermitQuestion(name, heard.limit, max(0, now - heard.at))
+
+    def _hear(self, name: str, heard: Heard) -> bool:
         if not self._limits.hear(name, heard):
-            return
+            return False
         if heard.limit is None:
+            self._closed.pop(name, None)
             self.log.record(catalogue.REPLICA_UNLIMITED, replica=name)
         else:
             self.log.record(
                 catalogue.REPLICA_LIMITED, replica=name, limit=heard.limit
             )
+        return True
 
 
 def setup(app: App) -> None:
     """Add the service ``throttle``."""
-    throttle = Throttle(app.find('log', LineLog), app.clock)
-    app.add(Service('throttle', throttle))
+    log = app.find('log', LineLog)
+    news = app.find('news', News)
+    throttle = Throttle(
+        log,
+        app.clock,
+        app.find('startup', RelayStartup),
+        news,
+        PermitLines(log, app.clock, news),
+        app.find('costs', CostBook),
+    )
+    app.add(Service('throttle', throttle, ('news',), stop=throttle.stop))
--- a/tests/node/relay/test_lag.py
+++ b/tests/node/relay/test_lag.py
@@ -44,6 +44,9 @@
         await asyncio.sleep(0.001)
         return Reach.LISTENS
 
+    async def take(_: Replica) -> bool:
+        return True
+
     clock = VirtualClock()
     log = LineLog('node-a', clock, len)
     view = ReplicaView(log, clock, Hub(), reckon_terms(2, 3))
@@ -54,6 +57,7 @@
         replicas=view,
         orders=SimpleNamespace(read_report=read_report, reach=reach),
         budget=SimpleNamespace(left=0),
+        throttle=SimpleNamespace(take=take),
         paces=SimpleNamespace(
             check=lambda _: None, stop=lambda: asyncio.sleep(0)
         ),
--- a/tests/node/relay/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -4,7 +4,7 @@
 import json
 
 from ryelatch_core.events import LineLog
-from ryelatch_node.relay._tasks import Tasks
+from ryelatch_node.tasks import Tasks
 from virtual.loop import VirtualClock, run
 
 
--- /dev/null
+++ b/tests/node/throttle/test_throttle.py
@@ -0,0 +1,216 @@
+"""Permits that nodes deal each other for a replica in need."""
+
+import asyncio
+import math
+from collections import Counter
+
+import pytest
+
+from ryelatch_core.membership import NodeEntry
+from ryelatch_core.throttle import rank_dealers
+from ryelatch_node.news import PermitQuestion
+from ryelatch_node.throttle._lines import ASK_SECONDS, REST_SECONDS
+from virtual.loop import run
+from virtual.throttles import REPLICA, ThrottledFleet, make_terms
+
+_SPAN = 4.0
+
+
+def _name_nodes(count: int) -> list[str]:
+    return [f'node-{number:04}' for number in range(count)]
+
+
+def _allow(limit: float) -> float:
+    return 1.5 * limit * _SPAN + 5
+
+
+def _rank(names: list[str]) -> list[str]:
+    nodes = [NodeEntry(name, 'zone-a', f'{name}:1') for name in names]
+    return [node.name for node in rank_dealers(REPLICA.name, nodes)]
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def _tell_all(fleet: ThrottledFleet) -> None:
+    """Let each node hear the limit once."""
+    for throttle in fleet.nodes.values():
+        throttle.note_answer(REPLICA, make_terms(fleet.limit))
+
+
+@pytest.mark.parametrize('limit', [0, 0.5, 1, 4.2, 40])
+@pytest.mark.parametrize('nodes', [1, 8, 60, 1400])
+def test_limit_holds_at_any_size(limit: float, nodes: int) -> None:
+    """The more nodes there are, the more a replica in need gets."""
+
+    async def main() -> None:
+        fleet = ThrottledFleet(limit)
+        names = _name_nodes(nodes)
+        fleet.start(names)
+        await _tell_all(fleet)
+        await fleet.press(names, 12, gap=0.002)
+        assert fleet.count_most(0, _SPAN) <= _allow(limit)
+        assert len(fleet.sent) >= 0.6 * limit * 12
+        assert fleet.sent
+        await fleet.stop()
+
+    run(main())
+
+
+def test_limit_holds_while_lists_of_nodes_differ() -> None:
+    """A node that has just come deals beside the one that dealt before."""
+
+    async def main() -> None:
+        fleet = ThrottledFleet(4.2)
+        names = _name_nodes(8)
+        fleet.start(names)
+        first = _rank(names)[0]
+        older = [name for name in names if name != first]
+        fleet.know(older[:4], older)
+        await _tell_all(fleet)
+        await fleet.press(names, 12, gap=0.005)
+        assert fleet.count_most(0, _SPAN) <= _allow(4.2)
+        await fleet.stop()
+
+    run(main())
+
+
+def test_limit_holds_while_the_dealer_is_lost() -> None:
+    """Each node that finds the dealer gone deals for itself."""
+
+    async def main() -> None:
+        fleet = ThrottledFleet(4.2)
+        names = _name_nodes(8)
+        fleet.start(names)
+        await _tell_all(fleet)
+        first = _rank(names)[0]
+        living = [name for name in names if name != first]
+        await fleet.press(names, 6, gap=0.005)
+        fleet.dark.add(first)
+        for throttle in fleet.nodes.values():
+            throttle.lines.stop()
+        lost = _now()
+        await fleet.press(living, 10, gap=0.005)
+        assert fleet.count_most(0, _SPAN) <= _allow(4.2)
+        after = [at for at, _ in fleet.sent if at > lost + 2]
+        assert len(after) >= 0.6 * 4.2 * 8
+        await fleet.stop()
+
+    run(main())
+
+
+def test_question_without_reply_is_short() -> None:
+    """A request waits for a node that is gone, again and again."""
+
+    async def main() -> None:
+        fleet = ThrottledFleet(4.2)
+        names = _name_nodes(8)
+        fleet.start(names)
+        await _tell_all(fleet)
+        ranked = _rank(names)
+        fleet.dark.update(ranked[:2])
+        asker = fleet.nodes[ranked[5]]
+        began = _now()
+        assert not await asker.take(REPLICA)
+        assert _now() - began <= 2 * ASK_SECONDS + 0.01
+        began = _now()
+        assert not await asker.take(REPLICA)
+        assert _now() - began < ASK_SECONDS / 2
+        fleet.dark.clear()
+        await asyncio.sleep(REST_SECONDS)
+        assert await asyncio.wait_for(_take_soon(fleet, ranked[5]), 2)
+        await fleet.stop()
+
+    run(main())
+
+
+async def _take_soon(fleet: ThrottledFleet, name: str) -> bool:
+    while not await fleet.send(name):
+        await asyncio.sleep(0.05)
+    return True
+
+
+def test_end_of_a_limit_is_soon_known_to_all() -> None:
+    """Nodes hold back from a replica that is well, each until it has tried."""
+
+    async def main() -> None:
+        fleet = ThrottledFleet(1)
+        names = _name_nodes(60)
+        fleet.start(names)
+        await _tell_all(fleet)
+        await fleet.press(names, 5, gap=0.01)
+        fleet.limit = None
+        await fleet.press(names, 3, gap=0.01)
+        limited = [
+            name
+            for name, throttle in fleet.nodes.items()
+            if throttle.is_limited(REPLICA.name)
+        ]
+        assert not limited
+        await fleet.stop()
+
+    run(main())
+
+
+def test_late_word_of_a_limit_brings_it_not_back() -> None:
+    """A peer that heard of a limit before its end limits the others anew."""
+
+    async def main() -> None:
+        fleet = ThrottledFleet(4.2)
+        names = _name_nodes(2)
+        fleet.start(names)
+        dealer = fleet.nodes[_rank(names)[0]]
+        dealer.note_answer(REPLICA, make_terms(4.2))
+        await asyncio.sleep(1)
+        dealer.note_answer(REPLICA, make_terms(None))
+        await asyncio.sleep(1)
+        reply = dealer.answer(PermitQuestion(REPLICA.name, 4.2, 1.5))
+        assert reply.granted
+        assert reply.limit is None
+        assert not dealer.is_limited(REPLICA.name)
+        await fleet.stop()
+
+    run(main())
+
+
+def test_nonsense_of_a_peer_limits_nothing() -> None:
+    """A peer out of its mind makes a node leave a sound replica."""
+
+    async def main() -> None:
+        fleet = ThrottledFleet(4.2)
+        fleet.start(_name_nodes(2))
+        node = fleet.nodes['node-0000']
+        node.answer(PermitQuestion(REPLICA.name, math.nan, 0))
+        node.answer(PermitQuestion(REPLICA.name, math.inf, 0))
+        assert not node.is_limited(REPLICA.name)
+        await fleet.stop()
+
+    run(main())
+
+
+def test_dealer_that_lists_no_replica_keeps_count() -> None:
+    """A node that hears of a replica late deals anew each half second."""
+
+    async def main() -> None:
+        fleet = ThrottledFleet(0)
+        names = _name_nodes(8)
+        fleet.start(names)
+        await _tell_all(fleet)
+        dealer = fleet.nodes[_rank(names)[0]]
+        for _ in range(24):
+            await fleet.press(names, 0.5, gap=0.01)
+            dealer.keep(())
+        assert fleet.count_most(0, _SPAN) <= _allow(0)
+        await fleet.stop()
+
+    run(main())
+
+
+def test_dealers_differ_by_replica() -> None:
+    """One node is asked about all replicas in need."""
+    nodes = [NodeEntry(name, 'zone-a', f'{name}:1') for name in _name_nodes(8)]
+    chosen = Counter(
+        rank_dealers(f'b-{number}', nodes)[0].name for number in range(80)
+    )
+    assert len(chosen) == 8
--- a/tests/platform/test_limited_replicas.py
+++ b/tests/platform/test_limited_replicas.py
@@ -31,6 +31,7 @@
         line = node.find('replica-limited')
         assert (line['replica'], line['limit']) == (replica.name, 500)
         replica.says = {'Server-Limit': 'plenty'}
+        await asyncio.sleep(0.1)
         await ask(node, '/ping/x')
         assert node.count('limit-unreadable') == 1
         assert not node.count('replica-unlimited')
--- /dev/null
+++ b/tests/virtual/throttles.py
@@ -0,0 +1,146 @@
+"""Nodes that deal each other permits, in virtual time."""
+
+import asyncio
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from fleet.running import make_startup
+from ryelatch_core.events import LineLog
+from ryelatch_core.fleet import Replica
+from ryelatch_core.membership import NodeEntry
+from ryelatch_node.news import News
+from ryelatch_node.ports import AnswerTerms
+from ryelatch_node.throttle import PermitLines, Throttle
+from virtual.loop import VirtualClock
+
+LINK_SECONDS = 0.001
+
+REPLICA = Replica('b-0', 'booking', '10.0.0.1:8000', 'zone-a')
+
+
+class _Transport:
+    def __init__(self, ends: tuple[asyncio.StreamReader, ...]) -> None:
+        self._ends = ends
+
+    def abort(self) -> None:
+        """End both directions."""
+        for end in self._ends:
+            end.feed_eof()
+
+
+class _Writer:
+    """One direction of a connection."""
+
+    def __init__(
+        self, near: asyncio.StreamReader, far: asyncio.StreamReader
+    ) -> None:
+        self.transport = _Transport((near, far))
+        self._far = far
+
+    def write(self, data: bytes) -> None:
+        """Deliver a little later."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(LINK_SECONDS, self._deliver, data)
+
+    async def drain(self) -> None:
+        """Nothing waits."""
+
+    def _deliver(self, data: bytes) -> None:
+        if not self._far._eof:  # type: ignore[attr-defined]
+            self._far.feed_data(data)
+
+
+@dataclass(eq=False)
+class ThrottledFleet:
+    """Nodes that send to one replica, which names a limit.
+
+    :param limit: named in each answer; nothing for none.
+    :param dark: nodes that can't be reached.
+    :param sent: when a request reached the replica, and from which node.
+    """
+
+    limit: float | None
+    nodes: dict[str, Throttle] = field(default_factory=dict)
+    dark: set[str] = field(default_factory=set)
+    sent: list[tuple[float, str]] = field(default_factory=list)
+    lines: list[dict[str, Any]] = field(default_factory=list)
+    _tasks: list['asyncio.Task[None]'] = field(default_factory=list)
+
+    def start(self, names: Iterable[str]) -> None:
+        """Start nodes that know each other."""
+        for name in names:
+            self.nodes[name] = self._make(name)
+        self.know(self.nodes, self.nodes)
+
+    def know(self, knowing: Iterable[str], known: Iterable[str]) -> None:
+        """Let some nodes know of some nodes."""
+        entries = [NodeEntry(name, 'zone-a', f'{name}:1') for name in known]
+        for name in knowing:
+            self.nodes[name].news.know(entries)
+
+    async def send(self, name: str) -> bool:
+        """Send a request from a node, if it has leave, and hear the answer."""
+        throttle = self.nodes[name]
+        if REPLICA.name in throttle.list_closed():
+            return False
+        if not await throttle.take(REPLICA):
+            return False
+        self.sent.append((asyncio.get_running_loop().time(), name))
+        throttle.note_answer(REPLICA, make_terms(self.limit))
+        return True
+
+    async def press(self, names: list[str], seconds: float, gap: float) -> None:
+        """Send from some nodes in turn, one request each so many seconds."""
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + seconds
+        while loop.time() < ends:
+            for name in names:
+                self._tasks.append(asyncio.create_task(self._press_once(name)))
+                await asyncio.sleep(gap)
+
+    def count_most(self, since: float, span: float) -> int:
+        """Count the most requests that came within some seconds."""
+        times = [at for at, _ in self.sent if at >= since]
+        return max(
+            (sum(one <= at < one + span for at in times) for one in times),
+            default=0,
+        )
+
+    async def stop(self) -> None:
+        """Stop all nodes."""
+        for task in self._tasks:
+            task.cancel()
+        for throttle in self.nodes.values():
+            await throttle.stop()
+
+    async def _press_once(self, name: str) -> None:
+        await self.send(name)
+
+    def _make(self, name: str) -> Throttle:
+        clock = VirtualClock()
+        log = LineLog(name, clock, self._write)
+        startup = make_startup(1)._replace(name=name)
+        news = News(log, clock, startup, self._dial)
+        return Throttle(
+            log, clock, startup, news, PermitLines(log, clock, news)
+        )
+
+    def _write(self, line: bytes) -> int:
+        self.lines.append(json.loads(line))
+        return len(line)
+
+    async def _dial(self, host: str, _: int) -> Any:
+        if host in self.dark:
+            await asyncio.Event().wait()
+        await asyncio.sleep(LINK_SECONDS)
+        near, far = asyncio.StreamReader(), asyncio.StreamReader()
+        serving = self.nodes[host].news.serve(far, _Writer(far, near))  # type: ignore[arg-type]
+        self._tasks.append(asyncio.create_task(serving))
+        return near, _Writer(near, far)
+
+
+def make_terms(limit: float | None) -> AnswerTerms:
+    """Make what an answer says that names a limit."""
+    return AnswerTerms('', True, False, '', False, limit=limit)
