--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -251,6 +251,21 @@
     'permit-denied',
     'A replica that named a limit takes no more now; another one is chosen.',
 )
+REPLICA_RESTS = EventKind(
+    1431,
+    'replica-rests',
+    'A replica turned a request away and wants nothing from this node for '
+    'some seconds.',
+    'If it does so again and again, look at it.',
+    Level.WARNING,
+)
+REST_UNREADABLE = EventKind(
+    1432,
+    'rest-unreadable',
+    'A replica turned a request away until a time that can not be read.',
+    'Look at the software of that replica.',
+    Level.WARNING,
+)
 REPLICA_LAPSED = EventKind(
     1415,
     'replica-lapsed',
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_wire.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_wire.py
@@ -62,6 +62,8 @@
     :param limit: requests a second that the replica takes from all nodes
         together; nothing if it names no limit, not a number if it can't be
         read.
+    :param rest: seconds for which a replica that turned the request away
+        wants nothing from this node; nothing or not a number as for a limit.
     """
 
     identity: str
@@ -71,6 +73,7 @@
     encoded: bool
     entry: str = ''
     limit: float | None = None
+    rest: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
@@ -65,6 +65,7 @@
         if terms.entry not in {'', replica.entry}:
             return
         name = replica.name
+        self._note_rest(name, terms.rest)
         if terms.limit is not None and math.isnan(terms.limit):
             self.log.record(catalogue.LIMIT_UNREADABLE, replica=name)
             return
@@ -134,6 +135,14 @@
             if not bucket.is_idle(now)
         }
 
+    def _note_rest(self, name: str, rest: float | None) -> None:
+        if rest is None:
+            return
+        if math.isnan(rest):
+            self.log.record(catalogue.REST_UNREADABLE, replica=name)
+        else:
+            self.log.record(catalogue.REPLICA_RESTS, replica=name, seconds=rest)
+
     async def _seek(self, name: str) -> PermitReply:
         """Ask the nodes that deal the permits of a replica, in their order."""
         if not self.news.nodes:
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -54,6 +54,7 @@
         its answer has gone out; nothing can be reached there from then on.
     :param ended: whether it has.
     :param says: headers that it adds to all its answers.
+    :param refusals: when it refused, by the loop's clock.
     :param stop_listening: makes its address refuse connections.
     """
 
@@ -77,6 +78,7 @@
     ends_on: bytes = b''
     ended: bool = False
     says: dict[str, str] = field(default_factory=dict)
+    refusals: list[float] = field(default_factory=list)
     address: str = ''
     born: int = 0
     runs: list[Run] = field(default_factory=list)
@@ -217,6 +219,7 @@
                 headers={**self._name(identity), 'At-Server': self.address},
             )
         if self.refuse:
+            self.refusals.append(_read_clock())
             return web.Response(
                 status=self.refuse,
                 headers={
