Leave a replica that turned a request away alone for as long as it asks

What callers saw: a second or third send for one request in six. Replicas that had asked a node for 3 s of rest got requests from it 0.7 to 1.2 s apart, four within 3 s at the worst, and turned each of them away.

Cause: the time that a refusal names was not read. Every refusal led to the same 0.3 s in which a replica is avoided as full, and one that turns all away is idle, so it is the cheapest first replica again right after.

Now the rest is kept by the life of the replica until its time is over; the later end of two stands, and only a new life ends it sooner. It is looked at in the one place where it is decided what a replica takes: for the first try, for further tries, resumed streams, moves, reports and the probe after a refusal, of the model and of plain services alike. Where all replicas rest the client is refused at once, with the time when the first takes more, spread. A date or nonsense costs a line and is no rest; a year ends after ten minutes.

Seen red before: 6 within 3 s where 2 may be. Ruled out by the lines: sends of resumed streams (each was a first or second try of a new request), reports (one had followed each refusal, and they were not counted).

--- a/packages/ryelatch-core/src/ryelatch_core/throttle/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/throttle/__init__.py
@@ -3,5 +3,13 @@
 from ryelatch_core.throttle._bucket import Bucket
 from ryelatch_core.throttle._dealers import rank_dealers
 from ryelatch_core.throttle._limits import Heard, LimitBook
+from ryelatch_core.throttle._rests import LONGEST_REST, RestBook
 
-__all__ = ['Bucket', 'Heard', 'LimitBook', 'rank_dealers']
+__all__ = [
+    'LONGEST_REST',
+    'Bucket',
+    'Heard',
+    'LimitBook',
+    'RestBook',
+    'rank_dealers',
+]
--- /dev/null
+++ b/packages/ryelatch-core/src/ryelatch_core/throttle/_rests.py
@@ -0,0 +1,43 @@
+"""Replicas that want nothing from this node for a while, as they said."""
+
+from collections.abc import Container
+from dataclasses import dataclass, field
+
+LONGEST_REST = 600.0
+"""Seconds after which a replica is asked again, whatever it said.
+
+One that names a year by mistake would else be lost until it starts anew.
+"""
+
+
+@dataclass(eq=False)
+class RestBook:
+    """Until when replicas want nothing, by the names of their lives.
+
+    Only time ends a rest, or the end of that life: neither a report nor an
+    answer to an earlier request says that the replica wants more.
+    """
+
+    _until: dict[str, float] = field(default_factory=dict)
+
+    def ask(self, name: str, seconds: float, now: float) -> None:
+        """Take note of a rest; of several the latest end counts."""
+        until = now + min(seconds, LONGEST_REST)
+        self._until[name] = max(until, self._until.get(name, until))
+
+    def list_resting(self, now: float) -> frozenset[str]:
+        """Name the replicas that want nothing now, and forget the others."""
+        self._until = {
+            name: until for name, until in self._until.items() if until > now
+        }
+        return frozenset(self._until)
+
+    def find_left(self, name: str, now: float) -> float:
+        """Tell for how many seconds a replica wants nothing."""
+        return max(0, self._until.get(name, now) - now)
+
+    def keep(self, names: Container[str]) -> None:
+        """Forget all replicas but some."""
+        self._until = {
+            name: until for name, until in self._until.items() if name in names
+        }
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -124,3 +124,13 @@
     unloaded = replace(query, own_tokens={}, load=NO_LOAD)
     offered = parts.replicas.list_service(inquiry.service)
     return not choose_path(offered, unloaded)
+
+
+def list_heads(parts: Parts, inquiry: Inquiry) -> list[Replica]:
+    """List the replicas at which a path may begin."""
+    lost = parts.replicas.list_unreachable()
+    return [
+        one
+        for one in parts.replicas.list_service(inquiry.service)
+        if one.layers and not one.layers.first and one.name not in lost
+    ]
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -8,7 +8,11 @@
 from ryelatch_core.quarantine import MOST_ENDS
 from ryelatch_core.streams import EventCutter, StreamError
 from ryelatch_node.ports import Dispatch
-from ryelatch_node.relay._choice import choose_request_path, misses_layers
+from ryelatch_node.relay._choice import (
+    choose_request_path,
+    list_heads,
+    misses_layers,
+)
 from ryelatch_node.relay._ends import note_stream_end
 from ryelatch_node.relay._errors import (
     AnswerBroken,
@@ -17,7 +21,7 @@
 )
 from ryelatch_node.relay._exchange import Exchange, Inquiry, round_seconds
 from ryelatch_node.relay._parts import Parts
-from ryelatch_node.relay._permits import take_permit
+from ryelatch_node.relay._permits import find_return, take_permit
 from ryelatch_node.relay._probe import Prober
 from ryelatch_node.relay._progress import (
     Progress,
@@ -317,15 +321,18 @@
 ) -> None:
     """Tell a client that its request did not run, and when to come back."""
     missing = misses_layers(parts, inquiry)
+    wait = REPAIR_SECONDS if missing else _find_turn(parts, inquiry)
     await exchange.refuse(
         _UNAVAILABLE,
         'layers are missing' if missing else 'all paths are full',
-        retry_after=REPAIR_SECONDS if missing else _give_turn(parts, inquiry),
+        retry_after=wait,
         open=len(parts.windows.requests),
         full=len(parts.windows.list_closed()),
     )
 
 
-def _give_turn(parts: Parts, inquiry: Inquiry) -> float:
+def _find_turn(parts: Parts, inquiry: Inquiry) -> float:
+    """Tell a refused client when a place for it is expected."""
     now = parts.clock.monotonic()
-    return parts.returns.give_turn(now, inquiry.ends - now, parts.draw())
+    turn = parts.returns.give_turn(now, inquiry.ends - now, parts.draw())
+    return max(turn, find_return(parts, list_heads(parts, inquiry)))
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_paces.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_paces.py
@@ -21,13 +21,13 @@
 class PaceChecks:
     """Reads reports, and notes what they say of a replica's pace.
 
-    :param is_limited: tells whether a replica named a limit, by its name.
+    :param is_spared: tells whether a replica takes little, by its name.
     """
 
     log: LineLog
     clock: Clock
     orders: Orders
-    is_limited: Callable[[str], bool] = lambda _: False
+    is_spared: Callable[[str], bool] = lambda _: False
     book: PaceBook = field(default_factory=PaceBook)
     _asked: dict[str, float] = field(default_factory=dict)
     _tasks: Tasks = field(init=False)
@@ -61,10 +61,10 @@
     def _rests(self, name: str, now: float) -> bool:
         """Whether a replica is not to be asked now.
 
-        One that named a limit is short of something and says so itself.
+        One that takes little or nothing now says so itself.
         """
         asked = self._asked.get(name, float('-inf'))
-        return now - asked <= REST_SECONDS or self.is_limited(name)
+        return now - asked <= REST_SECONDS or self.is_spared(name)
 
     async def _check(self, replicas: list[Replica]) -> None:
         await asyncio.gather(*map(self._ask, replicas))
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
@@ -10,7 +10,7 @@
 from ryelatch_node.relay._errors import SendError, SendErrorKind
 from ryelatch_node.relay._exchange import Exchange, Inquiry, round_seconds
 from ryelatch_node.relay._parts import Parts
-from ryelatch_node.relay._permits import take_permit
+from ryelatch_node.relay._permits import find_return, take_permit
 from ryelatch_node.relay._upstream import Answer
 
 FIRST_SHARE = 0.5
@@ -64,7 +64,7 @@
         await _try_once(parts, exchange, inquiry, replica, tries)
         if _is_final(tries, repeatable=inquiry.repeatable):
             break
-    await _finish(exchange, tries)
+    await _finish(parts, exchange, inquiry, tries)
 
 
 async def _find_replica(
@@ -104,7 +104,12 @@
     return tries.held is not None and tries.held.answer.status < _SERVER_ERROR
 
 
-async def _finish(exchange: Exchange, tries: _Tries) -> None:
+async def _finish(
+    parts: Parts,
+    exchange: Exchange,
+    inquiry: Inquiry,
+    tries: _Tries,
+) -> None:
     tried = len(tries.names)
     if tries.held:
         answer = tries.held.answer
@@ -112,10 +117,11 @@
     elif tries.lost:
         await exchange.refuse(_BAD_GATEWAY, 'the answer was lost', tried=tried)
     else:
+        offered = parts.replicas.list_service(inquiry.service)
         await exchange.refuse(
             _UNAVAILABLE,
             'no upstream has room',
-            retry_after=RETRY_SECONDS,
+            retry_after=max(RETRY_SECONDS, find_return(parts, offered)),
             tried=tried,
         )
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_probe.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_probe.py
@@ -51,9 +51,9 @@
     def check(self, replica: Replica) -> None:
         """Ask a replica for a report, unless it was just asked.
 
-        One that named a limit is short of something and says so itself.
+        One that takes little or nothing now says so itself.
         """
-        if self.parts.throttle.is_limited(replica.name):
+        if self.parts.throttle.is_spared(replica.name):
             return
         now = self.parts.clock.monotonic()
         if now - self._asked.get(replica.name, float('-inf')) < REST_SECONDS:
--- a/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
@@ -1,14 +1,20 @@
 """Heeds what replicas say in their answers of how much they take."""
 
 import math
-from collections.abc import Container
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 from ryelatch_core.events import CostBook, LineLog, catalogue
 from ryelatch_core.fleet import Replica
 from ryelatch_core.kernel import App, Clock, Service
 from ryelatch_core.membership import NodeEntry
-from ryelatch_core.throttle import Bucket, Heard, LimitBook, rank_dealers
+from ryelatch_core.throttle import (
+    Bucket,
+    Heard,
+    LimitBook,
+    RestBook,
+    rank_dealers,
+)
 from ryelatch_node.news import News, PermitQuestion, PermitReply
 from ryelatch_node.ports import AnswerTerms, RelayStartup
 from ryelatch_node.tasks import Tasks
@@ -44,6 +50,7 @@
     lines: PermitLines
     costs: CostBook = field(default_factory=CostBook)
     _limits: LimitBook = field(default_factory=LimitBook)
+    _rests: RestBook = field(default_factory=RestBook)
     _buckets: dict[str, Bucket] = field(default_factory=dict)
     _closed: dict[str, float] = field(default_factory=dict)
     _ranked: dict[str, list[NodeEntry]] = field(default_factory=dict)
@@ -73,6 +80,26 @@
         if changed and terms.limit is None:
             self._tasks.spawn(self._tell_free(name))
 
+    def is_spared(self, name: str) -> bool:
+        """Whether a replica said that it takes little, or nothing now."""
+        now = self.clock.monotonic()
+        return self.is_limited(name) or self._rests.find_left(name, now) > 0
+
+    def find_wait(self, names: Iterable[str]) -> float:
+        """Tell in how many seconds the first of some replicas takes more.
+
+        :returns: 0 if one of them does now, or if there is none.
+        """
+        now = self.clock.monotonic()
+        waits = (
+            max(
+                self._rests.find_left(name, now),
+                self._closed.get(name, now) - now,
+            )
+            for name in names
+        )
+        return max(0, min(waits, default=0))
+
     def is_limited(self, name: str) -> bool:
         """Whether a replica has a limit, by the name of its life."""
         return self._limits.find_limit(name) is not None
@@ -82,19 +109,24 @@
         return len(self._limits.list_limited())
 
     def list_closed(self) -> frozenset[str]:
-        """Name the replicas for which there was no permit a moment ago."""
+        """Name the replicas that get no request of this node now.
+
+        They want none, or there was no permit a moment ago.
+        """
         now = self.clock.monotonic()
         self._closed = {
             name: until for name, until in self._closed.items() if until > now
         }
-        return frozenset(self._closed)
+        return frozenset(self._closed) | self._rests.list_resting(now)
 
     async def take(self, replica: Replica) -> bool:
         """Take leave to send one request to a replica.
 
-        :returns: whether it may be sent; always where there is no limit.
+        :returns: whether it may be sent.
         """
         name = replica.name
+        if self._rests.find_left(name, self.clock.monotonic()):
+            return False
         if not self.is_limited(name):
             return True
         reply = await self._seek(name)
@@ -129,6 +161,7 @@
         """
         now = self.clock.monotonic()
         self._limits.keep(names)
+        self._rests.keep(names)
         self._buckets = {
             name: bucket
             for name, bucket in self._buckets.items()
@@ -141,6 +174,7 @@
         if math.isnan(rest):
             self.log.record(catalogue.REST_UNREADABLE, replica=name)
         else:
+            self._rests.ask(name, rest, self.clock.monotonic())
             self.log.record(catalogue.REPLICA_RESTS, replica=name, seconds=rest)
 
     async def _seek(self, name: str) -> PermitReply:
--- a/tests/platform/test_resting_replicas.py
+++ b/tests/platform/test_resting_replicas.py
@@ -65,3 +65,48 @@
                 if asked + _NOTICE_SECONDS < at < asked + _REST_SECONDS
             ]
             assert len(within) <= 2
+
+
+@pytest.mark.parametrize('path', ['/plan/x', '/ping/x', '/book/x'])
+async def test_all_at_rest_are_refused_until_the_first(path: str) -> None:
+    """A client is told to come back while all replicas still rest."""
+    streams = path.startswith('/plan')
+    replicas = make_model(*[(0, 8)] * 2) if streams else make_plain(2)
+    for number, replica in enumerate(replicas):
+        replica.refuse = 503
+        replica.says = {'Retry-After': f'{_REST_SECONDS + number}'}
+    async with run_node(replicas) as node:
+        for number in range(2):
+            await ask(node, path, identity=f'c-{number}')
+        began = asyncio.get_running_loop().time()
+        status, _, headers = await ask(node, path, identity='c-2')
+        assert asyncio.get_running_loop().time() - began < _NOTICE_SECONDS
+        assert status == 503
+        assert float(headers['retry-after']) > _REST_SECONDS - 2
+        assert all(len(one.refusals) <= 2 for one in replicas)
+
+
+async def test_replica_at_rest_is_asked_for_no_report() -> None:
+    """A replica that wants nothing is asked how it is instead."""
+    replicas = make_model((0, 8), (0, 8))
+    replicas[0].refuse = 503
+    replicas[0].says = {'Retry-After': f'{_REST_SECONDS}'}
+    async with run_node(replicas) as node:
+        for number in range(6):
+            await ask(node, '/plan/x', identity=f'c-{number}')
+        assert replicas[0].refusals
+        assert not replicas[0].reports
+        assert not node.count('task-crashed')
+
+
+async def test_end_of_a_rest_is_the_end() -> None:
+    """A replica that had its rest gets no requests any more."""
+    replicas = make_plain(2)
+    replicas[0].refuse = 503
+    replicas[0].says = {'Retry-After': '0.4'}
+    async with run_node(replicas) as node:
+        await _send_for(node, '/ping/x', 1)
+        replicas[0].refuse = 0
+        await asyncio.sleep(_NOTICE_SECONDS)
+        await _send_for(node, '/ping/x', 1)
+        assert replicas[0].runs
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -55,6 +55,7 @@
     :param ended: whether it has.
     :param says: headers that it adds to all its answers.
     :param refusals: when it refused, by the loop's clock.
+    :param reports: how often it was asked for one.
     :param stop_listening: makes its address refuse connections.
     """
 
@@ -79,6 +80,7 @@
     ended: bool = False
     says: dict[str, str] = field(default_factory=dict)
     refusals: list[float] = field(default_factory=list)
+    reports: int = 0
     address: str = ''
     born: int = 0
     runs: list[Run] = field(default_factory=list)
@@ -160,6 +162,7 @@
         if self.ended:
             assert request.transport is not None
             request.transport.abort()
+        self.reports += 1
         stalled = [
             {'id': identity, 'addr': address}
             for identity, address in self._stalled.items()
