Send a replica nothing more once it has said in an answer that it leaves

What callers would see: requests sent to a replica that is about to end, for as long as the node's list does not say so; while the store is away, to its end.

Cause: the same as of limits and rests, what an answer says of its replica was dropped by the adapter. The word now stands for the rest of that life: an entry that still says ready, is written again or lapses and comes back takes none of it back, and neither the store nor a peer is needed for it.

--- a/packages/ryelatch-node/src/ryelatch_node/beliefs/_replicas.py
+++ b/packages/ryelatch-node/src/ryelatch_node/beliefs/_replicas.py
@@ -16,6 +16,7 @@
 from ryelatch_core.membership import DepartureTerms
 from ryelatch_node.beliefs._known import Known
 from ryelatch_node.beliefs._learned import Denials
+from ryelatch_node.beliefs._leavers import Leavers
 from ryelatch_node.beliefs._lives import Lives
 from ryelatch_node.beliefs._missing import MissingEntries
 
@@ -53,6 +54,7 @@
         self._missing = MissingEntries()
         self._lives = Lives()
         self._denials = Denials()
+        self._leavers = Leavers()
         self._leaving: dict[str, float] = {}
 
     def find_missing(self, names: Iterable[str]) -> float:
@@ -132,6 +134,15 @@
         self._denials.note(known.name, known.layers, self._clock.monotonic())
         self._tell()
 
+    def note_leaving(self, replica: Replica) -> None:
+        """Take a replica's word that it leaves; its entry takes none back."""
+        if not self._leavers.note(replica.name):
+            return
+        known = self.replicas.get(replica.name)
+        if known is not None:
+            self._put(known)
+            self._tell()
+
     def end(self, replica: Replica) -> None:
         """Take note that another replica answers at an address.
 
@@ -236,6 +247,7 @@
         :param listed: whether its entry says so. Only that ends its being
             missing: a replica that leaves answers reports until its end.
         """
+        replica = self._leavers.mark(replica)
         known = tuple(self.replicas.values())
         self._lives.see(replica)
         if self._lives.is_over(replica, known, self._clock.monotonic()):
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_wire.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_wire.py
@@ -64,6 +64,7 @@
         read.
     :param rest: seconds for which a replica that turned the request away
         wants nothing from this node; nothing or not a number as for a limit.
+    :param leaving: whether the replica says that it will stop.
     """
 
     identity: str
@@ -74,6 +75,7 @@
     entry: str = ''
     limit: float | None = None
     rest: float | None = None
+    leaving: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -3,11 +3,12 @@
 import asyncio
 
 from ryelatch_core.events import CostBook, LineLog, catalogue, keep_running
-from ryelatch_core.fleet import LoadBook
+from ryelatch_core.fleet import LoadBook, Replica
 from ryelatch_core.kernel import App, Service, cancel_task
 from ryelatch_node.beliefs import ConfigurationView, ReplicaView
 from ryelatch_node.listener import Listener
 from ryelatch_node.ports import (
+    AnswerTerms,
     NodesCounted,
     Orders,
     RelayStartup,
@@ -21,7 +22,7 @@
 from ryelatch_node.relay._parts import Parts
 from ryelatch_node.relay._probe import Prober
 from ryelatch_node.relay._server import RelayServer
-from ryelatch_node.relay._upstream import Upstreams
+from ryelatch_node.relay._upstream import Heed, Upstreams
 from ryelatch_node.relay._watch import StreamWatch
 from ryelatch_node.throttle import Throttle
 
@@ -171,14 +172,15 @@
     load = LoadBook()
     load.share_among(USUAL_NODES)
     throttle = app.find('throttle', Throttle)
+    replicas = app.find('replicas', ReplicaView)
     return Parts(
         startup=startup,
         log=app.find('log', LineLog),
         clock=app.clock,
         chance=app.chance,
         configuration=app.find('configuration', ConfigurationView),
-        replicas=app.find('replicas', ReplicaView),
-        upstreams=Upstreams(wire, throttle),
+        replicas=replicas,
+        upstreams=Upstreams(wire, _make_heed(throttle, replicas)),
         wire=wire,
         orders=app.find('orders', Orders),
         budget=open_budget(
@@ -191,3 +193,17 @@
         costs=app.find('costs', CostBook),
         load=load,
     )
+
+
+def _make_heed(throttle: Throttle, replicas: ReplicaView) -> Heed:
+    """Join what heeds the word of replicas in their answers."""
+
+    def heed(replica: Replica, terms: AnswerTerms) -> None:
+        # Another replica may have the address by now.
+        if terms.entry not in {'', replica.entry}:
+            return
+        throttle.note_answer(replica, terms)
+        if terms.leaving:
+            replicas.note_leaving(replica)
+
+    return heed
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -1,8 +1,9 @@
 """The HTTP client towards upstreams."""
 
 import functools
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from typing import TypeAlias
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -12,7 +13,6 @@
 from ryelatch_core.membership import SEND_SECONDS
 from ryelatch_node.ports import AnswerTerms, Headers, Wire
 from ryelatch_node.relay._errors import SendError, SendErrorKind
-from ryelatch_node.throttle import Throttle
 
 IDLE_SECONDS = 4.0
 """How long an unused connection is kept.
@@ -28,6 +28,10 @@
 )
 
 
+Heed: TypeAlias = Callable[[Replica, AnswerTerms], None]
+"""Takes what an answer says of the replica that was asked."""
+
+
 class _StrictHandler(ResponseHandler):
     """Takes a reset for an error also where the body has no length.
 
@@ -82,11 +86,14 @@
 
 
 class Upstreams:
-    """Connections to upstreams; some are kept, some are used once."""
+    """Connections to upstreams; some are kept, some are used once.
+
+    :param heed: takes what each answer says of its replica.
+    """
 
-    def __init__(self, wire: Wire, throttle: Throttle) -> None:
+    def __init__(self, wire: Wire, heed: Heed) -> None:
         self._wire = wire
-        self._throttle = throttle
+        self._heed = heed
         self._kept: aiohttp.ClientSession | None = None
         self._single: aiohttp.ClientSession | None = None
 
@@ -139,7 +146,7 @@
             raise SendError(SendErrorKind.LOST, _name(error)) from error
         try:
             answer = self._accept(response, identity)
-            self._throttle.note_answer(replica, answer.terms)
+            self._heed(replica, answer.terms)
             yield answer
         finally:
             # Closing cancels the work at the upstream; after a whole body
--- a/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
@@ -69,8 +69,6 @@
 
     def note_answer(self, replica: Replica, terms: AnswerTerms) -> None:
         """Take what an answer says of the replica that gave it."""
-        if terms.entry not in {'', replica.entry}:
-            return
         name = replica.name
         self._note_rest(name, terms.rest)
         if terms.limit is not None and math.isnan(terms.limit):
