Let permits be dealt past VMs that are gone, and no refusal end a limit

Found by reading, each brought about in a test that was red on the code before: VMs that were removed for good stay in the list of nodes, and where the first two that would deal were such, nobody sent to a replica in need any more; they are left for longer each time now and the next ones asked. A refusal or spoiled answer of a replica in need that named no limit ended it at all nodes; only an answer that the replica vouches for does. A hundred requests at once, each waiting for the question of the one before, took a dealer for silent; the wait counts from the question.

--- a/packages/ryelatch-node/src/ryelatch_node/throttle/_lines.py
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/_lines.py
@@ -24,7 +24,20 @@
 REST_SECONDS = 2.0
 """How long a node that did not answer is not asked again."""
 
-_BREAKS = (asyncio.CancelledError, *FAILURES)
+LONGEST_REST = 64.0
+"""The same at most, as it doubles each time; a VM may be gone for good."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Left:
+    """That a node left questions unanswered.
+
+    :param until: when it is asked again, in monotonic seconds.
+    :param rest: seconds for which it was left.
+    """
+
+    until: float
+    rest: float
 
 
 @dataclass(eq=False)
@@ -38,7 +51,7 @@
     _locks: dict[str, asyncio.Lock] = field(
         default_factory=lambda: defaultdict(asyncio.Lock)
     )
-    _left: dict[str, float] = field(default_factory=dict)
+    _left: dict[str, _Left] = field(default_factory=dict)
 
     def stop(self) -> None:
         """Close all connections."""
@@ -48,7 +61,7 @@
     def rests(self, dealer: NodeEntry) -> bool:
         """Whether a node left a question unanswered a short while ago."""
         left = self._left.get(dealer.address)
-        return left is not None and self.clock.monotonic() - left < REST_SECONDS
+        return left is not None and self.clock.monotonic() < left.until
 
     async def ask(
         self,
@@ -59,38 +72,47 @@
 
         :returns: nothing if no reply came.
         """
-        try:
-            async with asyncio.timeout(ASK_SECONDS):
-                body = await self._exchange(dealer.address, question)
-            return msgspec.msgpack.decode(body, type=PermitReply)
-        except FAILURES as error:
-            self._left[dealer.address] = self.clock.monotonic()
-            self.log.record(
-                catalogue.DEALER_LEFT,
-                peer=dealer.name,
-                reason=type(error).__name__,
-            )
-            return None
+        async with self._locks[dealer.address]:
+            # Those before may have found out that it does not answer.
+            if self.rests(dealer):
+                return None
+            try:
+                return await self._exchange(dealer.address, question)
+            except FAILURES as error:
+                self._leave(dealer, type(error).__name__)
+                return None
+            except asyncio.CancelledError:
+                # A reply still to come would answer the next question.
+                self._drop(dealer.address)
+                raise
 
     async def _exchange(
         self,
         address: str,
         question: PermitQuestion,
-    ) -> bytes:
-        async with self._locks[address]:
-            try:
-                return await self._ask(address, question)
-            except _BREAKS:
-                # A reply still to come would answer the next question.
-                self._drop(address)
-                raise
-
-    async def _ask(self, address: str, question: PermitQuestion) -> bytes:
-        line = self._lines.get(address)
-        if line is None:
-            line = await open_line(self.news.dial, address)
-            self._lines[address] = line
-        return await line.ask(question)
+    ) -> PermitReply:
+        async with asyncio.timeout(ASK_SECONDS):
+            line = self._lines.get(address)
+            if line is None:
+                line = await open_line(self.news.dial, address)
+                self._lines[address] = line
+            body = await line.ask(question)
+        reply = msgspec.msgpack.decode(body, type=PermitReply)
+        self._left.pop(address, None)
+        return reply
+
+    def _leave(self, dealer: NodeEntry, reason: str) -> None:
+        self._drop(dealer.address)
+        left = self._left.get(dealer.address)
+        rest = min(LONGEST_REST, left.rest * 2 if left else REST_SECONDS)
+        until = self.clock.monotonic() + rest
+        self._left[dealer.address] = _Left(until, rest)
+        self.log.record(
+            catalogue.DEALER_LEFT,
+            peer=dealer.name,
+            reason=reason,
+            seconds=rest,
+        )
 
     def _drop(self, address: str) -> None:
         line = self._lines.pop(address, None)
--- a/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
@@ -1,5 +1,6 @@
 """Heeds what replicas say in their answers of how much they take."""
 
+import itertools
 import math
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
@@ -20,9 +21,15 @@
 from ryelatch_node.tasks import Tasks
 from ryelatch_node.throttle._lines import PermitLines
 
-MOST_DEALERS = 2
+MOST_ASKED = 2
 """Nodes that are asked for a permit at most, one after the other."""
 
+MOST_DEALERS = 6
+"""Nodes that may deal the permits of a replica, if those before are gone.
+
+VMs that were removed for good stay in the list of nodes.
+"""
+
 LEAST_WAIT = 0.05
 """Seconds for which a replica is left at least where there is no permit."""
 
@@ -74,6 +81,9 @@
         if terms.limit is not None and math.isnan(terms.limit):
             self.log.record(catalogue.LIMIT_UNREADABLE, replica=name)
             return
+        if terms.limit is None and not terms.signed:
+            # A refusal or a spoiled answer need not say all that holds.
+            return
         changed = self._hear(name, Heard(terms.limit, self.clock.monotonic()))
         if changed and terms.limit is None:
             self._tasks.spawn(self._tell_free(name))
@@ -180,7 +190,10 @@
         if not self.news.nodes:
             # Just started, and no list of the nodes has come yet.
             return self.answer(self._make_question(name))
-        for dealer in self._list_dealers(name):
+        reachable = itertools.filterfalse(
+            self.lines.rests, self._list_dealers(name)
+        )
+        for dealer in tuple(reachable)[:MOST_ASKED]:
             reply = await self._ask(dealer, name)
             if reply is not None:
                 return reply
@@ -201,8 +214,6 @@
         question = self._make_question(name)
         if dealer.name == self.startup.name:
             return self.answer(question)
-        if self.lines.rests(dealer):
-            return None
         asked = self.clock.monotonic()
         reply = await self.lines.ask(dealer, question)
         if reply is not None:
