Keep the limit of a replica whose entry lapses; part the dealing from the asking

Found by reading: an entry that lapses in an outage took the limit of its replica along, and when it came back all nodes sent as if nothing had been said. A rest that begins while a permit is on its way is looked at once more, without a test.

--- a/packages/ryelatch-core/src/ryelatch_core/throttle/_limits.py
+++ b/packages/ryelatch-core/src/ryelatch_core/throttle/_limits.py
@@ -4,6 +4,9 @@
 from collections.abc import Container
 from dataclasses import dataclass, field
 
+KEPT_SECONDS = 60.0
+"""How long the word of a replica that is gone is kept."""
+
 
 @dataclass(frozen=True, slots=True)
 class Heard:
@@ -57,10 +60,16 @@
             if known.limit is not None
         )
 
-    def keep(self, names: Container[str]) -> None:
-        """Forget all replicas but some."""
+    def keep(self, names: Container[str], now: float) -> None:
+        """Forget the replicas that are gone, but not at once.
+
+        An entry that lapses in an outage comes back with the same life, which
+        is in need as before.
+        """
         self._heard = {
-            name: known for name, known in self._heard.items() if name in names
+            name: known
+            for name, known in self._heard.items()
+            if name in names or now - known.at < KEPT_SECONDS
         }
 
 
--- a/packages/ryelatch-core/src/ryelatch_core/throttle/_rests.py
+++ b/packages/ryelatch-core/src/ryelatch_core/throttle/_rests.py
@@ -1,6 +1,5 @@
 """Replicas that want nothing from this node for a while, as they said."""
 
-from collections.abc import Container
 from dataclasses import dataclass, field
 
 LONGEST_REST = 600.0
@@ -35,9 +34,3 @@
     def find_left(self, name: str, now: float) -> float:
         """Tell for how many seconds a replica wants nothing."""
         return max(0, self._until.get(name, now) - now)
-
-    def keep(self, names: Container[str]) -> None:
-        """Forget all replicas but some."""
-        self._until = {
-            name: until for name, until in self._until.items() if name in names
-        }
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/_dealer.py
@@ -0,0 +1,73 @@
+"""Deals the permits of replicas that named a limit, to all nodes."""
+
+from dataclasses import dataclass, field
+
+from ryelatch_core.events import LineLog, catalogue
+from ryelatch_core.kernel import Clock
+from ryelatch_core.throttle import Bucket, Heard, LimitBook
+from ryelatch_node.news import PermitQuestion, PermitReply
+
+
+@dataclass(eq=False)
+class Dealer:
+    """What a node knows of limits, and the permits that it deals by them.
+
+    Any node deals that is asked to; which one is asked is for the others to
+    agree on.
+    """
+
+    log: LineLog
+    clock: Clock
+    limits: LimitBook = field(default_factory=LimitBook)
+    _buckets: dict[str, Bucket] = field(default_factory=dict)
+
+    def hear(self, name: str, heard: Heard) -> bool:
+        """Take what a replica said, from whomever.
+
+        :returns: whether it has a limit now and had none, or the reverse.
+        """
+        if not self.limits.hear(name, heard):
+            return False
+        if heard.limit is None:
+            self.log.record(catalogue.REPLICA_UNLIMITED, replica=name)
+        else:
+            self.log.record(
+                catalogue.REPLICA_LIMITED, replica=name, limit=heard.limit
+            )
+        return True
+
+    def answer(self, question: PermitQuestion) -> PermitReply:
+        """Deal a permit to a node that asks."""
+        name, now = question.replica, self.clock.monotonic()
+        self.hear(name, Heard(question.limit, now - question.age))
+        heard = self.limits.find(name)
+        if heard is None or heard.limit is None:
+            self._buckets.pop(name, None)
+            age = question.age if heard is None else max(0, now - heard.at)
+            return PermitReply(True, 0, None, age)
+        bucket = self._buckets.setdefault(name, Bucket(heard.limit, now))
+        bucket.resize(heard.limit, now)
+        granted = question.limit is not None and bucket.take(now)
+        wait = bucket.find_wait(now)
+        return PermitReply(granted, wait, heard.limit, max(0, now - heard.at))
+
+    def make_question(self, name: str) -> PermitQuestion:
+        """Ask for a permit, with what this node knows of the limit."""
+        heard = self.limits.find(name)
+        now = self.clock.monotonic()
+        if heard is None:
+            return PermitQuestion(name, None, 0)
+        return PermitQuestion(name, heard.limit, max(0, now - heard.at))
+
+    def forget_idle(self) -> None:
+        """Forget the permits that nobody asks for any more.
+
+        Not those of replicas that this node does not list: it may hear of one
+        later than others do, and would begin anew with each question.
+        """
+        now = self.clock.monotonic()
+        self._buckets = {
+            name: bucket
+            for name, bucket in self._buckets.items()
+            if not bucket.is_idle(now)
+        }
--- a/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
@@ -9,16 +9,11 @@
 from ryelatch_core.fleet import Replica
 from ryelatch_core.kernel import App, Clock, Service
 from ryelatch_core.membership import NodeEntry
-from ryelatch_core.throttle import (
-    Bucket,
-    Heard,
-    LimitBook,
-    RestBook,
-    rank_dealers,
-)
-from ryelatch_node.news import News, PermitQuestion, PermitReply
+from ryelatch_core.throttle import Heard, RestBook, rank_dealers
+from ryelatch_node.news import News, PermitReply
 from ryelatch_node.ports import AnswerTerms, RelayStartup
 from ryelatch_node.tasks import Tasks
+from ryelatch_node.throttle._dealer import Dealer
 from ryelatch_node.throttle._lines import PermitLines
 
 MOST_ASKED = 2
@@ -56,9 +51,8 @@
     news: News
     lines: PermitLines
     costs: CostBook = field(default_factory=CostBook)
-    _limits: LimitBook = field(default_factory=LimitBook)
+    dealer: Dealer = field(init=False)
     _rests: RestBook = field(default_factory=RestBook)
-    _buckets: dict[str, Bucket] = field(default_factory=dict)
     _closed: dict[str, float] = field(default_factory=dict)
     _ranked: dict[str, list[NodeEntry]] = field(default_factory=dict)
     _ranked_nodes: tuple[NodeEntry, ...] = ()
@@ -67,7 +61,8 @@
     def __post_init__(self) -> None:
         """Make what tells others, and answer them."""
         self._tasks = Tasks(self.log, 'throttle')
-        self.news.answer_permit = self.answer
+        self.dealer = Dealer(self.log, self.clock)
+        self.news.answer_permit = self.dealer.answer
 
     async def stop(self) -> None:
         """Ask and tell nothing more."""
@@ -84,7 +79,8 @@
         if terms.limit is None and not terms.signed:
             # A refusal or a spoiled answer need not say all that holds.
             return
-        changed = self._hear(name, Heard(terms.limit, self.clock.monotonic()))
+        heard = Heard(terms.limit, self.clock.monotonic())
+        changed = self.dealer.hear(name, heard)
         if changed and terms.limit is None:
             self._tasks.spawn(self._tell_free(name))
 
@@ -110,11 +106,11 @@
 
     def is_limited(self, name: str) -> bool:
         """Whether a replica has a limit, by the name of its life."""
-        return self._limits.find_limit(name) is not None
+        return self.dealer.limits.find_limit(name) is not None
 
     def count_limited(self) -> int:
         """Count the replicas that have a limit."""
-        return len(self._limits.list_limited())
+        return len(self.dealer.limits.list_limited())
 
     def list_closed(self) -> frozenset[str]:
         """Name the replicas that get no request of this node now.
@@ -140,41 +136,17 @@
         reply = await self._seek(name)
         outcome = 'granted' if reply.granted else 'denied'
         self.costs.count('permits', outcome)
+        now = self.clock.monotonic()
         if not reply.granted:
             wait = min(LONGEST_WAIT, max(LEAST_WAIT, reply.wait))
-            self._closed[name] = self.clock.monotonic() + wait
-        return reply.granted
-
-    def answer(self, question: PermitQuestion) -> PermitReply:
-        """Deal a permit to a node that asks."""
-        name, now = question.replica, self.clock.monotonic()
-        self._hear(name, Heard(question.limit, now - question.age))
-        heard = self._limits.find(name)
-        if heard is None or heard.limit is None:
-            self._buckets.pop(name, None)
-            age = question.age if heard is None else max(0, now - heard.at)
-            return PermitReply(True, 0, None, age)
-        bucket = self._buckets.setdefault(name, Bucket(heard.limit, now))
-        bucket.resize(heard.limit, now)
-        granted = question.limit is not None and bucket.take(now)
-        wait = bucket.find_wait(now)
-        return PermitReply(granted, wait, heard.limit, max(0, now - heard.at))
+            self._closed[name] = now + wait
+        # It may have asked for rest while the permit was on its way.
+        return reply.granted and not self._rests.find_left(name, now)
 
     def keep(self, names: Container[str]) -> None:
-        """Forget all replicas but some.
-
-        Permits that this node deals are kept while others ask for them; it
-        may hear of a replica later than they do, and would begin anew with
-        each question.
-        """
-        now = self.clock.monotonic()
-        self._limits.keep(names)
-        self._rests.keep(names)
-        self._buckets = {
-            name: bucket
-            for name, bucket in self._buckets.items()
-            if not bucket.is_idle(now)
-        }
+        """Forget the limits of replicas that have been gone for long."""
+        self.dealer.limits.keep(names, self.clock.monotonic())
+        self.dealer.forget_idle()
 
     def _note_rest(self, name: str, rest: float | None) -> None:
         if rest is None:
@@ -189,7 +161,7 @@
         """Ask the nodes that deal the permits of a replica, in their order."""
         if not self.news.nodes:
             # Just started, and no list of the nodes has come yet.
-            return self.answer(self._make_question(name))
+            return self.dealer.answer(self.dealer.make_question(name))
         reachable = itertools.filterfalse(
             self.lines.rests, self._list_dealers(name)
         )
@@ -211,13 +183,13 @@
         return self._ranked[name]
 
     async def _ask(self, dealer: NodeEntry, name: str) -> PermitReply | None:
-        question = self._make_question(name)
+        question = self.dealer.make_question(name)
         if dealer.name == self.startup.name:
-            return self.answer(question)
+            return self.dealer.answer(question)
         asked = self.clock.monotonic()
         reply = await self.lines.ask(dealer, question)
         if reply is not None:
-            self._hear(name, Heard(reply.limit, asked - reply.age))
+            self.dealer.hear(name, Heard(reply.limit, asked - reply.age))
         return reply
 
     async def _tell_free(self, name: str) -> None:
@@ -225,25 +197,6 @@
         for dealer in self._list_dealers(name)[:1]:
             await self._ask(dealer, name)
 
-    def _make_question(self, name: str) -> PermitQuestion:
-        heard = self._limits.find(name)
-        now = self.clock.monotonic()
-        if heard is None:
-            return PermitQuestion(name, None, 0)
-        return PermitQuestion(name, heard.limit, max(0, now - heard.at))
-
-    def _hear(self, name: str, heard: Heard) -> bool:
-        if not self._limits.hear(name, heard):
-            return False
-        if heard.limit is None:
-            self._closed.pop(name, None)
-            self.log.record(catalogue.REPLICA_UNLIMITED, replica=name)
-        else:
-            self.log.record(
-                catalogue.REPLICA_LIMITED, replica=name, limit=heard.limit
-            )
-        return True
-
 
 def setup(app: App) -> None:
     """Add the service ``throttle``."""
