--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,6 +20,11 @@
         action='store_true',
         help='with a request that ends replicas',
     )
+    parser.add_argument(
+        '--asking',
+        action='store_true',
+        help='with replicas that name limits and ask for rest',
+    )
     return parser.parse_args()
 
 
@@ -32,7 +37,13 @@
         folder = options.folder / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
         outcome = asyncio.run(
-            play_seed(seed, options.seconds, folder, crashing=options.crashing)
+            play_seed(
+                seed,
+                options.seconds,
+                folder,
+                crashing=options.crashing,
+                asking=options.asking,
+            )
         )
         failed += bool(outcome.violations)
         sys.stdout.write(
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 
 from fleet.running import expect_events
+from soak.asking import LIMIT, NOTICE_SECONDS, SPAN_SECONDS
 from soak.clients import Attempt, Clients
 from soak.crashing import CRASHING_KINDS, find_digest
 from soak.world import CRASHING, EVENTS, SPARE_KEY, World
@@ -123,6 +124,24 @@
                 yield f'{node.name} refuses what ended nothing: {line}'
 
 
+def check_limited(world: World, clients: Clients) -> Iterator[str]:
+    """A replica in need gets no more than it named, and not nothing."""
+    if world.limited is None:
+        return
+    wanted, since = world.limited
+    times = [
+        run.at
+        for name, run in _list_runs(world)
+        if name == wanted and run.at > since + NOTICE_SECONDS
+    ]
+    most = max(
+        (sum(one <= at < one + SPAN_SECONDS for at in times) for one in times),
+        default=0,
+    )
+    if not 1 <= most <= 1.5 * LIMIT * SPAN_SECONDS + 5:
+        yield f'{wanted} got {most} in {SPAN_SECONDS} s at a limit of {LIMIT}'
+
+
 def check_recovery(calm: list[Attempt]) -> Iterator[str]:
     """After the last fault requests are served as if nothing had been."""
     served = sum(one.status == 200 and one.whole for one in calm)
@@ -139,6 +158,7 @@
     check_leaving,
     check_processes,
     check_crashing,
+    check_limited,
 )
 
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from fleet.running import KEY
+from soak.asking import AskingReplicas
 from soak.checks import list_violations
 from soak.clients import Clients
 from soak.crashing import CrashingClient
@@ -42,29 +43,37 @@
     folder: Path,
     *,
     crashing: bool = False,
+    asking: bool = False,
 ) -> Outcome:
     """Play one seed.
 
     :param seconds: for which faults begin; the last ones end later.
     :param folder: for settings and what the processes write.
     :param crashing: whether a client sends what ends the replicas that run it.
+    :param asking: whether replicas name limits and ask for rest.
     """
     async with run_world(seed, folder) as world:
         clients = Clients(world)
         until = asyncio.Event()
         crashes = CrashingClient(world, clients, random.Random(seed))
+        asks = AskingReplicas(world, clients, random.Random(seed))
         if crashing:
             crashes.start()
+        if asking:
+            asks.start()
         sending = asyncio.create_task(clients.run(until))
         revoking = asyncio.create_task(_revoke(world, seconds / 3))
         faults = await inject_faults(world, seconds)
         await revoking
+        await asks.stop()
         await _settle(world)
         until.set()
         await sending
         world.calm = asyncio.get_running_loop().time()
         if crashing:
             await crashes.go_on()
+        if asking:
+            await asks.press()
         calm = await clients.ask_calmly(CALM_REQUESTS)
         await crashes.stop()
         statuses = Counter(one.status for one in clients.attempts)
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -2,6 +2,7 @@
 
 CI_SEEDS = (1, 2)
 CRASHING_SEED = 7401
+ASKING_SEED = 3601
 CI_SECONDS = 6.0
 
 REGRESSIONS: dict[int, str] = {
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -131,6 +131,7 @@
     leaving: dict[str, float] = field(default_factory=dict)
     born: int = 0
     calm: float = 0
+    limited: tuple[str, float] | None = None
 
     async def add_replica(self, replica: ReplicaStandIn) -> ReplicaStandIn:
         """Start a replica behind a link and register it."""
--- a/tests/soak_tests/test_soak.py
+++ b/tests/soak_tests/test_soak.py
@@ -5,7 +5,13 @@
 import pytest
 
 from soak.play import play_seed
-from soak.seeds import CI_SECONDS, CI_SEEDS, CRASHING_SEED, REGRESSIONS
+from soak.seeds import (
+    ASKING_SEED,
+    CI_SECONDS,
+    CI_SEEDS,
+    CRASHING_SEED,
+    REGRESSIONS,
+)
 
 
 @pytest.mark.parametrize('seed', [*CI_SEEDS, *REGRESSIONS])
@@ -31,3 +37,10 @@
     )
     assert outcome.faults
     assert not outcome.violations
+
+
+async def test_replicas_that_ask_are_heeded(tmp_path: Path) -> None:
+    """Amid faults, a replica in need gets too much, or nothing any more."""
+    outcome = await play_seed(ASKING_SEED, CI_SECONDS, tmp_path, asking=True)
+    assert outcome.faults
+    assert not outcome.violations
