--- a/tests/virtual/throttles.py
+++ b/tests/virtual/throttles.py
@@ -13,45 +13,12 @@
 from ryelatch_node.news import News
 from ryelatch_node.ports import AnswerTerms
 from ryelatch_node.throttle import PermitLines, Throttle
+from virtual.links import LINK_SECONDS, open_pair
 from virtual.loop import VirtualClock
 
-LINK_SECONDS = 0.001
-
 REPLICA = Replica('b-0', 'booking', '10.0.0.1:8000', 'zone-a')
 
 
-class _Transport:
-    def __init__(self, ends: tuple[asyncio.StreamReader, ...]) -> None:
-        self._ends = ends
-
-    def abort(self) -> None:
-        """End both directions."""
-        for end in self._ends:
-            end.feed_eof()
-
-
-class _Writer:
-    """One direction of a connection."""
-
-    def __init__(
-        self, near: asyncio.StreamReader, far: asyncio.StreamReader
-    ) -> None:
-        self.transport = _Transport((near, far))
-        self._far = far
-
-    def write(self, data: bytes) -> None:
-        """Deliver a little later."""
-        loop = asyncio.get_running_loop()
-        loop.call_later(LINK_SECONDS, self._deliver, data)
-
-    async def drain(self) -> None:
-        """Nothing waits."""
-
-    def _deliver(self, data: bytes) -> None:
-        if not self._far._eof:  # type: ignore[attr-defined]
-            self._far.feed_data(data)
-
-
 @dataclass(eq=False)
 class ThrottledFleet:
     """Nodes that send to one replica, which names a limit.
@@ -135,10 +102,10 @@
         if host in self.dark:
             await asyncio.Event().wait()
         await asyncio.sleep(LINK_SECONDS)
-        near, far = asyncio.StreamReader(), asyncio.StreamReader()
-        serving = self.nodes[host].news.serve(far, _Writer(far, near))  # type: ignore[arg-type]
+        near, far = open_pair(lambda: host not in self.dark)
+        serving = self.nodes[host].news.serve(*far)
         self._tasks.append(asyncio.create_task(serving))
-        return near, _Writer(near, far)
+        return near
 
 
 def make_terms(limit: float | None, *, signed: bool = True) -> AnswerTerms:
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -25,54 +25,13 @@
 from ryelatch_platform._quarantine import make_quarantine_store
 from ryelatch_platform._store import StoreClient
 from ryelatch_platform._waits import ARRIVAL_SECONDS
+from virtual.links import LINK_SECONDS, open_pair
 from virtual.loop import VirtualClock
 from virtual.store import VirtualStore
 
 HOUSEKEEPING_SECONDS = 0.5
 """How often a node drops what is due; see the relay's housekeeper."""
 
-_LINK_SECONDS = 0.001
-
-
-class _Transport:
-    def __init__(self, near: asyncio.StreamReader, far: asyncio.StreamReader):
-        self._ends = (near, far)
-
-    def abort(self) -> None:
-        """End both directions."""
-        for end in self._ends:
-            end.feed_eof()
-
-
-class _Writer:
-    """One direction of a connection between nodes."""
-
-    def __init__(
-        self,
-        world: 'World',
-        names: tuple[str, str],
-        near: asyncio.StreamReader,
-        far: asyncio.StreamReader,
-    ) -> None:
-        self._world = world
-        self._names = names
-        self._far = far
-        self.transport = _Transport(near, far)
-
-    def write(self, data: bytes) -> None:
-        """Send, unless one of the two is cut off from the other."""
-        loop = asyncio.get_running_loop()
-        if not self._world.dark & set(self._names):
-            loop.call_later(_LINK_SECONDS, self._deliver, data)
-
-    async def drain(self) -> None:
-        """Nothing waits."""
-
-    def _deliver(self, data: bytes) -> None:
-        # A connection may have been closed while the bytes were on their way.
-        if not self._far._eof:  # type: ignore[attr-defined]
-            self._far.feed_data(data)
-
 
 @dataclass(eq=False)
 class VirtualNode:
@@ -224,17 +183,10 @@
             peer = self.nodes[host]
             if self.dark & {caller, host}:
                 await asyncio.Event().wait()
-            await asyncio.sleep(_LINK_SECONDS)
-            near, far = asyncio.StreamReader(), asyncio.StreamReader()
-            ends = (caller, host)
-            peer.tasks.append(
-                asyncio.create_task(
-                    peer.news.serve(
-                        far,
-                        _Writer(self, ends, far, near),  # type: ignore[arg-type]
-                    )
-                )
-            )
-            return near, _Writer(self, ends, near, far)
+            await asyncio.sleep(LINK_SECONDS)
+            near, far = open_pair(lambda: not self.dark & {caller, host})
+            serving = peer.news.serve(*far)
+            peer.tasks.append(asyncio.create_task(serving))
+            return near
 
         return dial
