The field's words for permits, limiters and backoffs

Names only: a node that dealt is a limiter, a bucket a token bucket, a rest a backoff, a replica that is spared is throttled, what heeds answers a hook.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -239,9 +239,9 @@
     'Look at the software of that replica.',
     Level.WARNING,
 )
-DEALER_LEFT = EventKind(
+LIMITER_LEFT = EventKind(
     1429,
-    'dealer-left',
+    'limiter-left',
     'A node did not answer a question for a permit; another one is asked.',
     'If it comes often, look at the links between the nodes.',
     Level.WARNING,
@@ -251,17 +251,17 @@
     'permit-denied',
     'A replica that named a limit takes no more now; another one is chosen.',
 )
-REPLICA_RESTS = EventKind(
+REPLICA_BACKOFF = EventKind(
     1431,
-    'replica-rests',
+    'replica-backoff',
     'A replica turned a request away and wants nothing from this node for '
     'some seconds.',
     'If it does so again and again, look at it.',
     Level.WARNING,
 )
-REST_UNREADABLE = EventKind(
+BACKOFF_UNREADABLE = EventKind(
     1432,
-    'rest-unreadable',
+    'backoff-unreadable',
     'A replica turned a request away until a time that can not be read.',
     'Look at the software of that replica.',
     Level.WARNING,
--- a/packages/ryelatch-core/src/ryelatch_core/throttle/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/throttle/__init__.py
@@ -1,15 +1,15 @@
 """What replicas say in their answers of how much they take, and from whom."""
 
-from ryelatch_core.throttle._bucket import Bucket
-from ryelatch_core.throttle._dealers import rank_dealers
+from ryelatch_core.throttle._backoffs import LONGEST_BACKOFF, BackoffBook
+from ryelatch_core.throttle._bucket import TokenBucket
+from ryelatch_core.throttle._limiters import rank_limiters
 from ryelatch_core.throttle._limits import Heard, LimitBook
-from ryelatch_core.throttle._rests import LONGEST_REST, RestBook
 
 __all__ = [
-    'LONGEST_REST',
-    'Bucket',
+    'LONGEST_BACKOFF',
+    'BackoffBook',
     'Heard',
     'LimitBook',
-    'RestBook',
-    'rank_dealers',
+    'TokenBucket',
+    'rank_limiters',
 ]
--- a/packages/ryelatch-core/src/ryelatch_core/throttle/_rests.py
+++ b/packages/ryelatch-core/src/ryelatch_core/throttle/_backoffs.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-LONGEST_REST = 600.0
+LONGEST_BACKOFF = 600.0
 """Seconds after which a replica is asked again, whatever it said.
 
 One that names a year by mistake would else be lost until it starts anew.
@@ -10,21 +10,21 @@
 
 
 @dataclass(eq=False)
-class RestBook:
+class BackoffBook:
     """Until when replicas want nothing, by the names of their lives.
 
-    Only time ends a rest, or the end of that life: neither a report nor an
+    Only time ends a backoff, or the end of that life: neither a report nor an
     answer to an earlier request says that the replica wants more.
     """
 
     _until: dict[str, float] = field(default_factory=dict)
 
-    def ask(self, name: str, seconds: float, now: float) -> None:
-        """Take note of a rest; of several the latest end counts."""
-        until = now + min(seconds, LONGEST_REST)
+    def begin(self, name: str, seconds: float, now: float) -> None:
+        """Begin a backoff; of several the latest end counts."""
+        until = now + min(seconds, LONGEST_BACKOFF)
         self._until[name] = max(until, self._until.get(name, until))
 
-    def list_resting(self, now: float) -> frozenset[str]:
+    def list_names(self, now: float) -> frozenset[str]:
         """Name the replicas that want nothing now, and forget the others."""
         self._until = {
             name: until for name, until in self._until.items() if until > now
--- a/packages/ryelatch-core/src/ryelatch_core/throttle/_bucket.py
+++ b/packages/ryelatch-core/src/ryelatch_core/throttle/_bucket.py
@@ -1,17 +1,17 @@
 """Permits for requests to a replica that takes a limited number of them.
 
 Answers the load in which a replica in need is still the cheapest for each of
-many nodes, as each sees only the requests that it sends itself. One node deals
+many nodes, as each sees only the requests that it sends itself. One node grants
 the permits of all, so the sum holds at any number of nodes.
 
-Two nodes may deal at once for a while, as their lists of nodes differ. What
-both deal in some seconds has to stay below one and a half times the limit and
-five requests more; dealing three quarters of it, and saving up two requests at
+Two nodes may grant at once for a while, as their lists of nodes differ. What
+both grant in some seconds has to stay below one and a half times the limit and
+five requests more; granting three quarters of it, and saving up two requests at
 most, both keep within that at any limit.
 """
 
-DEALT_SHARE = 0.75
-"""Share of a limit that one node deals."""
+GRANTED_SHARE = 0.75
+"""Share of a limit that one node grants."""
 
 MOST_SAVED = 2.0
 """Most permits that are saved up, in requests."""
@@ -20,7 +20,7 @@
 """The same at the smallest limits; less would never make a whole request."""
 
 LEAST_PACE = 0.25
-"""Permits a second that are dealt at least.
+"""Permits a second that are granted at least.
 
 Without an answer now and then nobody would learn that a limit is over.
 """
@@ -30,10 +30,10 @@
 """How long the permits of a replica are kept that nobody asks for."""
 
 
-class Bucket:
-    """The permits of one replica, as one node deals them.
+class TokenBucket:
+    """The permits of one replica, as one node grants them.
 
-    It begins with one: another node may have dealt until a moment ago.
+    It begins with one: another node may have granted until a moment ago.
 
     :param limit: requests a second.
     :param now: monotonic seconds.
@@ -69,7 +69,7 @@
 
     @property
     def _pace(self) -> float:
-        return max(LEAST_PACE, DEALT_SHARE * self._limit)
+        return max(LEAST_PACE, GRANTED_SHARE * self._limit)
 
     @property
     def _most(self) -> float:
--- a/packages/ryelatch-core/src/ryelatch_core/throttle/_dealers.py
+++ b/packages/ryelatch-core/src/ryelatch_core/throttle/_limiters.py
@@ -1,4 +1,4 @@
-"""Chooses the node that deals the permits of a replica."""
+"""Chooses the node that grants the permits of a replica."""
 
 import hashlib
 from collections.abc import Iterable
@@ -8,8 +8,8 @@
 _HASH_BYTES = 8
 
 
-def rank_dealers(replica: str, nodes: Iterable[NodeEntry]) -> list[NodeEntry]:
-    """Rank the nodes that may deal the permits of a replica, best first.
+def rank_limiters(replica: str, nodes: Iterable[NodeEntry]) -> list[NodeEntry]:
+    """Rank the nodes that may grant the permits of a replica, best first.
 
     Each replica has an order of its own, the same at all nodes with the same
     list; one that comes or goes changes the first place of few replicas.
--- a/packages/ryelatch-node/src/ryelatch_node/news/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_frames.py
@@ -72,7 +72,7 @@
     """Whether a request may be sent.
 
     :param wait: seconds until there is leave again, where there is none.
-    :param limit: what the replica said last, as far as the dealer knows;
+    :param limit: what the replica said last, as far as the limiter knows;
         nothing if it has no limit any more.
     :param age: seconds since it said so.
     """
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_wire.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_wire.py
@@ -74,7 +74,7 @@
     encoded: bool
     entry: str = ''
     limit: float | None = None
-    rest: float | None = None
+    backoff: float | None = None
     leaving: bool = False
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_paces.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_paces.py
@@ -21,13 +21,13 @@
 class PaceChecks:
     """Reads reports, and notes what they say of a replica's pace.
 
-    :param is_spared: tells whether a replica takes little, by its name.
+    :param is_throttled: tells whether a replica takes little, by its name.
     """
 
     log: LineLog
     clock: Clock
     orders: Orders
-    is_spared: Callable[[str], bool] = lambda _: False
+    is_throttled: Callable[[str], bool] = lambda _: False
     book: PaceBook = field(default_factory=PaceBook)
     _asked: dict[str, float] = field(default_factory=dict)
     _tasks: Tasks = field(init=False)
@@ -64,7 +64,7 @@
         One that takes little or nothing now says so itself.
         """
         asked = self._asked.get(name, float('-inf'))
-        return now - asked <= REST_SECONDS or self.is_spared(name)
+        return now - asked <= REST_SECONDS or self.is_throttled(name)
 
     async def _check(self, replicas: list[Replica]) -> None:
         await asyncio.gather(*map(self._ask, replicas))
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
@@ -63,7 +63,7 @@
         """Make what needs the other parts."""
         self.ends = EndChecks(self.orders)
         self.paces = PaceChecks(
-            self.log, self.clock, self.orders, self.throttle.is_spared
+            self.log, self.clock, self.orders, self.throttle.is_throttled
         )
         self.windows = Windows(self.draw)
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_permits.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_permits.py
@@ -17,7 +17,7 @@
     replica: Replica,
 ) -> bool:
     """Take leave to send a request; without it another replica is chosen."""
-    if not parts.throttle.is_spared(replica.name):
+    if not parts.throttle.is_throttled(replica.name):
         return True
     if await parts.throttle.take(replica):
         # The answer may have taken a while, and the replica may have left.
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_probe.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_probe.py
@@ -53,7 +53,7 @@
 
         One that takes little or nothing now says so itself.
         """
-        if self.parts.throttle.is_spared(replica.name):
+        if self.parts.throttle.is_throttled(replica.name):
             return
         now = self.parts.clock.monotonic()
         if now - self._asked.get(replica.name, float('-inf')) < REST_SECONDS:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -22,7 +22,7 @@
 from ryelatch_node.relay._parts import Parts
 from ryelatch_node.relay._probe import Prober
 from ryelatch_node.relay._server import RelayServer
-from ryelatch_node.relay._upstream import Heed, Upstreams
+from ryelatch_node.relay._upstream import AnswerHook, Upstreams
 from ryelatch_node.relay._watch import StreamWatch
 from ryelatch_node.throttle import Throttle
 
@@ -180,7 +180,7 @@
         chance=app.chance,
         configuration=app.find('configuration', ConfigurationView),
         replicas=replicas,
-        upstreams=Upstreams(wire, _make_heed(throttle, replicas)),
+        upstreams=Upstreams(wire, _make_hook(throttle, replicas)),
         wire=wire,
         orders=app.find('orders', Orders),
         budget=open_budget(
@@ -195,10 +195,10 @@
     )
 
 
-def _make_heed(throttle: Throttle, replicas: ReplicaView) -> Heed:
-    """Join what heeds the word of replicas in their answers."""
+def _make_hook(throttle: Throttle, replicas: ReplicaView) -> AnswerHook:
+    """Join what takes the word of replicas in their answers."""
 
-    def heed(replica: Replica, terms: AnswerTerms) -> None:
+    def on_answer(replica: Replica, terms: AnswerTerms) -> None:
         # Another replica may have the address by now.
         if terms.entry not in {'', replica.entry}:
             return
@@ -206,4 +206,4 @@
         if terms.leaving:
             replicas.note_leaving(replica)
 
-    return heed
+    return on_answer
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -28,7 +28,7 @@
 )
 
 
-Heed: TypeAlias = Callable[[Replica, AnswerTerms], None]
+AnswerHook: TypeAlias = Callable[[Replica, AnswerTerms], None]
 """Takes what an answer says of the replica that was asked."""
 
 
@@ -88,12 +88,12 @@
 class Upstreams:
     """Connections to upstreams; some are kept, some are used once.
 
-    :param heed: takes what each answer says of its replica.
+    :param on_answer: takes what each answer says of its replica.
     """
 
-    def __init__(self, wire: Wire, heed: Heed) -> None:
+    def __init__(self, wire: Wire, on_answer: AnswerHook) -> None:
         self._wire = wire
-        self._heed = heed
+        self._on_answer = on_answer
         self._kept: aiohttp.ClientSession | None = None
         self._single: aiohttp.ClientSession | None = None
 
@@ -146,7 +146,7 @@
             raise SendError(SendErrorKind.LOST, _name(error)) from error
         try:
             answer = self._accept(response, identity)
-            self._heed(replica, answer.terms)
+            self._on_answer(replica, answer.terms)
             yield answer
         finally:
             # Closing cancels the work at the upstream; after a whole body
--- a/packages/ryelatch-node/src/ryelatch_node/throttle/_dealer.py
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/_limiter.py
@@ -1,25 +1,25 @@
-"""Deals the permits of replicas that named a limit, to all nodes."""
+"""Grants the permits of replicas that named a limit, to all nodes."""
 
 from dataclasses import dataclass, field
 
 from ryelatch_core.events import LineLog, catalogue
 from ryelatch_core.kernel import Clock
-from ryelatch_core.throttle import Bucket, Heard, LimitBook
+from ryelatch_core.throttle import Heard, LimitBook, TokenBucket
 from ryelatch_node.news import PermitQuestion, PermitReply
 
 
 @dataclass(eq=False)
-class Dealer:
-    """What a node knows of limits, and the permits that it deals by them.
+class Limiter:
+    """What a node knows of limits, and the permits that it grants by them.
 
-    Any node deals that is asked to; which one is asked is for the others to
+    Any node grants that is asked to; which one is asked is for the others to
     agree on.
     """
 
     log: LineLog
     clock: Clock
     limits: LimitBook = field(default_factory=LimitBook)
-    _buckets: dict[str, Bucket] = field(default_factory=dict)
+    _buckets: dict[str, TokenBucket] = field(default_factory=dict)
 
     def hear(self, name: str, heard: Heard) -> bool:
         """Take what a replica said, from whomever.
@@ -45,7 +45,7 @@
             self._buckets.pop(name, None)
             age = question.age if heard is None else max(0, now - heard.at)
             return PermitReply(True, 0, None, age)
-        bucket = self._buckets.setdefault(name, Bucket(heard.limit, now))
+        bucket = self._buckets.setdefault(name, TokenBucket(heard.limit, now))
         bucket.resize(heard.limit, now)
         granted = question.limit is not None and bucket.take(now)
         wait = bucket.find_wait(now)
--- a/packages/ryelatch-node/src/ryelatch_node/throttle/_lines.py
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/_lines.py
@@ -42,7 +42,7 @@
 
 @dataclass(eq=False)
 class PermitLines:
-    """Connections to the nodes that deal permits, by address."""
+    """Connections to the nodes that grant permits, by address."""
 
     log: LineLog
     clock: Clock
@@ -58,32 +58,32 @@
         for address in tuple(self._lines):
             self._drop(address)
 
-    def rests(self, dealer: NodeEntry) -> bool:
+    def rests(self, limiter: NodeEntry) -> bool:
         """Whether a node left a question unanswered a short while ago."""
-        left = self._left.get(dealer.address)
+        left = self._left.get(limiter.address)
         return left is not None and self.clock.monotonic() < left.until
 
     async def ask(
         self,
-        dealer: NodeEntry,
+        limiter: NodeEntry,
         question: PermitQuestion,
     ) -> PermitReply | None:
         """Ask a node for a permit.
 
         :returns: nothing if no reply came.
         """
-        async with self._locks[dealer.address]:
+        async with self._locks[limiter.address]:
             # Those before may have found out that it does not answer.
-            if self.rests(dealer):
+            if self.rests(limiter):
                 return None
             try:
-                return await self._exchange(dealer.address, question)
+                return await self._exchange(limiter.address, question)
             except FAILURES as error:
-                self._leave(dealer, type(error).__name__)
+                self._leave(limiter, type(error).__name__)
                 return None
             except asyncio.CancelledError:
                 # A reply still to come would answer the next question.
-                self._drop(dealer.address)
+                self._drop(limiter.address)
                 raise
 
     async def _exchange(
@@ -101,15 +101,15 @@
         self._left.pop(address, None)
         return reply
 
-    def _leave(self, dealer: NodeEntry, reason: str) -> None:
-        self._drop(dealer.address)
-        left = self._left.get(dealer.address)
+    def _leave(self, limiter: NodeEntry, reason: str) -> None:
+        self._drop(limiter.address)
+        left = self._left.get(limiter.address)
         rest = min(LONGEST_REST, left.rest * 2 if left else REST_SECONDS)
         until = self.clock.monotonic() + rest
-        self._left[dealer.address] = _Left(until, rest)
+        self._left[limiter.address] = _Left(until, rest)
         self.log.record(
-            catalogue.DEALER_LEFT,
-            peer=dealer.name,
+            catalogue.LIMITER_LEFT,
+            peer=limiter.name,
             reason=reason,
             seconds=rest,
         )
--- a/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
@@ -1,4 +1,4 @@
-"""Heeds what replicas say in their answers of how much they take."""
+"""Keeps to what replicas say in their answers of how much they take."""
 
 import itertools
 import math
@@ -9,18 +9,18 @@
 from ryelatch_core.fleet import Replica
 from ryelatch_core.kernel import App, Clock, Service
 from ryelatch_core.membership import NodeEntry
-from ryelatch_core.throttle import Heard, RestBook, rank_dealers
+from ryelatch_core.throttle import BackoffBook, Heard, rank_limiters
 from ryelatch_node.news import News, PermitReply
 from ryelatch_node.ports import AnswerTerms, RelayStartup
 from ryelatch_node.tasks import Tasks
-from ryelatch_node.throttle._dealer import Dealer
+from ryelatch_node.throttle._limiter import Limiter
 from ryelatch_node.throttle._lines import PermitLines
 
 MOST_ASKED = 2
 """Nodes that are asked for a permit at most, one after the other."""
 
-MOST_DEALERS = 6
-"""Nodes that may deal the permits of a replica, if those before are gone.
+MOST_LIMITERS = 6
+"""Nodes that may grant the permits of a replica, if those before are gone.
 
 VMs that were removed for good stay in the list of nodes.
 """
@@ -37,7 +37,7 @@
     """Permits for requests to replicas that named a limit.
 
     The limit is for all nodes together, and each knows its own requests only.
-    So one node deals the permits of a replica, and the others ask it. Which
+    So one node grants the permits of a replica, and the others ask it. Which
     one follows from the list of nodes; if it does not answer, the next one.
     Without a permit a request goes to another replica.
 
@@ -51,8 +51,8 @@
     news: News
     lines: PermitLines
     costs: CostBook = field(default_factory=CostBook)
-    dealer: Dealer = field(init=False)
-    _rests: RestBook = field(default_factory=RestBook)
+    limiter: Limiter = field(init=False)
+    _backoffs: BackoffBook = field(default_factory=BackoffBook)
     _closed: dict[str, float] = field(default_factory=dict)
     _ranked: dict[str, list[NodeEntry]] = field(default_factory=dict)
     _ranked_nodes: tuple[NodeEntry, ...] = ()
@@ -61,8 +61,8 @@
     def __post_init__(self) -> None:
         """Make what tells others, and answer them."""
         self._tasks = Tasks(self.log, 'throttle')
-        self.dealer = Dealer(self.log, self.clock)
-        self.news.answer_permit = self.dealer.answer
+        self.limiter = Limiter(self.log, self.clock)
+        self.news.answer_permit = self.limiter.answer
 
     async def stop(self) -> None:
         """Ask and tell nothing more."""
@@ -72,7 +72,7 @@
     def note_answer(self, replica: Replica, terms: AnswerTerms) -> None:
         """Take what an answer says of the replica that gave it."""
         name = replica.name
-        self._note_rest(name, terms.rest)
+        self._note_backoff(name, terms.backoff)
         if terms.limit is not None and math.isnan(terms.limit):
             self.log.record(catalogue.LIMIT_UNREADABLE, replica=name)
             return
@@ -80,14 +80,14 @@
             # A refusal or a spoiled answer need not say all that holds.
             return
         heard = Heard(terms.limit, self.clock.monotonic())
-        changed = self.dealer.hear(name, heard)
+        changed = self.limiter.hear(name, heard)
         if changed and terms.limit is None:
             self._tasks.spawn(self._tell_free(name))
 
-    def is_spared(self, name: str) -> bool:
+    def is_throttled(self, name: str) -> bool:
         """Whether a replica said that it takes little, or nothing now."""
         now = self.clock.monotonic()
-        return self.is_limited(name) or self._rests.find_left(name, now) > 0
+        return self.is_limited(name) or self._backoffs.find_left(name, now) > 0
 
     def find_wait(self, names: Iterable[str]) -> float:
         """Tell in how many seconds the first of some replicas takes more.
@@ -97,7 +97,7 @@
         now = self.clock.monotonic()
         waits = (
             max(
-                self._rests.find_left(name, now),
+                self._backoffs.find_left(name, now),
                 self._closed.get(name, now) - now,
             )
             for name in names
@@ -106,11 +106,11 @@
 
     def is_limited(self, name: str) -> bool:
         """Whether a replica has a limit, by the name of its life."""
-        return self.dealer.limits.find_limit(name) is not None
+        return self.limiter.limits.find_limit(name) is not None
 
     def count_limited(self) -> int:
         """Count the replicas that have a limit."""
-        return len(self.dealer.limits.list_limited())
+        return len(self.limiter.limits.list_limited())
 
     def list_closed(self) -> frozenset[str]:
         """Name the replicas that get no request of this node now.
@@ -121,7 +121,7 @@
         self._closed = {
             name: until for name, until in self._closed.items() if until > now
         }
-        return frozenset(self._closed) | self._rests.list_resting(now)
+        return frozenset(self._closed) | self._backoffs.list_names(now)
 
     async def take(self, replica: Replica) -> bool:
         """Take leave to send one request to a replica.
@@ -129,7 +129,7 @@
         :returns: whether it may be sent.
         """
         name = replica.name
-        if self._rests.find_left(name, self.clock.monotonic()):
+        if self._backoffs.find_left(name, self.clock.monotonic()):
             return False
         if not self.is_limited(name):
             return True
@@ -140,62 +140,64 @@
         if not reply.granted:
             wait = min(LONGEST_WAIT, max(LEAST_WAIT, reply.wait))
             self._closed[name] = now + wait
-        # It may have asked for rest while the permit was on its way.
-        return reply.granted and not self._rests.find_left(name, now)
+        # It may have turned this node away while the permit was on its way.
+        return reply.granted and not self._backoffs.find_left(name, now)
 
     def keep(self, names: Container[str]) -> None:
         """Forget the limits of replicas that have been gone for long."""
-        self.dealer.limits.keep(names, self.clock.monotonic())
-        self.dealer.forget_idle()
+        self.limiter.limits.keep(names, self.clock.monotonic())
+        self.limiter.forget_idle()
 
-    def _note_rest(self, name: str, rest: float | None) -> None:
-        if rest is None:
+    def _note_backoff(self, name: str, seconds: float | None) -> None:
+        if seconds is None:
             return
-        if math.isnan(rest):
-            self.log.record(catalogue.REST_UNREADABLE, replica=name)
+        if math.isnan(seconds):
+            self.log.record(catalogue.BACKOFF_UNREADABLE, replica=name)
         else:
-            self._rests.ask(name, rest, self.clock.monotonic())
-            self.log.record(catalogue.REPLICA_RESTS, replica=name, seconds=rest)
+            self._backoffs.begin(name, seconds, self.clock.monotonic())
+            self.log.record(
+                catalogue.REPLICA_BACKOFF, replica=name, seconds=seconds
+            )
 
     async def _seek(self, name: str) -> PermitReply:
-        """Ask the nodes that deal the permits of a replica, in their order."""
+        """Ask the nodes that grant the permits of a replica, in their order."""
         if not self.news.nodes:
             # Just started, and no list of the nodes has come yet.
-            return self.dealer.answer(self.dealer.make_question(name))
+            return self.limiter.answer(self.limiter.make_question(name))
         reachable = itertools.filterfalse(
-            self.lines.rests, self._list_dealers(name)
+            self.lines.rests, self._list_limiters(name)
         )
-        for dealer in tuple(reachable)[:MOST_ASKED]:
-            reply = await self._ask(dealer, name)
+        for limiter in tuple(reachable)[:MOST_ASKED]:
+            reply = await self._ask(limiter, name)
             if reply is not None:
                 return reply
         self.costs.count('permits', 'unanswered')
         return PermitReply(False, LONGEST_WAIT, None, 0)
 
-    def _list_dealers(self, name: str) -> list[NodeEntry]:
+    def _list_limiters(self, name: str) -> list[NodeEntry]:
         """List the nodes to ask; ranking a large fleet takes a millisecond."""
         if self._ranked_nodes is not self.news.nodes:
             self._ranked_nodes = self.news.nodes
             self._ranked.clear()
         if name not in self._ranked:
-            ranked = rank_dealers(name, self._ranked_nodes)
-            self._ranked[name] = ranked[:MOST_DEALERS]
+            ranked = rank_limiters(name, self._ranked_nodes)
+            self._ranked[name] = ranked[:MOST_LIMITERS]
         return self._ranked[name]
 
-    async def _ask(self, dealer: NodeEntry, name: str) -> PermitReply | None:
-        question = self.dealer.make_question(name)
-        if dealer.name == self.startup.name:
-            return self.dealer.answer(question)
+    async def _ask(self, limiter: NodeEntry, name: str) -> PermitReply | None:
+        question = self.limiter.make_question(name)
+        if limiter.name == self.startup.name:
+            return self.limiter.answer(question)
         asked = self.clock.monotonic()
-        reply = await self.lines.ask(dealer, question)
+        reply = await self.lines.ask(limiter, question)
         if reply is not None:
-            self.dealer.hear(name, Heard(reply.limit, asked - reply.age))
+            self.limiter.hear(name, Heard(reply.limit, asked - reply.age))
         return reply
 
     async def _tell_free(self, name: str) -> None:
-        """Tell the node that deals permits that a limit is over."""
-        for dealer in self._list_dealers(name)[:1]:
-            await self._ask(dealer, name)
+        """Tell the node that grants permits that a limit is over."""
+        for limiter in self._list_limiters(name)[:1]:
+            await self._ask(limiter, name)
 
 
 def setup(app: App) -> None:
--- a/tests/core/throttle/test_bucket.py
+++ b/tests/core/throttle/test_bucket.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ryelatch_core.throttle import Bucket
+from ryelatch_core.throttle import TokenBucket
 
 _SPAN_SECONDS = 4.0
 _STEP_SECONDS = 0.01
@@ -13,14 +13,16 @@
     return 1.5 * limit * _SPAN_SECONDS + 5
 
 
-def _take_all(bucket: Bucket, now: float) -> int:
+def _take_all(bucket: TokenBucket, now: float) -> int:
     taken = 0
     while bucket.take(now):
         taken += 1
     return taken
 
 
-def _deal(buckets: list[Bucket], seconds: float, start: float) -> list[float]:
+def _grant(
+    buckets: list[TokenBucket], seconds: float, start: float
+) -> list[float]:
     """Take all permits that there are, for some seconds."""
     steps = int(seconds / _STEP_SECONDS)
     moments = [start + step * _STEP_SECONDS for step in range(steps)]
@@ -41,40 +43,40 @@
 
 @pytest.mark.parametrize('limit', _LIMITS)
 def test_two_dealers_stay_within_a_limit(limit: float) -> None:
-    """A replica gets too much as two nodes deal its permits at once."""
-    buckets = [Bucket(limit, 0), Bucket(limit, 0)]
-    times = _deal(buckets, 3 * _SPAN_SECONDS, start=60)
+    """A replica gets too much as two nodes grant its permits at once."""
+    buckets = [TokenBucket(limit, 0), TokenBucket(limit, 0)]
+    times = _grant(buckets, 3 * _SPAN_SECONDS, start=60)
     assert _count_most(times) <= _allow(limit)
 
 
 @pytest.mark.parametrize('limit', [1, 4.2, 16, 50])
 def test_limit_is_mostly_used_up(limit: float) -> None:
     """A replica in need gets far less than it would take."""
-    times = _deal([Bucket(limit, 0)], 20, start=0)
+    times = _grant([TokenBucket(limit, 0)], 20, start=0)
     assert len(times) >= 0.7 * limit * 20
 
 
 @pytest.mark.parametrize('limit', [0, 0.01])
 def test_smallest_limit_lets_a_request_through(limit: float) -> None:
     """A replica that takes almost nothing is never asked again."""
-    assert len(_deal([Bucket(limit, 0)], 20, start=0)) >= 4
+    assert len(_grant([TokenBucket(limit, 0)], 20, start=0)) >= 4
 
 
 def test_new_dealer_has_one_permit() -> None:
-    """Each node that begins to deal adds what could be saved up."""
-    bucket = Bucket(4, now=100)
+    """Each node that begins to grant adds what could be saved up."""
+    bucket = TokenBucket(4, now=100)
     assert _take_all(bucket, 100) == 1
     assert bucket.find_wait(100) == pytest.approx(1 / 3)
     assert bucket.take(100.4)
 
 
 def test_falling_limit_takes_what_was_saved() -> None:
-    bucket = Bucket(50, now=0)
+    bucket = TokenBucket(50, now=0)
     bucket.resize(0.5, 60)
     assert _take_all(bucket, 60) == 1
 
 
 def test_clock_that_steps_back_deals_nothing() -> None:
-    bucket = Bucket(1, now=100)
+    bucket = TokenBucket(1, now=100)
     assert _take_all(bucket, 50) == 1
     assert not bucket.take(100)
--- a/tests/core/throttle/test_dealers.py
+++ b/tests/core/throttle/test_limiters.py
@@ -1,9 +1,9 @@
-"""Which node deals the permits of a replica."""
+"""Which node grants the permits of a replica."""
 
 from collections import Counter
 
 from ryelatch_core.membership import NodeEntry
-from ryelatch_core.throttle import rank_dealers
+from ryelatch_core.throttle import rank_limiters
 
 
 def _make_nodes(count: int) -> list[NodeEntry]:
@@ -15,30 +15,30 @@
 
 def test_all_nodes_choose_the_same_dealer() -> None:
     nodes = _make_nodes(8)
-    assert rank_dealers('b-0', nodes) == rank_dealers('b-0', nodes[::-1])
+    assert rank_limiters('b-0', nodes) == rank_limiters('b-0', nodes[::-1])
 
 
 def test_dealers_are_spread_over_the_nodes() -> None:
-    """One node deals for all replicas, and is asked by all others."""
+    """One node grants for all replicas, and is asked by all others."""
     nodes = _make_nodes(8)
     chosen = Counter(
-        rank_dealers(f'b-{number}', nodes)[0].name for number in range(400)
+        rank_limiters(f'b-{number}', nodes)[0].name for number in range(400)
     )
     assert len(chosen) == 8
     assert max(chosen.values()) < 100
 
 
 def test_new_node_takes_over_few_replicas() -> None:
-    """Each start of a node changes the dealers of all replicas."""
+    """Each start of a node changes the limiters of all replicas."""
     nodes = _make_nodes(20)
     names = [f'b-{number}' for number in range(200)]
     moved = [
         name
         for name in names
-        if rank_dealers(name, nodes)[0] != rank_dealers(name, nodes[:19])[0]
+        if rank_limiters(name, nodes)[0] != rank_limiters(name, nodes[:19])[0]
     ]
     assert len(moved) < 30
 
 
 def test_node_without_address_deals_nothing() -> None:
-    assert not rank_dealers('b-0', [NodeEntry('node-0', 'zone-a')])
+    assert not rank_limiters('b-0', [NodeEntry('node-0', 'zone-a')])
--- a/tests/node/throttle/test_throttle.py
+++ b/tests/node/throttle/test_throttle.py
@@ -1,4 +1,4 @@
-"""Permits that nodes deal each other for a replica in need."""
+"""Permits that nodes grant each other for a replica in need."""
 
 import asyncio
 import math
@@ -7,7 +7,7 @@
 import pytest
 
 from ryelatch_core.membership import NodeEntry
-from ryelatch_core.throttle import rank_dealers
+from ryelatch_core.throttle import rank_limiters
 from ryelatch_node.news import PermitQuestion
 from ryelatch_node.throttle._lines import ASK_SECONDS
 from virtual.loop import run
@@ -26,7 +26,7 @@
 
 def _rank(names: list[str]) -> list[str]:
     nodes = [NodeEntry(name, 'zone-a', f'{name}:1') for name in names]
-    return [node.name for node in rank_dealers(REPLICA.name, nodes)]
+    return [node.name for node in rank_limiters(REPLICA.name, nodes)]
 
 
 def _now() -> float:
@@ -59,7 +59,7 @@
 
 
 def test_limit_holds_while_lists_of_nodes_differ() -> None:
-    """A node that has just come deals beside the one that dealt before."""
+    """A node that has just come grants beside the one that granted before."""
 
     async def main() -> None:
         fleet = ThrottledFleet(4.2)
@@ -77,7 +77,7 @@
 
 
 def test_limit_holds_while_the_dealer_is_lost() -> None:
-    """Each node that finds the dealer gone deals for itself."""
+    """Each node that finds the limiter gone grants for itself."""
 
     async def main() -> None:
         fleet = ThrottledFleet(4.2)
@@ -151,15 +151,15 @@
         fleet = ThrottledFleet(4.2)
         names = _name_nodes(2)
         fleet.start(names)
-        dealer = fleet.nodes[_rank(names)[0]]
-        dealer.note_answer(REPLICA, make_terms(4.2))
+        limiter = fleet.nodes[_rank(names)[0]]
+        limiter.note_answer(REPLICA, make_terms(4.2))
         await asyncio.sleep(1)
-        dealer.note_answer(REPLICA, make_terms(None))
+        limiter.note_answer(REPLICA, make_terms(None))
         await asyncio.sleep(1)
-        reply = dealer.dealer.answer(PermitQuestion(REPLICA.name, 4.2, 1.5))
+        reply = limiter.limiter.answer(PermitQuestion(REPLICA.name, 4.2, 1.5))
         assert reply.granted
         assert reply.limit is None
-        assert not dealer.is_limited(REPLICA.name)
+        assert not limiter.is_limited(REPLICA.name)
         await fleet.stop()
 
     run(main())
@@ -172,8 +172,8 @@
         fleet = ThrottledFleet(4.2)
         fleet.start(_name_nodes(2))
         node = fleet.nodes['node-0000']
-        node.dealer.answer(PermitQuestion(REPLICA.name, math.nan, 0))
-        node.dealer.answer(PermitQuestion(REPLICA.name, math.inf, 0))
+        node.limiter.answer(PermitQuestion(REPLICA.name, math.nan, 0))
+        node.limiter.answer(PermitQuestion(REPLICA.name, math.inf, 0))
         assert not node.is_limited(REPLICA.name)
         await fleet.stop()
 
@@ -181,17 +181,17 @@
 
 
 def test_dealer_that_lists_no_replica_keeps_count() -> None:
-    """A node that hears of a replica late deals anew each half second."""
+    """A node that hears of a replica late grants anew each half second."""
 
     async def main() -> None:
         fleet = ThrottledFleet(0)
         names = _name_nodes(8)
         fleet.start(names)
         await _tell_all(fleet)
-        dealer = fleet.nodes[_rank(names)[0]]
+        limiter = fleet.nodes[_rank(names)[0]]
         for _ in range(24):
             await fleet.press(names, 0.5, gap=0.01)
-            dealer.keep(())
+            limiter.keep(())
         assert fleet.count_most(0, _SPAN) <= _allow(0)
         await fleet.stop()
 
@@ -217,7 +217,7 @@
 
 
 def test_vms_that_are_gone_for_good_deal_nothing() -> None:
-    """The first two nodes that would deal were removed; nobody may send."""
+    """The first two nodes that would grant were removed; nobody may send."""
 
     async def main() -> None:
         fleet = ThrottledFleet(4.2)
@@ -229,7 +229,7 @@
         living = [name for name in names if name not in gone]
         await fleet.press(living, 30, gap=0.01)
         assert len(fleet.sent) >= 0.5 * 4.2 * 30
-        asked = [line for line in fleet.lines if line['name'] == 'dealer-left']
+        asked = [line for line in fleet.lines if line['name'] == 'limiter-left']
         assert len(asked) <= len(living) * len(gone) * 5
         await fleet.stop()
 
@@ -237,7 +237,7 @@
 
 
 def test_burst_at_one_node_blames_no_dealer() -> None:
-    """Those who wait for others' questions take the dealer for silent."""
+    """Those who wait for others' questions take the limiter for silent."""
 
     async def main() -> None:
         fleet = ThrottledFleet(4.2)
@@ -249,7 +249,7 @@
             *(asker.take(REPLICA) for _ in range(100))
         )
         assert 1 <= sum(granted) <= 4
-        assert not any(line['name'] == 'dealer-left' for line in fleet.lines)
+        assert not any(line['name'] == 'limiter-left' for line in fleet.lines)
         await fleet.stop()
 
     run(main())
@@ -259,6 +259,6 @@
     """One node is asked about all replicas in need."""
     nodes = [NodeEntry(name, 'zone-a', f'{name}:1') for name in _name_nodes(8)]
     chosen = Counter(
-        rank_dealers(f'b-{number}', nodes)[0].name for number in range(80)
+        rank_limiters(f'b-{number}', nodes)[0].name for number in range(80)
     )
     assert len(chosen) == 8
--- a/tests/platform/test_resting_replicas.py
+++ b/tests/platform/test_backoff.py
@@ -20,8 +20,8 @@
         replica.says = {'Retry-After': f'{_REST_SECONDS}'}
     async with run_node(replicas) as node:
         await ask(node, '/ping/x')
-        assert node.find('replica-rests')['seconds'] == _REST_SECONDS
-        assert not node.count('rest-unreadable')
+        assert node.find('replica-backoff')['seconds'] == _REST_SECONDS
+        assert not node.count('backoff-unreadable')
 
 
 async def test_lines_tell_that_a_rest_is_unreadable() -> None:
@@ -30,8 +30,8 @@
     replica.says = {'Retry-After': 'soon'}
     async with run_node([replica]) as node:
         await ask(node, '/ping/x')
-        assert node.count('rest-unreadable') == 1
-        assert not node.count('replica-rests')
+        assert node.count('backoff-unreadable') == 1
+        assert not node.count('replica-backoff')
 
 
 async def _send_for(node: RunningNode, path: str, seconds: float) -> list[int]:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -33,13 +33,13 @@
     [(503, b'3', 3), (503, b'0.25', 0.25), (429, b'1', 1), (503, b'0', 0)],
 )
 def test_rest_is_read(status: int, text: bytes, rest: float) -> None:
-    assert read_answer(status, [(b'retry-after', text)]).rest == rest
+    assert read_answer(status, [(b'retry-after', text)]).backoff == rest
 
 
 def test_rest_is_asked_by_refusals_only() -> None:
     """A replica's own answer that names a time keeps a node from it."""
-    assert read_answer(200, [(b'retry-after', b'3')]).rest is None
-    assert read_answer(500, [(b'retry-after', b'3')]).rest is None
+    assert read_answer(200, [(b'retry-after', b'3')]).backoff is None
+    assert read_answer(500, [(b'retry-after', b'3')]).backoff is None
 
 
 @pytest.mark.parametrize(
@@ -47,6 +47,6 @@
 )
 def test_unreadable_rest_is_told_apart(text: bytes) -> None:
     """A time that can't be read is passed over without a line."""
-    rest = read_answer(503, [(b'retry-after', text)]).rest
+    rest = read_answer(503, [(b'retry-after', text)]).backoff
     assert rest is not None
     assert math.isnan(rest)
--- a/tests/virtual/throttles.py
+++ b/tests/virtual/throttles.py
@@ -1,4 +1,4 @@
-"""Nodes that deal each other permits, in virtual time."""
+"""Nodes that grant each other permits, in virtual time."""
 
 import asyncio
 import json
