--- a/packages/ryelatch-core/src/ryelatch_core/throttle/_bucket.py
+++ b/packages/ryelatch-core/src/ryelatch_core/throttle/_bucket.py
@@ -25,7 +25,6 @@
 Without an answer now and then nobody would learn that a limit is over.
 """
 
-
 IDLE_SECONDS = 10.0
 """How long the permits of a replica are kept that nobody asks for."""
 
--- a/packages/ryelatch-node/src/ryelatch_node/throttle/_limiter.py
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/_limiter.py
@@ -37,7 +37,7 @@
         return True
 
     def answer(self, question: PermitQuestion) -> PermitReply:
-        """Deal a permit to a node that asks."""
+        """Grant a permit to a node that asks, if there is one."""
         name, now = question.replica, self.clock.monotonic()
         self.hear(name, Heard(question.limit, now - question.age))
         heard = self.limits.find(name)
