Tests of engines that stood still once and are taken for slow, which fail

These tests show the cause without processes; both were seen red. test_slow_engine_is_left_and_tried_again fed one step an engine; it now feeds a second of them, as one step is no proof that an engine crawls. What it asserts stays.

--- a/tests/core/pipeline/test_pace.py
+++ b/tests/core/pipeline/test_pace.py
@@ -2,6 +2,15 @@
 
 from ryelatch_core.pipeline import Pace, estimate_cost, find_usual
 
+_STREAMS = 6
+
+
+def _flow(pace: Pace, begin: float, end: float, seconds: float) -> None:
+    """Let streams take steps on an engine, all at the same moments."""
+    for step in range(1, round((end - begin) / seconds) + 1):
+        for _ in range(_STREAMS):
+            pace.observe(seconds, begin + step * seconds)
+
 
 def test_slow_engine_is_left_and_tried_again() -> None:
     """A link to one engine becomes ten times slower for a while.
@@ -11,7 +20,7 @@
     """
     paces = [Pace(), Pace(), Pace()]
     for pace, latency in zip(paces, (0.01, 0.01, 0.1), strict=True):
-        pace.observe(latency, 100)
+        _flow(pace, 99, 100, latency)
     usual = find_usual(paces, 100)
     assert usual == paces[0].latency
     assert paces[2].is_slow(usual, 100)
@@ -26,6 +35,33 @@
     assert cost(2, 1, 140) > cost(0, 40, 140)
 
 
+def test_one_pause_is_no_crawl() -> None:
+    """A node or an engine stands still for a moment; all steps come late."""
+    pace = Pace()
+    _flow(pace, 100, 101, 0.004)
+    _flow(pace, 101, 101.15, 0.15)
+    assert not pace.is_slow(0.004, 101.15)
+    _flow(pace, 101.15, 101.6, 0.004)
+    assert not pace.is_slow(0.004, 101.6)
+    _flow(pace, 101.6, 101.85, 0.25)
+    assert not pace.is_slow(0.004, 101.85)
+
+
+def test_first_steps_in_a_pause_are_no_crawl() -> None:
+    """Streams begin on an engine as it stands still for a moment."""
+    pace = Pace()
+    _flow(pace, 100, 100.15, 0.15)
+    assert not pace.is_slow(0.004, 100.15)
+
+
+def test_crawl_is_seen_within_a_second() -> None:
+    """All steps of an engine take twenty-five times as long from a moment."""
+    pace = Pace()
+    _flow(pace, 100, 101, 0.004)
+    _flow(pace, 101, 102, 0.1)
+    assert pace.is_slow(0.004, 102)
+
+
 def test_pace_of_two_is_that_of_the_faster() -> None:
     paces = [Pace(0.01, 10), Pace(0.2, 10), Pace(9, 1)]
     assert find_usual(paces, 11) == paces[0].latency
