--- a/packages/ryelatch-core/src/ryelatch_core/pipeline/_pace.py
+++ b/packages/ryelatch-core/src/ryelatch_core/pipeline/_pace.py
@@ -3,17 +3,40 @@
 import math
 import statistics
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 FADE_SECONDS = 10.0
 STALE_SECONDS = 3.0
 SLOW_FACTOR = 4.0
 SLOW_SECONDS = 0.02
+WINDOW_SECONDS = 0.25
 _WEIGHT = 0.2
 _LONG_WEIGHT = 0.002
 _ROOM = 64
 
 
+@dataclass
+class _Window:
+    """The steps of a short time.
+
+    :param began: monotonic seconds of its first receipt.
+    :param total: seconds that its steps took together.
+    """
+
+    began: float = -math.inf
+    total: float = 0
+    steps: int = 0
+
+    def add(self, seconds: float) -> None:
+        """Count a step."""
+        self.total += seconds
+        self.steps += 1
+
+    def find_mean(self) -> float:
+        """Find how long a step took, in seconds; 0 without any."""
+        return self.total / self.steps if self.steps else 0
+
+
 @dataclass
 class Pace:
     """The time between a step and its receipt, smoothed.
@@ -29,16 +52,23 @@
     latency: float = 0
     seen: float = 0
     normal: float = 0
+    _current: _Window = field(default_factory=_Window)
+    _previous: _Window = field(default_factory=_Window)
 
     def observe(self, seconds: float, now: float) -> None:
         """Take in the time of a step."""
         if self.is_stale(now):
             self.latency = seconds
+            self._current = _Window()
         else:
             self.latency += _WEIGHT * (seconds - self.latency)
         self.normal += _LONG_WEIGHT * (seconds - (self.normal or seconds))
         self.normal = self.normal or seconds
         self.seen = now
+        if now - self._current.began > WINDOW_SECONDS:
+            self._previous = self._current
+            self._current = _Window(now)
+        self._current.add(seconds)
 
     def expect(self, usual: float, now: float) -> float:
         """Expect a latency; old knowledge fades towards what is usual.
@@ -61,11 +91,15 @@
         Slower than its peers, or than itself before: while all answers run
         on the nearest engine nothing is known of the others. And both by a
         factor and by a time that callers would feel: among steps of a
-        millisecond any pause of a process is a large factor.
+        millisecond any pause of a process is a large factor. And in two
+        windows in a row: one pause makes all steps in flight late at once.
         """
         usual = min(usual or self.normal, self.normal or usual)
         least = max(SLOW_FACTOR * usual, usual + SLOW_SECONDS)
-        return not self.is_stale(now) and self.latency > least
+        windows = (self._previous, self._current)
+        return not self.is_stale(now) and all(
+            window.find_mean() > least for window in windows
+        )
 
 
 def find_usual(paces: Iterable[Pace], now: float) -> float:
--- a/tests/core/pipeline/test_pace.py
+++ b/tests/core/pipeline/test_pace.py
@@ -54,6 +54,14 @@
     assert not pace.is_slow(0.004, 100.15)
 
 
+def test_old_crawl_and_a_pause_are_no_crawl() -> None:
+    """An engine that crawled long ago stands still for a moment."""
+    pace = Pace()
+    _flow(pace, 90, 91, 0.1)
+    _flow(pace, 100, 100.15, 0.15)
+    assert not pace.is_slow(0.004, 100.15)
+
+
 def test_crawl_is_seen_within_a_second() -> None:
     """All steps of an engine take twenty-five times as long from a moment."""
     pace = Pace()
