Keep how long replicas take in a module without network

The choice of a replica does the same as before; what was kept of replicas that are gone is now forgotten with the other books, it grew without end.

--- a/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Engines that hold ranges of layers: what they can do, who holds what."""
 
 from ryelatch_core.fleet._accounts import AccountBook
+from ryelatch_core.fleet._durations import DurationBook
 from ryelatch_core.fleet._failures import FailureBook
 from ryelatch_core.fleet._heads import rank_heads
 from ryelatch_core.fleet._load import NO_LOAD, LoadBook, LoadEstimate
@@ -37,6 +38,7 @@
     'UNREACHABLE_SECONDS',
     'Accelerator',
     'AccountBook',
+    'DurationBook',
     'FailureBook',
     'LayerRange',
     'LoadBook',
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_parts.py
@@ -1,12 +1,12 @@
 """What the functions of the relay share."""
 
 import random
-from collections import defaultdict
 from dataclasses import dataclass, field
 
 from ryelatch_core.events import CostBook, LineLog
 from ryelatch_core.fleet import (
     AccountBook,
+    DurationBook,
     FailureBook,
     LoadBook,
     ReturnPlan,
@@ -22,15 +22,6 @@
 from ryelatch_node.relay._upstream import Upstreams
 from ryelatch_node.throttle import Throttle
 
-_WEIGHT = 0.2
-"""Weight of the newest time in the mean of a replica's times.
-
-The mean follows a change within five answers, a second at usual load.
-"""
-
-_SLOW_STEP = 0.05
-"""Seconds by which means must differ to tell a slow replica from chance."""
-
 
 @dataclass
 class Parts:
@@ -57,7 +48,7 @@
     returns: ReturnPlan = field(default_factory=ReturnPlan)
     patience: dict[str, float] = field(default_factory=dict)
     failures: FailureBook = field(default_factory=FailureBook)
-    times: dict[str, float] = field(default_factory=lambda: defaultdict(float))
+    durations: DurationBook = field(default_factory=DurationBook)
 
     def __post_init__(self) -> None:
         """Make what needs the other parts."""
@@ -74,11 +65,3 @@
     def draw(self) -> float:
         """Draw a number from 0 to 1."""
         return self.chance.random()
-
-    def note_time(self, name: str, seconds: float) -> None:
-        """Note how long a replica took."""
-        self.times[name] += _WEIGHT * (seconds - self.times[name])
-
-    def slowness(self, name: str) -> int:
-        """Rank a replica by its times, coarsely."""
-        return int(self.times[name] / _SLOW_STEP)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_plain.py
@@ -137,14 +137,15 @@
     ruled_out = tried | parts.throttle.list_closed()
     fresh = [one for one in offered if one.name not in ruled_out]
     trusted = [one for one in fresh if one.name not in avoided]
-    failing = parts.failures.list_failing(parts.clock.monotonic())
+    now = parts.now()
+    failing = parts.failures.list_failing(now)
     sound = [one for one in trusted if one.name not in failing]
     loads = parts.load.requests
     return min(
         sound or trusted or fresh,
         key=lambda one: (
             loads[one.name] / one.slots,
-            parts.slowness(one.name),
+            parts.durations.rank(one.name, now),
             one.zone != parts.startup.zone,
             parts.draw(),
         ),
@@ -204,7 +205,8 @@
         raise
     finally:
         parts.load.requests[replica.name] -= 1
-        parts.note_time(replica.name, parts.clock.monotonic() - now)
+        ended = parts.now()
+        parts.durations.note(replica.name, ended - now, ended)
 
 
 async def _ask(
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -83,6 +83,7 @@
             parts.windows,
             parts.paces.book,
             parts.failures,
+            parts.durations,
             parts.throttle,
         ):
             book.keep(names)
