--- /dev/null
+++ b/tests/core/fleet/test_durations.py
@@ -0,0 +1,47 @@
+"""Replicas that are slower than others, at a load of few requests."""
+
+from collections import Counter
+
+from ryelatch_core.fleet import DurationBook
+
+_NAMES = ('one', 'two', 'three')
+_USUAL = 0.03
+
+
+def _play(book: DurationBook, begin: float, seconds: float) -> Counter[str]:
+    """Send a request each half second; all replicas answer alike."""
+    sent: Counter[str] = Counter()
+    for number in range(int(seconds * 2)):
+        now = begin + number / 2
+        name = min(_NAMES, key=lambda one: (book.rank(one, now), sent[one]))
+        sent[name] += 1
+        book.note(name, _USUAL, now)
+    return sent
+
+
+def test_replica_that_hung_once_is_tried_again() -> None:
+    """One request hangs for three seconds, and the replica is well since."""
+    book = DurationBook()
+    book.note('one', 3, 100)
+    assert not _play(book, 100, 10)['one']
+    assert _play(book, 110, 60)['one'] > 20
+
+
+def test_slow_replica_is_rarely_asked() -> None:
+    """One of three replicas takes twelve times as long as the others."""
+    book = DurationBook()
+    sent: Counter[str] = Counter()
+    for number in range(600):
+        now = 100 + number / 2
+        name = min(_NAMES, key=lambda one: (book.rank(one, now), sent[one]))
+        sent[name] += 1
+        book.note(name, 12 * _USUAL if name == 'one' else _USUAL, now)
+    assert sent['one'] < 30
+
+
+def test_replica_that_is_gone_is_forgotten() -> None:
+    """A replica hung and was replaced by one of the same name."""
+    book = DurationBook()
+    book.note('one', 3, 100)
+    book.keep({'two'})
+    assert book.rank('one', 100) == 0
