--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -109,7 +109,7 @@
     ),
     Mechanism(
         'first lists',
-        f'{_RELAY}/_ingress.py',
+        f'{_RELAY}/_beginning.py',
         r'KNOWN_SECONDS = .*',
         'KNOWN_SECONDS = 0.0',
     ),
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -1,22 +1,23 @@
-"""Takes requests from clients and decides which are served."""
+"""Takes requests from clients and brings them to their end."""
 
 import asyncio
 import contextlib
 import traceback
-from dataclasses import dataclass
 
 from starlette.types import Receive, Scope, Send
 
 from ryelatch_core.events import catalogue
 from ryelatch_core.kernel import cancel_task
-from ryelatch_core.quarantine import digest_request
 from ryelatch_core.routing import (
     ClientLimits,
-    Route,
-    RoutingTable,
-    choose_service,
 )
-from ryelatch_node.ports import RequestTerms
+from ryelatch_node.relay._admission import (
+    Arrival,
+    Refusal,
+    StopState,
+    admit,
+)
+from ryelatch_node.relay._beginning import FirstLists
 from ryelatch_node.relay._errors import AnswerBroken, ClientGone
 from ryelatch_node.relay._exchange import Exchange, Inquiry, round_seconds
 from ryelatch_node.relay._metrics import RelayMetrics
@@ -25,60 +26,12 @@
 from ryelatch_node.relay._plain import relay_plain
 from ryelatch_node.relay._watch import StreamWatch
 
-SURE_SECONDS = 2.9
-"""Age of the configuration up to which "no such route" is taken as true.
-
-A node that has not heard of a change must not deny what it allows; it says
-that it can't serve now. A watch confirms every two seconds.
-"""
-
-UNSURE_RETRY = 0.5
-"""When a client may come back to, most likely, another node."""
-
-KNOWN_SECONDS = 0.3
-"""Longest wait of a request for the first list after a start.
-
-The calls take 5 ms each, 0.3 s where the store is slowed sixtyfold; where it
-is out, a client is better served by another node.
-"""
-
-_POLL_SECONDS = 0.01
-
-QUARANTINE_RETRY = 60.0
-"""When a client may come back with a request under which replicas ended.
-
-It is refused for minutes, or until an operator lets it in.
-"""
-
-LIST_RETRY = 0.2
-"""When a client may come back to a node that is about to list replicas.
-
-The list takes 5 ms, and 0.3 s where the store is slowed sixtyfold.
-"""
-
-_UNAUTHORIZED = 401
-_NOT_FOUND = 404
 _REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 
 
-@dataclass(frozen=True, slots=True)
-class _Refusal:
-    """Why a request isn't served.
-
-    :param digest: of a request under which replicas ended.
-    :param ended: those replicas, by the names of their lives.
-    """
-
-    status: int
-    reason: str
-    retry_after: float | None = None
-    digest: str = ''
-    ended: tuple[str, ...] = ()
-
-
 class _TooLarge(Exception):
     """A body is larger than the configuration allows."""
 
@@ -86,9 +39,7 @@
 class Ingress:
     """Serves the requests of clients.
 
-    :param closing: set while this node is to be left by its clients.
-    :param refuses_streams: set when a stream might outlast this process.
-    :param last_call: set when any request might.
+    :param stops: how far the stop of this node has come.
     """
 
     def __init__(
@@ -97,14 +48,12 @@
         watch: StreamWatch,
         metrics: RelayMetrics,
     ) -> None:
-        self.closing = False
-        self.last_call = False
-        self.refuses_streams = False
+        self.stops = StopState()
         self.open_requests = 0
         self._parts = parts
         self._watch = watch
         self._metrics = metrics
-        self._known: asyncio.Task[None] | None = None
+        self._first_lists = FirstLists(parts)
 
     async def serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -126,7 +75,7 @@
         arrived = parts.clock.monotonic()
         terms = parts.wire.read_request(scope['headers'])
         exchange = Exchange(
-            terms.identity, send, parts.log, parts.clock, self.closing
+            terms.identity, send, parts.log, parts.clock, self.stops.closing
         )
         try:
             body = await self._read_body(receive)
@@ -140,15 +89,16 @@
             exchange.closing = True
             await exchange.refuse(_REQUEST_TIMEOUT, 'the body stands still')
             return
-        await self._wait_known()
-        inquiry = self._admit(scope, terms, body, arrived)
-        if isinstance(inquiry, _Refusal):
+        await self._first_lists.wait()
+        arrival = Arrival(scope, terms, body, arrived)
+        inquiry = admit(parts, self.stops, arrival)
+        if isinstance(inquiry, Refusal):
             await self._refuse(exchange, inquiry)
             return
         await self._relay(exchange, inquiry, receive)
         self._log_end(exchange, inquiry)
 
-    async def _refuse(self, exchange: Exchange, refusal: _Refusal) -> None:
+    async def _refuse(self, exchange: Exchange, refusal: Refusal) -> None:
         configuration = self._parts.configuration
         await exchange.refuse(
             refusal.status,
@@ -177,106 +127,6 @@
             if not message['more_body']:
                 return b''.join(pieces)
 
-    async def _wait_known(self) -> None:
-        """Wait for the first configuration and list of replicas.
-
-        They come within milliseconds of the start. Refused before, a client
-        that came back when its node was killed has used its one try.
-        """
-        if self._knows():
-            return
-        if self._known is None:
-            self._known = asyncio.create_task(self._poll_known())
-        await asyncio.wait((self._known,), timeout=KNOWN_SECONDS)
-
-    async def _poll_known(self) -> None:
-        """Look until both have come, once for all requests that wait."""
-        while not self._knows():
-            await asyncio.sleep(_POLL_SECONDS)
-        self._known = None
-
-    def _knows(self) -> bool:
-        parts = self._parts
-        return parts.configuration.table is not None and parts.replicas.listed
-
-    def _admit(
-        self,
-        scope: Scope,
-        terms: RequestTerms,
-        body: bytes,
-        arrived: float,
-    ) -> Inquiry | _Refusal:
-        """Decide whether a request is served, and by which service."""
-        table = self._parts.configuration.table
-        if table is None:
-            return _Refusal(_UNAVAILABLE, 'no configuration yet', UNSURE_RETRY)
-        if not self._parts.replicas.listed:
-            # Refused as lacking layers, a client would be told to wait for
-            # a repair, while the list comes within milliseconds.
-            return _Refusal(_UNAVAILABLE, 'no registry yet', LIST_RETRY)
-        if self.last_call:
-            return _Refusal(_UNAVAILABLE, 'this node stops', 0)
-        host = _read_host(scope)
-        path = scope['raw_path'].decode('latin-1')
-        route = table.find_route(host, path)
-        if route is None:
-            return self._deny(_NOT_FOUND, 'no such route')
-        if self.refuses_streams and route.streaming:
-            return _Refusal(_UNAVAILABLE, 'this node stops', 0)
-        account = self._identify(table, route, terms)
-        if isinstance(account, _Refusal):
-            return account
-        method, target = scope['method'], _read_target(scope, path)
-        digest = digest_request(host, method, target, account, body)
-        case = self._parts.quarantine.find_refused(digest)
-        if case is not None:
-            return _Refusal(
-                _UNAVAILABLE,
-                'replicas ended under this request',
-                QUARANTINE_RETRY,
-                digest,
-                tuple(sorted(case.lives)),
-            )
-        patience = min(route.timeout, terms.deadline or route.timeout)
-        return Inquiry(
-            method,
-            target,
-            scope['headers'],
-            body,
-            terms,
-            route,
-            choose_service(route, self._parts.draw()),
-            account,
-            arrived,
-            arrived + patience,
-            table.configuration.version,
-            digest,
-        )
-
-    def _identify(
-        self,
-        table: RoutingTable,
-        route: Route,
-        terms: RequestTerms,
-    ) -> str | _Refusal:
-        """Find the name of the client account; empty on anonymous routes."""
-        if route.anonymous or not table.configuration.accounts:
-            return ''
-        if not self._parts.configuration.allows_keys():
-            return _Refusal(_UNAVAILABLE, 'keys are unconfirmed', UNSURE_RETRY)
-        account = table.find_account(terms.key)
-        if account is None:
-            return self._deny(_UNAUTHORIZED, 'unknown key')
-        return account.name
-
-    def _deny(self, status: int, reason: str) -> _Refusal:
-        """Deny what no configuration allows, if this node can be sure."""
-        if self._parts.configuration.age > SURE_SECONDS:
-            return _Refusal(
-                _UNAVAILABLE, f'{reason}, unconfirmed', UNSURE_RETRY
-            )
-        return _Refusal(status, reason)
-
     async def _relay(
         self,
         exchange: Exchange,
@@ -353,14 +203,3 @@
     message = await receive()
     while message['type'] != 'http.disconnect':
         message = await receive()
-
-
-def _read_host(scope: Scope) -> str:
-    hosts = (entry for name, entry in scope['headers'] if name == b'host')
-    return next(hosts, b'').decode('latin-1')
-
-
-def _read_target(scope: Scope, path: str) -> str:
-    """Join path and query, byte for byte."""
-    query = scope['query_string'].decode('latin-1')
-    return f'{path}?{query}' if query else path
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -91,7 +91,7 @@
     def ready(self) -> bool:
         """Whether new clients should be sent here."""
         parts = self._parts
-        if self._ingress.closing or parts.configuration.table is None:
+        if self._ingress.stops.closing or parts.configuration.table is None:
             return False
         return parts.replicas.listed and parts.configuration.allows_keys()
 
@@ -158,7 +158,7 @@
         that this node isn't ready, and clients of kept connections go on
         until an answer says that theirs closes.
         """
-        self._ingress.closing = True
+        self._ingress.stops.closing = True
         self._parts.log.record(catalogue.NODE_DRAINING)
         loop = asyncio.get_running_loop()
         begun = loop.time()
@@ -168,8 +168,8 @@
         while loop.time() - begun < grace - MARGIN_SECONDS:
             await asyncio.sleep(_POLL_SECONDS)
             passed = loop.time() - begun
-            self._ingress.refuses_streams = passed > grace * STREAM_SHARE
-            self._ingress.last_call = passed > last_call
+            self._ingress.stops.refuses_streams = passed > grace * STREAM_SHARE
+            self._ingress.stops.last_call = passed > last_call
             busy = self._ingress.open_requests
             quiet = 0.0 if busy else quiet + _POLL_SECONDS
             if passed > NOTICE_SECONDS and quiet > QUIET_SECONDS:
