--- a/packages/ryelatch-node/src/ryelatch_node/tasks.py
+++ b/packages/ryelatch-node/src/ryelatch_node/tasks.py
@@ -26,6 +26,8 @@
         task = asyncio.create_task(self._guard(work))
         self._running.add(task)
         task.add_done_callback(self._running.discard)
+        # A task that is cancelled before it begins never awaits its work.
+        task.add_done_callback(lambda _: work.close())
 
     async def stop(self) -> None:
         """End what is running."""
--- a/tests/node/test_tasks.py
+++ b/tests/node/test_tasks.py
@@ -1,6 +1,7 @@
 """Work that nobody awaits is not lost in silence."""
 
 import asyncio
+import inspect
 import json
 
 from ryelatch_core.events import LineLog
@@ -55,3 +56,16 @@
 
     run(play())
     assert ended == ['work']
+
+
+def test_stop_closes_what_has_not_begun() -> None:
+    """A node stops in the moment that work was begun; nothing complains."""
+
+    async def play() -> None:
+        tasks = _make_tasks([])
+        work = _crash()
+        tasks.spawn(work)
+        await tasks.stop()
+        assert inspect.getcoroutinestate(work) == inspect.CORO_CLOSED
+
+    run(play())
