--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/__init__.py
@@ -2,7 +2,6 @@
 
 from ryelatch_core.quarantine._book import (
     FRESH_SECONDS,
-    MOST_ENDS,
     Book,
     Step,
 )
@@ -13,6 +12,7 @@
     Manner,
     StoredCase,
 )
+from ryelatch_core.quarantine._causes import MOST_ENDS
 from ryelatch_core.quarantine._digest import digest_request
 
 __all__ = [
--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_book.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_book.py
@@ -6,9 +6,8 @@
 ask for, and is forgotten for those that then run on elsewhere.
 """
 
-import itertools
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from ryelatch_core.quarantine._case import (
@@ -17,13 +16,12 @@
     Manner,
     StoredCase,
 )
-
-MOST_ENDS = 3
-"""Replicas that may end under a request before it is refused.
-
-Two may end by chance under one that is resent where a group of them is lost;
-each more costs all that others have there.
-"""
+from ryelatch_core.quarantine._causes import (
+    KEPT_SECONDS,
+    MOST_ENDS,
+    list_causes,
+)
+from ryelatch_core.quarantine._known import Known
 
 FRESH_SECONDS = 0.5
 """How long after its first event a run is taken for a cause of an end.
@@ -32,12 +30,6 @@
 longer somewhere is cleared, as it would have ended that replica.
 """
 
-SETTLE_SECONDS = 1.0
-"""How long those that had not begun wait for a better cause to be told.
-
-The node that sent the request which had begun tells within 0.8 s.
-"""
-
 TELL_SECONDS = 0.5
 """How long the first end under a request is kept to this node, at the mean.
 
@@ -48,20 +40,6 @@
 SUSPECT_SECONDS = 120.0
 """How long ends count that are too few for a refusal."""
 
-REFUSED_SECONDS = 600.0
-"""How long a request is refused after its third end.
-
-Replicas may have ended for a reason of their own, one after the other, and
-taken each request along that came. It is let in again then, with its ends
-kept: if it runs it is cleared, and if a replica ends it is refused for longer.
-"""
-
-REFUSED_GROWTH = 6.0
-"""By how much longer with each further end: an hour, six hours, a day."""
-
-KEPT_SECONDS = 86_400.0
-"""How long ends of a request that was refused are kept, the longest refusal."""
-
 LEFT_SECONDS = 600.0
 """By how much longer others leave it to a node to delete what it has told."""
 
@@ -95,32 +73,6 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class _Known:
-    """What is known of a request.
-
-    :param own: what this node has seen, or keeps for the others.
-    :param stored: what the store holds.
-    :param changed: when anything of it was new, in monotonic seconds.
-    :param due: when the store is told of it.
-    """
-
-    own: Case = NO_CASE
-    stored: StoredCase | None = None
-    changed: float = 0
-    due: float = 0
-
-    @property
-    def told(self) -> Case:
-        """What the store holds."""
-        return self.stored.case if self.stored else NO_CASE
-
-    @property
-    def case(self) -> Case:
-        """All that is known."""
-        return self.own.merge(self.told)
-
-
 class Book:
     """The ends that this node and others have seen, by request.
 
@@ -130,7 +82,7 @@
 
     def __init__(self, patience: float) -> None:
         self._patience = patience
-        self._known: OrderedDict[str, _Known] = OrderedDict()
+        self._known: OrderedDict[str, Known] = OrderedDict()
         self._cleared: OrderedDict[str, float] = OrderedDict()
         self._many: set[str] = set()
         self._refused: dict[str, Case] = {}
@@ -170,7 +122,7 @@
 
         :returns: whether that is new.
         """
-        known = self._known.get(digest, _Known())
+        known = self._known.get(digest, Known())
         seen = NO_CASE.add(life, manner)
         if self._is_cleared(digest, now) or known.case.covers(seen):
             return False
@@ -203,7 +155,7 @@
 
     def put(self, stored: StoredCase, now: float) -> None:
         """Take what the store holds of a request."""
-        known = self._known.get(stored.digest, _Known())
+        known = self._known.get(stored.digest, Known())
         if known.stored and known.stored.revision >= stored.revision:
             return
         self._keep(stored.digest, replace(known, stored=stored, changed=now))
@@ -227,13 +179,13 @@
                 continue
             if digest in self._refused:
                 due = now + REWRITE_SECONDS * self._patience
-                self._keep(digest, _Known(known.case, None, now, due))
+                self._keep(digest, Known(known.case, None, now, due))
             elif known.own == NO_CASE:
                 del self._known[digest]
             else:
                 self._keep(digest, replace(known, stored=None))
         for stored in fresh.values():
-            known = self._known.get(stored.digest, _Known())
+            known = self._known.get(stored.digest, Known())
             self._keep(
                 stored.digest, replace(known, stored=stored, changed=now)
             )
@@ -242,7 +194,10 @@
     def judge(self, now: float) -> None:
         """Decide anew which requests are refused."""
         self._many &= self._known.keys()
-        self._refused = dict(self._list_causes(now))
+        suspects = [
+            digest for digest in self._many if not self._is_cleared(digest, now)
+        ]
+        self._refused = dict(list_causes(suspects, self._known, now))
 
     def list_due(self, now: float) -> list[Step]:
         """List what the store is to be told now, and forget what lapsed."""
@@ -256,51 +211,7 @@
                 del self._known[digest]
         return steps
 
-    def _list_causes(self, now: float) -> Iterator[tuple[str, Case]]:
-        """List the requests that explain the ends, those of most ends first.
-
-        What one of them explains speaks against no other. Requests that were
-        resent together with it lost the same replicas, and where replicas end
-        for a reason of their own all that come lose them.
-        """
-        explained: set[str] = set()
-        for digest in sorted(self._many, key=self._rank):
-            known = self._known[digest]
-            if self._is_cleared(digest, now):
-                continue
-            if self._is_cause(known, now, frozenset(explained)):
-                explained |= known.case.lives
-                if now - known.changed < _find_term(known.case):
-                    yield digest, known.case
-
-    def _rank(self, digest: str) -> tuple[int, int, str]:
-        case = self._known[digest].case
-        return -len(case.begun), -len(case.waiting), digest
-
-    def _is_cause(
-        self,
-        known: _Known,
-        now: float,
-        explained: frozenset[str],
-    ) -> bool:
-        """Whether enough replicas have ended for which nothing else speaks.
-
-        Those that waited at a replica are cleared of its end by a request that
-        had begun there. Its node may not have told of it yet.
-        """
-        begun = known.case.begun - explained
-        if len(begun) >= MOST_ENDS:
-            return True
-        if now - known.changed < SETTLE_SECONDS:
-            return False
-        unexplained = known.case.waiting - explained - self._list_begun()
-        return len(begun | unexplained) >= MOST_ENDS
-
-    def _list_begun(self) -> frozenset[str]:
-        cases = (known.case.begun for known in self._known.values())
-        return frozenset(itertools.chain.from_iterable(cases))
-
-    def _find_step(self, digest: str, known: _Known, now: float) -> Step | None:
+    def _find_step(self, digest: str, known: Known, now: float) -> Step | None:
         stored = known.stored
         cleared = self._is_cleared(digest, now)
         if cleared or self._has_lapsed(digest, known, now):
@@ -313,7 +224,7 @@
         ran = self._cleared.get(digest)
         return ran is not None and now - ran < CLEARED_SECONDS
 
-    def _has_lapsed(self, digest: str, known: _Known, now: float) -> bool:
+    def _has_lapsed(self, digest: str, known: Known, now: float) -> bool:
         lasts = SUSPECT_SECONDS
         if digest in self._many:
             lasts = KEPT_SECONDS
@@ -321,7 +232,7 @@
             lasts += LEFT_SECONDS * (0.5 + self._patience)
         return now - known.changed > lasts
 
-    def _keep(self, digest: str, known: _Known) -> None:
+    def _keep(self, digest: str, known: Known) -> None:
         """Keep what is known, and forget the oldest that is not refused."""
         self._known[digest] = known
         self._known.move_to_end(digest)
@@ -330,9 +241,3 @@
         if len(self._known) > MOST_CASES:
             oldest = (one for one in self._known if one not in self._refused)
             del self._known[next(oldest, digest)]
-
-
-def _find_term(case: Case) -> float:
-    """Find for how many seconds a request is refused after its last end."""
-    more = len(case.lives) - MOST_ENDS
-    return min(KEPT_SECONDS, REFUSED_SECONDS * REFUSED_GROWTH**more)
--- a/tests/core/quarantine/test_book.py
+++ b/tests/core/quarantine/test_book.py
@@ -7,15 +7,17 @@
 from ryelatch_core.quarantine import Book, Case, Manner, Step, StoredCase
 from ryelatch_core.quarantine._book import (
     CLEARED_SECONDS,
-    KEPT_SECONDS,
     LEFT_SECONDS,
     MOST_CASES,
-    REFUSED_SECONDS,
     REWRITE_SECONDS,
-    SETTLE_SECONDS,
     SUSPECT_SECONDS,
     TELL_SECONDS,
 )
+from ryelatch_core.quarantine._causes import (
+    KEPT_SECONDS,
+    REFUSED_SECONDS,
+    SETTLE_SECONDS,
+)
 
 _NOW = 100.0
 _LATER = _NOW + SETTLE_SECONDS
