--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_server.py
@@ -0,0 +1,124 @@
+"""Answers the questions of peers."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ryelatch_core.events import CostBook
+from ryelatch_core.kernel import Clock, cancel_task
+from ryelatch_core.membership import NEVER
+from ryelatch_node.news._frames import (
+    PermitQuestion,
+    PermitReply,
+    Question,
+    Reply,
+    encode,
+    read_body,
+)
+from ryelatch_node.news._line import FAILURES
+from ryelatch_node.news._memory import (
+    NEVER_SECONDS,
+    NO_TROUBLE,
+    Memory,
+    StoreTrouble,
+)
+from ryelatch_node.news._rests import REST_SECONDS
+
+LONGEST_WAIT = 30.0
+"""Longest wait that a peer may ask for."""
+
+
+def _deny(question: PermitQuestion) -> PermitReply:
+    return PermitReply(False, REST_SECONDS, question.limit, question.age)
+
+
+@dataclass(eq=False)
+class PeerServer:
+    """Tells peers what this node knows, and whether they may send.
+
+    :param memories: what it has heard of the store, by kind.
+    :param find_trouble: tells how the store answers this node.
+    :param answer_permit: tells a peer whether it may send to a replica.
+    :param asked: when it was asked to watch last, in monotonic seconds.
+    """
+
+    clock: Clock
+    costs: CostBook
+    memories: dict[str, Memory]
+    find_trouble: Callable[[], StoreTrouble] = lambda: NO_TROUBLE
+    answer_permit: Callable[[PermitQuestion], PermitReply] = _deny
+    asked: float = NEVER
+    _served: set['asyncio.Task[None]'] = field(default_factory=set)
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answer one peer until it goes."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._served.add(task)
+        try:
+            while True:
+                await self._answer_one(reader, writer)
+        except FAILURES:
+            # The peer has gone, or is none; it asks anew, or the store.
+            return
+        except asyncio.CancelledError:
+            # Only at the stop. The library's own callback looks at how this
+            # task ended and takes a cancelled one for a crash.
+            return
+        finally:
+            self._served.discard(task)
+            with contextlib.suppress(OSError):
+                writer.transport.abort()
+
+    async def stop(self) -> None:
+        """Answer nobody any more."""
+        for task in tuple(self._served):
+            await cancel_task(task)
+
+    async def _answer_one(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        body = await read_body(reader)
+        question = msgspec.msgpack.decode(body, type=Question | PermitQuestion)
+        if isinstance(question, PermitQuestion):
+            frame = encode(self.answer_permit(question))
+        else:
+            frame = await self._answer_watch(question)
+        writer.write(frame)
+        await writer.drain()
+
+    async def _answer_watch(self, question: Question) -> bytes:
+        asked = self.clock.monotonic()
+        if not question.whole:
+            self.asked = asked
+        reply = await self._tell(question, asked)
+        now = self.clock.monotonic()
+        trouble = self.find_trouble()
+        if trouble.unanswered > NEVER:
+            reply = msgspec.structs.replace(
+                reply, unanswered=now - trouble.unanswered, out=trouble.out
+            )
+        frame = encode(reply)
+        if question.kind in self.memories:
+            self.costs.count('peers', question.kind, 'answers')
+            self.costs.count('peers', question.kind, 'bytes', number=len(frame))
+        return frame
+
+    async def _tell(self, question: Question, asked: float) -> Reply:
+        """Tell what is known of a kind; nothing of one that isn't followed."""
+        memory = self.memories.get(question.kind)
+        if memory is None:
+            return Reply(covered=False, age=NEVER_SECONDS)
+        wait = min(LONGEST_WAIT, max(0, question.wait))
+        await memory.wait(question.since, asked, wait)
+        now = self.clock.monotonic()
+        return memory.tell(question.since, asked, now, whole=question.whole)
--- a/packages/ryelatch-node/src/ryelatch_node/news/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_service.py
@@ -1,29 +1,23 @@
 """Asks peers what the store says, and tells them."""
 
 import asyncio
-import contextlib
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import msgspec
 
 from ryelatch_core.events import CostBook, LineLog, catalogue
-from ryelatch_core.kernel import App, Clock, Service, cancel_task
+from ryelatch_core.kernel import App, Clock, Service
 from ryelatch_core.membership import (
-    NEVER,
     NodeEntry,
     choose_watchers,
     shares_watches,
     watches_for_others,
 )
 from ryelatch_node.news._frames import (
-    PermitQuestion,
-    PermitReply,
     Question,
     Reply,
-    encode,
-    read_body,
     unpack,
 )
 from ryelatch_node.news._line import (
@@ -34,52 +28,17 @@
     open_line,
 )
 from ryelatch_node.news._memory import (
-    NEVER_SECONDS,
-    NO_TROUBLE,
     Blind,
     Heard,
     Memory,
-    StoreTrouble,
 )
+from ryelatch_node.news._rests import REST_SECONDS, RestBook
+from ryelatch_node.news._server import PeerServer
 from ryelatch_node.ports import Address, RelayStartup
 
 REPLY_SECONDS = 0.4
 """How long beyond its wait a reply may take, a slowed VM's included."""
 
-REST_SECONDS = 6.0
-"""How long a peer that did not help is not asked again.
-
-Asked again at once, each watch would cost its wait before the store is asked,
-and what is confirmed grows old meanwhile.
-"""
-
-BLIND_SECONDS = 0.5
-"""The same while the store answers this node as little as that peer.
-
-One that watches asks the store again several times a second and is the first
-to know when the store is back; those who wait for that ask it, not the store.
-A peer that is blind or behind alone is left for as long as any other.
-"""
-
-LONGEST_WAIT = 30.0
-"""Longest wait that a peer may ask for."""
-
-
-@dataclass(frozen=True, slots=True)
-class _Left:
-    """That a peer was left.
-
-    :param at: when, in monotonic seconds.
-    :param answered: whether it answered, with what was too old.
-    """
-
-    at: float
-    answered: bool
-
-
-def _deny(question: PermitQuestion) -> PermitReply:
-    return PermitReply(False, REST_SECONDS, question.limit, question.age)
-
 
 @dataclass(eq=False)
 class News:
@@ -90,8 +49,7 @@
     from when the question was sent. A peer that is cut off, silent or behind
     is left, and the store asked as if there were no peers.
 
-    :param find_trouble: tells how the store answers this node.
-    :param answer_permit: tells a peer whether it may send to a replica.
+    :param server: answers those who ask this node.
     """
 
     log: LineLog
@@ -100,33 +58,35 @@
     dial: Dial = asyncio.open_connection
     costs: CostBook = field(default_factory=CostBook)
     address: Address = field(init=False)
-    find_trouble: Callable[[], StoreTrouble] = lambda: NO_TROUBLE
-    answer_permit: Callable[[PermitQuestion], PermitReply] = _deny
+    server: PeerServer = field(init=False)
     _memories: dict[str, Memory] = field(
         default_factory=lambda: defaultdict(Memory)
     )
     _nodes: tuple[NodeEntry, ...] = ()
     _lines: dict[str, Line] = field(default_factory=dict)
-    _left: dict[str, _Left] = field(default_factory=dict)
-    _server: asyncio.Server | None = None
-    _served: set['asyncio.Task[None]'] = field(default_factory=set)
-    _asked: float = NEVER
+    _listener: asyncio.Server | None = None
+
+    def __post_init__(self) -> None:
+        """Make what answers, and what remembers who was left."""
+        self.server = PeerServer(self.clock, self.costs, self._memories)
+        self._rests = RestBook(self.clock)
 
     async def start(self) -> None:
         """Listen for peers."""
         host, port = self.startup.peers
-        self._server = await asyncio.start_server(self.serve, host, port)
-        bound = self._server.sockets[0].getsockname()
+        self._listener = await asyncio.start_server(
+            self.server.serve, host, port
+        )
+        bound = self._listener.sockets[0].getsockname()
         self.address = Address(host, bound[1])
 
     async def stop(self) -> None:
         """Close everything."""
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
         for kind in tuple(self._lines):
             self._drop(kind)
-        for task in tuple(self._served):
-            await cancel_task(task)
+        await self.server.stop()
 
     def know(self, nodes: Iterable[NodeEntry]) -> None:
         """Take note of which nodes there are."""
@@ -188,30 +148,6 @@
         self._leave(kind, peer, reason, answered=True)
         return None if unanswered is None else Blind(unanswered)
 
-    async def serve(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        """Answer one peer until it goes."""
-        task = asyncio.current_task()
-        assert task is not None
-        self._served.add(task)
-        try:
-            while True:
-                await self._answer(reader, writer)
-        except FAILURES:
-            # The peer has gone, or is none; it asks anew, or the store.
-            return
-        except asyncio.CancelledError:
-            # Only at the stop. The library's own callback looks at how this
-            # task ended and takes a cancelled one for a crash.
-            return
-        finally:
-            self._served.discard(task)
-            with contextlib.suppress(OSError):
-                writer.transport.abort()
-
     @property
     def nodes(self) -> tuple[NodeEntry, ...]:
         """The nodes that there are, this one included."""
@@ -230,7 +166,7 @@
         a count from before the others came it watched as for itself alone,
         and its followers left it every two seconds.
         """
-        if self.clock.monotonic() - self._asked < REST_SECONDS:
+        if self.clock.monotonic() - self.server.asked < REST_SECONDS:
             return True
         return watches_for_others(
             self.startup.name, self.startup.zone, self._nodes
@@ -240,23 +176,18 @@
         """Choose the peer to ask; none if this node asks the store."""
         if not alone and (not self.shares or self.watches_for_others):
             return None
-        now = self.clock.monotonic()
         me, zone = self.startup.name, self.startup.zone
         offered = choose_watchers(me, zone, self._nodes)
+        waits = self.shares and self.server.find_trouble().out
         return next(
-            (one for one in offered if not self._rests(one, now)),
+            (
+                one
+                for one in offered
+                if not self._rests.rests(one.name, all_wait=waits)
+            ),
             None,
         )
 
-    def _rests(self, peer: NodeEntry, now: float) -> bool:
-        """Whether a peer was of no use a short while ago."""
-        left = self._left.get(peer.name)
-        if left is None:
-            return False
-        waits = left.answered and self.shares and self.find_trouble().out
-        rest = BLIND_SECONDS if waits else REST_SECONDS
-        return now - left.at < rest
-
     async def _exchange(
         self,
         kind: str,
@@ -280,7 +211,7 @@
         answered: bool = False,
     ) -> None:
         self._drop(kind)
-        self._left[peer.name] = _Left(self.clock.monotonic(), answered)
+        self._rests.note(peer.name, answered=answered)
         self.log.record(
             catalogue.WATCHER_LEFT, peer=peer.name, kind_of=kind, reason=reason
         )
@@ -290,47 +221,6 @@
         if line is not None:
             line.drop()
 
-    async def _answer(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        body = await read_body(reader)
-        question = msgspec.msgpack.decode(body, type=Question | PermitQuestion)
-        if isinstance(question, PermitQuestion):
-            frame = encode(self.answer_permit(question))
-        else:
-            frame = await self._answer_watch(question)
-        writer.write(frame)
-        await writer.drain()
-
-    async def _answer_watch(self, question: Question) -> bytes:
-        asked = self.clock.monotonic()
-        if not question.whole:
-            self._asked = asked
-        reply = await self._tell(question, asked)
-        now = self.clock.monotonic()
-        trouble = self.find_trouble()
-        if trouble.unanswered > NEVER:
-            reply = msgspec.structs.replace(
-                reply, unanswered=now - trouble.unanswered, out=trouble.out
-            )
-        frame = encode(reply)
-        if question.kind in self._memories:
-            self.costs.count('peers', question.kind, 'answers')
-            self.costs.count('peers', question.kind, 'bytes', number=len(frame))
-        return frame
-
-    async def _tell(self, question: Question, asked: float) -> Reply:
-        """Tell what is known of a kind; nothing of one that isn't followed."""
-        memory = self._memories.get(question.kind)
-        if memory is None:
-            return Reply(covered=False, age=NEVER_SECONDS)
-        wait = min(LONGEST_WAIT, max(0, question.wait))
-        await memory.wait(question.since, asked, wait)
-        now = self.clock.monotonic()
-        return memory.tell(question.since, asked, now, whole=question.whole)
-
 
 def setup(app: App) -> None:
     """Add the service ``news``."""
--- a/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/_service.py
@@ -62,7 +62,7 @@
         """Make what tells others, and answer them."""
         self._tasks = Tasks(self.log, 'throttle')
         self.limiter = Limiter(self.log, self.clock)
-        self.news.answer_permit = self.limiter.answer
+        self.news.server.answer_permit = self.limiter.answer
 
     async def stop(self) -> None:
         """Ask and tell nothing more."""
--- a/tests/node/news/test_nonsense.py
+++ b/tests/node/news/test_nonsense.py
@@ -88,7 +88,7 @@
         reader.feed_data(encode(Question(f'kind-{number}', 0, 0)))
     reader.feed_eof()
     written: list[bytes] = []
-    await news.serve(reader, _Writer(written))  # type: ignore[arg-type]
+    await news.server.serve(reader, _Writer(written))  # type: ignore[arg-type]
     answers = asyncio.StreamReader()
     answers.feed_data(b''.join(written))
     first = msgspec.msgpack.decode(await read_body(answers), type=Reply)
--- a/tests/virtual/throttles.py
+++ b/tests/virtual/throttles.py
@@ -103,7 +103,7 @@
             await asyncio.Event().wait()
         await asyncio.sleep(LINK_SECONDS)
         near, far = open_pair(lambda: host not in self.dark)
-        serving = self.nodes[host].news.serve(*far)
+        serving = self.nodes[host].news.server.serve(*far)
         self._tasks.append(asyncio.create_task(serving))
         return near
 
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -185,7 +185,7 @@
                 await asyncio.Event().wait()
             await asyncio.sleep(LINK_SECONDS)
             near, far = open_pair(lambda: not self.dark & {caller, host})
-            serving = peer.news.serve(*far)
+            serving = peer.news.server.serve(*far)
             peer.tasks.append(asyncio.create_task(serving))
             return near
 
