Tests of nodes that start while the store is out and refuse all, which fail

Eleven were seen red: the nodes know neither configuration nor replicas until the store is back, though others do.

--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -58,6 +58,7 @@
         """Stop all."""
         await self.follower.stop()
         await self.quarantine.stop()
+        await self.news.stop()
         for task in self.tasks:
             task.cancel()
         await self.store.stop()
@@ -119,6 +120,14 @@
         for node in self.nodes.values():
             await node.stop()
 
+    async def restart(self, names: Iterable[str]) -> None:
+        """Let nodes end, and start again knowing nothing, all at once."""
+        for name in names:
+            await self.nodes[name].stop()
+            self.nodes[name] = self._make(name)
+        for name in names:
+            await self.nodes[name].start()
+
     def register(self, name: str, state: str = 'ready') -> None:
         """Write a replica's entry."""
         spec = {
