Connect anew to a node that was lost, in place of asking on what broke

Found by reading: the first greeting after a loss went to the connection that had broken, and the node was looked for 0.2 s later. Tests of whom a node greets: one connection in calm, a lost node for five seconds, a removed one no longer; they passed before as well.

--- a/packages/ryelatch-node/src/ryelatch_node/news/_greeter.py
+++ b/packages/ryelatch-node/src/ryelatch_node/news/_greeter.py
@@ -103,10 +103,12 @@
         return True
 
     async def _open(self, peer: NodeEntry) -> Line:
-        if self._line is None or self._line.address != peer.address:
+        line = self._line
+        if line is None or line.lost or line.address != peer.address:
             self._drop()
-            self._line = await open_line(self.dial, peer.address)
-        return self._line
+            line = await open_line(self.dial, peer.address)
+            self._line = line
+        return line
 
     async def _tell(self, line: Line, greeting: Greeting) -> bool:
         """Tell a node who greets.
