--- a/tests/core/throttle/test_bucket.py
+++ b/tests/core/throttle/test_bucket.py
@@ -42,7 +42,7 @@
 
 
 @pytest.mark.parametrize('limit', _LIMITS)
-def test_two_dealers_stay_within_a_limit(limit: float) -> None:
+def test_two_limiters_stay_within_a_limit(limit: float) -> None:
     """A replica gets too much as two nodes grant its permits at once."""
     buckets = [TokenBucket(limit, 0), TokenBucket(limit, 0)]
     times = _grant(buckets, 3 * _SPAN_SECONDS, start=60)
@@ -62,7 +62,7 @@
     assert len(_grant([TokenBucket(limit, 0)], 20, start=0)) >= 4
 
 
-def test_new_dealer_has_one_permit() -> None:
+def test_new_limiter_has_one_permit() -> None:
     """Each node that begins to grant adds what could be saved up."""
     bucket = TokenBucket(4, now=100)
     assert _take_all(bucket, 100) == 1
--- a/tests/core/throttle/test_limiters.py
+++ b/tests/core/throttle/test_limiters.py
@@ -13,12 +13,12 @@
     ]
 
 
-def test_all_nodes_choose_the_same_dealer() -> None:
+def test_all_nodes_choose_the_same_limiter() -> None:
     nodes = _make_nodes(8)
     assert rank_limiters('b-0', nodes) == rank_limiters('b-0', nodes[::-1])
 
 
-def test_dealers_are_spread_over_the_nodes() -> None:
+def test_limiters_are_spread_over_the_nodes() -> None:
     """One node grants for all replicas, and is asked by all others."""
     nodes = _make_nodes(8)
     chosen = Counter(
--- a/tests/node/throttle/test_throttle.py
+++ b/tests/node/throttle/test_throttle.py
@@ -76,7 +76,7 @@
     run(main())
 
 
-def test_limit_holds_while_the_dealer_is_lost() -> None:
+def test_limit_holds_while_the_limiter_is_lost() -> None:
     """Each node that finds the limiter gone grants for itself."""
 
     async def main() -> None:
@@ -180,7 +180,7 @@
     run(main())
 
 
-def test_dealer_that_lists_no_replica_keeps_count() -> None:
+def test_limiter_that_lists_no_replica_counts() -> None:
     """A node that hears of a replica late grants anew each half second."""
 
     async def main() -> None:
@@ -216,7 +216,7 @@
     run(main())
 
 
-def test_vms_that_are_gone_for_good_deal_nothing() -> None:
+def test_vms_gone_for_good_grant_nothing() -> None:
     """The first two nodes that would grant were removed; nobody may send."""
 
     async def main() -> None:
@@ -236,7 +236,7 @@
     run(main())
 
 
-def test_burst_at_one_node_blames_no_dealer() -> None:
+def test_burst_at_one_node_blames_no_limiter() -> None:
     """Those who wait for others' questions take the limiter for silent."""
 
     async def main() -> None:
@@ -255,7 +255,7 @@
     run(main())
 
 
-def test_dealers_differ_by_replica() -> None:
+def test_limiters_differ_by_replica() -> None:
     """One node is asked about all replicas in need."""
     nodes = [NodeEntry(name, 'zone-a', f'{name}:1') for name in _name_nodes(8)]
     chosen = Counter(
