Let replicas of the soak refuse no longer than they ask for rest

Traced from the nodes' lines: they sent to it every 0.6 s, and it answered each with 503, not run, though it asked for no rest any more. The task that had made it refuse was ended in mid-spell as the faults were over, and left the refusal behind. The check stays as it is.

--- a/tests/soak/asking.py
+++ b/tests/soak/asking.py
@@ -78,6 +78,9 @@
     async def _rest(self, replica: ReplicaStandIn) -> None:
         replica.says = {'Retry-After': f'{self.chance.uniform(0, 3):.2f}'}
         replica.refuse = 503
-        await asyncio.sleep(self.chance.uniform(*_SPELL_SECONDS))
-        replica.refuse = 0
+        try:
+            await asyncio.sleep(self.chance.uniform(*_SPELL_SECONDS))
+        finally:
+            # Also where this is cancelled, or it would refuse for good.
+            replica.refuse = 0
         replica.says = {}
