--- a/tests/platform/test_start_in_outage.py
+++ b/tests/platform/test_start_in_outage.py
@@ -8,6 +8,7 @@
 from ryelatch_core.quarantine import Manner
 from ryelatch_node.news import Heard
 from ryelatch_node.news._introduction import Introduction
+from ryelatch_platform._kinds import Kind
 from ryelatch_platform._quarantine import QUARANTINE_KIND
 from virtual.loop import run
 from virtual.store import Trouble
@@ -15,6 +16,8 @@
 
 _DIGEST = '0123456789abcdef'
 
+_UNTOLD = 'untold'
+
 _LEARN_SECONDS = 0.6
 """How long a node that starts may know nothing."""
 
@@ -41,7 +44,9 @@
     return node.configuration.version == 1 and offered == ['b-1']
 
 
-@pytest.mark.parametrize('trouble', [Trouble.SILENT, Trouble.BUSY])
+@pytest.mark.parametrize(
+    'trouble', [Trouble.SILENT, Trouble.BUSY, Trouble.RESET]
+)
 @pytest.mark.parametrize('count', [2, 7, 24, 67])
 def test_node_that_starts_in_an_outage_serves(
     count: int, trouble: Trouble
@@ -115,6 +120,54 @@
     run(play())
 
 
+@pytest.mark.parametrize('count', [2, 24])
+def test_store_that_refuses_at_once(count: int) -> None:
+    """Nothing listens at the store; it refuses sooner than a peer tells."""
+
+    async def play() -> None:
+        names = _name_nodes(count)
+        world = await _start(names, Trouble.RESET)
+        world.store.delay = 0.0001
+        await world.restart(names[:1])
+        await asyncio.sleep(_LEARN_SECONDS)
+        assert _serves(world, names[0])
+        await world.stop()
+
+    run(play())
+
+
+def _make_untold() -> Kind:
+    """Make a kind that a node does not need."""
+    return Kind(
+        _UNTOLD,
+        20,
+        0,
+        shared_wait=10,
+        replace=lambda listed, known, unanswered: None,
+        put=lambda found, known: None,
+        remove=lambda name, unanswered: None,
+        confirm=lambda known: None,
+        needed=False,
+    )
+
+
+def test_node_greeted_in_an_outage_asks_little() -> None:
+    """The store refuses at once; what no peer tells is asked for in vain."""
+
+    async def play() -> None:
+        names = _name_nodes(7)
+        world = await _start(names, Trouble.RESET)
+        world.untold = _make_untold
+        await world.restart(names[:1])
+        began = asyncio.get_running_loop().time()
+        await asyncio.sleep(10)
+        calls = [at for at, _, path in world.store.calls if _UNTOLD in path]
+        assert 0 < sum(at > began for at in calls) < 20
+        await world.stop()
+
+    run(play())
+
+
 def test_node_back_in_an_outage_drops_leavers() -> None:
     """The store comes back, and has lost a replica meanwhile."""
 
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 from zlib import crc32
@@ -18,6 +18,7 @@
 from ryelatch_node.quarantine import Quarantine
 from ryelatch_platform._follow import Follower
 from ryelatch_platform._kinds import (
+    Kind,
     follow_configuration,
     follow_quarantine,
     follow_registry,
@@ -90,6 +91,7 @@
     :param dark: nodes whose links to other nodes carry nothing.
     :param zones: of nodes that are not in ``zone-a``.
     :param refuses: whether the nodes follow what is refused, too.
+    :param untold: makes a kind that they follow, and that no peer tells.
     """
 
     drain: float = 2.0
@@ -99,6 +101,7 @@
     dark: set[str] = field(default_factory=set)
     zones: dict[str, str] = field(default_factory=dict)
     refuses: bool = False
+    untold: Callable[[], Kind] | None = None
 
     async def start(self, names: Iterable[str], replicas: int = 4) -> None:
         """Start nodes that know each other, and let them settle."""
@@ -183,6 +186,8 @@
         ]
         if self.refuses:
             kinds.append(follow_quarantine(log, quarantine))
+        if self.untold:
+            kinds.append(self.untold())
         follower = Follower(store, news, log, clock, tuple(kinds))
         return VirtualNode(
             name, view, configuration, news, store, follower, quarantine, lines
