--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -14,7 +14,7 @@
 from ryelatch_core.membership import NEVER, reckon_terms
 from ryelatch_node.beliefs import ReplicaView
 from ryelatch_node.news import Change, Heard
-from ryelatch_platform._follow import _read_changes
+from ryelatch_platform._list import read_changes
 from ryelatch_platform._objects import Changes, Page, StoredObject
 from ryelatch_platform._registry import Registry
 
@@ -158,7 +158,7 @@
     heard = Heard(
         3, 0, tuple(Change(bytes(one.found), False) for one in events)
     )
-    read = [found.metadata.name for found, _ in _read_changes(heard)]
+    read = [found.metadata.name for found, _ in read_changes(heard)]
     assert 'i-1' in read
 
 
