A stream leaves the streams in progress before its loss is handled

Cause: an attempt left the scope of its timeout, and only then recorded its loss, which connects to the address of the lost replica. Until that returned, the stream stood among the streams in progress, so that the watch interrupted it, and its places in the windows, the load and the share of its account were taken. Interrupting reschedules a timeout that has ended, which raises.

Evidence: with the check held open, five ways raise every time: silent, first replica lost, a report that is missing, a pass of the watch, and the move off an unreachable replica. A pass of the watch that raises is started again after 0.2 s.

Ruled out: load as a cause. It only makes the check take longer than the 0.16 s after which the watch acts; a VM that drops packets takes 0.15 s on a calm one.

Now one context manager counts a stream as in progress and ends all of that as the reading ends, before any handler runs; no await lies between the end of the scope and the end of the rest. So nothing finds a stream whose scope has ended, by whatever way it looks.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -35,6 +35,7 @@
     record_progress,
 )
 from ryelatch_node.relay._stream import LiveStream
+from ryelatch_node.relay._stream_scope import enter_stream_scope
 from ryelatch_node.relay._upstream import Answer
 from ryelatch_node.relay._watch import StreamWatch
 
@@ -141,13 +142,9 @@
     scope = asyncio.timeout(None)
     now = context.clock.monotonic()
     stream = LiveStream(exchange, request, path, now, now, tokens, scope)
-    context.load.add(path, tokens, now)
-    context.windows.add(stream.first_replica.name)
-    context.accounts.add(request.account)
     context.returns.record_start(now)
-    watch.streams.add(stream)
     try:
-        async with scope:
+        async with enter_stream_scope(context, watch.streams, stream):
             return await _run(context, watch.prober, stream, progress)
     except TimeoutError:
         interrupted = SendError(SendErrorKind.LOST, stream.reason)
@@ -158,12 +155,6 @@
         record_failure(
             context, stream, progress, SendErrorKind.INVALID, str(error)
         )
-    finally:
-        stream.finished = True
-        watch.streams.discard(stream)
-        context.windows.remove(stream.first_replica.name)
-        context.accounts.remove(request.account)
-        context.load.remove(stream.path, tokens, context.clock.monotonic())
     return _AttemptResult.AGAIN
 
 
