A stream that ended during its move leaves no load at its new path

What callers see is indirect: the node takes replicas for busier than they are, for as long as it runs, and sends their share elsewhere.

Cause: the answer to a move command may come after the stream has ended. The end had taken the stream off its old path; the answer took it off once more and counted it at the new path, where nothing removes it. The new test holds the command open, and found one request at each replica of the path for good.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_stream_migrator.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream_migrator.py
@@ -61,7 +61,10 @@
     ) -> MoveResult:
         identity = stream.request.terms.identity
         pause = self.context.clock.monotonic() - stream.progress
-        if not await self.context.throttle.acquire_permit(stream.first_replica):
+        permitted = await self.context.throttle.acquire_permit(
+            stream.first_replica
+        )
+        if stream.finished or not permitted:
             return MoveResult(CommandResult.REFUSED)
         moved = await self.context.commands.move(
             stream.first_replica, identity, path
@@ -73,7 +76,9 @@
             fault=moved.fault,
             pause=round_seconds(pause),
         )
-        if moved.result in {CommandResult.BEGUN, CommandResult.HELD}:
+        accepted = moved.result in {CommandResult.BEGUN, CommandResult.HELD}
+        # The load of a stream that finished meanwhile is no longer counted.
+        if accepted and not stream.finished:
             now = self.context.clock.monotonic()
             self.context.load.remove(stream.path, stream.tokens, now)
             self.context.load.add(path, stream.tokens, now)
--- a/tests/platform/test_stream_migration.py
+++ b/tests/platform/test_stream_migration.py
@@ -1,6 +1,8 @@
 """Streams migrate from leaving replicas, within their allowed attempts."""
 
 import asyncio
+from dataclasses import replace
+from typing import Any
 
 import aiohttp
 import pytest
@@ -12,6 +14,7 @@
     run_node,
     wait_until,
 )
+from ryelatch_node.ports import CommandResult, MoveResult
 from ryelatch_node.relay._watch import StreamWatch
 from standins.replica import ReplicaStandIn
 
@@ -251,3 +254,29 @@
         await wait_until(lambda: stream.finished)
         stream.interrupt('no path')
         assert not stream.reason
+
+
+async def test_stream_ended_in_its_move_leaves_no_load() -> None:
+    """A replica counts a stream that ended as its move was commanded."""
+    replicas = _slow_down(make_model_replicas((0, 4), (4, 8), (4, 8)))
+    async with run_node(replicas) as node:
+        context = node.app.find('streams', StreamWatch).context
+        commanded, answered = asyncio.Event(), asyncio.Event()
+
+        async def move(*_: Any) -> MoveResult:
+            commanded.set()
+            await answered.wait()
+            return MoveResult(CommandResult.BEGUN)
+
+        context.commands = replace(context.commands, move=move)
+        async with open_request(node, '/plan/x') as response:
+            await response.content.readuntil(b'token 1\n\n')
+            path = node.find('exchange-sent')['path']
+            node.replicas[path[1][0]].register('draining')
+            await commanded.wait()
+            node.replicas['m-0'].pause = 0
+            await response.read()
+        await wait_until(lambda: node.count('exchange-ended'))
+        answered.set()
+        await wait_until(lambda: node.count('stream-moved'))
+        assert not any(context.load.requests.values())
