A stream that ran long is resumed without the check of its replica

Callers saw a pause: a stream that had run for seconds stood still until the address of its lost first replica had been checked, 0.15 s where the VM drops packets and more beside load, though the result of the check could not make it a suspect.

Cause: record_stream_crash awaited the check for every lost stream, and only then looked whether the stream had run too long to be the cause of a crash.

Ruled out: that streams which had just begun need not wait either. Their next attempt depends on the result: a request that crashed its replica may crash one replica more with it. They wait as before.

Now such a stream only starts the check, which suspects the replica by itself, once for all streams that were lost with it. While the check is in progress the replica gets no stream that has no other path, as a crashed one would cost a retry for nothing; where nothing else is left, the stream waits for the check and goes on there if only the connection was lost. Three tests; each failed without its part.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -60,7 +60,8 @@
         return path
     # A stream that the client has received in part is lost without a path,
     # and a replica that had no free memory a moment ago may have some now.
-    lenient = replace(query, avoid=context.replicas.list_unreachable())
+    lost = context.replicas.list_unreachable() | context.crash_checks.pending
+    lenient = replace(query, avoid=lost)
     return choose_path(offered, lenient)
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
@@ -56,7 +56,7 @@
 
     def __post_init__(self) -> None:
         """Create the members that depend on others."""
-        self.crash_checks = CrashChecks(self.commands)
+        self.crash_checks = CrashChecks(self.commands, self.replicas)
         self.slow_replicas = SlowReplicaChecks(
             self.log, self.clock, self.commands, self.throttle.is_throttled
         )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_crash_checks.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_crash_checks.py
@@ -10,6 +10,7 @@
 
 from ryelatch_core.fleet import Replica
 from ryelatch_node.ports import Reachability, ReplicaCommands
+from ryelatch_node.views import ReplicaView
 
 
 @dataclass(eq=False)
@@ -21,16 +22,44 @@
     """
 
     commands: ReplicaCommands
-    _checks: dict[str, 'asyncio.Future[Reachability]'] = field(
+    replicas: ReplicaView
+    _checks: dict[str, 'asyncio.Task[Reachability]'] = field(
         default_factory=dict
     )
 
-    async def has_crashed(self, replica: Replica) -> bool:
-        """Check whether a replica's address refuses connections."""
+    @property
+    def pending(self) -> frozenset[str]:
+        """Names of the replicas whose checks are in progress."""
+        return frozenset(self._checks)
+
+    async def wait(self) -> None:
+        """Wait until the checks that are in progress now have finished."""
+        if self._checks:
+            await asyncio.wait(self._checks.values())
+
+    def start(self, replica: Replica) -> 'asyncio.Task[Reachability]':
+        """Start a check of a replica's address, unless one is in progress."""
         check = self._checks.get(replica.name)
         if check is None:
-            check = asyncio.ensure_future(self.commands.reach(replica))
+            check = asyncio.create_task(self._check(replica))
             self._checks[replica.name] = check
             check.add_done_callback(lambda _: self._checks.pop(replica.name))
+        return check
+
+    async def has_crashed(self, replica: Replica) -> bool:
+        """Check whether a replica's address refuses connections."""
         # A client that disconnects must not cancel the check for the others.
-        return await asyncio.shield(check) is Reachability.REFUSED
+        check = asyncio.shield(self.start(replica))
+        return await check is Reachability.REFUSED
+
+    async def _check(self, replica: Replica) -> Reachability:
+        """Connect to a replica, and suspect it if it has crashed.
+
+        The entry of a crashed replica expires only after some seconds. Unless
+        the replica is suspected, each request sent to it until then costs a
+        retry, and requests without a retry left are refused.
+        """
+        found = await self.commands.reach(replica)
+        if found is Reachability.REFUSED:
+            self.replicas.suspect(replica, 'ended', full=False)
+        return found
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_crashes.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_crashes.py
@@ -32,8 +32,12 @@
         FIRST_REPLICA_LOST,
     }:
         return False
-    has_run_long = stream.has_run_long(context.now())
-    if not await _has_crashed(context, stream.first_replica) or has_run_long:
+    if stream.has_run_long(context.now()):
+        # It isn't the cause, whatever the check finds. Waiting would only
+        # delay its resumption: an unresponsive VM takes the check's timeout.
+        context.crash_checks.start(stream.first_replica)
+        return False
+    if not await context.crash_checks.has_crashed(stream.first_replica):
         return False
     phase = RequestPhase.BEGUN if stream.answered else RequestPhase.WAITING
     context.quarantine.record_crash(
@@ -57,7 +61,9 @@
     Unlike a stream, the request has no events that show whether it had begun,
     so it counts as begun.
     """
-    if _is_connection_lost(error) and await _has_crashed(context, replica):
+    if not _is_connection_lost(error):
+        return
+    if await context.crash_checks.has_crashed(replica):
         context.quarantine.record_crash(
             request.digest, replica.name, RequestPhase.BEGUN, exchange.identity
         )
@@ -65,16 +71,3 @@
 
 def _is_connection_lost(error: SendError) -> bool:
     return error.kind is SendErrorKind.LOST and error.reason != UNRESPONSIVE
-
-
-async def _has_crashed(context: RelayContext, replica: Replica) -> bool:
-    """Check whether a replica has crashed, and suspect it if so.
-
-    The entry of a crashed replica expires only after some seconds. Unless the
-    replica is suspected, each request sent to it until then costs a retry, and
-    requests without a retry left are refused.
-    """
-    if not await context.crash_checks.has_crashed(replica):
-        return False
-    context.replicas.suspect(replica, 'ended', full=False)
-    return True
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -103,6 +103,10 @@
     """
     while True:
         path = choose_request_path(context, exchange, request, progress)
+        if not path and exchange.started and context.crash_checks.pending:
+            # Where only the connection was lost, the replica can go on.
+            await context.crash_checks.wait()
+            path = choose_request_path(context, exchange, request, progress)
         if not path or await acquire_permit(context, exchange, path[0].replica):
             return path
 
--- a/tests/platform/test_lost_streams.py
+++ b/tests/platform/test_lost_streams.py
@@ -3,18 +3,22 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+import aiohttp
 import pytest
 
 from fleet.running import (
     RunningNode,
+    ask,
     make_event_stream,
     make_model_replicas,
     open_request,
     run_node,
+    wait_until,
 )
 from ryelatch_core.fleet import Replica
+from ryelatch_node.ports import Reachability
 from ryelatch_node.relay._stream import FIRST_REPLICA_LOST, LiveStream
 from ryelatch_node.relay._watch import GIVE_UP_SECONDS, StreamWatch
 from standins.replica import ReplicaStandIn
@@ -134,3 +138,61 @@
         assert not context.windows.requests
         assert not any(context.load.requests.values())
         assert not context.accounts._requests
+
+
+@pytest.fixture
+def _harmless(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let streams have run too long for a crash from their first event on."""
+    monkeypatch.setattr('ryelatch_node.relay._stream.CRASH_WINDOW_SECONDS', 0)
+
+
+@pytest.mark.usefixtures('_harmless')
+async def test_stream_that_ran_long_is_resumed_at_once() -> None:
+    """A stream that can't be the cause of a crash waits for its check."""
+    replicas = make_model_replicas((0, 8), (0, 8))
+    async with run_node(replicas) as node:
+        context = node.app.find('streams', StreamWatch).context
+        reached, answered = asyncio.Event(), asyncio.Event()
+
+        async def reach(_: Replica) -> Reachability:
+            reached.set()
+            await answered.wait()
+            return Reachability.REFUSED
+
+        context.crash_checks.commands = replace(context.commands, reach=reach)
+        for replica in replicas:
+            replica.pause = 0.1
+        async with open_request(node, '/plan/x') as response:
+            received = await response.content.readuntil(b'token 1\n\n')
+            lost = _find_streaming(node)
+            await lost.crash()
+            assert received + await response.read() == make_event_stream(5)
+        assert reached.is_set()
+        answered.set()
+        await wait_until(
+            lambda: lost.name in context.replicas.list_unreachable()
+        )
+
+
+@pytest.mark.usefixtures('_harmless')
+async def test_reset_at_the_only_replica_breaks_nothing() -> None:
+    """A stream breaks as the check of the only replica is in progress."""
+    replicas = make_model_replicas((0, 8))
+    replicas[0].break_after = 2
+    async with run_node(replicas) as node:
+        status, body, _ = await ask(node, '/plan/x')
+    assert (status, body) == (200, make_event_stream(5))
+
+
+@pytest.mark.usefixtures('_harmless')
+async def test_crashed_replica_is_sent_no_stream_again() -> None:
+    """A retry is spent on the only replica though its check would end it."""
+    async with run_node(make_model_replicas((0, 8))) as node:
+        node.replicas['m-0'].pause = 0.1
+        async with open_request(node, '/plan/x') as response:
+            await response.content.readuntil(b'token 1\n\n')
+            await node.replicas['m-0'].crash()
+            with pytest.raises(aiohttp.ClientError):
+                await response.read()
+        await wait_until(lambda: node.count('exchange-broken'))
+        assert not node.count('stream-resumed')
