A follower settles with its watcher how long an outage lasted

Cause: a follower calls the store every 3 s in an outage, and dates its end by what the watcher tells of its own calls. Where the follower's own call was answered first, it judged the missing entries by the watcher's last word, up to 1.1 s old: the watcher's last lost call had not timed out when it was asked.

Ruled out: a peer's word that ends an outage (apply_peer_update): that word carries the last lost call, as the peer is back itself by then. A watcher's own account: its calls are 0.6 s apart, each over before the next. Small fleets: each node calls by itself. The first list from a peer has nothing to drop.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -275,6 +275,13 @@
     'Check the software of the replica.',
     Level.WARNING,
 )
+OUTAGE_LONGER = EventKind(
+    1433,
+    'outage-longer',
+    'A peer reported that an outage had lasted longer than this node knew; '
+    'missing entries are kept for the time in the event.',
+)
+
 REPLICA_LAPSED = EventKind(
     1415,
     'replica-lapsed',
--- a/packages/ryelatch-core/src/ryelatch_core/events/_explanation.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_explanation.py
@@ -26,6 +26,7 @@
         'replica-gone',
         'replica-lapsed',
         'replica-returned',
+        'outage-longer',
         'registry-stale',
         'registry-fresh',
         'replica-suspected',
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_cooldowns.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_cooldowns.py
@@ -48,6 +48,13 @@
         """
         self._failures[name] = _Failure(self.clock.monotonic(), answered)
 
+    def is_unresponsive(self, name: str) -> bool:
+        """Whether a peer didn't reply to a recent request."""
+        failure = self._failures.get(name)
+        if failure is None or failure.answered:
+            return False
+        return self.clock.monotonic() - failure.at < COOLDOWN_SECONDS
+
     def is_cooling_down(self, name: str, *, store_out: bool) -> bool:
         """Whether a peer should get no request now.
 
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
@@ -31,9 +31,11 @@
     WatchRequest,
     unpack,
 )
+from ryelatch_node.peer_sync._health_request import request_store_health
 from ryelatch_node.peer_sync._server import PeerServer
 from ryelatch_node.peer_sync._watch_cache import (
     PeerPartitioned,
+    StoreHealth,
     StoreUpdate,
     WatchCache,
 )
@@ -219,6 +221,28 @@
         self._abandon(object_kind, peer, reason, answered=True)
         return None if unanswered is None else PeerPartitioned(unanswered)
 
+    async def request_health(self, object_kind: str) -> StoreHealth | None:
+        """Ask the peer that watches for this node how the store is to it.
+
+        :param object_kind: a kind that this node has listed.
+        :returns: ``None`` if there is no such peer, or it doesn't reply.
+        """
+        watchers = choose_watchers(
+            self.startup.name, self.startup.zone, self._nodes
+        )
+        responsive = (
+            peer
+            for peer in watchers
+            if not self._cooldowns.is_unresponsive(peer.name)
+        )
+        peer = next(responsive, None)
+        if peer is None:
+            return None
+        since = self._caches[object_kind].at
+        return await request_store_health(
+            self.dial, self.clock, peer.address, object_kind, since
+        )
+
     @property
     def nodes(self) -> tuple[NodeEntry, ...]:
         """All nodes, this one included."""
--- a/packages/ryelatch-node/src/ryelatch_node/views/_missing.py
+++ b/packages/ryelatch-node/src/ryelatch_node/views/_missing.py
@@ -20,8 +20,8 @@
 class MissingEntries:
     """Names of replicas whose entries are missing, each with a deadline.
 
-    The deadline is set once: trouble that goes on, or comes again, doesn't
-    keep an entry in use for longer.
+    Trouble that goes on, or comes again, doesn't defer the deadline. Only a
+    better account of the outage in which the entry may have expired does.
     """
 
     _spans: dict[str, _Span] = field(default_factory=dict)
@@ -35,6 +35,21 @@
         self._spans.setdefault(name, _Span(since, until))
         return new
 
+    def extend(self, since: float, until: float) -> int:
+        """Defer the deadline of entries that went missing after some time.
+
+        Entries that went missing before keep theirs.
+
+        :returns: how many are kept for longer.
+        """
+        extended = {
+            name: _Span(span.since, until)
+            for name, span in self._spans.items()
+            if span.since >= since and span.until < until
+        }
+        self._spans |= extended
+        return len(extended)
+
     def forget(self, name: str) -> bool:
         """Remove an entry that is back, or whose replica is dropped.
 
--- a/packages/ryelatch-node/src/ryelatch_node/views/_replicas.py
+++ b/packages/ryelatch-node/src/ryelatch_node/views/_replicas.py
@@ -109,6 +109,23 @@
         self._handle_missing(replica.name, unanswered)
         self._notify()
 
+    def extend_missing(self, outage_ended: float, unanswered: float) -> None:
+        """Keep missing entries for longer, as an outage lasted longer.
+
+        :param outage_ended: when the outage had ended for this node, in
+            monotonic seconds.
+        :param unanswered: when the last call of the outage was sent, in
+            monotonic seconds; it is before the outage's end.
+        """
+        until = unanswered + self.freshness.bounds.retention
+        extended = self._missing.extend(outage_ended, until)
+        if extended:
+            self._log.record(
+                catalogue.OUTAGE_LONGER,
+                replicas=extended,
+                kept=round(until - self._clock.monotonic(), _DIGITS),
+            )
+
     def apply_report(
         self,
         replica: Replica,
--- a/tests/node/views/test_missing.py
+++ b/tests/node/views/test_missing.py
@@ -151,3 +151,20 @@
     view.freshness.confirm(101.2)
     assert view.find_leaving_since('i-1') == 100
     assert view.find_leaving_since('i-2') is None
+
+
+def test_longer_outage_keeps_missing_entries() -> None:
+    """An entry expired in an outage that lasted longer than was known.
+
+    Entries that went missing before the outage are dropped in time.
+    """
+    view, clock, list_available = _make_view()
+    view.remove('i-1', unanswered=clock.now)
+    clock.now += 1
+    view.remove('i-2', unanswered=clock.now - 1)
+    view.extend_missing(clock.now - 0.5, clock.now - 0.6)
+    clock.now += 1.4
+    view.drop_expired()
+    assert list_available() == ['i-2']
+    clock.now += 0.4
+    assert not list_available()
--- a/tests/platform/test_departure.py
+++ b/tests/platform/test_departure.py
@@ -458,3 +458,70 @@
         await world.stop()
 
     run(play())
+
+
+@pytest.mark.usefixtures('_sharing')
+@pytest.mark.parametrize('bounds', _BOUNDS)
+@pytest.mark.parametrize('later', [0.01, 0.04, 0.08, 0.15, 0.3, 0.45])
+def test_outage_ends_first_at_a_follower(
+    bounds: tuple[float, float],
+    later: float,
+) -> None:
+    """Followers drop expired entries by an old account of the outage.
+
+    Their own calls show that the store is back. By then, the watcher has told
+    them of its calls up to a second before, and not of the last one that the
+    store left unanswered.
+    """
+
+    async def play() -> None:
+        world = World(*bounds)
+        await world.start(_FLEET)
+        world.store.troubles.update(dict.fromkeys(_FLEET, Trouble.SILENT))
+        await asyncio.sleep(2.4)
+        for number in range(4):
+            world.deregister(f'b-{number}')
+        await asyncio.sleep(0.6)
+        world.store.troubles.clear()
+        ended = asyncio.get_running_loop().time()
+        await asyncio.sleep(later)
+        for name in _FLEET[1:]:
+            await world.nodes[name].store.list_page('leases')
+        while asyncio.get_running_loop().time() < ended + 1.7:
+            await asyncio.sleep(0.1)
+            for node in world.nodes.values():
+                assert all(
+                    node.offers(f'b-{replica}') for replica in range(4)
+                ), (node.name, asyncio.get_running_loop().time() - ended)
+        await asyncio.sleep(2)
+        assert not any(node.offers('b-0') for node in world.nodes.values())
+        await world.stop()
+
+    run(play())
+
+
+@pytest.mark.usefixtures('_sharing')
+@pytest.mark.parametrize('bounds', _BOUNDS)
+@pytest.mark.parametrize('later', [0, 0.5, 1, 1.5])
+def test_outage_that_lasts_longer_at_the_watcher(
+    bounds: tuple[float, float],
+    later: float,
+) -> None:
+    """Followers keep a replica that left, as their watcher's outage goes on.
+
+    It is over at the followers, whose own calls the store answers.
+    """
+
+    async def play() -> None:
+        world = World(*bounds)
+        await world.start(_FLEET)
+        world.store.troubles.update(dict.fromkeys(_FLEET, Trouble.SILENT))
+        await asyncio.sleep(2.4)
+        for name in _FLEET[1:]:
+            del world.store.troubles[name]
+            await world.nodes[name].store.list_page('leases')
+        await asyncio.sleep(world.steady + later)
+        await _expect_gone(world, 'b-0', ('node-a',))
+        await world.stop()
+
+    run(play())
