A request is held until reports may show another cause of its crashes

The requests lost in one crash are recorded one after the other, and the first was judged alone. - With equal crashes the digest decided. - In an outage, and in a node's first two seconds, no reports come at all.

Now, from the third crash on, a request with a rival (another request that had begun at some of these crashes, is as likely, and of which fewer crashes are known) is held for a second at most: it does not run, and is then sent on or refused as not run. Judgement waits for 0.05 s, in which the requests of one crash are recorded. Of equal evidence, the fewer events of its answer had come, the likelier: the crashing request had none, the others one to eight. A node without reports asks for five crashes where parts of the answer had come.

The bound on replicas ended under one request: a held request does not run, so it adds none after the third crash that a node knows of. Without reports, where a node is not held to it, five at a node in place of three, only if events came.

--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_crashes.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_crashes.py
@@ -26,27 +26,35 @@
 
     :param begun: replicas at which the request had just begun to run.
     :param waiting: replicas from which no part of its answer had arrived.
+    :param events: most events of its answer that arrived before a crash. A
+        request that crashes replicas does so soon after it begins, while one
+        that was there by chance may have run for any time.
     """
 
     begun: frozenset[str] = frozenset()
     waiting: frozenset[str] = frozenset()
+    events: int = 0
 
     @property
     def incarnations(self) -> frozenset[str]:
         """Incarnations of both phases."""
         return self.begun | self.waiting
 
-    def add(self, incarnation: str, phase: RequestPhase) -> 'Crashes':
+    def add(
+        self, incarnation: str, phase: RequestPhase, events: int = 0
+    ) -> 'Crashes':
         """Add a crash; one known as begun no longer counts as waiting."""
+        names = frozenset((incarnation,))
         if phase is RequestPhase.BEGUN:
-            return self.merge(Crashes(begun=frozenset((incarnation,))))
-        return self.merge(Crashes(waiting=frozenset((incarnation,))))
+            return self.merge(Crashes(begun=names, events=events))
+        return self.merge(Crashes(waiting=names, events=events))
 
     def merge(self, other: 'Crashes') -> 'Crashes':
         """Combine the crashes that two nodes have seen."""
         begun = self.begun | other.begun
         waiting = (self.waiting | other.waiting) - begun
-        return Crashes(_truncate(begun), _truncate(waiting))
+        events = max(self.events, other.events)
+        return Crashes(_truncate(begun), _truncate(waiting), events)
 
     def covers(self, other: 'Crashes') -> bool:
         """Whether all crashes of another are known here."""
--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
@@ -7,6 +7,7 @@
 runs on another replica.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
@@ -14,6 +15,10 @@
 from ryelatch_core.quarantine._causes import (
     CRASH_THRESHOLD,
     RETENTION_SECONDS,
+    Candidate,
+    Cause,
+    Knowledge,
+    list_begun,
     list_causes,
 )
 from ryelatch_core.quarantine._crash_state import CrashState
@@ -87,14 +92,19 @@
 
     :param jitter: from 0 to 1; differs from node to node, so that they do
         not all write at once.
+    :param same_crash_seconds: time within which all requests that were lost in
+        one crash are recorded.
     """
 
-    def __init__(self, jitter: float) -> None:
+    def __init__(self, jitter: float, same_crash_seconds: float = 0) -> None:
         self._jitter = jitter
+        self._knowledge = Knowledge(same_crash_seconds=same_crash_seconds)
         self._states: OrderedDict[str, CrashState] = OrderedDict()
         self._cleared: OrderedDict[str, float] = OrderedDict()
-        self._over_threshold: set[str] = set()
+        # When each request with enough crashes for a refusal first had them.
+        self._over_threshold: dict[str, float] = {}
         self._refused: dict[str, Crashes] = {}
+        self._unsettled: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
         """Count the requests under which replicas have crashed."""
@@ -112,6 +122,23 @@
         """
         return self._refused.get(digest)
 
+    def is_unsettled(self, digest: str, now: float) -> bool:
+        """Whether it will be known soon if a request is refused.
+
+        Until then it must not run, as it may crash one replica more.
+        """
+        if digest in self._unsettled:
+            self.evaluate(now)
+        return digest in self._unsettled
+
+    def set_informed(self, *, informed: bool, now: float) -> None:
+        """Record whether reports of other nodes reach this node at once."""
+        known = self._knowledge
+        if informed != math.isfinite(known.informed_since):
+            since = now if informed else math.inf
+            self._knowledge = replace(known, informed_since=since)
+            self.evaluate(now)
+
     def has_pending_writes(self, now: float) -> bool:
         """Whether anything has to be written to the store, now or later."""
         return any(
@@ -130,23 +157,29 @@
         incarnation: str,
         phase: RequestPhase,
         now: float,
+        events: int = 0,
     ) -> bool:
         """Record that a replica has crashed under a request.
 
         :param incarnation: name of the replica's incarnation.
+        :param events: events of its answer that had arrived from the replica.
         :returns: whether the crash is new and counts against the request.
         """
         state = self._states.get(digest, CrashState())
-        seen = NO_CRASHES.add(incarnation, phase)
+        seen = NO_CRASHES.add(incarnation, phase, events)
         if self._is_cleared(digest, now) or state.crashes.covers(seen):
             return False
         again = bool(state.crashes.incarnations)
         wait = 0 if again else REPORT_DELAY_SECONDS * (0.5 + self._jitter)
         due = min(state.due or now + wait, now + wait)
-        local = state.local.add(incarnation, phase)
-        self._update(digest, replace(state, local=local, changed=now, due=due))
+        local = state.local.merge(seen)
+        known = state.crashes.covers(NO_CRASHES.add(incarnation, phase))
+        changed = state.changed if known else now
+        self._update(
+            digest, replace(state, local=local, changed=changed, due=due), now
+        )
         self.evaluate(now)
-        return True
+        return not known
 
     def record_run(self, digest: str, now: float) -> bool:
         """Record that a request has run and its replica has not crashed.
@@ -163,7 +196,7 @@
         if state.stored is None:
             del self._states[digest]
         else:
-            self._update(digest, replace(state, local=NO_CRASHES))
+            self._update(digest, replace(state, local=NO_CRASHES), now)
         self.evaluate(now)
         return True
 
@@ -172,7 +205,9 @@
         state = self._states.get(stored.digest, CrashState())
         if state.stored and state.stored.revision >= stored.revision:
             return
-        self._update(stored.digest, replace(state, stored=stored, changed=now))
+        self._update(
+            stored.digest, replace(state, stored=stored, changed=now), now
+        )
         self.evaluate(now)
 
     def remove(self, digest: str, now: float) -> None:
@@ -193,27 +228,41 @@
                 continue
             if digest in self._refused:
                 due = now + REWRITE_SPREAD_SECONDS * self._jitter
-                self._update(digest, CrashState(state.crashes, None, now, due))
+                self._update(
+                    digest, CrashState(state.crashes, None, now, due), now
+                )
             elif state.local == NO_CRASHES:
                 del self._states[digest]
             else:
-                self._update(digest, replace(state, stored=None))
+                self._update(digest, replace(state, stored=None), now)
         for stored in fresh.values():
             state = self._states.get(stored.digest, CrashState())
             self._update(
-                stored.digest, replace(state, stored=stored, changed=now)
+                stored.digest, replace(state, stored=stored, changed=now), now
             )
         self.evaluate(now)
 
     def evaluate(self, now: float) -> None:
         """Recompute which requests are refused."""
-        self._over_threshold &= self._states.keys()
-        suspects = [
-            digest
-            for digest in self._over_threshold
+        self._over_threshold = {
+            digest: since
+            for digest, since in self._over_threshold.items()
+            if digest in self._states
+        }
+        candidates = [
+            Candidate(
+                digest, self._states[digest], since, digest in self._refused
+            )
+            for digest, since in self._over_threshold.items()
             if not self._is_cleared(digest, now)
         ]
-        self._refused = dict(list_causes(suspects, self._states, now))
+        causes = self._list_causes(candidates, now) if candidates else []
+        self._refused = {
+            cause.digest: cause.crashes for cause in causes if cause.settled
+        }
+        self._unsettled = frozenset(
+            cause.digest for cause in causes if not cause.settled
+        )
 
     def list_due_writes(self, now: float) -> list[StoreWrite]:
         """List the writes that are due now, and drop expired requests."""
@@ -227,6 +276,20 @@
                 del self._states[digest]
         return writes
 
+    def _list_causes(
+        self, candidates: list[Candidate], now: float
+    ) -> list[Cause]:
+        suspects = (
+            state
+            for digest, state in self._states.items()
+            if digest not in self._over_threshold
+            and not self._is_cleared(digest, now)
+        )
+        begun = list_begun(self._states.values())
+        return list(
+            list_causes(candidates, suspects, begun, self._knowledge, now)
+        )
+
     def _find_write(
         self, digest: str, state: CrashState, now: float
     ) -> StoreWrite | None:
@@ -252,12 +315,12 @@
             lifetime += CLEANUP_DELAY_SECONDS * (0.5 + self._jitter)
         return now - state.changed > lifetime
 
-    def _update(self, digest: str, state: CrashState) -> None:
+    def _update(self, digest: str, state: CrashState, now: float) -> None:
         """Set a request's state, and drop the oldest that is not refused."""
         self._states[digest] = state
         self._states.move_to_end(digest)
         if len(state.crashes.incarnations) >= CRASH_THRESHOLD:
-            self._over_threshold.add(digest)
+            self._over_threshold.setdefault(digest, now)
         if len(self._states) > MAX_TRACKED_REQUESTS:
             oldest = (
                 tracked
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_quarantine.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_quarantine.py
@@ -30,3 +30,6 @@
 
     apply_write: Callable[[StoreWrite], Awaitable[StoreWriteResult]]
     """Create, replace or delete the object, if it is unchanged."""
+
+    is_current: Callable[[], bool] = lambda: True
+    """Whether the changes made by other nodes reach this node at once."""
--- a/packages/ryelatch-node/src/ryelatch_node/quarantine/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/quarantine/_service.py
@@ -19,6 +19,15 @@
 TICK_SECONDS = 0.1
 """Interval of checks for due writes to the store while writes are pending."""
 
+SAME_CRASH_SECONDS = 0.05
+"""Time within which this node records all requests lost in one crash.
+
+They share one check of the replica, and are recorded in the same moment.
+"""
+
+SETTLE_TICK_SECONDS = 0.05
+"""Interval at which a held request looks whether it is refused."""
+
 IDLE_SECONDS = 5.0
 """Interval of checks while none are pending; they only find what expires."""
 
@@ -69,6 +78,20 @@
         """Whether a request may be the cause of a crash."""
         return self.tracker.is_suspect(digest, self.clock.monotonic())
 
+    async def wait_until_settled(self, digest: str) -> bool:
+        """Wait until it is known whether a request is refused.
+
+        :returns: whether it was unknown.
+        """
+        waited = False
+        self._update_knowledge()
+        while self.tracker.is_unsettled(digest, self.clock.monotonic()):
+            waited = True
+            await asyncio.sleep(SETTLE_TICK_SECONDS)
+        if waited:
+            self._log_changes()
+        return waited
+
     def count_refused(self) -> int:
         """Count the requests that are refused."""
         return len(self._logged)
@@ -83,6 +106,8 @@
         incarnation: str,
         phase: RequestPhase,
         request: str,
+        *,
+        events: int = 0,
     ) -> None:
         """Record that a replica crashed while it held a request.
 
@@ -90,15 +115,18 @@
         :param incarnation: name of the incarnation that crashed.
         :param phase: whether the request had begun to run or was waiting.
         :param request: ID of the attempt, for the log.
+        :param events: events of its answer that had arrived from the replica.
         """
         now = self.clock.monotonic()
-        if self.tracker.record_crash(digest, incarnation, phase, now):
+        self._update_knowledge()
+        if self.tracker.record_crash(digest, incarnation, phase, now, events):
             self.log.record(
                 catalogue.REQUEST_SUSPECTED,
                 request=request,
                 digest=digest,
                 replica=incarnation,
                 manner=phase.value,
+                events=events,
             )
             self._on_change()
 
@@ -124,9 +152,15 @@
 
     def evaluate(self) -> None:
         """Re-evaluate which requests are refused, as crashes expire."""
+        self._update_knowledge()
         self.tracker.evaluate(self.clock.monotonic())
         self._log_changes()
 
+    def _update_knowledge(self) -> None:
+        self.tracker.set_informed(
+            informed=self.store.is_current(), now=self.clock.monotonic()
+        )
+
     def _on_change(self) -> None:
         """Log changes, and wake the task that writes to the store."""
         self._log_changes()
@@ -188,7 +222,7 @@
         app.find('log', LineLog),
         app.clock,
         app.find('quarantine-store', QuarantineStore),
-        CrashTracker(app.random_source.random()),
+        CrashTracker(app.random_source.random(), SAME_CRASH_SECONDS),
     )
     app.add(
         Service(
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_admission.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_admission.py
@@ -9,6 +9,10 @@
 from ryelatch_node.ports import RequestMetadata
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._exchange import AdmittedRequest
+from ryelatch_node.relay._refusals import (
+    QUARANTINE_REASON,
+    QUARANTINE_RETRY_SECONDS,
+)
 
 MAX_DENIAL_AGE_SECONDS = 2.9
 """Age of the configuration up to which requests are answered 401 or 404.
@@ -24,12 +28,6 @@
 The retry most likely reaches another node.
 """
 
-QUARANTINE_RETRY_SECONDS = 60.0
-"""Retry-After of a request that is quarantined, as replicas crashed under it.
-
-It is refused for minutes, or until an operator releases it.
-"""
-
 LIST_RETRY_SECONDS = 0.2
 """Retry-After before the first list of replicas was received.
 
@@ -121,7 +119,7 @@
     if crashes is not None:
         return Refusal(
             _UNAVAILABLE,
-            'replicas ended under this request',
+            QUARANTINE_REASON,
             QUARANTINE_RETRY_SECONDS,
             digest,
             tuple(sorted(crashes.incarnations)),
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_crashes.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_crashes.py
@@ -45,6 +45,7 @@
         stream.first_replica.name,
         phase,
         stream.exchange.identity,
+        events=stream.delivered,
     )
     return True
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -8,11 +8,7 @@
 from ryelatch_core.quarantine import CRASH_THRESHOLD
 from ryelatch_core.streams import EventSplitter, StreamError
 from ryelatch_node.ports import Dispatch
-from ryelatch_node.relay._choice import (
-    choose_request_path,
-    list_first_replicas,
-    misses_layers,
-)
+from ryelatch_node.relay._choice import choose_request_path
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._crashes import record_stream_crash
 from ryelatch_node.relay._errors import (
@@ -25,7 +21,7 @@
     Exchange,
     round_seconds,
 )
-from ryelatch_node.relay._permits import acquire_permit, compute_retry_after
+from ryelatch_node.relay._permits import acquire_permit
 from ryelatch_node.relay._probe import Prober
 from ryelatch_node.relay._progress import (
     Progress,
@@ -34,9 +30,11 @@
     record_outcome,
     record_progress,
 )
+from ryelatch_node.relay._refusals import refuse_unserved
 from ryelatch_node.relay._stream import LiveStream
 from ryelatch_node.relay._stream_scope import enter_stream_scope
 from ryelatch_node.relay._upstream import Answer
+from ryelatch_node.relay._verdicts import wait_for_verdict
 from ryelatch_node.relay._watch import StreamWatch
 
 MAX_SENDS = 5
@@ -46,15 +44,8 @@
 without an event, so more attempts help only where replicas refuse at once.
 """
 
-REPAIR_SECONDS = 2.5
-"""Retry-After for requests that are refused because layers are missing.
-
-The loss of a replica is detected after 0.5 s, and eight layers load in 1.4 s.
-"""
-
 _SERVER_ERROR = 500
 _BAD_GATEWAY = 502
-_UNAVAILABLE = 503
 _OK = 200
 
 
@@ -76,7 +67,7 @@
     :raises AnswerBroken: if the answer has started and can't be completed.
     """
     progress = Progress(EventSplitter(request.terms.last_event))
-    while _may_send(context, exchange, request, progress):
+    while await _may_send(context, exchange, request, progress):
         path = await _choose_path(context, exchange, request, progress)
         if not path:
             break
@@ -111,25 +102,31 @@
             return path
 
 
-def _may_send(
+async def _may_send(
     context: RelayContext,
     exchange: Exchange,
     request: AdmittedRequest,
     progress: Progress,
 ) -> bool:
-    if not exchange.sends:
-        return True
+    if exchange.sends and not _may_retry(exchange, request, progress):
+        return False
+    await wait_for_verdict(context, exchange, request)
+    if context.quarantine.find_refused(request.digest):
+        return False
+    return not exchange.sends or context.budget.spend()
+
+
+def _may_retry(
+    exchange: Exchange, request: AdmittedRequest, progress: Progress
+) -> bool:
+    """Whether the attempts so far allow another one."""
     if exchange.sends >= MAX_SENDS:
         return False
     if exchange.ran >= request.route.max_attempts:
         return False
     if progress.may_have_run and not request.repeatable:
         return False
-    if progress.crashes >= CRASH_THRESHOLD:
-        return False
-    if context.quarantine.find_refused(request.digest):
-        return False
-    return context.budget.spend()
+    return progress.crashes < CRASH_THRESHOLD
 
 
 async def _attempt_path(
@@ -323,37 +320,4 @@
     elif progress.may_have_run:
         await exchange.refuse(_BAD_GATEWAY, 'the answer was lost')
     else:
-        await _refuse(context, exchange, request)
-
-
-async def _refuse(
-    context: RelayContext,
-    exchange: Exchange,
-    request: AdmittedRequest,
-) -> None:
-    """Refuse a request that did not run, with a time to retry after."""
-    missing = misses_layers(context, request)
-    retry_after = (
-        REPAIR_SECONDS if missing else _estimate_retry_after(context, request)
-    )
-    await exchange.refuse(
-        _UNAVAILABLE,
-        'layers are missing' if missing else 'all paths are full',
-        retry_after=retry_after,
-        open=len(context.windows.requests),
-        full=len(context.windows.list_closed()),
-    )
-
-
-def _estimate_retry_after(
-    context: RelayContext, request: AdmittedRequest
-) -> float:
-    """Estimate after how many seconds a refused client should retry."""
-    now = context.clock.monotonic()
-    delay = context.returns.assign_delay(
-        now, request.deadline - now, context.draw()
-    )
-    return max(
-        delay,
-        compute_retry_after(context, list_first_replicas(context, request)),
-    )
+        await refuse_unserved(context, exchange, request)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
@@ -15,7 +15,9 @@
     round_seconds,
 )
 from ryelatch_node.relay._permits import acquire_permit, compute_retry_after
+from ryelatch_node.relay._refusals import refuse_quarantined
 from ryelatch_node.relay._upstream import Answer
+from ryelatch_node.relay._verdicts import wait_for_verdict
 
 ATTEMPT_FRACTION = 0.5
 """Fraction of the time left that an attempt may take if another may follow.
@@ -64,6 +66,7 @@
     """Send a request to replicas until one answers, and relay its answer."""
     attempts = _Attempts()
     while True:
+        await wait_for_verdict(context, exchange, request)
         replica = await _choose_replica(context, exchange, request, attempts)
         if replica is None or not _may_send(context, exchange, request):
             break
@@ -133,7 +136,7 @@
         )
     elif attempts.lost:
         await exchange.refuse(_BAD_GATEWAY, 'the answer was lost', tried=tried)
-    else:
+    elif not await refuse_quarantined(context, exchange, request):
         offered = context.replicas.list_service(request.service)
         await exchange.refuse(
             _UNAVAILABLE,
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_refusals.py
@@ -0,0 +1,77 @@
+"""Refuses requests that were not run."""
+
+from ryelatch_node.relay._choice import list_first_replicas, misses_layers
+from ryelatch_node.relay._context import RelayContext
+from ryelatch_node.relay._exchange import AdmittedRequest, Exchange
+from ryelatch_node.relay._permits import compute_retry_after
+
+REPAIR_SECONDS = 2.5
+"""Retry-After for requests that are refused because layers are missing.
+
+The loss of a replica is detected after 0.5 s, and eight layers load in 1.4 s.
+"""
+
+QUARANTINE_RETRY_SECONDS = 60.0
+"""Retry-After of a request that is quarantined, as replicas crashed under it.
+
+It is refused for minutes, or until an operator releases it.
+"""
+
+QUARANTINE_REASON = 'replicas ended under this request'
+
+_UNAVAILABLE = 503
+
+
+async def refuse_quarantined(
+    context: RelayContext, exchange: Exchange, request: AdmittedRequest
+) -> bool:
+    """Refuse a request that did not run, if it is quarantined.
+
+    :returns: whether it is.
+    """
+    crashes = context.quarantine.find_refused(request.digest)
+    if crashes is None:
+        return False
+    await exchange.refuse(
+        _UNAVAILABLE,
+        QUARANTINE_REASON,
+        retry_after=QUARANTINE_RETRY_SECONDS,
+        digest=request.digest,
+        ended=tuple(sorted(crashes.incarnations)),
+    )
+    return True
+
+
+async def refuse_unserved(
+    context: RelayContext,
+    exchange: Exchange,
+    request: AdmittedRequest,
+) -> None:
+    """Refuse a request to a model that did not run, with a time to retry."""
+    if await refuse_quarantined(context, exchange, request):
+        return
+    missing = misses_layers(context, request)
+    retry_after = (
+        REPAIR_SECONDS if missing else _estimate_retry_after(context, request)
+    )
+    await exchange.refuse(
+        _UNAVAILABLE,
+        'layers are missing' if missing else 'all paths are full',
+        retry_after=retry_after,
+        open=len(context.windows.requests),
+        full=len(context.windows.list_closed()),
+    )
+
+
+def _estimate_retry_after(
+    context: RelayContext, request: AdmittedRequest
+) -> float:
+    """Estimate after how many seconds a refused client should retry."""
+    now = context.clock.monotonic()
+    delay = context.returns.assign_delay(
+        now, request.deadline - now, context.draw()
+    )
+    return max(
+        delay,
+        compute_retry_after(context, list_first_replicas(context, request)),
+    )
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_verdicts.py
@@ -0,0 +1,21 @@
+"""Holds requests until it is known whether they are refused."""
+
+from ryelatch_node.relay._context import RelayContext
+from ryelatch_node.relay._exchange import (
+    AdmittedRequest,
+    Exchange,
+    round_seconds,
+)
+
+
+async def wait_for_verdict(
+    context: RelayContext, exchange: Exchange, request: AdmittedRequest
+) -> None:
+    """Wait while reports may show that a request crashes replicas.
+
+    It takes a second at most, and no time unless three replicas crashed under
+    the request.
+    """
+    started = context.now()
+    if await context.quarantine.wait_until_settled(request.digest):
+        exchange.detail['held'] = round_seconds(context.now() - started)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -116,7 +116,7 @@
         self._migrator = StreamMigrator(self.context, self.prober)
         self._departures = MigrationPlanner(self.context.replicas)
         self._path_checks = PathChecks(self.context)
-        self._tasks = Tasks(self.context.log, 'streams')
+        self._tasks = Tasks(self.context.log, 'stream tasks')
 
     async def start(self) -> None:
         """Start the periodic checks."""
--- a/tests/core/quarantine/test_tracker.py
+++ b/tests/core/quarantine/test_tracker.py
@@ -45,6 +45,14 @@
         tracker.record_crash(digest, name, RequestPhase.WAITING, _NOW)
 
 
+def _crash_streaming(
+    tracker: CrashTracker, digest: str, *names: str, now: float = _NOW
+) -> None:
+    """Record crashes after two events of the request's answer."""
+    for name in names:
+        tracker.record_crash(digest, name, RequestPhase.BEGUN, now, events=2)
+
+
 def _store(digest: str, *begun: str, revision: int = 5) -> StoredCrashes:
     return StoredCrashes(digest, Crashes(frozenset(begun)), revision)
 
@@ -319,3 +327,131 @@
         if number > 100:
             break
     assert len(crashes.incarnations) < 20
+
+
+@pytest.mark.parametrize('cause_first', [True, False])
+@pytest.mark.parametrize('delay', [0, 0.5, 0.9])
+def test_late_reports_show_the_cause(cause_first: bool, delay: float) -> None:
+    """A node sees a harmless request at three crashes, and the cause at one.
+
+    The other nodes' reports of the cause arrive within a second.
+    """
+    tracker = _make()
+    steps = [
+        lambda: _crash(tracker, 'cause', 'r-3'),
+        lambda: _crash_streaming(tracker, 'harmless', 'r-3'),
+    ]
+    _crash_streaming(tracker, 'harmless', 'r-1', 'r-2')
+    for step in steps if cause_first else reversed(steps):
+        step()
+    assert not _refuses(tracker, 'harmless')
+    assert tracker.is_unsettled('harmless', _NOW + delay)
+    tracker.put(_store('cause', 'r-1', 'r-2', 'r-3'), _NOW + delay)
+    for seconds in (delay, SETTLE_SECONDS, 2 * SETTLE_SECONDS):
+        assert not _refuses(tracker, 'harmless', _NOW + seconds)
+        assert not tracker.is_unsettled('harmless', _NOW + seconds)
+        assert _refuses(tracker, 'cause', _NOW + seconds)
+
+
+def test_request_without_a_rival_is_not_held() -> None:
+    """A request that crashed three replicas alone runs once more."""
+    tracker = _make()
+    _crash(tracker, 'cause', 'r-1', 'r-2', 'r-3')
+    _crash_streaming(tracker, 'other', 'r-3')
+    assert _refuses(tracker, 'cause')
+
+
+def test_request_is_held_for_a_limited_time() -> None:
+    """No report shows another cause, and the request would be held for good."""
+    tracker = _make()
+    _crash(tracker, 'other', 'r-3')
+    _crash_streaming(tracker, 'cause', 'r-1', 'r-2', 'r-3')
+    assert tracker.is_unsettled('cause', _LATER - 0.1)
+    assert not tracker.is_unsettled('cause', _LATER)
+    assert tracker.find_refused('cause')
+
+
+@pytest.mark.parametrize('harmless', ['a', 'z'])
+def test_equal_crashes_are_told_apart(harmless: str) -> None:
+    """Two requests met the same crashes, and their digests decide.
+
+    Only the answer of the harmless one had arrived in part.
+    """
+    tracker = _make()
+    _crash(tracker, 'm', 'r-1', 'r-2', 'r-3')
+    _crash_streaming(tracker, harmless, 'r-1', 'r-2', 'r-3')
+    assert set(tracker.refused) == {'m'}
+
+
+def test_second_copy_at_a_crash_is_no_other_crash() -> None:
+    """Each copy that was lost with a replica defers the end of the suspicion.
+
+    Of its answer more had arrived than of the first copy's.
+    """
+    tracker = _make()
+    _crash(tracker, 'a', 'r-1')
+    later = _NOW + SUSPECT_SECONDS / 2
+    assert not tracker.record_crash('a', 'r-1', RequestPhase.BEGUN, later, 3)
+    tracker.list_due_writes(_NOW + SUSPECT_SECONDS + 1)
+    assert not len(tracker)
+
+
+def test_held_cause_leaves_others_unsettled() -> None:
+    """The cause's last report makes this node refuse the harmless request.
+
+    For a moment both have three crashes, and neither is settled.
+    """
+    tracker = CrashTracker(0.5, same_crash_seconds=0.1)
+    _crash(tracker, 'cause', 'r-3')
+    _crash_streaming(tracker, 'harmless', 'r-1', 'r-2', 'r-3')
+    later = _NOW + 0.7
+    tracker.put(_store('cause', 'r-1', 'r-2', 'r-3'), later)
+    assert not _refuses(tracker, 'harmless', later)
+    later += 0.2
+    assert _refuses(tracker, 'cause', later)
+    assert not _refuses(tracker, 'harmless', later)
+
+
+def test_requests_of_one_crash_are_judged_at_once() -> None:
+    """The first request that is recorded of a crash is refused at once."""
+    tracker = CrashTracker(0.5, same_crash_seconds=0.1)
+    _crash(tracker, 'harmless', 'r-1', 'r-2', 'r-3')
+    assert tracker.is_unsettled('harmless', _NOW)
+    _crash(tracker, 'cause', 'r-3')
+    tracker.put(_store('cause', 'r-1', 'r-2', 'r-3', 'r-4'), _NOW + 0.2)
+    assert not _refuses(tracker, 'harmless', _LATER)
+    assert _refuses(tracker, 'cause', _LATER)
+
+
+def test_no_reports_need_more_crashes() -> None:
+    """A harmless request is refused in an outage, by what one node has seen.
+
+    It is held for a second, as its cause may be found out in that time. If it
+    is the cause, five replicas crash under it at that node.
+    """
+    tracker = _make()
+    tracker.set_informed(informed=False, now=_NOW - 1)
+    _crash_streaming(tracker, 'a', 'r-1', 'r-2', 'r-3')
+    assert tracker.is_unsettled('a', _LATER - 0.1)
+    assert not tracker.is_unsettled('a', _LATER)
+    assert not _refuses(tracker, 'a', _LATER)
+    _crash_streaming(tracker, 'a', 'r-4', 'r-5', now=_LATER)
+    assert _refuses(tracker, 'a', _LATER)
+
+
+def test_reports_that_come_again_settle_a_request() -> None:
+    """A request crashed replicas in an outage, and is never refused."""
+    tracker = _make()
+    tracker.set_informed(informed=False, now=_NOW - 1)
+    _crash_streaming(tracker, 'a', 'r-1', 'r-2', 'r-3')
+    tracker.set_informed(informed=True, now=_LATER)
+    assert not _refuses(tracker, 'a', _LATER)
+    assert _refuses(tracker, 'a', _LATER + SETTLE_SECONDS)
+
+
+def test_unanswered_request_is_refused_in_outages() -> None:
+    """In an outage, a request goes on to crash replicas as it begins."""
+    tracker = _make()
+    tracker.set_informed(informed=False, now=_NOW - 1)
+    _crash(tracker, 'a', 'r-1', 'r-2', 'r-3')
+    assert _refuses(tracker, 'a')
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -18,7 +18,8 @@
     run_peer,
     wait_until,
 )
-from ryelatch_core.quarantine import digest_request
+from ryelatch_core.quarantine import RequestPhase, digest_request
+from ryelatch_node.quarantine import Quarantine
 from ryelatch_node.views import ReplicaView
 from standins.replica import ReplicaStandIn
 
@@ -308,3 +309,52 @@
     """Wait until one of the replicas has a stream, and return it."""
     await wait_until(lambda: any(replica.streams for replica in replicas))
     return next(replica for replica in replicas if replica.streams)
+
+
+async def test_request_is_held_until_its_cause_is_known() -> None:
+    """A harmless request is refused before another node's report arrives.
+
+    It was lost three times with the request that crashed the replicas.
+    """
+    replicas = make_model_replicas(*[(0, 8)] * 3)
+    async with run_node(replicas) as node:
+        quarantine = node.app.find('quarantine', Quarantine)
+        await wait_until(quarantine.store.is_current)
+        harmless = digest_request(
+            'city.example', 'POST', '/plan/x', 'ward-1', b'question'
+        )
+        crashed = ('m-7', 'm-8', 'm-9')
+        for name in crashed:
+            quarantine.record_crash(
+                harmless, name, RequestPhase.BEGUN, 'lost', events=2
+            )
+        quarantine.record_crash(_DIGEST, 'm-9', RequestPhase.BEGUN, 'lost')
+        asking = asyncio.create_task(ask(node, '/plan/x'))
+        await asyncio.sleep(0.2)
+        assert not asking.done()
+        node.store.put(_KIND, _DIGEST, {'begun': list(crashed)})
+        status, _, _ = await asking
+        assert status == 200
+        ended = node.find('exchange-ended')
+        assert ended['held']
+        assert node.count('request-quarantined') == 1
+        assert node.find('request-quarantined')['digest'] == _DIGEST
+
+
+async def test_held_request_is_refused_as_not_run() -> None:
+    """A held request that turns out to be the cause is sent on."""
+    async with run_node(make_model_replicas((0, 8))) as node:
+        quarantine = node.app.find('quarantine', Quarantine)
+        await wait_until(quarantine.store.is_current)
+        digest = digest_request(
+            'city.example', 'POST', '/plan/x', 'ward-1', b'question'
+        )
+        quarantine.record_crash('f' * 16, 'm-9', RequestPhase.BEGUN, 'other')
+        for name in ('m-7', 'm-8', 'm-9'):
+            quarantine.record_crash(
+                digest, name, RequestPhase.BEGUN, 'lost', events=2
+            )
+        status, body, headers = await ask(node, '/plan/x')
+        assert (status, float(headers['retry-after'])) == (503, 60)
+        assert b'replicas ended under this request' in body
+        assert not node.replicas['m-0'].runs
