--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -13,3 +13,9 @@
     'outage, and a replica got work 6.3 s after it announced that it leaves',
 }
 """Seeds that failed before, with the cause of each."""
+
+CRASHING_REGRESSIONS: dict[int, str] = {
+    880205: 'a request was refused for the crashes of another one, before the '
+    'reports of other nodes had arrived',
+}
+"""The same for soaks with a request that crashes replicas."""
--- a/tests/soak_tests/test_soak.py
+++ b/tests/soak_tests/test_soak.py
@@ -9,6 +9,7 @@
     ASKING_SEED,
     CI_SECONDS,
     CI_SEEDS,
+    CRASHING_REGRESSIONS,
     CRASHING_SEED,
     REGRESSIONS,
 )
@@ -38,6 +39,16 @@
     assert not outcome.violations
 
 
+@pytest.mark.parametrize('seed', CRASHING_REGRESSIONS)
+async def test_harmless_requests_are_not_refused(
+    seed: int, tmp_path: Path
+) -> None:
+    """A harmless request is quarantined with the one that crashes replicas."""
+    outcome = await run_seed(seed, CI_SECONDS, tmp_path, crashing=True)
+    assert outcome.faults
+    assert not outcome.violations
+
+
 async def test_rate_limits_of_replicas_are_observed(tmp_path: Path) -> None:
     """After faults, a limited replica gets too much, or no requests at all."""
     outcome = await run_seed(ASKING_SEED, CI_SECONDS, tmp_path, asking=True)
