--- a/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/__init__.py
@@ -1,6 +1,5 @@
 """Placement of model layers on replicas, and choice of paths through them."""
 
-from ryelatch_core.fleet._accounts import AccountTracker
 from ryelatch_core.fleet._costs import PathQuery
 from ryelatch_core.fleet._durations import DurationTracker
 from ryelatch_core.fleet._failures import FailureTracker
@@ -14,7 +13,6 @@
 )
 from ryelatch_core.fleet._plan import lacks_layers, plan_moves
 from ryelatch_core.fleet._pool import Move
-from ryelatch_core.fleet._retry_delays import RetryScheduler
 from ryelatch_core.fleet._step_factors import StepFactorTracker
 from ryelatch_core.fleet._suspicion import (
     FULL_SECONDS,
@@ -29,16 +27,12 @@
     Stage,
     name_incarnation,
 )
-from ryelatch_core.fleet._window import LATE_FRACTION, ConcurrencyWindows
 
 __all__ = [
     'FULL_SECONDS',
-    'LATE_FRACTION',
     'NO_LOAD',
     'UNREACHABLE_SECONDS',
     'Accelerator',
-    'AccountTracker',
-    'ConcurrencyWindows',
     'DurationTracker',
     'FailureTracker',
     'LayerRange',
@@ -48,7 +42,6 @@
     'Move',
     'PathQuery',
     'Replica',
-    'RetryScheduler',
     'Stage',
     'StepFactorTracker',
     'Suspects',
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
@@ -3,14 +3,16 @@
 import random
 from dataclasses import dataclass, field
 
-from ryelatch_core.events import LineLog, UsageTracker
-from ryelatch_core.fleet import (
+from ryelatch_core.admission import (
     AccountTracker,
     ConcurrencyWindows,
+    RetryScheduler,
+)
+from ryelatch_core.events import LineLog, UsageTracker
+from ryelatch_core.fleet import (
     DurationTracker,
     FailureTracker,
     LoadTracker,
-    RetryScheduler,
 )
 from ryelatch_core.kernel import Clock
 from ryelatch_core.retries import RetryBudget
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -2,8 +2,13 @@
 
 from dataclasses import dataclass, field
 
+from ryelatch_core.admission import (
+    LATE_FRACTION,
+)
 from ryelatch_core.events import catalogue
-from ryelatch_core.fleet import LATE_FRACTION, Replica
+from ryelatch_core.fleet import (
+    Replica,
+)
 from ryelatch_core.streams import EventSplitter
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._errors import SendErrorKind
--- a/tests/core/fleet/test_accounts.py
+++ b/tests/core/admission/test_accounts.py
@@ -12,7 +12,10 @@
 
 import pytest
 
-from ryelatch_core.fleet import AccountTracker, ConcurrencyWindows
+from ryelatch_core.admission import (
+    AccountTracker,
+    ConcurrencyWindows,
+)
 
 _WINDOW = 40
 _USUAL_RATE = 2.5
--- a/tests/core/fleet/test_retry_delays.py
+++ b/tests/core/admission/test_retry_delays.py
@@ -7,7 +7,9 @@
 import itertools
 import random
 
-from ryelatch_core.fleet import RetryScheduler
+from ryelatch_core.admission import (
+    RetryScheduler,
+)
 
 
 def _make_plan(places: int) -> RetryScheduler:
--- a/tests/core/fleet/test_window.py
+++ b/tests/core/admission/test_window.py
@@ -15,7 +15,9 @@
 
 import pytest
 
-from ryelatch_core.fleet import ConcurrencyWindows
+from ryelatch_core.admission import (
+    ConcurrencyWindows,
+)
 
 SLOTS = 96
 QUEUE = 48
--- a/tests/node/relay/test_windows.py
+++ b/tests/node/relay/test_windows.py
@@ -6,8 +6,10 @@
 from typing import Any, cast
 
 from core_fleet import make_replica
-from ryelatch_core.fleet import (
+from ryelatch_core.admission import (
     ConcurrencyWindows,
+)
+from ryelatch_core.fleet import (
     LayerRange,
     LoadTracker,
     Stage,
