--- a/packages/ryelatch-core/src/ryelatch_core/admission/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/__init__.py
@@ -1,12 +1,40 @@
 """Decides which requests get a place at the replicas, and when."""
 
 from ryelatch_core.admission._accounts import AccountTracker
+from ryelatch_core.admission._controller import AdmissionController
+from ryelatch_core.admission._headroom import (
+    ReplicaCapacity,
+    measure_capacities,
+)
+from ryelatch_core.admission._ledger import ReservationLedger
+from ryelatch_core.admission._priorities import (
+    get_priority,
+    list_ranked_services,
+)
+from ryelatch_core.admission._queue import AdmissionQueue
+from ryelatch_core.admission._reservation import (
+    Granted,
+    Queued,
+    Refused,
+    ReservationRequest,
+)
 from ryelatch_core.admission._retry_delays import RetryScheduler
 from ryelatch_core.admission._window import LATE_FRACTION, ConcurrencyWindows
 
 __all__ = [
     'LATE_FRACTION',
     'AccountTracker',
+    'AdmissionController',
+    'AdmissionQueue',
     'ConcurrencyWindows',
+    'Granted',
+    'Queued',
+    'Refused',
+    'ReplicaCapacity',
+    'ReservationLedger',
+    'ReservationRequest',
     'RetryScheduler',
+    'get_priority',
+    'list_ranked_services',
+    'measure_capacities',
 ]
--- /dev/null
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
@@ -0,0 +1,131 @@
+"""Compares what requests have reserved with what replicas can hold.
+
+A request needs room at every replica of its path. The first replica limits it
+by slots, and each one by the memory for KV caches, so a path is as full as its
+fullest replica.
+"""
+
+import itertools
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from ryelatch_core.admission._ledger import ReservationLedger
+from ryelatch_core.fleet import (
+    LayerRange,
+    ModelProfile,
+    Replica,
+    estimate_capacity,
+)
+
+USABLE_FRACTION = 0.9
+"""Fraction of a replica's memory that may be reserved.
+
+Some answers are longer than expected. A replica without memory preempts the
+newest request, and reads its prompt again.
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaCapacity:
+    """What a replica holds at once.
+
+    :param tokens: tokens whose KV caches may be reserved.
+    :param slots: requests whose path may begin at it.
+    :param version: of the weights that it holds.
+    """
+
+    name: str
+    layers: LayerRange
+    tokens: float
+    slots: int
+    version: int = 0
+
+
+def measure_capacities(
+    replicas: Iterable[Replica], profile: ModelProfile
+) -> dict[str, ReplicaCapacity]:
+    """Compute the capacities of the replicas that hold layers, by name."""
+    return {
+        replica.name: ReplicaCapacity(
+            replica.name,
+            replica.layers,
+            USABLE_FRACTION
+            * estimate_capacity(
+                profile,
+                profile.accelerators[replica.accelerator],
+                replica.layers,
+            ),
+            replica.slots,
+            replica.version,
+        )
+        for replica in replicas
+        if replica.layers is not None
+        and not replica.leaving
+        and replica.accelerator in profile.accelerators
+    }
+
+
+def list_full(
+    capacities: Mapping[str, ReplicaCapacity],
+    ledger: ReservationLedger,
+    tokens: int,
+) -> frozenset[str]:
+    """List the replicas without memory for a request.
+
+    :param tokens: of the request.
+    """
+    needed = tokens + ledger.unplaced_tokens
+    return frozenset(
+        name
+        for name, capacity in capacities.items()
+        if ledger.tokens[name] + needed > capacity.tokens
+    )
+
+
+def list_without_slot(
+    capacities: Mapping[str, ReplicaCapacity], ledger: ReservationLedger
+) -> frozenset[str]:
+    """List the replicas at which no further path may begin."""
+    return frozenset(
+        name
+        for name, capacity in capacities.items()
+        if ledger.entries[name] >= capacity.slots
+    )
+
+
+def has_path(
+    capacities: Iterable[ReplicaCapacity],
+    without_slot: frozenset[str],
+    layers: int,
+) -> bool:
+    """Return whether some replicas hold all layers, in one version.
+
+    :param capacities: of the replicas that have memory.
+    :param without_slot: names of those at which no path may begin.
+    :param layers: number of layers of the model.
+    """
+    ordered = sorted(capacities, key=lambda capacity: capacity.version)
+    groups = itertools.groupby(ordered, key=lambda capacity: capacity.version)
+    return any(
+        _cover(list(members), without_slot, layers) for _, members in groups
+    )
+
+
+def _cover(
+    members: list[ReplicaCapacity], without_slot: frozenset[str], layers: int
+) -> bool:
+    """Return whether some replicas together hold all layers."""
+    covered = max(
+        (
+            member.layers.end
+            for member in members
+            if not member.layers.first and member.name not in without_slot
+        ),
+        default=0,
+    )
+    for member in sorted(members, key=lambda member: member.layers.first):
+        if member.layers.first > covered:
+            break
+        if covered:
+            covered = max(covered, member.layers.end)
+    return covered >= layers
--- /dev/null
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
@@ -0,0 +1,111 @@
+"""Records the places that requests of all nodes occupy at replicas."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from ryelatch_core.admission._reservation import ReservationRequest
+
+UNPLACED_SECONDS = 0.3
+"""Time for which a place is held until its node has chosen a path.
+
+A node chooses within milliseconds; one that was lost meanwhile never does.
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Room that a request occupies.
+
+    :param path: names of the replicas of its path, in order; empty until the
+        path is chosen.
+    :param until: when it ends unless it is removed before, in monotonic
+        seconds.
+    """
+
+    request: ReservationRequest
+    path: tuple[str, ...]
+    until: float
+
+
+@dataclass(eq=False)
+class ReservationLedger:
+    """Reservations by request, and their sums.
+
+    :param tokens: reserved tokens by name of the replica.
+    :param requests: reservations by name of the replica.
+    :param entries: reservations by name of the first replica of their path.
+    :param account_tokens: reserved tokens by client account.
+    :param unplaced_tokens: tokens of reservations without a path, which may
+        go to any replica.
+    """
+
+    tokens: Counter[str] = field(default_factory=Counter)
+    requests: Counter[str] = field(default_factory=Counter)
+    entries: Counter[str] = field(default_factory=Counter)
+    account_tokens: Counter[str] = field(default_factory=Counter)
+    unplaced_tokens: int = 0
+    _reservations: dict[str, Reservation] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        """Count the reservations."""
+        return len(self._reservations)
+
+    def __contains__(self, identity: str) -> bool:
+        """Return whether a request has a reservation."""
+        return identity in self._reservations
+
+    def add(
+        self, request: ReservationRequest, path: tuple[str, ...], now: float
+    ) -> None:
+        """Reserve room for a request; replaces its reservation, if any.
+
+        :param path: names of the replicas; empty if not chosen yet.
+        """
+        self.remove(request.identity)
+        until = request.expires if path else now + UNPLACED_SECONDS
+        self._reservations[request.identity] = Reservation(request, path, until)
+        self._count(request, path, 1)
+
+    def place(self, identity: str, path: tuple[str, ...], now: float) -> None:
+        """Record the path of a request that has a reservation."""
+        reservation = self._reservations.get(identity)
+        if reservation is not None:
+            self.add(reservation.request, path, now)
+
+    def remove(self, identity: str) -> Reservation | None:
+        """Remove a reservation.
+
+        :returns: the reservation; ``None`` if there was none.
+        """
+        reservation = self._reservations.pop(identity, None)
+        if reservation is not None:
+            self._count(reservation.request, reservation.path, -1)
+        return reservation
+
+    def list_expired(self, now: float) -> list[str]:
+        """List the requests whose reservations have ended by themselves."""
+        return [
+            identity
+            for identity, reservation in self._reservations.items()
+            if reservation.until <= now
+        ]
+
+    def _count(
+        self, request: ReservationRequest, path: tuple[str, ...], sign: int
+    ) -> None:
+        tokens = sign * request.tokens
+        _add(self.account_tokens, request.account, tokens)
+        if not path:
+            self.unplaced_tokens += tokens
+            return
+        _add(self.entries, path[0], sign)
+        for name in path:
+            _add(self.tokens, name, tokens)
+            _add(self.requests, name, sign)
+
+
+def _add(counter: Counter[str], key: str, number: int) -> None:
+    """Add to a count, and drop the key if the count is zero."""
+    counter[key] += number
+    if not counter[key]:
+        del counter[key]
--- /dev/null
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_queue.py
@@ -0,0 +1,109 @@
+"""Orders the requests that wait for a place.
+
+More urgent requests go first, then those whose clients were refused before
+and have no further try, then those of the client accounts that have least in
+progress. Serving the account with least first shares the places equally among
+the accounts that want more, and an account alone may use all of them.
+
+The least urgent are not starved: one in ``FLOOR_INTERVAL`` places goes to the
+request that has waited longest, whatever its priority.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from ryelatch_core.admission._reservation import ReservationRequest
+
+FLOOR_INTERVAL = 8
+"""Places of which one goes to the request that has waited longest."""
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingRequest:
+    """A request that waits for a place.
+
+    :param since: when it began to wait, in monotonic seconds.
+    """
+
+    request: ReservationRequest
+    since: float
+
+
+@dataclass(eq=False)
+class AdmissionQueue:
+    """Requests that wait for a place, in the order in which they get one."""
+
+    _waiting: dict[str, WaitingRequest] = field(default_factory=dict)
+    _overtaken: int = 0
+
+    def __len__(self) -> int:
+        """Count the waiting requests."""
+        return len(self._waiting)
+
+    def __contains__(self, identity: str) -> bool:
+        """Return whether a request waits."""
+        return identity in self._waiting
+
+    def add(self, request: ReservationRequest, now: float) -> None:
+        """Add a request."""
+        self._waiting[request.identity] = WaitingRequest(request, now)
+
+    def remove(self, identity: str) -> WaitingRequest | None:
+        """Remove a request; ``None`` if it doesn't wait."""
+        return self._waiting.pop(identity, None)
+
+    def sort(self, account_tokens: Mapping[str, float]) -> list[WaitingRequest]:
+        """List the waiting requests, the one that goes first at the front.
+
+        :param account_tokens: tokens in progress by client account.
+        """
+        ordered = sorted(
+            self._waiting.values(),
+            key=lambda waiting: (
+                *_rank(waiting.request, account_tokens),
+                waiting.since,
+            ),
+        )
+        if ordered and self._is_floor_due():
+            longest = min(ordered, key=lambda waiting: waiting.since)
+            ordered.remove(longest)
+            ordered.insert(0, longest)
+        return ordered
+
+    def blocks(
+        self,
+        request: ReservationRequest,
+        account_tokens: Mapping[str, float],
+    ) -> bool:
+        """Return whether a waiting request goes before one that doesn't wait.
+
+        :param account_tokens: tokens in progress by client account.
+        """
+        if self._waiting and self._is_floor_due():
+            return True
+        rank = _rank(request, account_tokens)
+        return any(
+            _rank(waiting.request, account_tokens) <= rank
+            for waiting in self._waiting.values()
+        )
+
+    def record_grant(self, request: ReservationRequest) -> None:
+        """Record that a request got a place.
+
+        It counts as overtaking if a less urgent one waits.
+        """
+        overtakes = any(
+            waiting.request.priority > request.priority
+            for waiting in self._waiting.values()
+        )
+        self._overtaken = self._overtaken + 1 if overtakes else 0
+
+    def _is_floor_due(self) -> bool:
+        return self._overtaken >= FLOOR_INTERVAL - 1
+
+
+def _rank(
+    request: ReservationRequest, account_tokens: Mapping[str, float]
+) -> tuple[int, bool, float]:
+    used = account_tokens.get(request.account, 0)
+    return (request.priority, not request.retried, used)
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_retry_delays.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_retry_delays.py
@@ -7,7 +7,7 @@
 is over by the time the later clients return.
 """
 
-import math
+from ryelatch_core.admission._rates import EventRate
 
 RATE_SECONDS = 2.0
 """Averaging time of the rate of places: the duration of a typical answer."""
@@ -33,31 +33,40 @@
 
 
 class RetryScheduler:
-    """Retry times that one node has assigned to refused clients."""
+    """Retry times that were assigned to refused clients."""
 
     def __init__(self) -> None:
-        self._rate = 0.0
-        self._updated = 0.0
-        self._last_retry_at = 0.0
+        self._rate = EventRate(RATE_SECONDS)
+        self._last_retry_at: dict[int, float] = {}
 
     def record_start(self, now: float) -> None:
         """Record that a request was admitted."""
-        self._rate = self._decay(now) + 1 / RATE_SECONDS
-        self._updated = now
+        self._rate.record(now)
 
-    def assign_delay(self, now: float, left: float, sample: float) -> float:
+    def assign_delay(
+        self, now: float, left: float, sample: float, priority: int = 0
+    ) -> float:
         """Return the seconds after which a refused client may retry.
 
+        A client comes after those of its priority and of more urgent ones that
+        were refused before, and doesn't wait for less urgent ones.
+
         :param left: seconds that the client goes on waiting for an answer.
         :param sample: random number from 0 to 1.
+        :param priority: of the request; 0 is served first.
         """
-        rate = max(MIN_RATE, self._decay(now) * RETRY_FRACTION)
-        retry_at = max(now + MIN_DELAY_SECONDS, self._last_retry_at + 1 / rate)
+        rate = max(MIN_RATE, self._rate.read(now) * RETRY_FRACTION)
+        last = max(
+            (
+                retry_at
+                for rank, retry_at in self._last_retry_at.items()
+                if rank <= priority
+            ),
+            default=0,
+        )
+        retry_at = max(now + MIN_DELAY_SECONDS, last + 1 / rate)
         max_wait = left * MAX_WAIT_FRACTION
         if retry_at - now >= max_wait:
             return max_wait * (1 - _SPREAD * sample)
-        self._last_retry_at = retry_at
+        self._last_retry_at[priority] = retry_at
         return retry_at - now
-
-    def _decay(self, now: float) -> float:
-        return self._rate * math.exp((self._updated - now) / RATE_SECONDS)
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/__init__.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/__init__.py
@@ -1,11 +1,21 @@
 """Shares the store's changes among nodes, so that few of them watch it."""
 
+from ryelatch_node.peer_sync._backoffs import PeerBackoffs
 from ryelatch_node.peer_sync._connection import (
     REQUEST_ERRORS,
     PeerConnection,
     connect_to_peer,
 )
-from ryelatch_node.peer_sync._frames import Change, PermitReply, PermitRequest
+from ryelatch_node.peer_sync._frames import (
+    Change,
+    Duration,
+    IncarnationName,
+    PermitReply,
+    PermitRequest,
+    SessionRequest,
+    encode,
+    read_body,
+)
 from ryelatch_node.peer_sync._service import PeerSync, setup
 from ryelatch_node.peer_sync._watch_cache import (
     PeerPartitioned,
@@ -16,13 +26,19 @@
 __all__ = [
     'REQUEST_ERRORS',
     'Change',
+    'Duration',
+    'IncarnationName',
+    'PeerBackoffs',
     'PeerConnection',
     'PeerPartitioned',
     'PeerSync',
     'PermitReply',
     'PermitRequest',
+    'SessionRequest',
     'StoreHealth',
     'StoreUpdate',
     'connect_to_peer',
+    'encode',
+    'read_body',
     'setup',
 ]
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_frames.py
@@ -118,6 +118,19 @@
     kind: str
 
 
+class SessionRequest(
+    msgspec.Struct, frozen=True, array_like=True, tag='session'
+):
+    """Opens a session for reservations, which uses the connection from now on.
+
+    :param service: the service whose replicas are reserved.
+    :param zone: the availability zone of these replicas.
+    """
+
+    service: str
+    zone: str
+
+
 class ListReply(msgspec.Struct, frozen=True, array_like=True):
     """All objects of a kind.
 
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
@@ -20,6 +20,7 @@
     ListRequest,
     PermitReply,
     PermitRequest,
+    SessionRequest,
     WatchReply,
     WatchRequest,
     encode,
@@ -33,9 +34,19 @@
 )
 
 _AnyRequest: TypeAlias = (
-    WatchRequest | PermitRequest | BootstrapMessage | ListRequest
+    WatchRequest
+    | PermitRequest
+    | BootstrapMessage
+    | ListRequest
+    | SessionRequest
 )
 
+ServeSession: TypeAlias = Callable[
+    [SessionRequest, asyncio.StreamReader, asyncio.StreamWriter],
+    Awaitable[None],
+]
+"""Function that serves a session until its connection ends."""
+
 MAX_WAIT_SECONDS = 30.0
 """Longest wait that a peer may request."""
 
@@ -48,6 +59,14 @@
     return BootstrapReply(knows=True)
 
 
+async def _reject_session(
+    request: SessionRequest,
+    _reader: asyncio.StreamReader,
+    _writer: asyncio.StreamWriter,
+) -> None:
+    raise ValueError(f'no sessions for {request.service} here')
+
+
 @dataclass(eq=False)
 class PeerServer:
     """Serves watches, lists and permits to peers.
@@ -57,6 +76,7 @@
     :param handle_permit_request: grants or denies a permit to a peer.
     :param handle_message: handles the message of a peer that introduces
         itself.
+    :param serve_session: serves a session of a peer on its connection.
     :param last_watched: when a peer last requested a watch that it could have
         sent to the store, in monotonic seconds.
     """
@@ -69,6 +89,7 @@
     handle_message: Callable[[BootstrapMessage], BootstrapReply] = (
         _ignore_message
     )
+    serve_session: ServeSession = _reject_session
     last_watched: float = NEVER
     _tasks: set['asyncio.Task[None]'] = field(default_factory=set)
 
@@ -119,6 +140,9 @@
                 frame = encode(self._make_list_reply(request))
             case WatchRequest():
                 frame = await self._serve_watch(request)
+            case SessionRequest():
+                await self.serve_session(request, reader, writer)
+                raise EOFError
         writer.write(frame)
         await writer.drain()
 
--- a/packages/ryelatch-node/src/ryelatch_node/throttle/_permit_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/throttle/_permit_client.py
@@ -11,6 +11,7 @@
 from ryelatch_core.membership import NodeEntry
 from ryelatch_node.peer_sync import (
     REQUEST_ERRORS,
+    PeerBackoffs,
     PeerConnection,
     PeerSync,
     PermitReply,
@@ -24,27 +25,6 @@
 A client's request waits for it, and other replicas may be able to serve it.
 """
 
-COOLDOWN_SECONDS = 2.0
-"""Cooldown: time without another request to a node that did not reply."""
-
-MAX_COOLDOWN_SECONDS = 64.0
-"""Maximum of the cooldown, which doubles with each request left unanswered.
-
-The VM of the node may have been removed permanently.
-"""
-
-
-@dataclass(frozen=True, slots=True)
-class _Cooldown:
-    """A time without requests to a node that did not reply.
-
-    :param until: when it may be asked again, in monotonic seconds.
-    :param seconds: duration of the cooldown.
-    """
-
-    until: float
-    seconds: float
-
 
 @dataclass(eq=False)
 class PermitClient:
@@ -57,7 +37,11 @@
     _locks: dict[str, asyncio.Lock] = field(
         default_factory=lambda: defaultdict(asyncio.Lock)
     )
-    _cooldowns: dict[str, _Cooldown] = field(default_factory=dict)
+    _backoffs: PeerBackoffs = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the backoffs of nodes that did not reply."""
+        self._backoffs = PeerBackoffs(self.clock)
 
     def stop(self) -> None:
         """Close all connections."""
@@ -66,8 +50,7 @@
 
     def is_cooling_down(self, limiter: NodeEntry) -> bool:
         """Whether a node is not asked for a while, as it did not reply."""
-        cooldown = self._cooldowns.get(limiter.address)
-        return cooldown is not None and self.clock.monotonic() < cooldown.until
+        return self._backoffs.is_active(limiter.address)
 
     async def request_permit(
         self,
@@ -104,18 +87,12 @@
                 self._connections[address] = connection
             body = await connection.send_request(request)
         reply = msgspec.msgpack.decode(body, type=PermitReply)
-        self._cooldowns.pop(address, None)
+        self._backoffs.end(address)
         return reply
 
     def _begin_cooldown(self, limiter: NodeEntry, reason: str) -> None:
         self._drop(limiter.address)
-        cooldown = self._cooldowns.get(limiter.address)
-        seconds = min(
-            MAX_COOLDOWN_SECONDS,
-            cooldown.seconds * 2 if cooldown else COOLDOWN_SECONDS,
-        )
-        until = self.clock.monotonic() + seconds
-        self._cooldowns[limiter.address] = _Cooldown(until, seconds)
+        seconds = self._backoffs.begin(limiter.address)
         self.log.record(
             catalogue.LIMITER_LEFT,
             peer=limiter.name,
