Slots are granted once

Where slots and not memory are scarce, all requests that waited were granted a place as soon as one slot was free: a granted request occupies no slot until its node has chosen a path. Their nodes then found no first replica.

Requests without a path now count against the free slots of all first replicas. Of nine requests that wait for three slots, nine were granted before and three are now.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -13,6 +13,7 @@
 
 from ryelatch_core.admission._headroom import (
     ReplicaCapacity,
+    count_free_slots,
     has_path,
     list_full,
     list_without_slot,
@@ -87,6 +88,8 @@
         full = self.list_full(request.tokens, now)
         if path[0] in self.list_without_slot() or not full.isdisjoint(path):
             return False
+        if self.ledger.unplaced and not self._has_free_slot(full):
+            return False
         self._grant(request, path, now)
         return True
 
@@ -165,12 +168,20 @@
 
     def _has_room(self, request: ReservationRequest, now: float) -> bool:
         full = self.list_full(request.tokens, now)
-        usable = (
+        if not self._has_free_slot(full):
+            return False
+        usable = self._list_usable(full)
+        return has_path(usable, self.list_without_slot(), self._layers)
+
+    def _has_free_slot(self, full: frozenset[str]) -> bool:
+        return count_free_slots(self._list_usable(full), self.ledger) > 0
+
+    def _list_usable(self, full: frozenset[str]) -> list[ReplicaCapacity]:
+        return [
             capacity
             for name, capacity in self._capacities.items()
             if name not in full
-        )
-        return has_path(usable, self.list_without_slot(), self._layers)
+        ]
 
     def _grant(
         self, request: ReservationRequest, path: tuple[str, ...], now: float
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
@@ -93,6 +93,23 @@
     )
 
 
+def count_free_slots(
+    capacities: Iterable[ReplicaCapacity], ledger: ReservationLedger
+) -> int:
+    """Count the paths that may still begin at some replicas.
+
+    Slots that were granted to requests without a path are not free.
+
+    :param capacities: of the replicas that have memory.
+    """
+    free = sum(
+        max(0, capacity.slots - ledger.entries[capacity.name])
+        for capacity in capacities
+        if not capacity.layers.first
+    )
+    return free - ledger.unplaced
+
+
 def has_path(
     capacities: Iterable[ReplicaCapacity],
     without_slot: frozenset[str],
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
@@ -35,14 +35,16 @@
     :param requests: reservations by name of the replica.
     :param entries: reservations by name of the first replica of their path.
     :param account_tokens: reserved tokens by client account.
-    :param unplaced_tokens: tokens of reservations without a path, which may
-        go to any replica.
+    :param unplaced: number of reservations without a path, which may go to
+        any replica.
+    :param unplaced_tokens: their tokens.
     """
 
     tokens: Counter[str] = field(default_factory=Counter)
     requests: Counter[str] = field(default_factory=Counter)
     entries: Counter[str] = field(default_factory=Counter)
     account_tokens: Counter[str] = field(default_factory=Counter)
+    unplaced: int = 0
     unplaced_tokens: int = 0
     _reservations: dict[str, Reservation] = field(default_factory=dict)
 
@@ -96,6 +98,7 @@
         tokens = sign * request.tokens
         _add(self.account_tokens, request.account, tokens)
         if not path:
+            self.unplaced += sign
             self.unplaced_tokens += tokens
             return
         _add(self.entries, path[0], sign)
