A place that lapsed is recorded again when its path comes late

A node that was slow for more than 0.3 s after its request got a place sent it all the same; its path then found no reservation, so the replicas' memory was given to others too and they refused requests as full.

The ledger keeps the requests of lapsed places until their clients leave, and records the path that comes late. Places that end by themselves count as freed in the predicted waits. list_expired becomes expire, as only the ledger can tell a lapsed place from an ended one.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -133,8 +133,8 @@
         :returns: those that get a place, and those for which none is expected
             in time any more.
         """
-        for identity in self.ledger.list_expired(now):
-            self.ledger.remove(identity)
+        for _ in range(self.ledger.expire(now)):
+            self._released.record(now)
         decided: list[Granted | Refused] = []
         while self.queue:
             first = self.queue.sort(self.ledger.account_tokens)[0].request
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
@@ -47,6 +47,7 @@
     unplaced: int = 0
     unplaced_tokens: int = 0
     _reservations: dict[str, Reservation] = field(default_factory=dict)
+    _lapsed: dict[str, ReservationRequest] = field(default_factory=dict)
 
     def __len__(self) -> int:
         """Count the reservations."""
@@ -69,28 +70,50 @@
         self._count(request, path, 1)
 
     def place(self, identity: str, path: tuple[str, ...], now: float) -> None:
-        """Record the path of a request that has a reservation."""
+        """Record the path of a request that has a reservation, or had one.
+
+        A node that was slow has sent its request although the place lapsed.
+        """
         reservation = self._reservations.get(identity)
-        if reservation is not None:
-            self.add(reservation.request, path, now)
+        request = reservation.request if reservation else None
+        request = request or self._lapsed.get(identity)
+        if request is not None:
+            self.add(request, path, now)
 
     def remove(self, identity: str) -> Reservation | None:
         """Remove a reservation.
 
         :returns: the reservation; ``None`` if there was none.
         """
+        self._lapsed.pop(identity, None)
         reservation = self._reservations.pop(identity, None)
         if reservation is not None:
             self._count(reservation.request, reservation.path, -1)
         return reservation
 
-    def list_expired(self, now: float) -> list[str]:
-        """List the requests whose reservations have ended by themselves."""
-        return [
-            identity
-            for identity, reservation in self._reservations.items()
+    def expire(self, now: float) -> int:
+        """Remove the reservations that have ended by themselves.
+
+        :returns: their number.
+        """
+        expired = [
+            reservation
+            for reservation in self._reservations.values()
             if reservation.until <= now
         ]
+        for reservation in expired:
+            self.remove(reservation.request.identity)
+        self._lapsed = {
+            identity: request
+            for identity, request in self._lapsed.items()
+            if request.expires > now
+        }
+        self._lapsed.update(
+            (reservation.request.identity, reservation.request)
+            for reservation in expired
+            if not reservation.path
+        )
+        return len(expired)
 
     def _count(
         self, request: ReservationRequest, path: tuple[str, ...], sign: int
