Requests that fit no replica are refused at once

When a zone lost its replicas, or a layer of the model, those who waited there heard of it only as their time ran out, up to seconds later. A request larger than any replica did the same to itself and to all behind it, as the first in the queue is waited for.

What the replicas could hold if they were idle is computed when they change; a waiting request above it is refused as soon as it is looked at. Nothing is refused so before the replicas are known for the first time. The delay of a client that has left is no longer negative.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -7,6 +7,7 @@
 milliseconds only and no room has to stay free for them.
 """
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -17,6 +18,7 @@
     has_path,
     list_full,
     list_without_slot,
+    measure_largest,
 )
 from ryelatch_core.admission._ledger import ReservationLedger
 from ryelatch_core.admission._queue import FLOOR_INTERVAL, AdmissionQueue
@@ -58,6 +60,7 @@
     returns: RetryScheduler = field(default_factory=RetryScheduler)
     _capacities: Mapping[str, ReplicaCapacity] = field(default_factory=dict)
     _layers: int = 0
+    _max_tokens: float = math.inf
     _short_until: dict[str, float] = field(default_factory=dict)
     _released: EventRate = field(
         default_factory=lambda: EventRate(RATE_SECONDS)
@@ -75,6 +78,7 @@
         """
         self._capacities = capacities
         self._layers = layers
+        self._max_tokens = measure_largest(capacities.values(), layers)
 
     def reserve(
         self, request: ReservationRequest, path: tuple[str, ...], now: float
@@ -135,7 +139,7 @@
         """
         for _ in range(self.ledger.expire(now)):
             self._released.record(now)
-        decided: list[Granted | Refused] = []
+        decided: list[Granted | Refused] = [*self._refuse_impossible(now)]
         while self.queue:
             first = self.queue.sort(self.ledger.account_tokens)[0].request
             if not self._has_room(first, now):
@@ -191,6 +195,20 @@
         self.returns.record_start(now)
         self._granted[request.priority].record(now)
 
+    def _refuse_impossible(self, now: float) -> list[Refused]:
+        """Refuse the waiting requests that don't fit even on idle replicas.
+
+        They would keep all behind them from getting a place.
+        """
+        return self._refuse_all(
+            [
+                waiting.request
+                for waiting in self.queue
+                if waiting.request.tokens > self._max_tokens
+            ],
+            now,
+        )
+
     def _refuse_late(self, now: float) -> list[Refused]:
         """Refuse the waiting requests that no place is expected for in time."""
         late = [
@@ -202,13 +220,19 @@
             + position / self._estimate_rate(waiting.request.priority, now)
             > waiting.request.start_by
         ]
-        for request in late:
+        return self._refuse_all(late, now)
+
+    def _refuse_all(
+        self, requests: list[ReservationRequest], now: float
+    ) -> list[Refused]:
+        for request in requests:
             self.queue.remove(request.identity)
-        return [self._refuse(request, now) for request in late]
+        return [self._refuse(request, now) for request in requests]
 
     def _refuse(self, request: ReservationRequest, now: float) -> Refused:
+        left = max(0, request.expires - now)
         delay = self.returns.assign_delay(
-            now, request.expires - now, self.sample(), request.priority
+            now, left, self.sample(), request.priority
         )
         return Refused(request.identity, delay)
 
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
@@ -5,8 +5,9 @@
 fullest replica.
 """
 
+import bisect
 import itertools
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from ryelatch_core.admission._ledger import ReservationLedger
@@ -128,6 +129,29 @@
     )
 
 
+def measure_largest(
+    capacities: Collection[ReplicaCapacity], layers: int
+) -> float:
+    """Return the tokens of the largest request that fits on idle replicas.
+
+    :param layers: number of layers of the model.
+    :returns: the tokens; 0 if the replicas don't hold all layers.
+    """
+    without_slot = frozenset(
+        capacity.name for capacity in capacities if capacity.slots <= 0
+    )
+
+    def is_too_large(tokens: float) -> bool:
+        usable = [
+            capacity for capacity in capacities if capacity.tokens >= tokens
+        ]
+        return not has_path(usable, without_slot, layers)
+
+    sizes = sorted({capacity.tokens for capacity in capacities})
+    fitting = bisect.bisect_left(sizes, True, key=is_too_large)
+    return sizes[fitting - 1] if fitting else 0
+
+
 def _cover(
     members: list[ReplicaCapacity], without_slot: frozenset[str], layers: int
 ) -> bool:
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_queue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_queue.py
@@ -9,7 +9,7 @@
 request that has waited longest, whatever its priority.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
 from ryelatch_core.admission._reservation import ReservationRequest
@@ -40,6 +40,10 @@
         """Count the waiting requests."""
         return len(self._waiting)
 
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        """Iterate over the waiting requests in the order of their arrival."""
+        return iter(self._waiting.values())
+
     def __contains__(self, identity: str) -> bool:
         """Return whether a request waits."""
         return identity in self._waiting
