A request that asks again has one turn and one place

A request that was sent again after a broken connection lost its turn in the queue, or its place. One that a replica had turned away asked for another path while it still occupied the former one, so it could be refused for its own tokens, and one reported as in progress was granted a second place later.

Asking again keeps the turn; a place without a path is confirmed, one with a path is given up; a request in progress no longer waits.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -85,8 +85,11 @@
     ) -> bool:
         """Reserve room on a path if there is any and no other goes first.
 
+        A request that has a reservation gives it up.
+
         :param path: names of the replicas, in order.
         """
+        self._free(request.identity, now)
         if self.queue.blocks(request, self.ledger.account_tokens):
             return False
         full = self.list_full(request.tokens, now)
@@ -102,8 +105,14 @@
     ) -> list[Granted | Queued | Refused]:
         """Let a request wait for a place, if one is expected in time.
 
+        A request that has a place and no path keeps it; one that has a path
+        gives it up.
+
         :returns: the decision on it, and those on others that waited.
         """
+        if self.ledger.is_unplaced(request.identity):
+            return [Granted(request.identity)]
+        self._free(request.identity, now)
         self.queue.add(request, now)
         decided: list[Granted | Queued | Refused] = [*self.admit_waiting(now)]
         if request.identity in self.queue:
@@ -119,13 +128,13 @@
         self, request: ReservationRequest, path: tuple[str, ...], now: float
     ) -> None:
         """Record a request that was admitted elsewhere and is in progress."""
+        self.queue.remove(request.identity)
         self.ledger.add(request, path, now)
 
     def release(self, identity: str, now: float) -> None:
         """Record that a request has ended, or waits no longer."""
         self.queue.remove(identity)
-        if self.ledger.remove(identity) is not None:
-            self._released.record(now)
+        self._free(identity, now)
 
     def record_shortage(self, name: str, now: float) -> None:
         """Record that a replica refused a request for lack of memory."""
@@ -187,6 +196,10 @@
             if name not in full
         ]
 
+    def _free(self, identity: str, now: float) -> None:
+        if self.ledger.remove(identity) is not None:
+            self._released.record(now)
+
     def _grant(
         self, request: ReservationRequest, path: tuple[str, ...], now: float
     ) -> None:
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
@@ -57,6 +57,11 @@
         """Return whether a request has a reservation."""
         return identity in self._reservations
 
+    def is_unplaced(self, identity: str) -> bool:
+        """Return whether a request has a reservation without a path."""
+        reservation = self._reservations.get(identity)
+        return reservation is not None and not reservation.path
+
     def add(
         self, request: ReservationRequest, path: tuple[str, ...], now: float
     ) -> None:
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_queue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_queue.py
@@ -49,8 +49,10 @@
         return identity in self._waiting
 
     def add(self, request: ReservationRequest, now: float) -> None:
-        """Add a request."""
-        self._waiting[request.identity] = WaitingRequest(request, now)
+        """Add a request; one that waits already keeps its turn."""
+        waiting = self._waiting.get(request.identity)
+        since = now if waiting is None else waiting.since
+        self._waiting[request.identity] = WaitingRequest(request, since)
 
     def remove(self, identity: str) -> WaitingRequest | None:
         """Remove a request; ``None`` if it doesn't wait."""
