Clients of a large account that come back go behind much smaller accounts

In a surge of one account six times its usual, most clients that come back after a refusal are its own.

Accounts are now compared first, where a request whose client was refused before counts half of what its account has in progress: it goes before newer ones of its own and of similar accounts, and behind those of accounts with less than half as much.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/_queue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_queue.py
@@ -1,9 +1,14 @@
 """Orders the requests that wait for a place.
 
-More urgent requests go first, then those whose clients were refused before
-and have no further try, then those of the client accounts that have least in
-progress. Serving the account with least first shares the places equally among
-the accounts that want more, and an account alone may use all of them.
+More urgent requests go first, then those of the client accounts that have
+least in progress, then those whose clients were refused before and have no
+further try. Serving the account with least first shares the places equally
+among the accounts that want more, and an account alone may use all of them.
+
+A client that was refused before also goes before newer ones of accounts that
+have somewhat less in progress, but not before those of much smaller accounts:
+most of the clients that come back in a surge are those of the account that
+caused it.
 
 The least urgent are not starved: one in ``FLOOR_INTERVAL`` places goes to the
 request that has waited longest, whatever its priority.
@@ -17,6 +22,9 @@
 FLOOR_INTERVAL = 8
 """Places of which one goes to the request that has waited longest."""
 
+RETRIED_FRACTION = 0.5
+"""Fraction of its account's tokens that counts for a client refused before."""
+
 
 @dataclass(frozen=True, slots=True)
 class WaitingRequest:
@@ -110,6 +118,8 @@
 
 def _rank(
     request: ReservationRequest, account_tokens: Mapping[str, float]
-) -> tuple[int, bool, float]:
+) -> tuple[int, float, bool]:
     used = account_tokens.get(request.account, 0)
-    return (request.priority, not request.retried, used)
+    if request.retried:
+        used *= RETRIED_FRACTION
+    return (request.priority, used, not request.retried)
