Waits are predicted among those who can still be served, and at less cost

When places were freed more slowly than before, a request with time left was refused because of others ahead of it that were refused in the same moment: they still counted as waiting. And a place that was freed after a request's time went to it, if it was first in the queue.

Positions now count only the requests that are kept, and those whose time is over are refused before places are given out. A request that begins to wait has only its own wait predicted; all waits are predicted at most every 20 ms and not at each release.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -37,6 +37,9 @@
 MIN_RATE = 0.5
 """Lower bound of the expected places per second, so that waits are finite."""
 
+PREDICTION_SECONDS = 0.02
+"""Minimum time between predictions of all waits, which take long."""
+
 SHORTAGE_SECONDS = 0.2
 """Time for which a replica that refused for lack of memory counts as full.
 
@@ -61,6 +64,7 @@
     _capacities: Mapping[str, ReplicaCapacity] = field(default_factory=dict)
     _layers: int = 0
     _max_tokens: float = math.inf
+    _predicted_at: float = -math.inf
     _short_until: dict[str, float] = field(default_factory=dict)
     _released: EventRate = field(
         default_factory=lambda: EventRate(RATE_SECONDS)
@@ -114,11 +118,13 @@
             return [Granted(request.identity)]
         self._free(request.identity, now)
         self.queue.add(request, now)
-        decided: list[Granted | Queued | Refused] = [*self.admit_waiting(now)]
-        if request.identity in self.queue:
-            wait = self.predict_wait(request, now)
-            decided.append(Queued(request.identity, wait))
-        return decided
+        decided = self._decide(now)
+        if request.identity not in self.queue:
+            return [*decided]
+        wait = self._predict_wait(request, now)
+        if now + wait > request.start_by:
+            return [*decided, *self._refuse_all([request], now)]
+        return [*decided, Queued(request.identity, wait)]
 
     def place(self, identity: str, path: tuple[str, ...], now: float) -> None:
         """Record the path on which a request with a reservation was sent."""
@@ -146,25 +152,12 @@
         :returns: those that get a place, and those for which none is expected
             in time any more.
         """
-        for _ in range(self.ledger.expire(now)):
-            self._released.record(now)
-        decided: list[Granted | Refused] = [*self._refuse_impossible(now)]
-        while self.queue:
-            first = self.queue.sort(self.ledger.account_tokens)[0].request
-            if not self._has_room(first, now):
-                break
-            self.queue.remove(first.identity)
-            self._grant(first, (), now)
-            decided.append(Granted(first.identity))
+        decided = self._decide(now)
+        if now < self._predicted_at + PREDICTION_SECONDS:
+            return decided
+        self._predicted_at = now
         return [*decided, *self._refuse_late(now)]
 
-    def predict_wait(self, request: ReservationRequest, now: float) -> float:
-        """Predict after how many seconds a waiting request gets a place."""
-        ordered = self.queue.sort(self.ledger.account_tokens)
-        identities = [waiting.request.identity for waiting in ordered]
-        position = identities.index(request.identity) + 1
-        return position / self._estimate_rate(request.priority, now)
-
     def list_full(self, tokens: int, now: float) -> frozenset[str]:
         """List the replicas without memory for a request of some tokens."""
         self._short_until = {
@@ -208,33 +201,57 @@
         self.returns.record_start(now)
         self._granted[request.priority].record(now)
 
-    def _refuse_impossible(self, now: float) -> list[Refused]:
-        """Refuse the waiting requests that don't fit even on idle replicas.
+    def _decide(self, now: float) -> list[Granted | Refused]:
+        """Give out the places that are free."""
+        for _ in range(self.ledger.expire(now)):
+            self._released.record(now)
+        decided: list[Granted | Refused] = [*self._refuse_hopeless(now)]
+        while self.queue:
+            first = self.queue.choose_first(self.ledger.account_tokens)
+            if not self._has_room(first, now):
+                break
+            self.queue.remove(first.identity)
+            self._grant(first, (), now)
+            decided.append(Granted(first.identity))
+        return decided
+
+    def _refuse_hopeless(self, now: float) -> list[Refused]:
+        """Refuse the waiting requests that a place would be of no use to.
 
-        They would keep all behind them from getting a place.
+        Their time is over, or they don't fit even on idle replicas and would
+        keep all behind them from getting a place.
         """
-        return self._refuse_all(
-            [
-                waiting.request
-                for waiting in self.queue
-                if waiting.request.tokens > self._max_tokens
-            ],
-            now,
-        )
+        hopeless = [
+            waiting.request
+            for waiting in self.queue
+            if waiting.request.tokens > self._max_tokens
+            or waiting.request.start_by < now
+        ]
+        return self._refuse_all(hopeless, now)
 
     def _refuse_late(self, now: float) -> list[Refused]:
         """Refuse the waiting requests that no place is expected for in time."""
-        late = [
-            waiting.request
-            for position, waiting in enumerate(
-                self.queue.sort(self.ledger.account_tokens), start=1
-            )
-            if now
-            + position / self._estimate_rate(waiting.request.priority, now)
-            > waiting.request.start_by
-        ]
+        rates: dict[int, float] = {}
+        late: list[ReservationRequest] = []
+        ordered = self.queue.sort(self.ledger.account_tokens)
+        for index, waiting in enumerate(ordered):
+            request = waiting.request
+            if request.priority not in rates:
+                rates[request.priority] = self._estimate_rate(
+                    request.priority, now
+                )
+            position = index + 1 - len(late)
+            if now + position / rates[request.priority] > request.start_by:
+                late.append(request)
         return self._refuse_all(late, now)
 
+    def _predict_wait(self, request: ReservationRequest, now: float) -> float:
+        """Predict after how many seconds a waiting request gets a place."""
+        position = self.queue.find_position(
+            request.identity, self.ledger.account_tokens
+        )
+        return position / self._estimate_rate(request.priority, now)
+
     def _refuse_all(
         self, requests: list[ReservationRequest], now: float
     ) -> list[Refused]:
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_queue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_queue.py
@@ -14,7 +14,7 @@
 request that has waited longest, whatever its priority.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from ryelatch_core.admission._reservation import ReservationRequest
@@ -66,24 +66,42 @@
         """Remove a request; ``None`` if it doesn't wait."""
         return self._waiting.pop(identity, None)
 
+    def choose_first(
+        self, account_tokens: Mapping[str, float]
+    ) -> ReservationRequest:
+        """Return the waiting request that goes first.
+
+        :param account_tokens: tokens in progress by client account.
+        """
+        if self._is_floor_due():
+            return next(iter(self._waiting.values())).request
+        order = _build_order(account_tokens)
+        return min(self._waiting.values(), key=order).request
+
     def sort(self, account_tokens: Mapping[str, float]) -> list[WaitingRequest]:
         """List the waiting requests, the one that goes first at the front.
 
         :param account_tokens: tokens in progress by client account.
         """
-        ordered = sorted(
-            self._waiting.values(),
-            key=lambda waiting: (
-                *_rank(waiting.request, account_tokens),
-                waiting.since,
-            ),
-        )
+        order = _build_order(account_tokens)
+        ordered = sorted(self._waiting.values(), key=order)
         if ordered and self._is_floor_due():
-            longest = min(ordered, key=lambda waiting: waiting.since)
+            longest = next(iter(self._waiting.values()))
             ordered.remove(longest)
             ordered.insert(0, longest)
         return ordered
 
+    def find_position(
+        self, identity: str, account_tokens: Mapping[str, float]
+    ) -> int:
+        """Return the position of a waiting request, from 1; last among equals.
+
+        :param account_tokens: tokens in progress by client account.
+        """
+        order = _build_order(account_tokens)
+        own = order(self._waiting[identity])
+        return sum(order(waiting) <= own for waiting in self._waiting.values())
+
     def blocks(
         self,
         request: ReservationRequest,
@@ -121,5 +139,15 @@
 ) -> tuple[int, float, bool]:
     used = account_tokens.get(request.account, 0)
     if request.retried:
-        used *= RETRIED_FRACTION
-    return (request.priority, used, not request.retried)
+        return (request.priority, used * RETRIED_FRACTION, False)
+    return (request.priority, used, True)
+
+
+def _build_order(
+    account_tokens: Mapping[str, float],
+) -> Callable[[WaitingRequest], tuple[tuple[int, float, bool], float]]:
+    """Build the key by which waiting requests are sorted."""
+    return lambda waiting: (
+        _rank(waiting.request, account_tokens),
+        waiting.since,
+    )
