--- a/tests/core_admission_load.py
+++ b/tests/core_admission_load.py
@@ -71,6 +71,8 @@
 class LoadedZone:
     """A zone, and the clients and nodes that use it.
 
+    ``fullest`` is the largest fraction of a replica that was reserved.
+
     :param surge: begin and end of the surge, in seconds.
     """
 
@@ -79,6 +81,7 @@
     ) -> None:
         self.outcomes: list[Outcome] = []
         self.now = 0.0
+        self.fullest = 0.0
         self._surge = surge
         self._rng = random.Random(seed)
         self._numbers = itertools.count()
@@ -182,6 +185,8 @@
     def _start(self, identity: str) -> None:
         outcome, _ = self._open[identity]
         outcome.granted_at = self.now
+        reserved = max(self.controller.ledger.tokens.values())
+        self.fullest = max(self.fullest, reserved / COPY_TOKENS)
         duration = self._rng.expovariate(1 / MEAN_SECONDS)
         self._schedule(duration, lambda: self._end(identity))
 
