--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -21,7 +21,7 @@
     measure_largest,
 )
 from ryelatch_core.admission._ledger import ReservationLedger
-from ryelatch_core.admission._queue import FLOOR_INTERVAL, AdmissionQueue
+from ryelatch_core.admission._queue import AdmissionQueue
 from ryelatch_core.admission._rates import EventRate
 from ryelatch_core.admission._reservation import (
     Granted,
@@ -30,6 +30,7 @@
     ReservationRequest,
 )
 from ryelatch_core.admission._retry_delays import RetryScheduler
+from ryelatch_core.admission._starvation import StarvationTracker
 
 RATE_SECONDS = 1.0
 """Averaging time of the rates at which places are freed and granted."""
@@ -61,6 +62,7 @@
     ledger: ReservationLedger = field(default_factory=ReservationLedger)
     queue: AdmissionQueue = field(default_factory=AdmissionQueue)
     returns: RetryScheduler = field(default_factory=RetryScheduler)
+    _shares: StarvationTracker = field(default_factory=StarvationTracker)
     _capacities: Mapping[str, ReplicaCapacity] = field(default_factory=dict)
     _layers: int = 0
     _max_tokens: float = math.inf
@@ -94,7 +96,8 @@
         :param path: names of the replicas, in order.
         """
         self._free(request.identity, now)
-        if self.queue.blocks(request, self.ledger.account_tokens):
+        starved = self._find_starved(now)
+        if self.queue.blocks(request, self.ledger.account_tokens, starved):
             return False
         full = self.list_full(request.tokens, now)
         if path[0] in self.list_without_slot() or not full.isdisjoint(path):
@@ -121,7 +124,10 @@
         decided = self._decide(now)
         if request.identity not in self.queue:
             return [*decided]
-        wait = self._predict_wait(request, now)
+        position = self.queue.find_position(
+            request.identity, self.ledger.account_tokens
+        )
+        wait = self._build_prediction(now)(request, position)
         if now + wait > request.start_by:
             return [*decided, *self._refuse_all([request], now)]
         return [*decided, Queued(request.identity, wait)]
@@ -197,7 +203,7 @@
         self, request: ReservationRequest, path: tuple[str, ...], now: float
     ) -> None:
         self.ledger.add(request, path, now)
-        self.queue.record_grant(request)
+        self._shares.record_grant(request.priority, now)
         self.returns.record_start(now)
         self._granted[request.priority].record(now)
 
@@ -207,7 +213,7 @@
             self._released.record(now)
         decided: list[Granted | Refused] = [*self._refuse_hopeless(now)]
         while self.queue:
-            first = self.queue.choose_first(self.ledger.account_tokens)
+            first = self._choose_first(now)
             if not self._has_room(first, now):
                 break
             self.queue.remove(first.identity)
@@ -229,28 +235,61 @@
         ]
         return self._refuse_all(hopeless, now)
 
+    def _find_starved(self, now: float) -> int | None:
+        return self._shares.find_starved(self.queue.list_priorities(), now)
+
+    def _choose_first(self, now: float) -> ReservationRequest:
+        return self.queue.choose_first(
+            self.ledger.account_tokens, self._find_starved(now)
+        )
+
+    def _choose_starved(self, now: float) -> ReservationRequest | None:
+        """Return the waiting request that goes first out of order, if any."""
+        starved = self._find_starved(now)
+        if starved is None:
+            return None
+        return self.queue.choose_first(self.ledger.account_tokens, starved)
+
     def _refuse_late(self, now: float) -> list[Refused]:
         """Refuse the waiting requests that no place is expected for in time."""
-        rates: dict[int, float] = {}
         late: list[ReservationRequest] = []
+        if not self.queue:
+            return []
+        predict = self._build_prediction(now)
         ordered = self.queue.sort(self.ledger.account_tokens)
         for index, waiting in enumerate(ordered):
             request = waiting.request
-            if request.priority not in rates:
-                rates[request.priority] = self._estimate_rate(
-                    request.priority, now
-                )
-            position = index + 1 - len(late)
-            if now + position / rates[request.priority] > request.start_by:
+            wait = predict(request, index + 1 - len(late))
+            if now + wait > request.start_by:
                 late.append(request)
         return self._refuse_all(late, now)
 
-    def _predict_wait(self, request: ReservationRequest, now: float) -> float:
-        """Predict after how many seconds a waiting request gets a place."""
-        position = self.queue.find_position(
-            request.identity, self.ledger.account_tokens
-        )
-        return position / self._estimate_rate(request.priority, now)
+    def _build_prediction(
+        self, now: float
+    ) -> Callable[[ReservationRequest, int], float]:
+        """Build a function that predicts the wait at a position.
+
+        More urgent requests that are yet to come take their places first, as
+        many as they took of late.
+        """
+        freed = self._released.read(now)
+        next_place = 1 / max(MIN_RATE, freed)
+        starved_first = self._choose_starved(now)
+        granted = {
+            priority: rate.read(now) for priority, rate in self._granted.items()
+        }
+        rates = {
+            priority: freed
+            - sum(rate for rank, rate in granted.items() if rank < priority)
+            for priority in self.queue.list_priorities()
+        }
+
+        def predict(request: ReservationRequest, position: int) -> float:
+            if request is starved_first:
+                return next_place
+            return position / max(MIN_RATE, rates[request.priority])
+
+        return predict
 
     def _refuse_all(
         self, requests: list[ReservationRequest], now: float
@@ -260,22 +299,9 @@
         return [self._refuse(request, now) for request in requests]
 
     def _refuse(self, request: ReservationRequest, now: float) -> Refused:
+        self._shares.record_refusal(request.priority, now)
         left = max(0, request.expires - now)
         delay = self.returns.assign_delay(
             now, left, self.sample(), request.priority
         )
         return Refused(request.identity, delay)
-
-    def _estimate_rate(self, priority: int, now: float) -> float:
-        """Estimate the places per second for the requests of a priority.
-
-        More urgent requests that are yet to come take their places first, as
-        many as they took of late.
-        """
-        freed = self._released.read(now)
-        taken = sum(
-            rate.read(now)
-            for rank, rate in self._granted.items()
-            if rank < priority
-        )
-        return max(MIN_RATE, freed / FLOOR_INTERVAL, freed - taken)
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_queue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_queue.py
@@ -10,8 +10,8 @@
 most of the clients that come back in a surge are those of the account that
 caused it.
 
-The least urgent are not starved: one in ``FLOOR_INTERVAL`` places goes to the
-request that has waited longest, whatever its priority.
+The least urgent are not starved: while a priority gets less than its minimum
+share, the next place goes to a request of that priority.
 """
 
 from collections.abc import Callable, Iterator, Mapping
@@ -19,9 +19,6 @@
 
 from ryelatch_core.admission._reservation import ReservationRequest
 
-FLOOR_INTERVAL = 8
-"""Places of which one goes to the request that has waited longest."""
-
 RETRIED_FRACTION = 0.5
 """Fraction of its account's tokens that counts for a client refused before."""
 
@@ -42,7 +39,6 @@
     """Requests that wait for a place, in the order in which they get one."""
 
     _waiting: dict[str, WaitingRequest] = field(default_factory=dict)
-    _overtaken: int = 0
 
     def __len__(self) -> int:
         """Count the waiting requests."""
@@ -66,30 +62,31 @@
         """Remove a request; ``None`` if it doesn't wait."""
         return self._waiting.pop(identity, None)
 
+    def list_priorities(self) -> set[int]:
+        """List the priorities of the waiting requests."""
+        return {waiting.request.priority for waiting in self._waiting.values()}
+
     def choose_first(
-        self, account_tokens: Mapping[str, float]
+        self, account_tokens: Mapping[str, float], starved: int | None
     ) -> ReservationRequest:
         """Return the waiting request that goes first.
 
         :param account_tokens: tokens in progress by client account.
+        :param starved: priority of waiting requests that goes first, if any.
         """
-        if self._is_floor_due():
-            return next(iter(self._waiting.values())).request
-        order = _build_order(account_tokens)
-        return min(self._waiting.values(), key=order).request
+        candidates = (
+            waiting
+            for waiting in self._waiting.values()
+            if starved in {None, waiting.request.priority}
+        )
+        return min(candidates, key=_build_order(account_tokens)).request
 
     def sort(self, account_tokens: Mapping[str, float]) -> list[WaitingRequest]:
-        """List the waiting requests, the one that goes first at the front.
+        """List the waiting requests by rank.
 
         :param account_tokens: tokens in progress by client account.
         """
-        order = _build_order(account_tokens)
-        ordered = sorted(self._waiting.values(), key=order)
-        if ordered and self._is_floor_due():
-            longest = next(iter(self._waiting.values()))
-            ordered.remove(longest)
-            ordered.insert(0, longest)
-        return ordered
+        return sorted(self._waiting.values(), key=_build_order(account_tokens))
 
     def find_position(
         self, identity: str, account_tokens: Mapping[str, float]
@@ -106,12 +103,14 @@
         self,
         request: ReservationRequest,
         account_tokens: Mapping[str, float],
+        starved: int | None,
     ) -> bool:
         """Return whether a waiting request goes before one that doesn't wait.
 
         :param account_tokens: tokens in progress by client account.
+        :param starved: priority of waiting requests that goes first, if any.
         """
-        if self._waiting and self._is_floor_due():
+        if starved is not None and starved > request.priority:
             return True
         rank = _rank(request, account_tokens)
         return any(
@@ -119,20 +118,6 @@
             for waiting in self._waiting.values()
         )
 
-    def record_grant(self, request: ReservationRequest) -> None:
-        """Record that a request got a place.
-
-        It counts as overtaking if a less urgent one waits.
-        """
-        overtakes = any(
-            waiting.request.priority > request.priority
-            for waiting in self._waiting.values()
-        )
-        self._overtaken = self._overtaken + 1 if overtakes else 0
-
-    def _is_floor_due(self) -> bool:
-        return self._overtaken >= FLOOR_INTERVAL - 1
-
 
 def _rank(
     request: ReservationRequest, account_tokens: Mapping[str, float]
--- a/tests/core_admission_load.py
+++ b/tests/core_admission_load.py
@@ -213,3 +213,9 @@
     """Return the fraction that got a place in time."""
     in_time = [outcome.in_time for outcome in outcomes]
     return sum(in_time) / len(in_time)
+
+
+def get_share_served(outcomes: Iterable[Outcome]) -> float:
+    """Return the fraction that got a place, in time or late."""
+    served = [outcome.granted_at is not None for outcome in outcomes]
+    return sum(served) / len(served)
