--- a/packages/ryelatch-core/src/ryelatch_core/admission/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/__init__.py
@@ -12,6 +12,7 @@
     list_ranked_services,
 )
 from ryelatch_core.admission._queue import AdmissionQueue
+from ryelatch_core.admission._ranking import rank_controllers
 from ryelatch_core.admission._reservation import (
     Granted,
     Queued,
@@ -37,4 +38,5 @@
     'get_priority',
     'list_ranked_services',
     'measure_capacities',
+    'rank_controllers',
 ]
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
@@ -82,6 +82,13 @@
             self._count(reservation.request, reservation.path, -1)
         return reservation
 
+    def read_unplaced(self, identity: str) -> int:
+        """Return the tokens held for a request whose path isn't chosen yet."""
+        reservation = self._reservations.get(identity)
+        if reservation is None or reservation.path:
+            return 0
+        return reservation.request.tokens
+
     def list_expired(self, now: float) -> list[str]:
         """List the requests whose reservations have ended by themselves."""
         return [
--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -255,6 +255,15 @@
     'If frequent, check the links between the nodes.',
     Level.WARNING,
 )
+CONTROLLER_LOST = EventKind(
+    1434,
+    'controller-lost',
+    'The node that controls admission to a zone did not respond; another node '
+    'of that zone is asked, and until it responds each node decides by '
+    'itself.',
+    'If frequent, check the links between the nodes.',
+    Level.WARNING,
+)
 PERMIT_DENIED = EventKind(
     1430,
     'permit-denied',
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_wire.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_wire.py
@@ -41,6 +41,8 @@
     :param account: name of the client account; empty for anonymous routes.
     :param path: stages of the path; empty for non-model services.
     :param last_event: number of the last event delivered to the client.
+    :param priority: rank in the upstream's queue, 0 first; ``None`` if the
+        requests of the service aren't ranked.
     """
 
     replica: str
@@ -48,6 +50,7 @@
     account: str
     path: tuple[Stage, ...] = ()
     last_event: int | None = None
+    priority: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_admission.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_admission.py
@@ -4,8 +4,14 @@
 
 from starlette.types import Scope
 
+from ryelatch_core.admission import get_priority
 from ryelatch_core.quarantine import digest_request
-from ryelatch_core.routing import Route, RoutingTable, choose_service
+from ryelatch_core.routing import (
+    Account,
+    Route,
+    RoutingTable,
+    choose_service,
+)
 from ryelatch_node.ports import RequestMetadata
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._exchange import AdmittedRequest
@@ -114,7 +120,8 @@
     if isinstance(account, Refusal):
         return account
     method, target = scope['method'], _read_target(scope, path)
-    digest = digest_request(host, method, target, account, received.body)
+    name = account.name if account else ''
+    digest = digest_request(host, method, target, name, received.body)
     crashes = context.quarantine.find_refused(digest)
     if crashes is not None:
         return Refusal(
@@ -124,7 +131,6 @@
             digest,
             tuple(sorted(crashes.incarnations)),
         )
-    timeout = min(route.timeout, terms.deadline or route.timeout)
     return AdmittedRequest(
         method,
         target,
@@ -133,9 +139,11 @@
         terms,
         route,
         choose_service(route, context.draw()),
-        account,
+        name,
+        get_priority(route, account),
         received.received_at,
-        received.received_at + timeout,
+        received.received_at
+        + min(route.timeout, terms.deadline or route.timeout),
         table.configuration.version,
         digest,
     )
@@ -146,14 +154,14 @@
     table: RoutingTable,
     route: Route,
     terms: RequestMetadata,
-) -> str | Refusal:
+) -> Account | Refusal | None:
     """Look up the client account of a request by its API key.
 
-    :returns: the name of the account, empty if the route is anonymous or no
-        accounts are configured; or why the request is refused.
+    :returns: the account, ``None`` if the route is anonymous or no accounts
+        are configured; or why the request is refused.
     """
     if route.anonymous or not table.configuration.accounts:
-        return ''
+        return None
     if not context.configuration.allows_keys():
         return Refusal(
             _UNAVAILABLE, 'keys are unconfirmed', UNCONFIRMED_RETRY_SECONDS
@@ -161,7 +169,7 @@
     account = table.find_account(terms.key)
     if account is None:
         return _deny(context, _UNAUTHORIZED, 'unknown key')
-    return account.name
+    return account
 
 
 def _deny(context: RelayContext, status: int, reason: str) -> Refusal:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -13,7 +13,7 @@
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._exchange import AdmittedRequest, Exchange
 from ryelatch_node.relay._progress import Progress
-from ryelatch_node.relay._query import make_path_query
+from ryelatch_node.relay._query import count_tokens, make_path_query
 
 MAX_FIRST_REPLICAS = 3
 """First replicas tried for a request that may crash the replica it runs on."""
@@ -24,13 +24,16 @@
     exchange: Exchange,
     request: AdmittedRequest,
     progress: Progress,
+    zone: str | None = None,
 ) -> tuple[Stage, ...]:
     """Choose the path for the next attempt of a request.
 
+    :param zone: the only availability zone that it may use; ``None`` if it
+        may use any.
     :returns: its stages; empty if there is no path.
     """
     with context.usage.measure_time('paths'):
-        return _choose(context, exchange, request, progress)
+        return _choose(context, exchange, request, progress, zone)
 
 
 def _choose(
@@ -38,20 +41,28 @@
     exchange: Exchange,
     request: AdmittedRequest,
     progress: Progress,
+    zone: str | None,
 ) -> tuple[Stage, ...]:
     suspects = context.replicas.list_suspects()
-    query = make_path_query(context, request, suspects)
+    unusable = suspects
+    if not exchange.started:
+        unusable |= _list_without_memory(context, request)
+    query = make_path_query(context, request, unusable)
     if query is None:
         return ()
     throttled = context.throttle.list_closed()
     full = frozenset() if exchange.started else _list_closed(context, request)
     query = replace(query, closed=throttled | full)
-    offered = context.replicas.list_service(request.service)
+    offered = [
+        replica
+        for replica in context.replicas.list_service(request.service)
+        if zone is None or replica.zone == zone
+    ]
     # A first replica that failed or stalled this request would most likely do
     # so again, and so would replicas that fail many requests.
     failing = context.failures.list_failing(context.clock.monotonic())
     unreliable = failing | progress.excluded
-    strict = replace(query, avoid=suspects | unreliable, crosses=False)
+    strict = replace(query, avoid=unusable | unreliable, crosses=False)
     path = choose_path(offered, strict) if unreliable else ()
     path = path or choose_path(offered, query)
     if path and _may_crash_replicas(context, exchange, request):
@@ -106,22 +117,47 @@
     return next(filter(None, paths), ())
 
 
+def _list_without_memory(
+    context: RelayContext, request: AdmittedRequest
+) -> frozenset[str]:
+    """List the replicas that the requests of all nodes have filled.
+
+    None are listed where the load of all nodes isn't known.
+    """
+    load = context.reservations.find_load(request.service)
+    if load is None:
+        return frozenset()
+    return load.list_full(request.service, count_tokens(context, request))
+
+
 def _list_closed(
     context: RelayContext, request: AdmittedRequest
 ) -> frozenset[str]:
-    """List the first replicas whose concurrency window is full for a request.
+    """List the first replicas that are full for a request.
+
+    Where the load of all nodes is known, they are those without a free slot.
+    Otherwise they are those whose concurrency window is full. Requests whose
+    clients retry will be answered late, so they leave a part of each window to
+    others, as do those of accounts beyond their fair share.
+    """
+    retried = is_retried(context, request)
+    load = context.reservations.find_load(request.service)
+    if load is not None:
+        return load.list_without_slot(request.service)
+    heavy = context.accounts.exceeds_share(request.account)
+    return context.windows.list_closed(yields=retried or heavy)
+
 
-    A client that retries after a refusal has less time left than most clients
-    of its route, and its answer will be late. Such requests, and those of
-    accounts beyond their fair share, leave a part of each window to others.
+def is_retried(context: RelayContext, request: AdmittedRequest) -> bool:
+    """Whether the client of a request seems to have been refused before.
+
+    It then has less time left than most clients of its route.
     """
     route = request.route
     timeout = request.terms.deadline or route.timeout
     longest = max(timeout, context.longest_timeouts.get(route.name, 0))
     context.longest_timeouts[route.name] = longest
-    late = timeout < longest - route.objective
-    heavy = context.accounts.exceeds_share(request.account)
-    return context.windows.list_closed(yields=late or heavy)
+    return timeout < longest - route.objective
 
 
 def misses_layers(context: RelayContext, request: AdmittedRequest) -> bool:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
@@ -21,6 +21,7 @@
 from ryelatch_node.relay._crash_checks import CrashChecks
 from ryelatch_node.relay._slow_replicas import SlowReplicaChecks
 from ryelatch_node.relay._upstream import Upstreams
+from ryelatch_node.reservations import Reservations
 from ryelatch_node.throttle import Throttle
 from ryelatch_node.views import ConfigurationView, ReplicaView
 
@@ -45,6 +46,7 @@
     budget: RetryBudget
     quarantine: Quarantine
     throttle: Throttle
+    reservations: Reservations
     usage: UsageTracker = field(default_factory=UsageTracker)
     load: LoadTracker = field(default_factory=LoadTracker)
     crash_checks: CrashChecks = field(init=False)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -33,6 +33,7 @@
 
     :param target: path and query, byte for byte.
     :param account: name of its client account; empty if anonymous.
+    :param priority: 0 is served first.
     :param arrived: when its headers were received, in monotonic seconds.
     :param deadline: deadline of its complete answer, in monotonic seconds.
     :param version: version of the configuration under which it was admitted.
@@ -47,6 +48,7 @@
     route: Route
     service: str
     account: str
+    priority: int
     arrived: float
     deadline: float
     version: int
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -8,7 +8,6 @@
 from ryelatch_core.quarantine import CRASH_THRESHOLD
 from ryelatch_core.streams import EventSplitter, StreamError
 from ryelatch_node.ports import Dispatch
-from ryelatch_node.relay._choice import choose_request_path
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._crashes import record_stream_crash
 from ryelatch_node.relay._errors import (
@@ -22,6 +21,11 @@
     round_seconds,
 )
 from ryelatch_node.relay._permits import acquire_permit
+from ryelatch_node.relay._places import (
+    Place,
+    choose_reserved_path,
+    hold_place,
+)
 from ryelatch_node.relay._probe import Prober
 from ryelatch_node.relay._progress import (
     Progress,
@@ -67,16 +71,19 @@
     :raises AnswerBroken: if the answer has started and can't be completed.
     """
     progress = Progress(EventSplitter(request.terms.last_event))
-    while await _may_send(context, exchange, request, progress):
-        path = await _choose_path(context, exchange, request, progress)
-        if not path:
-            break
-        result = await _attempt_path(
-            context, watch, exchange, request, path, progress
-        )
-        if result is _AttemptResult.DONE:
-            return
-    await _give_up(context, exchange, request, progress)
+    with hold_place(context, exchange) as place:
+        while await _may_send(context, exchange, request, progress):
+            path = await _choose_path(
+                context, exchange, request, progress, place
+            )
+            if not path:
+                break
+            result = await _attempt_path(
+                context, watch, exchange, request, path, progress
+            )
+            if result is _AttemptResult.DONE:
+                return
+    await _give_up(context, exchange, request, progress, place)
 
 
 async def _choose_path(
@@ -84,6 +91,7 @@
     exchange: Exchange,
     request: AdmittedRequest,
     progress: Progress,
+    place: Place,
 ) -> tuple[Stage, ...]:
     """Choose a path, and acquire a permit for its first replica if needed.
 
@@ -93,11 +101,15 @@
     :returns: the stages of the path; empty if there is no path.
     """
     while True:
-        path = choose_request_path(context, exchange, request, progress)
+        path = await choose_reserved_path(
+            context, exchange, request, progress, place
+        )
         if not path and exchange.started and context.crash_checks.pending:
             # Where only the connection was lost, the replica can go on.
             await context.crash_checks.wait()
-            path = choose_request_path(context, exchange, request, progress)
+            path = await choose_reserved_path(
+                context, exchange, request, progress, place
+            )
         if not path or await acquire_permit(context, exchange, path[0].replica):
             return path
 
@@ -216,12 +228,14 @@
     progress: Progress,
 ) -> _AttemptResult:
     request = stream.request
+    ranked = context.reservations.is_ranked(request.service)
     dispatch = Dispatch(
         stream.first_replica.entry,
         request.deadline - context.clock.monotonic(),
         request.account,
         stream.path,
         progress.splitter.last,
+        request.priority if ranked else None,
     )
     async with context.upstreams.send(
         stream.first_replica,
@@ -311,6 +325,7 @@
     exchange: Exchange,
     request: AdmittedRequest,
     progress: Progress,
+    place: Place,
 ) -> None:
     if exchange.started:
         raise AnswerBroken
@@ -320,4 +335,4 @@
     elif progress.may_have_run:
         await exchange.refuse(_BAD_GATEWAY, 'the answer was lost')
     else:
-        await refuse_unserved(context, exchange, request)
+        await refuse_unserved(context, exchange, request, place)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -14,6 +14,7 @@
 from ryelatch_node.relay._errors import SendErrorKind
 from ryelatch_node.relay._exchange import round_seconds
 from ryelatch_node.relay._probe import Prober
+from ryelatch_node.relay._shortages import record_shortage
 from ryelatch_node.relay._stream import FIRST_REPLICA_LOST, LiveStream
 from ryelatch_node.relay._upstream import Answer
 
@@ -66,6 +67,8 @@
     ):
         context.windows.record_refusal(fault.name, context.clock.monotonic())
     if answer.terms.entry in {'', stream.first_replica.entry}:
+        if not stalled:
+            record_shortage(context, stream.request.service, fault)
         context.replicas.suspect(fault, reason, full=not stalled)
         prober.check(fault)
     else:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_query.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_query.py
@@ -1,6 +1,6 @@
 """Builds the queries with which paths for a request are chosen."""
 
-from ryelatch_core.fleet import ModelProfile, PathQuery
+from ryelatch_core.fleet import LoadEstimate, ModelProfile, PathQuery
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._exchange import AdmittedRequest
 
@@ -37,12 +37,28 @@
         sample=context.draw,
         avoid=avoid,
         local_tokens=context.load.tokens,
-        load=context.load.estimate(now),
+        load=_estimate_load(context, request.service, now),
         excess=context.load.list_excess(now),
         step_factors=context.slow_replicas.tracker.list_slow(now),
     )
 
 
+def _estimate_load(
+    context: RelayContext, service: str, now: float
+) -> LoadEstimate:
+    """Estimate the load of all nodes, or read it where it is known."""
+    estimate = context.load.estimate(now)
+    load = context.reservations.find_load(service)
+    return estimate if load is None else load.merge(service, estimate)
+
+
+def count_tokens(context: RelayContext, request: AdmittedRequest) -> int:
+    """Count the tokens of a request's prompt and expected answer."""
+    profile = get_profile(context, request.service)
+    typical = profile.typical_answer if profile else 0
+    return request.terms.prompt + estimate_answer(request, typical)
+
+
 def estimate_answer(request: AdmittedRequest, typical: float) -> int:
     """Estimate the number of tokens of an answer.
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_refusals.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_refusals.py
@@ -2,8 +2,13 @@
 
 from ryelatch_node.relay._choice import list_first_replicas, misses_layers
 from ryelatch_node.relay._context import RelayContext
-from ryelatch_node.relay._exchange import AdmittedRequest, Exchange
+from ryelatch_node.relay._exchange import (
+    AdmittedRequest,
+    Exchange,
+    round_seconds,
+)
 from ryelatch_node.relay._permits import compute_retry_after
+from ryelatch_node.relay._places import Place
 
 REPAIR_SECONDS = 2.5
 """Retry-After for requests that are refused because layers are missing.
@@ -46,10 +51,22 @@
     context: RelayContext,
     exchange: Exchange,
     request: AdmittedRequest,
+    place: Place,
 ) -> None:
     """Refuse a request to a model that did not run, with a time to retry."""
     if await refuse_quarantined(context, exchange, request):
         return
+    if place.retry_after is not None:
+        await exchange.refuse(
+            _UNAVAILABLE,
+            'no place in time',
+            retry_after=place.retry_after,
+            priority=request.priority,
+            account=request.account,
+            zone=place.zone,
+            waited=round_seconds(place.waited),
+        )
+        return
     missing = misses_layers(context, request)
     retry_after = (
         REPAIR_SECONDS if missing else _estimate_retry_after(context, request)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -23,6 +23,7 @@
 from ryelatch_node.relay._server import RelayServer
 from ryelatch_node.relay._upstream import AnswerHook, Upstreams
 from ryelatch_node.relay._watch import StreamWatch
+from ryelatch_node.reservations import Reservations
 from ryelatch_node.throttle import Throttle
 from ryelatch_node.views import ConfigurationView, ReplicaView
 
@@ -120,6 +121,10 @@
             'replicas_suspected': lambda: len(context.replicas.list_suspects()),
             'first_replicas_full': lambda: len(context.windows.list_closed()),
             'requests_quarantined': lambda: context.quarantine.count_refused(),
+            'requests_waiting': (
+                context.reservations.controllers.count_waiting
+            ),
+            'places_reserved': context.reservations.controllers.count_reserved,
             'replicas_limited': lambda: context.throttle.count_limited(),
             'requests_suspected': lambda: context.quarantine.count_suspects(),
             'retries_left': lambda: context.budget.left,
@@ -197,6 +202,7 @@
         ),
         quarantine=app.find('quarantine', Quarantine),
         throttle=throttle,
+        reservations=app.find('reservations', Reservations),
         usage=app.find('costs', UsageTracker),
         load=load,
     )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_stream_migrator.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream_migrator.py
@@ -7,6 +7,7 @@
 from ryelatch_node.ports import CommandResult, MoveResult
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._exchange import round_seconds
+from ryelatch_node.relay._places import record_path
 from ryelatch_node.relay._probe import Prober
 from ryelatch_node.relay._query import make_path_query
 from ryelatch_node.relay._stream import LiveStream
@@ -83,6 +84,7 @@
             self.context.load.remove(stream.path, stream.tokens, now)
             self.context.load.add(path, stream.tokens, now)
             stream.path = path
+            record_path(self.context, stream.exchange, path)
             stream.progress = now
         return moved
 
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
@@ -0,0 +1,337 @@
+"""Asks the controllers of zones for places, and keeps what they granted."""
+
+import asyncio
+import itertools
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from ryelatch_core.admission import ReservationRequest, rank_controllers
+from ryelatch_core.events import LineLog, catalogue
+from ryelatch_core.kernel import Clock
+from ryelatch_core.membership import NodeEntry
+from ryelatch_node.peer_sync import (
+    REQUEST_ERRORS,
+    PeerBackoffs,
+    PeerSync,
+    connect_to_peer,
+)
+from ryelatch_node.reservations._channel import (
+    Channel,
+    open_local_channel,
+    open_remote_channel,
+)
+from ryelatch_node.reservations._controllers import ZoneControllers, ZoneKey
+from ryelatch_node.reservations._frames import (
+    AnyFrame,
+    AnyReply,
+    BusyReply,
+    Enqueue,
+    GrantReply,
+    Place,
+    QueueReply,
+    RefusalReply,
+    Release,
+    Reserve,
+    Restore,
+    Shortage,
+    make_terms,
+)
+from ryelatch_node.reservations._load import FleetLoad
+from ryelatch_node.tasks import Tasks
+
+REPLY_SECONDS = 0.15
+"""Longest wait for a reply, or beyond the time that a request may wait.
+
+Within a region a reply takes a millisecond. Without one, the request is served
+as if there were no controllers.
+"""
+
+MAX_CONTROLLERS = 3
+"""Nodes of a zone that may control it, in order of preference.
+
+Later ones are needed as VMs that were removed permanently stay in the list of
+nodes.
+"""
+
+
+@dataclass(eq=False)
+class _Held:
+    """A place that this node asks for or holds.
+
+    :param number: of the request at this node.
+    :param path: names of the replicas; empty until it was sent on a path.
+    :param channel: the way to the controller that knows of it, if any.
+    """
+
+    number: int
+    key: ZoneKey
+    request: ReservationRequest
+    path: tuple[str, ...] = ()
+    channel: Channel | None = None
+
+
+@dataclass(eq=False)
+class _Pending:
+    """A question that waits for its reply.
+
+    :param reply: ``None`` if the controller was lost.
+    :param patience: ends the wait if no reply comes.
+    :param expires: when a place is of no use any more, in monotonic seconds.
+    """
+
+    reply: 'asyncio.Future[AnyReply | None]'
+    patience: asyncio.Timeout
+    expires: float
+    queued: bool = False
+
+
+@dataclass(eq=False)
+class ReservationClient:
+    """Asks the controllers of zones for places.
+
+    Places that this node holds are reported to the next controller of their
+    zone if the present one is lost.
+
+    :param name: name of this node.
+    :param load: what the controllers reported of the load of all nodes.
+    """
+
+    name: str
+    log: LineLog
+    clock: Clock
+    peer_sync: PeerSync
+    controllers: ZoneControllers
+    load: FleetLoad
+    tasks: Tasks
+    _numbers: 'itertools.count[int]' = field(default_factory=itertools.count)
+    _held: dict[str, _Held] = field(default_factory=dict)
+    _pending: dict[int, _Pending] = field(default_factory=dict)
+    _channels: dict[ZoneKey, Channel] = field(default_factory=dict)
+    _locks: dict[ZoneKey, asyncio.Lock] = field(
+        default_factory=lambda: defaultdict(asyncio.Lock)
+    )
+    _ranked: dict[ZoneKey, list[NodeEntry]] = field(default_factory=dict)
+    _ranked_nodes: tuple[NodeEntry, ...] = ()
+    _backoffs: PeerBackoffs = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the backoffs of controllers that did not reply."""
+        self._backoffs = PeerBackoffs(self.clock)
+
+    async def stop(self) -> None:
+        """Close all channels."""
+        for channel in tuple(self._channels.values()):
+            await channel.close()
+        self._channels.clear()
+
+    async def reserve(
+        self,
+        key: ZoneKey,
+        request: ReservationRequest,
+        path: tuple[str, ...],
+    ) -> GrantReply | BusyReply | None:
+        """Ask for room on a path at once.
+
+        :param path: names of the replicas, in order.
+        :returns: ``None`` if no controller replies.
+        """
+        held = self._hold(key, request)
+        terms = make_terms(request, self.clock.monotonic())
+        reply = await self._ask(held, Reserve(held.number, terms, path))
+        match reply:
+            case GrantReply():
+                held.path = path
+                return reply
+            case BusyReply():
+                self._held.pop(request.identity, None)
+                return reply
+        return None
+
+    async def enqueue(
+        self, key: ZoneKey, request: ReservationRequest
+    ) -> GrantReply | RefusalReply | None:
+        """Ask for a place, and wait for it.
+
+        :returns: ``None`` if no controller replies.
+        """
+        held = self._hold(key, request)
+        terms = make_terms(request, self.clock.monotonic())
+        reply = await self._ask(held, Enqueue(held.number, terms))
+        if isinstance(reply, GrantReply):
+            return reply
+        if isinstance(reply, RefusalReply):
+            self._held.pop(request.identity, None)
+            return reply
+        return None
+
+    def holds(self, identity: str) -> bool:
+        """Whether this node holds a place for a request."""
+        return identity in self._held
+
+    def place(self, identity: str, path: tuple[str, ...]) -> None:
+        """Report the path on which a request was sent, or moved to.
+
+        Does nothing for a request that needs no place. One that was sent
+        without asking a controller, as none replied, is reported as well.
+        """
+        held = self._held.get(identity)
+        if held is None or held.path == path:
+            return
+        held.path = path
+        channel = self._channels.get(held.key)
+        if channel is not None and held.channel is channel:
+            channel.send(Place(held.number, path))
+        elif channel is not None:
+            self._restore(held, channel)
+
+    def release(self, identity: str) -> None:
+        """Report that a request has ended or no longer waits."""
+        held = self._held.pop(identity, None)
+        if held is not None:
+            self._tell(held.key, Release(held.number))
+
+    def record_shortage(self, key: ZoneKey, replica: str) -> None:
+        """Report that a replica refused a request for lack of memory."""
+        self._tell(key, Shortage(replica))
+
+    def _hold(self, key: ZoneKey, request: ReservationRequest) -> _Held:
+        """Begin to ask for a place, in place of an earlier one."""
+        self.release(request.identity)
+        held = _Held(next(self._numbers), key, request)
+        self._held[request.identity] = held
+        return held
+
+    async def _ask(self, held: _Held, frame: AnyFrame) -> AnyReply | None:
+        channel = await self._open_channel(held.key)
+        if channel is None:
+            return None
+        reply: asyncio.Future[AnyReply | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        try:
+            async with asyncio.timeout(REPLY_SECONDS) as patience:
+                self._pending[held.number] = _Pending(
+                    reply, patience, held.request.start_by
+                )
+                held.channel = channel
+                channel.send(frame)
+                return await reply
+        except TimeoutError:
+            self._abandon(held.key, channel, 'no reply')
+            return None
+        finally:
+            self._pending.pop(held.number, None)
+
+    def _receive(self, key: ZoneKey, message: AnyReply) -> None:
+        """Handle a message of a controller."""
+        if isinstance(message, GrantReply):
+            self.load.record(key, message.load, 0)
+        elif isinstance(message, BusyReply):
+            self.load.record(key, message.load, message.waiting)
+        pending = self._pending.get(message.number)
+        if pending is None or pending.reply.done():
+            # The request ended meanwhile, and its place was released.
+            return
+        if isinstance(message, QueueReply):
+            left = max(0, pending.expires - self.clock.monotonic())
+            now = asyncio.get_running_loop().time()
+            pending.patience.reschedule(now + left + REPLY_SECONDS)
+        else:
+            pending.reply.set_result(message)
+
+    async def _open_channel(self, key: ZoneKey) -> Channel | None:
+        """Find the channel to the controller of a zone, or open one."""
+        async with self._locks[key]:
+            channel = self._channels.get(key)
+            if channel is not None:
+                return channel
+            for node in self._list_controllers(key):
+                channel = await self._connect(key, node)
+                if channel is not None:
+                    self._channels[key] = channel
+                    self._restore_all(key, channel)
+                    return channel
+        return None
+
+    async def _connect(self, key: ZoneKey, node: NodeEntry) -> Channel | None:
+        if node.name == self.name:
+            return open_local_channel(
+                self.controllers, key, lambda reply: self._receive(key, reply)
+            )
+        try:
+            connection = await connect_to_peer(
+                self.peer_sync.dial, node.address
+            )
+        except REQUEST_ERRORS as error:
+            self._record_lost(key, node.address, type(error).__name__)
+            return None
+        return open_remote_channel(
+            connection,
+            key,
+            lambda reply: self._receive(key, reply),
+            lambda: self._handle_end(key, node.address),
+        )
+
+    def _list_controllers(self, key: ZoneKey) -> list[NodeEntry]:
+        """List the nodes that may control a zone and are not in backoff."""
+        if self._ranked_nodes is not self.peer_sync.nodes:
+            self._ranked_nodes = self.peer_sync.nodes
+            self._ranked.clear()
+        if key not in self._ranked:
+            ranked = rank_controllers(key.service, key.zone, self._ranked_nodes)
+            self._ranked[key] = ranked[:MAX_CONTROLLERS]
+        return [
+            node
+            for node in self._ranked[key]
+            if not self._backoffs.is_active(node.address)
+        ]
+
+    def _restore_all(self, key: ZoneKey, channel: Channel) -> None:
+        """Report the requests in progress to a new controller."""
+        for held in self._held.values():
+            if held.key == key and held.path:
+                self._restore(held, channel)
+
+    def _restore(self, held: _Held, channel: Channel) -> None:
+        terms = make_terms(held.request, self.clock.monotonic())
+        held.channel = channel
+        channel.send(Restore(held.number, terms, held.path))
+
+    def _tell(self, key: ZoneKey, frame: AnyFrame) -> None:
+        """Send a message without a reply; lost if there is no channel."""
+        channel = self._channels.get(key)
+        if channel is not None:
+            channel.send(frame)
+
+    def _handle_end(self, key: ZoneKey, address: str) -> None:
+        """Handle a connection that the controller ended, or that broke."""
+        channel = self._channels.get(key)
+        if channel is not None and channel.address == address:
+            del self._channels[key]
+            self._fail_pending(key)
+            self._record_lost(key, address, 'connection lost')
+
+    def _abandon(self, key: ZoneKey, channel: Channel, reason: str) -> None:
+        """Leave a controller that doesn't reply."""
+        if self._channels.get(key) is channel:
+            del self._channels[key]
+            self._fail_pending(key)
+            self._record_lost(key, channel.address, reason)
+            self.tasks.spawn(channel.close())
+
+    def _fail_pending(self, key: ZoneKey) -> None:
+        for held in self._held.values():
+            pending = self._pending.get(held.number)
+            if held.key == key and pending and not pending.reply.done():
+                pending.reply.set_result(None)
+
+    def _record_lost(self, key: ZoneKey, address: str, reason: str) -> None:
+        seconds = self._backoffs.begin(address)
+        self.log.record(
+            catalogue.CONTROLLER_LOST,
+            service=key.service,
+            zone=key.zone,
+            peer=address,
+            reason=reason,
+            seconds=seconds,
+        )
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_frames.py
@@ -0,0 +1,166 @@
+"""Messages between a node and the controller of a zone."""
+
+from typing import Annotated, TypeAlias
+
+import msgspec
+
+from ryelatch_core.admission import ReservationRequest
+from ryelatch_node.peer_sync import Duration, IncarnationName
+
+Count = Annotated[int, msgspec.Meta(ge=0)]
+"""A number of things, not negative."""
+
+
+class Terms(msgspec.Struct, frozen=True, array_like=True):
+    """What a request needs; times are relative, as clocks of VMs differ.
+
+    :param start_in: seconds until a place is of no use any more.
+    :param expires_in: seconds until the client stops waiting.
+    """
+
+    priority: Count
+    account: str
+    tokens: Count
+    retried: bool
+    start_in: Duration
+    expires_in: Duration
+
+
+class Reserve(msgspec.Struct, frozen=True, array_like=True, tag='reserve'):
+    """Asks for room on a path at once.
+
+    :param number: of the request in this session.
+    :param path: names of the replicas, in order.
+    """
+
+    number: Count
+    terms: Terms
+    path: Annotated[tuple[IncarnationName, ...], msgspec.Meta(min_length=1)]
+
+
+class Enqueue(msgspec.Struct, frozen=True, array_like=True, tag='enqueue'):
+    """Asks to wait for a place."""
+
+    number: Count
+    terms: Terms
+
+
+class Restore(msgspec.Struct, frozen=True, array_like=True, tag='restore'):
+    """Reports a request in progress that another controller admitted."""
+
+    number: Count
+    terms: Terms
+    path: tuple[IncarnationName, ...]
+
+
+class Place(msgspec.Struct, frozen=True, array_like=True, tag='place'):
+    """Reports the path on which an admitted request was sent."""
+
+    number: Count
+    path: tuple[IncarnationName, ...]
+
+
+class Release(msgspec.Struct, frozen=True, array_like=True, tag='release'):
+    """Reports that a request has ended, or waits no longer."""
+
+    number: Count
+
+
+class Shortage(msgspec.Struct, frozen=True, array_like=True, tag='shortage'):
+    """Reports that a replica refused a request for lack of memory."""
+
+    replica: IncarnationName
+
+
+AnyFrame: TypeAlias = Reserve | Enqueue | Restore | Place | Release | Shortage
+
+
+class ReplicaLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Reservations of all nodes at a replica.
+
+    :param tokens: reserved tokens.
+    :param free: tokens that may still be reserved.
+    :param free_slots: paths that may still begin at it.
+    """
+
+    name: IncarnationName
+    requests: Count
+    tokens: Count
+    free: Count
+    free_slots: Count
+
+
+class GrantReply(msgspec.Struct, frozen=True, array_like=True, tag='granted'):
+    """A place was reserved.
+
+    :param load: of all replicas of the zone.
+    """
+
+    number: Count
+    load: tuple[ReplicaLoad, ...]
+
+
+class BusyReply(msgspec.Struct, frozen=True, array_like=True, tag='busy'):
+    """There is no room on the path, or other requests go first.
+
+    :param waiting: number of requests that wait for a place.
+    """
+
+    number: Count
+    load: tuple[ReplicaLoad, ...]
+    waiting: Count
+
+
+class QueueReply(msgspec.Struct, frozen=True, array_like=True, tag='queued'):
+    """A request waits; a grant or a refusal follows.
+
+    :param wait: predicted seconds until the grant.
+    """
+
+    number: Count
+    wait: Duration
+
+
+class RefusalReply(msgspec.Struct, frozen=True, array_like=True, tag='refused'):
+    """No place is expected in time.
+
+    :param retry_after: seconds after which one is expected.
+    """
+
+    number: Count
+    retry_after: Duration
+
+
+AnyReply: TypeAlias = GrantReply | BusyReply | QueueReply | RefusalReply
+
+
+def make_terms(request: ReservationRequest, now: float) -> Terms:
+    """Describe a request to another VM.
+
+    :param now: monotonic seconds.
+    """
+    return Terms(
+        request.priority,
+        request.account,
+        request.tokens,
+        request.retried,
+        max(0, request.start_by - now),
+        max(0, request.expires - now),
+    )
+
+
+def read_terms(terms: Terms, identity: str, now: float) -> ReservationRequest:
+    """Read the description of a request.
+
+    :param identity: of the request at this node.
+    :param now: monotonic seconds.
+    """
+    return ReservationRequest(
+        identity,
+        terms.priority,
+        terms.account,
+        terms.tokens,
+        terms.retried,
+        now + terms.start_in,
+        now + terms.expires_in,
+    )
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
@@ -0,0 +1,247 @@
+"""Admission to the replicas of one service in one zone, for all nodes."""
+
+import asyncio
+import itertools
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import assert_never
+
+from ryelatch_core.admission import (
+    AdmissionController,
+    Granted,
+    Queued,
+    Refused,
+    ReplicaCapacity,
+)
+from ryelatch_core.events import UsageTracker
+from ryelatch_core.kernel import Clock
+from ryelatch_node.reservations._frames import (
+    AnyFrame,
+    AnyReply,
+    BusyReply,
+    Enqueue,
+    GrantReply,
+    Place,
+    QueueReply,
+    RefusalReply,
+    Release,
+    ReplicaLoad,
+    Reserve,
+    Restore,
+    Shortage,
+    read_terms,
+)
+from ryelatch_node.tasks import Tasks
+
+TICK_SECONDS = 0.05
+"""Interval at which waiting requests are looked at if no place is freed."""
+
+CAPACITY_SECONDS = 0.25
+"""Age at which the capacities of the replicas are computed anew."""
+
+
+@dataclass(frozen=True)
+class ZoneCapacity:
+    """What the replicas of a zone hold.
+
+    :param layers: number of layers of the model.
+    """
+
+    replicas: dict[str, ReplicaCapacity]
+    layers: int
+
+
+@dataclass(eq=False)
+class ZoneSession:
+    """The requests of one node.
+
+    :param reply: sends a reply to the node.
+    """
+
+    name: str
+    reply: Callable[[AnyReply], None]
+    identities: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(eq=False)
+class ZoneAdmission:
+    """Controls admission to a zone and delivers the decisions to the nodes.
+
+    :param measure: returns what the replicas of the zone hold.
+    """
+
+    clock: Clock
+    usage: UsageTracker
+    controller: AdmissionController
+    measure: Callable[[], ZoneCapacity]
+    tasks: Tasks
+    _numbers: 'itertools.count[int]' = field(default_factory=itertools.count)
+    _sessions: dict[str, ZoneSession] = field(default_factory=dict)
+    _owners: dict[str, ZoneSession] = field(default_factory=dict)
+    _capacity: ZoneCapacity = ZoneCapacity({}, 0)
+    _measured: float = float('-inf')
+    _ticking: bool = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether no node has a session."""
+        return not self._sessions
+
+    def open(self, reply: Callable[[AnyReply], None]) -> ZoneSession:
+        """Open the session of a node.
+
+        :param reply: sends a reply to the node.
+        """
+        session = ZoneSession(f'{next(self._numbers)}', reply)
+        self._sessions[session.name] = session
+        return session
+
+    def close(self, session: ZoneSession) -> None:
+        """End a session, and release all that its node had reserved."""
+        self._sessions.pop(session.name, None)
+        for identity in tuple(session.identities):
+            self._release(session, identity)
+        self._admit_waiting()
+
+    def handle(self, session: ZoneSession, frame: AnyFrame) -> None:
+        """Handle a message of a node."""
+        now = self.clock.monotonic()
+        self._refresh(now)
+        match frame:
+            case Reserve():
+                self._reserve(session, frame, now)
+            case Enqueue():
+                self._enqueue(session, frame, now)
+            case Restore():
+                identity = self._register(session, frame.number)
+                request = read_terms(frame.terms, identity, now)
+                self.controller.restore(request, frame.path, now)
+            case Place():
+                identity = _identify(session, frame.number)
+                self.controller.place(identity, frame.path, now)
+                self._admit_waiting()
+            case Release():
+                self._release(session, _identify(session, frame.number))
+                self._admit_waiting()
+            case Shortage():
+                self.controller.record_shortage(frame.replica, now)
+            case _:
+                assert_never(frame)
+
+    def _reserve(
+        self, session: ZoneSession, frame: Reserve, now: float
+    ) -> None:
+        identity = self._register(session, frame.number)
+        request = read_terms(frame.terms, identity, now)
+        if self.controller.reserve(request, frame.path, now):
+            self._count(request.priority, 'granted')
+            session.reply(GrantReply(frame.number, self._list_load(now)))
+            return
+        self._unregister(session, identity)
+        waiting = len(self.controller.queue)
+        session.reply(BusyReply(frame.number, self._list_load(now), waiting))
+
+    def _enqueue(
+        self, session: ZoneSession, frame: Enqueue, now: float
+    ) -> None:
+        identity = self._register(session, frame.number)
+        request = read_terms(frame.terms, identity, now)
+        self._deliver(self.controller.enqueue(request, now), now)
+        if identity in self.controller.queue:
+            self._count(request.priority, 'queued')
+            self._start_ticking()
+
+    def _admit_waiting(self) -> None:
+        now = self.clock.monotonic()
+        self._deliver(self.controller.admit_waiting(now), now)
+
+    def _deliver(
+        self, decisions: Sequence[Granted | Queued | Refused], now: float
+    ) -> None:
+        for decision in decisions:
+            session = self._owners[decision.identity]
+            number = session.identities[decision.identity]
+            match decision:
+                case Granted():
+                    self.usage.count('admission', 'granted after a wait')
+                    load = self._list_load(now, decision.identity)
+                    session.reply(GrantReply(number, load))
+                case Queued():
+                    session.reply(QueueReply(number, decision.wait))
+                case Refused():
+                    self.usage.count('admission', 'refused')
+                    self._unregister(session, decision.identity)
+                    session.reply(RefusalReply(number, decision.retry_after))
+
+    def _register(self, session: ZoneSession, number: int) -> str:
+        identity = _identify(session, number)
+        session.identities[identity] = number
+        self._owners[identity] = session
+        return identity
+
+    def _unregister(self, session: ZoneSession, identity: str) -> None:
+        session.identities.pop(identity, None)
+        self._owners.pop(identity, None)
+
+    def _release(self, session: ZoneSession, identity: str) -> None:
+        self.controller.release(identity, self.clock.monotonic())
+        self._unregister(session, identity)
+
+    def _refresh(self, now: float) -> None:
+        if now - self._measured >= CAPACITY_SECONDS:
+            self._measured = now
+            self._capacity = self.measure()
+            self.controller.update(
+                self._capacity.replicas, self._capacity.layers
+            )
+
+    def _list_load(
+        self, now: float, holder: str = ''
+    ) -> tuple[ReplicaLoad, ...]:
+        """List the load of all replicas.
+
+        :param holder: request that the list is for; it may use the room that
+            is held for it.
+        """
+        controller = self.controller
+        ledger = controller.ledger
+        full = controller.list_full(0, now)
+        held = ledger.unplaced_tokens - ledger.read_unplaced(holder)
+        return tuple(
+            ReplicaLoad(
+                name,
+                ledger.requests[name],
+                ledger.tokens[name],
+                0
+                if name in full
+                else _count_free(capacity.tokens - ledger.tokens[name] - held),
+                max(0, capacity.slots - ledger.entries[name]),
+            )
+            for name, capacity in self._capacity.replicas.items()
+        )
+
+    def _start_ticking(self) -> None:
+        if not self._ticking:
+            self._ticking = True
+            self.tasks.spawn(self._tick())
+
+    async def _tick(self) -> None:
+        """Decide on waiting requests until none is left."""
+        try:
+            while self.controller.queue:
+                await asyncio.sleep(TICK_SECONDS)
+                self._refresh(self.clock.monotonic())
+                self._admit_waiting()
+        finally:
+            self._ticking = False
+
+    def _count(self, priority: int, outcome: str) -> None:
+        self.usage.count('admission', f'priority {priority}', outcome)
+
+
+def _count_free(tokens: float) -> int:
+    return max(0, int(tokens))
+
+
+def _identify(session: ZoneSession, number: int) -> str:
+    return f'{session.name}/{number}'
