--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -27,6 +27,7 @@
     ReservationRequest,
 )
 from ryelatch_core.admission._retry_delays import RetryScheduler
+from ryelatch_core.admission._window import ConcurrencyWindows
 
 RATE_SECONDS = 1.0
 """Averaging time of the rates at which places are freed and granted."""
@@ -55,6 +56,7 @@
     ledger: ReservationLedger = field(default_factory=ReservationLedger)
     queue: AdmissionQueue = field(default_factory=AdmissionQueue)
     returns: RetryScheduler = field(default_factory=RetryScheduler)
+    windows: ConcurrencyWindows = field(init=False)
     _capacities: Mapping[str, ReplicaCapacity] = field(default_factory=dict)
     _layers: int = 0
     _short_until: dict[str, float] = field(default_factory=dict)
@@ -65,6 +67,10 @@
         default_factory=lambda: defaultdict(lambda: EventRate(RATE_SECONDS))
     )
 
+    def __post_init__(self) -> None:
+        """Create the windows, which count what the ledger holds."""
+        self.windows = ConcurrencyWindows(self.sample, self.ledger.entries)
+
     def update(
         self, capacities: Mapping[str, ReplicaCapacity], layers: int
     ) -> None:
@@ -74,6 +80,7 @@
         """
         self._capacities = capacities
         self._layers = layers
+        self.windows.keep(capacities)
 
     def reserve(
         self, request: ReservationRequest, path: tuple[str, ...], now: float
@@ -120,6 +127,20 @@
         if self.ledger.remove(identity) is not None:
             self._released.record(now)
 
+    def record_first_event(
+        self, identity: str, seconds: float, objective: float, now: float
+    ) -> None:
+        """Record how long a request took to its first event.
+
+        :param seconds: from when it was sent.
+        :param objective: seconds within which its client expects the event.
+        """
+        reservation = self.ledger.find(identity)
+        if reservation is not None and reservation.path:
+            self.windows.record_first_event(
+                reservation.path[0], seconds, objective, now
+            )
+
     def record_shortage(self, name: str, now: float) -> None:
         """Record that a replica refused a request for lack of memory."""
         self._short_until[name] = now + SHORTAGE_SECONDS
@@ -160,8 +181,12 @@
         return full | self._short_until.keys()
 
     def list_without_slot(self) -> frozenset[str]:
-        """List the replicas at which no further path may begin."""
-        return list_without_slot(self._capacities, self.ledger)
+        """List the replicas at which no further path may begin.
+
+        They have no free slot, or first events from there come late.
+        """
+        without_slot = list_without_slot(self._capacities, self.ledger)
+        return without_slot | self.windows.list_closed()
 
     def _has_room(self, request: ReservationRequest, now: float) -> bool:
         full = self.list_full(request.tokens, now)
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
@@ -82,6 +82,10 @@
             self._count(reservation.request, reservation.path, -1)
         return reservation
 
+    def find(self, identity: str) -> Reservation | None:
+        """Find the reservation of a request."""
+        return self._reservations.get(identity)
+
     def read_unplaced(self, identity: str) -> int:
         """Return the tokens held for a request whose path isn't chosen yet."""
         reservation = self._reservations.get(identity)
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_window.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_window.py
@@ -96,10 +96,17 @@
     """Concurrency windows of one node, by name of the first replica.
 
     :param sample: returns random numbers from 0 to 1.
+    :param requests: requests by first replica, if others count them.
     """
 
-    def __init__(self, sample: Callable[[], float]) -> None:
-        self.requests: Counter[str] = Counter()
+    def __init__(
+        self,
+        sample: Callable[[], float],
+        requests: Counter[str] | None = None,
+    ) -> None:
+        self.requests: Counter[str] = (
+            Counter() if requests is None else requests
+        )
         self._sample = sample
         self._windows: dict[str, _Window] = {}
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -92,6 +92,11 @@
     _written: float | None = None
     detail: dict[str, Any] = field(default_factory=dict)
 
+    @property
+    def key(self) -> str:
+        """A name that is unique while the request is in progress."""
+        return f'{id(self):x}'
+
     def record(self, kind: EventKind, /, **detail: Any) -> None:
         """Write a log line about this request."""
         self.log.record(kind, request=self.identity, **detail)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_places.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_places.py
@@ -68,7 +68,7 @@
     try:
         yield Place()
     finally:
-        context.reservations.client.release(_identify(exchange))
+        context.reservations.client.release(exchange.key)
 
 
 async def choose_reserved_path(
@@ -111,9 +111,7 @@
 ) -> None:
     """Report the path of a request that holds a place."""
     if path:
-        context.reservations.client.place(
-            _identify(exchange), _list_names(path)
-        )
+        context.reservations.client.place(exchange.key, _list_names(path))
 
 
 async def _wait(
@@ -161,7 +159,7 @@
     if retried:
         start_by = now + MAX_RETRIED_WAIT_SECONDS
     return ReservationRequest(
-        _identify(exchange),
+        exchange.key,
         request.priority,
         request.account,
         count_tokens(context, request),
@@ -171,11 +169,6 @@
     )
 
 
-def _identify(exchange: Exchange) -> str:
-    """Name a request, uniquely while it is in progress at this node."""
-    return f'{id(exchange):x}'
-
-
 def _list_names(path: tuple[Stage, ...]) -> tuple[str, ...]:
     return tuple(stage.replica.name for stage in path)
 
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
@@ -24,6 +24,7 @@
 from ryelatch_node.reservations._frames import (
     AnyFrame,
     AnyReply,
+    Begin,
     BusyReply,
     Enqueue,
     GrantReply,
@@ -184,6 +185,18 @@
         elif channel is not None:
             self._restore(held, channel)
 
+    def record_first_event(
+        self, identity: str, seconds: float, objective: float
+    ) -> None:
+        """Report how long a request took to its first event.
+
+        :param seconds: from when it was sent.
+        :param objective: seconds within which its client expects the event.
+        """
+        held = self._held.get(identity)
+        if held is not None:
+            self._tell(held.key, Begin(held.number, seconds, objective))
+
     def release(self, identity: str) -> None:
         """Report that a request has ended or no longer waits."""
         held = self._held.pop(identity, None)
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_frames.py
@@ -60,6 +60,18 @@
     path: tuple[IncarnationName, ...]
 
 
+class Begin(msgspec.Struct, frozen=True, array_like=True, tag='begin'):
+    """Reports how long a request took to its first event.
+
+    :param seconds: from when it was sent.
+    :param objective: seconds within which its client expects the event.
+    """
+
+    number: Count
+    seconds: Duration
+    objective: Duration
+
+
 class Release(msgspec.Struct, frozen=True, array_like=True, tag='release'):
     """Reports that a request has ended, or waits no longer."""
 
@@ -72,7 +84,9 @@
     replica: IncarnationName
 
 
-AnyFrame: TypeAlias = Reserve | Enqueue | Restore | Place | Release | Shortage
+AnyFrame: TypeAlias = (
+    Reserve | Enqueue | Restore | Place | Begin | Release | Shortage
+)
 
 
 class ReplicaLoad(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
@@ -18,6 +18,7 @@
 from ryelatch_node.reservations._frames import (
     AnyFrame,
     AnyReply,
+    Begin,
     BusyReply,
     Enqueue,
     GrantReply,
@@ -123,11 +124,22 @@
             case Release():
                 self._release(session, _identify(session, frame.number))
                 self._admit_waiting()
-            case Shortage():
-                self.controller.record_shortage(frame.replica, now)
+            case Begin() | Shortage():
+                self._record_observation(session, frame, now)
             case _:
                 assert_never(frame)
 
+    def _record_observation(
+        self, session: ZoneSession, frame: Begin | Shortage, now: float
+    ) -> None:
+        if isinstance(frame, Shortage):
+            self.controller.record_shortage(frame.replica, now)
+            return
+        identity = _identify(session, frame.number)
+        self.controller.record_first_event(
+            identity, frame.seconds, frame.objective, now
+        )
+
     def _reserve(
         self, session: ZoneSession, frame: Reserve, now: float
     ) -> None:
@@ -206,6 +218,7 @@
         controller = self.controller
         ledger = controller.ledger
         full = controller.list_full(0, now)
+        closed = controller.list_without_slot()
         held = ledger.unplaced_tokens - ledger.read_unplaced(holder)
         return tuple(
             ReplicaLoad(
@@ -215,7 +228,9 @@
                 0
                 if name in full
                 else _count_free(capacity.tokens - ledger.tokens[name] - held),
-                max(0, capacity.slots - ledger.entries[name]),
+                0
+                if name in closed
+                else max(0, capacity.slots - ledger.entries[name]),
             )
             for name, capacity in self._capacity.replicas.items()
         )
--- a/tests/node/relay/test_windows.py
+++ b/tests/node/relay/test_windows.py
@@ -22,7 +22,7 @@
     head = make_replica('head', 0, 80)
     request = SimpleNamespace(route=SimpleNamespace(objective=0.5), arrived=0.0)
     return LiveStream(
-        cast(Any, SimpleNamespace(ran=0, detail={})),
+        cast(Any, SimpleNamespace(ran=0, detail={}, key='')),
         cast(Any, request),
         (Stage(head, LayerRange(0, 80)),),
         sent=0,
@@ -41,6 +41,9 @@
         load=LoadTracker(),
         windows=windows,
         slow_replicas=SimpleNamespace(check=lambda _: None),
+        reservations=SimpleNamespace(
+            client=SimpleNamespace(record_first_event=lambda *_: None)
+        ),
     )
 
 
