--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -7,15 +7,18 @@
 milliseconds only and no room has to stay free for them.
 """
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from ryelatch_core.admission._headroom import (
     ReplicaCapacity,
+    count_free_slots,
     has_path,
     list_full,
     list_without_slot,
+    measure_largest,
 )
 from ryelatch_core.admission._ledger import ReservationLedger
 from ryelatch_core.admission._queue import FLOOR_INTERVAL, AdmissionQueue
@@ -35,6 +38,9 @@
 MIN_RATE = 0.5
 """Lower bound of the expected places per second, so that waits are finite."""
 
+PREDICTION_SECONDS = 0.02
+"""Minimum time between predictions of all waits, which take long."""
+
 SHORTAGE_SECONDS = 0.2
 """Time for which a replica that refused for lack of memory counts as full.
 
@@ -59,6 +65,8 @@
     windows: ConcurrencyWindows = field(init=False)
     _capacities: Mapping[str, ReplicaCapacity] = field(default_factory=dict)
     _layers: int = 0
+    _max_tokens: float = math.inf
+    _predicted_at: float = -math.inf
     _short_until: dict[str, float] = field(default_factory=dict)
     _released: EventRate = field(
         default_factory=lambda: EventRate(RATE_SECONDS)
@@ -81,19 +89,25 @@
         self._capacities = capacities
         self._layers = layers
         self.windows.keep(capacities)
+        self._max_tokens = measure_largest(capacities.values(), layers)
 
     def reserve(
         self, request: ReservationRequest, path: tuple[str, ...], now: float
     ) -> bool:
         """Reserve room on a path if there is any and no other goes first.
 
+        A request that has a reservation gives it up.
+
         :param path: names of the replicas, in order.
         """
+        self._free(request.identity, now)
         if self.queue.blocks(request, self.ledger.account_tokens):
             return False
         full = self.list_full(request.tokens, now)
         if path[0] in self.list_without_slot() or not full.isdisjoint(path):
             return False
+        if self.ledger.unplaced and not self._has_free_slot(full):
+            return False
         self._grant(request, path, now)
         return True
 
@@ -102,14 +116,22 @@
     ) -> list[Granted | Queued | Refused]:
         """Let a request wait for a place, if one is expected in time.
 
+        A request that has a place and no path keeps it; one that has a path
+        gives it up.
+
         :returns: the decision on it, and those on others that waited.
         """
+        if self.ledger.is_unplaced(request.identity):
+            return [Granted(request.identity)]
+        self._free(request.identity, now)
         self.queue.add(request, now)
-        decided: list[Granted | Queued | Refused] = [*self.admit_waiting(now)]
-        if request.identity in self.queue:
-            wait = self.predict_wait(request, now)
-            decided.append(Queued(request.identity, wait))
-        return decided
+        decided = self._decide(now)
+        if request.identity not in self.queue:
+            return [*decided]
+        wait = self._predict_wait(request, now)
+        if now + wait > request.start_by:
+            return [*decided, *self._refuse_all([request], now)]
+        return [*decided, Queued(request.identity, wait)]
 
     def place(self, identity: str, path: tuple[str, ...], now: float) -> None:
         """Record the path on which a request with a reservation was sent."""
@@ -119,13 +141,13 @@
         self, request: ReservationRequest, path: tuple[str, ...], now: float
     ) -> None:
         """Record a request that was admitted elsewhere and is in progress."""
+        self.queue.remove(request.identity)
         self.ledger.add(request, path, now)
 
     def release(self, identity: str, now: float) -> None:
         """Record that a request has ended, or waits no longer."""
         self.queue.remove(identity)
-        if self.ledger.remove(identity) is not None:
-            self._released.record(now)
+        self._free(identity, now)
 
     def record_first_event(
         self, identity: str, seconds: float, objective: float, now: float
@@ -151,25 +173,12 @@
         :returns: those that get a place, and those for which none is expected
             in time any more.
         """
-        for identity in self.ledger.list_expired(now):
-            self.ledger.remove(identity)
-        decided: list[Granted | Refused] = []
-        while self.queue:
-            first = self.queue.sort(self.ledger.account_tokens)[0].request
-            if not self._has_room(first, now):
-                break
-            self.queue.remove(first.identity)
-            self._grant(first, (), now)
-            decided.append(Granted(first.identity))
+        decided = self._decide(now)
+        if now < self._predicted_at + PREDICTION_SECONDS:
+            return decided
+        self._predicted_at = now
         return [*decided, *self._refuse_late(now)]
 
-    def predict_wait(self, request: ReservationRequest, now: float) -> float:
-        """Predict after how many seconds a waiting request gets a place."""
-        ordered = self.queue.sort(self.ledger.account_tokens)
-        identities = [waiting.request.identity for waiting in ordered]
-        position = identities.index(request.identity) + 1
-        return position / self._estimate_rate(request.priority, now)
-
     def list_full(self, tokens: int, now: float) -> frozenset[str]:
         """List the replicas without memory for a request of some tokens."""
         self._short_until = {
@@ -190,12 +199,24 @@
 
     def _has_room(self, request: ReservationRequest, now: float) -> bool:
         full = self.list_full(request.tokens, now)
-        usable = (
+        if not self._has_free_slot(full):
+            return False
+        usable = self._list_usable(full)
+        return has_path(usable, self.list_without_slot(), self._layers)
+
+    def _has_free_slot(self, full: frozenset[str]) -> bool:
+        return count_free_slots(self._list_usable(full), self.ledger) > 0
+
+    def _list_usable(self, full: frozenset[str]) -> list[ReplicaCapacity]:
+        return [
             capacity
             for name, capacity in self._capacities.items()
             if name not in full
-        )
-        return has_path(usable, self.list_without_slot(), self._layers)
+        ]
+
+    def _free(self, identity: str, now: float) -> None:
+        if self.ledger.remove(identity) is not None:
+            self._released.record(now)
 
     def _grant(
         self, request: ReservationRequest, path: tuple[str, ...], now: float
@@ -205,24 +226,68 @@
         self.returns.record_start(now)
         self._granted[request.priority].record(now)
 
-    def _refuse_late(self, now: float) -> list[Refused]:
-        """Refuse the waiting requests that no place is expected for in time."""
-        late = [
+    def _decide(self, now: float) -> list[Granted | Refused]:
+        """Give out the places that are free."""
+        for _ in range(self.ledger.expire(now)):
+            self._released.record(now)
+        decided: list[Granted | Refused] = [*self._refuse_hopeless(now)]
+        while self.queue:
+            first = self.queue.choose_first(self.ledger.account_tokens)
+            if not self._has_room(first, now):
+                break
+            self.queue.remove(first.identity)
+            self._grant(first, (), now)
+            decided.append(Granted(first.identity))
+        return decided
+
+    def _refuse_hopeless(self, now: float) -> list[Refused]:
+        """Refuse the waiting requests that a place would be of no use to.
+
+        Their time is over, or they don't fit even on idle replicas and would
+        keep all behind them from getting a place.
+        """
+        hopeless = [
             waiting.request
-            for position, waiting in enumerate(
-                self.queue.sort(self.ledger.account_tokens), start=1
-            )
-            if now
-            + position / self._estimate_rate(waiting.request.priority, now)
-            > waiting.request.start_by
+            for waiting in self.queue
+            if waiting.request.tokens > self._max_tokens
+            or waiting.request.start_by < now
         ]
-        for request in late:
+        return self._refuse_all(hopeless, now)
+
+    def _refuse_late(self, now: float) -> list[Refused]:
+        """Refuse the waiting requests that no place is expected for in time."""
+        rates: dict[int, float] = {}
+        late: list[ReservationRequest] = []
+        ordered = self.queue.sort(self.ledger.account_tokens)
+        for index, waiting in enumerate(ordered):
+            request = waiting.request
+            if request.priority not in rates:
+                rates[request.priority] = self._estimate_rate(
+                    request.priority, now
+                )
+            position = index + 1 - len(late)
+            if now + position / rates[request.priority] > request.start_by:
+                late.append(request)
+        return self._refuse_all(late, now)
+
+    def _predict_wait(self, request: ReservationRequest, now: float) -> float:
+        """Predict after how many seconds a waiting request gets a place."""
+        position = self.queue.find_position(
+            request.identity, self.ledger.account_tokens
+        )
+        return position / self._estimate_rate(request.priority, now)
+
+    def _refuse_all(
+        self, requests: list[ReservationRequest], now: float
+    ) -> list[Refused]:
+        for request in requests:
             self.queue.remove(request.identity)
-        return [self._refuse(request, now) for request in late]
+        return [self._refuse(request, now) for request in requests]
 
     def _refuse(self, request: ReservationRequest, now: float) -> Refused:
+        left = max(0, request.expires - now)
         delay = self.returns.assign_delay(
-            now, request.expires - now, self.sample(), request.priority
+            now, left, self.sample(), request.priority
         )
         return Refused(request.identity, delay)
 
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
@@ -35,16 +35,19 @@
     :param requests: reservations by name of the replica.
     :param entries: reservations by name of the first replica of their path.
     :param account_tokens: reserved tokens by client account.
-    :param unplaced_tokens: tokens of reservations without a path, which may
-        go to any replica.
+    :param unplaced: number of reservations without a path, which may go to
+        any replica.
+    :param unplaced_tokens: their tokens.
     """
 
     tokens: Counter[str] = field(default_factory=Counter)
     requests: Counter[str] = field(default_factory=Counter)
     entries: Counter[str] = field(default_factory=Counter)
     account_tokens: Counter[str] = field(default_factory=Counter)
+    unplaced: int = 0
     unplaced_tokens: int = 0
     _reservations: dict[str, Reservation] = field(default_factory=dict)
+    _lapsed: dict[str, ReservationRequest] = field(default_factory=dict)
 
     def __len__(self) -> int:
         """Count the reservations."""
@@ -54,6 +57,11 @@
         """Return whether a request has a reservation."""
         return identity in self._reservations
 
+    def is_unplaced(self, identity: str) -> bool:
+        """Return whether a request has a reservation without a path."""
+        reservation = self._reservations.get(identity)
+        return reservation is not None and not reservation.path
+
     def add(
         self, request: ReservationRequest, path: tuple[str, ...], now: float
     ) -> None:
@@ -67,16 +75,22 @@
         self._count(request, path, 1)
 
     def place(self, identity: str, path: tuple[str, ...], now: float) -> None:
-        """Record the path of a request that has a reservation."""
+        """Record the path of a request that has a reservation, or had one.
+
+        A node that was slow has sent its request although the place lapsed.
+        """
         reservation = self._reservations.get(identity)
-        if reservation is not None:
-            self.add(reservation.request, path, now)
+        request = reservation.request if reservation else None
+        request = request or self._lapsed.get(identity)
+        if request is not None:
+            self.add(request, path, now)
 
     def remove(self, identity: str) -> Reservation | None:
         """Remove a reservation.
 
         :returns: the reservation; ``None`` if there was none.
         """
+        self._lapsed.pop(identity, None)
         reservation = self._reservations.pop(identity, None)
         if reservation is not None:
             self._count(reservation.request, reservation.path, -1)
@@ -93,13 +107,29 @@
             return 0
         return reservation.request.tokens
 
-    def list_expired(self, now: float) -> list[str]:
-        """List the requests whose reservations have ended by themselves."""
-        return [
-            identity
-            for identity, reservation in self._reservations.items()
+    def expire(self, now: float) -> int:
+        """Remove the reservations that have ended by themselves.
+
+        :returns: their number.
+        """
+        expired = [
+            reservation
+            for reservation in self._reservations.values()
             if reservation.until <= now
         ]
+        for reservation in expired:
+            self.remove(reservation.request.identity)
+        self._lapsed = {
+            identity: request
+            for identity, request in self._lapsed.items()
+            if request.expires > now
+        }
+        self._lapsed.update(
+            (reservation.request.identity, reservation.request)
+            for reservation in expired
+            if not reservation.path
+        )
+        return len(expired)
 
     def _count(
         self, request: ReservationRequest, path: tuple[str, ...], sign: int
@@ -107,6 +137,7 @@
         tokens = sign * request.tokens
         _add(self.account_tokens, request.account, tokens)
         if not path:
+            self.unplaced += sign
             self.unplaced_tokens += tokens
             return
         _add(self.entries, path[0], sign)
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_queue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_queue.py
@@ -1,15 +1,20 @@
 """Orders the requests that wait for a place.
 
-More urgent requests go first, then those whose clients were refused before
-and have no further try, then those of the client accounts that have least in
-progress. Serving the account with least first shares the places equally among
-the accounts that want more, and an account alone may use all of them.
+More urgent requests go first, then those of the client accounts that have
+least in progress, then those whose clients were refused before and have no
+further try. Serving the account with least first shares the places equally
+among the accounts that want more, and an account alone may use all of them.
+
+A client that was refused before also goes before newer ones of accounts that
+have somewhat less in progress, but not before those of much smaller accounts:
+most of the clients that come back in a surge are those of the account that
+caused it.
 
 The least urgent are not starved: one in ``FLOOR_INTERVAL`` places goes to the
 request that has waited longest, whatever its priority.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from ryelatch_core.admission._reservation import ReservationRequest
@@ -17,6 +22,9 @@
 FLOOR_INTERVAL = 8
 """Places of which one goes to the request that has waited longest."""
 
+RETRIED_FRACTION = 0.5
+"""Fraction of its account's tokens that counts for a client refused before."""
+
 
 @dataclass(frozen=True, slots=True)
 class WaitingRequest:
@@ -40,36 +48,60 @@
         """Count the waiting requests."""
         return len(self._waiting)
 
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        """Iterate over the waiting requests in the order of their arrival."""
+        return iter(self._waiting.values())
+
     def __contains__(self, identity: str) -> bool:
         """Return whether a request waits."""
         return identity in self._waiting
 
     def add(self, request: ReservationRequest, now: float) -> None:
-        """Add a request."""
-        self._waiting[request.identity] = WaitingRequest(request, now)
+        """Add a request; one that waits already keeps its turn."""
+        waiting = self._waiting.get(request.identity)
+        since = now if waiting is None else waiting.since
+        self._waiting[request.identity] = WaitingRequest(request, since)
 
     def remove(self, identity: str) -> WaitingRequest | None:
         """Remove a request; ``None`` if it doesn't wait."""
         return self._waiting.pop(identity, None)
 
+    def choose_first(
+        self, account_tokens: Mapping[str, float]
+    ) -> ReservationRequest:
+        """Return the waiting request that goes first.
+
+        :param account_tokens: tokens in progress by client account.
+        """
+        if self._is_floor_due():
+            return next(iter(self._waiting.values())).request
+        order = _build_order(account_tokens)
+        return min(self._waiting.values(), key=order).request
+
     def sort(self, account_tokens: Mapping[str, float]) -> list[WaitingRequest]:
         """List the waiting requests, the one that goes first at the front.
 
         :param account_tokens: tokens in progress by client account.
         """
-        ordered = sorted(
-            self._waiting.values(),
-            key=lambda waiting: (
-                *_rank(waiting.request, account_tokens),
-                waiting.since,
-            ),
-        )
+        order = _build_order(account_tokens)
+        ordered = sorted(self._waiting.values(), key=order)
         if ordered and self._is_floor_due():
-            longest = min(ordered, key=lambda waiting: waiting.since)
+            longest = next(iter(self._waiting.values()))
             ordered.remove(longest)
             ordered.insert(0, longest)
         return ordered
 
+    def find_position(
+        self, identity: str, account_tokens: Mapping[str, float]
+    ) -> int:
+        """Return the position of a waiting request, from 1; last among equals.
+
+        :param account_tokens: tokens in progress by client account.
+        """
+        order = _build_order(account_tokens)
+        own = order(self._waiting[identity])
+        return sum(order(waiting) <= own for waiting in self._waiting.values())
+
     def blocks(
         self,
         request: ReservationRequest,
@@ -104,6 +136,18 @@
 
 def _rank(
     request: ReservationRequest, account_tokens: Mapping[str, float]
-) -> tuple[int, bool, float]:
+) -> tuple[int, float, bool]:
     used = account_tokens.get(request.account, 0)
-    return (request.priority, not request.retried, used)
+    if request.retried:
+        return (request.priority, used * RETRIED_FRACTION, False)
+    return (request.priority, used, True)
+
+
+def _build_order(
+    account_tokens: Mapping[str, float],
+) -> Callable[[WaitingRequest], tuple[tuple[int, float, bool], float]]:
+    """Build the key by which waiting requests are sorted."""
+    return lambda waiting: (
+        _rank(waiting.request, account_tokens),
+        waiting.since,
+    )
