--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -8,10 +8,10 @@
 """
 
 import math
-from collections import defaultdict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
+from ryelatch_core.admission._forecast import PlaceForecast
 from ryelatch_core.admission._headroom import (
     ReplicaCapacity,
     count_free_slots,
@@ -22,7 +22,6 @@
 )
 from ryelatch_core.admission._ledger import ReservationLedger
 from ryelatch_core.admission._queue import AdmissionQueue
-from ryelatch_core.admission._rates import EventRate
 from ryelatch_core.admission._reservation import (
     Granted,
     Queued,
@@ -31,12 +30,7 @@
 )
 from ryelatch_core.admission._retry_delays import RetryScheduler
 from ryelatch_core.admission._starvation import StarvationTracker
-
-RATE_SECONDS = 1.0
-"""Averaging time of the rates at which places are freed and granted."""
-
-MIN_RATE = 0.5
-"""Lower bound of the expected places per second, so that waits are finite."""
+from ryelatch_core.admission._window import ConcurrencyWindows
 
 PREDICTION_SECONDS = 0.02
 """Minimum time between predictions of all waits, which take long."""
@@ -63,17 +57,17 @@
     queue: AdmissionQueue = field(default_factory=AdmissionQueue)
     returns: RetryScheduler = field(default_factory=RetryScheduler)
     _shares: StarvationTracker = field(default_factory=StarvationTracker)
+    windows: ConcurrencyWindows = field(init=False)
     _capacities: Mapping[str, ReplicaCapacity] = field(default_factory=dict)
     _layers: int = 0
     _max_tokens: float = math.inf
     _predicted_at: float = -math.inf
     _short_until: dict[str, float] = field(default_factory=dict)
-    _released: EventRate = field(
-        default_factory=lambda: EventRate(RATE_SECONDS)
-    )
-    _granted: dict[int, EventRate] = field(
-        default_factory=lambda: defaultdict(lambda: EventRate(RATE_SECONDS))
-    )
+    _forecast: PlaceForecast = field(default_factory=PlaceForecast)
+
+    def __post_init__(self) -> None:
+        """Create the windows, which count what the ledger holds."""
+        self.windows = ConcurrencyWindows(self.sample, self.ledger.entries)
 
     def update(
         self, capacities: Mapping[str, ReplicaCapacity], layers: int
@@ -84,6 +78,7 @@
         """
         self._capacities = capacities
         self._layers = layers
+        self.windows.keep(capacities)
         self._max_tokens = measure_largest(capacities.values(), layers)
 
     def reserve(
@@ -129,7 +124,7 @@
         )
         wait = self._build_prediction(now)(request, position)
         if now + wait > request.start_by:
-            return [*decided, *self._refuse_all([request], now)]
+            return [*decided, self._refuse(request, now)]
         return [*decided, Queued(request.identity, wait)]
 
     def place(self, identity: str, path: tuple[str, ...], now: float) -> None:
@@ -148,6 +143,20 @@
         self.queue.remove(identity)
         self._free(identity, now)
 
+    def record_first_event(
+        self, identity: str, seconds: float, objective: float, now: float
+    ) -> None:
+        """Record how long a request took to its first event.
+
+        :param seconds: from when it was sent.
+        :param objective: seconds within which its client expects the event.
+        """
+        reservation = self.ledger.find(identity)
+        if reservation is not None and reservation.path:
+            self.windows.record_first_event(
+                reservation.path[0], seconds, objective, now
+            )
+
     def record_shortage(self, name: str, now: float) -> None:
         """Record that a replica refused a request for lack of memory."""
         self._short_until[name] = now + SHORTAGE_SECONDS
@@ -175,8 +184,12 @@
         return full | self._short_until.keys()
 
     def list_without_slot(self) -> frozenset[str]:
-        """List the replicas at which no further path may begin."""
-        return list_without_slot(self._capacities, self.ledger)
+        """List the replicas at which no further path may begin.
+
+        They have no free slot, or first events from there come late.
+        """
+        without_slot = list_without_slot(self._capacities, self.ledger)
+        return without_slot | self.windows.list_closed()
 
     def _has_room(self, request: ReservationRequest, now: float) -> bool:
         full = self.list_full(request.tokens, now)
@@ -197,7 +210,7 @@
 
     def _free(self, identity: str, now: float) -> None:
         if self.ledger.remove(identity) is not None:
-            self._released.record(now)
+            self._forecast.record_freed(now)
 
     def _grant(
         self, request: ReservationRequest, path: tuple[str, ...], now: float
@@ -205,15 +218,17 @@
         self.ledger.add(request, path, now)
         self._shares.record_grant(request.priority, now)
         self.returns.record_start(now)
-        self._granted[request.priority].record(now)
+        self._forecast.record_grant(request.priority, now)
 
     def _decide(self, now: float) -> list[Granted | Refused]:
         """Give out the places that are free."""
         for _ in range(self.ledger.expire(now)):
-            self._released.record(now)
+            self._forecast.record_freed(now)
         decided: list[Granted | Refused] = [*self._refuse_hopeless(now)]
         while self.queue:
-            first = self._choose_first(now)
+            first = self.queue.choose_first(
+                self.ledger.account_tokens, self._find_starved(now)
+            )
             if not self._has_room(first, now):
                 break
             self.queue.remove(first.identity)
@@ -233,16 +248,11 @@
             if waiting.request.tokens > self._max_tokens
             or waiting.request.start_by < now
         ]
-        return self._refuse_all(hopeless, now)
+        return [self._refuse(request, now) for request in hopeless]
 
     def _find_starved(self, now: float) -> int | None:
         return self._shares.find_starved(self.queue.list_priorities(), now)
 
-    def _choose_first(self, now: float) -> ReservationRequest:
-        return self.queue.choose_first(
-            self.ledger.account_tokens, self._find_starved(now)
-        )
-
     def _choose_starved(self, now: float) -> ReservationRequest | None:
         """Return the waiting request that goes first out of order, if any."""
         starved = self._find_starved(now)
@@ -262,43 +272,24 @@
             wait = predict(request, index + 1 - len(late))
             if now + wait > request.start_by:
                 late.append(request)
-        return self._refuse_all(late, now)
+        return [self._refuse(request, now) for request in late]
 
     def _build_prediction(
         self, now: float
     ) -> Callable[[ReservationRequest, int], float]:
-        """Build a function that predicts the wait at a position.
-
-        More urgent requests that are yet to come take their places first, as
-        many as they took of late.
-        """
-        freed = self._released.read(now)
-        next_place = 1 / max(MIN_RATE, freed)
+        """Build a function that predicts the wait at a position."""
         starved_first = self._choose_starved(now)
-        granted = {
-            priority: rate.read(now) for priority, rate in self._granted.items()
-        }
-        rates = {
-            priority: freed
-            - sum(rate for rank, rate in granted.items() if rank < priority)
-            for priority in self.queue.list_priorities()
-        }
-
-        def predict(request: ReservationRequest, position: int) -> float:
-            if request is starved_first:
-                return next_place
-            return position / max(MIN_RATE, rates[request.priority])
-
-        return predict
-
-    def _refuse_all(
-        self, requests: list[ReservationRequest], now: float
-    ) -> list[Refused]:
-        for request in requests:
-            self.queue.remove(request.identity)
-        return [self._refuse(request, now) for request in requests]
+        predict = self._forecast.build_prediction(
+            self.queue.list_priorities(), now
+        )
+        return lambda request, position: (
+            self._forecast.predict_next(now)
+            if request is starved_first
+            else predict(request.priority, position)
+        )
 
     def _refuse(self, request: ReservationRequest, now: float) -> Refused:
+        self.queue.remove(request.identity)
         self._shares.record_refusal(request.priority, now)
         left = max(0, request.expires - now)
         delay = self.returns.assign_delay(
--- /dev/null
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_forecast.py
@@ -0,0 +1,64 @@
+"""Predicts when waiting requests get a place."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from ryelatch_core.admission._rates import EventRate
+
+RATE_SECONDS = 1.0
+"""Averaging time of the rates at which places are freed and granted."""
+
+MIN_RATE = 0.5
+"""Lower bound of the expected places per second, so that waits are finite."""
+
+
+def _make_rate() -> EventRate:
+    return EventRate(RATE_SECONDS)
+
+
+@dataclass(eq=False)
+class PlaceForecast:
+    """Rates at which places are freed, and granted by priority."""
+
+    _freed: EventRate = field(default_factory=_make_rate)
+    _granted: defaultdict[int, EventRate] = field(
+        default_factory=lambda: defaultdict(_make_rate)
+    )
+
+    def record_freed(self, now: float) -> None:
+        """Record that a place was freed."""
+        self._freed.record(now)
+
+    def record_grant(self, priority: int, now: float) -> None:
+        """Record that a request got a place."""
+        self._granted[priority].record(now)
+
+    def predict_next(self, now: float) -> float:
+        """Return the seconds until the next place is freed."""
+        return 1 / max(MIN_RATE, self._freed.read(now))
+
+    def build_prediction(
+        self, priorities: Iterable[int], now: float
+    ) -> Callable[[int, int], float]:
+        """Build a function of priority and position that predicts waits.
+
+        More urgent requests that are yet to come take their places first, as
+        many as they took of late.
+
+        :param priorities: those of the waiting requests.
+        """
+        freed = self._freed.read(now)
+        granted = {
+            priority: rate.read(now) for priority, rate in self._granted.items()
+        }
+        rates = {
+            priority: freed
+            - sum(rate for rank, rate in granted.items() if rank < priority)
+            for priority in priorities
+        }
+
+        def predict(priority: int, position: int) -> float:
+            return position / max(MIN_RATE, rates[priority])
+
+        return predict
