Places within a window are granted once

A first replica whose first events come late is closed to more requests than its window, but as long as it was open all requests that waited got a place there at once: those without a path counted against slots only. They count against the smaller of slots and window now. Of nine that wait for four places of a window, nine were granted before and four are now.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -199,7 +199,10 @@
         return has_path(usable, self.list_without_slot(), self._layers)
 
     def _has_free_slot(self, full: frozenset[str]) -> bool:
-        return count_free_slots(self._list_usable(full), self.ledger) > 0
+        free = count_free_slots(
+            self._list_usable(full), self.ledger, self.windows.read_limit
+        )
+        return free > 0
 
     def _list_usable(self, full: frozenset[str]) -> list[ReplicaCapacity]:
         return [
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
@@ -7,7 +7,8 @@
 
 import bisect
 import itertools
-from collections.abc import Collection, Iterable, Mapping
+import math
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from ryelatch_core.admission._ledger import ReservationLedger
@@ -95,16 +96,23 @@
 
 
 def count_free_slots(
-    capacities: Iterable[ReplicaCapacity], ledger: ReservationLedger
+    capacities: Iterable[ReplicaCapacity],
+    ledger: ReservationLedger,
+    read_limit: Callable[[str], float],
 ) -> int:
     """Count the paths that may still begin at some replicas.
 
     Slots that were granted to requests without a path are not free.
 
     :param capacities: of the replicas that have memory.
+    :param read_limit: returns the window of a first replica.
     """
     free = sum(
-        max(0, capacity.slots - ledger.entries[capacity.name])
+        max(
+            0,
+            math.ceil(min(capacity.slots, read_limit(capacity.name)))
+            - ledger.entries[capacity.name],
+        )
         for capacity in capacities
         if not capacity.layers.first
     )
--- a/tests/core/admission/test_full_replicas.py
+++ b/tests/core/admission/test_full_replicas.py
@@ -25,3 +25,23 @@
     assert not controller.reserve(
         make_request('chosen', tokens=1), get_path(0), 100
     )
+
+
+def test_window_is_granted_once() -> None:
+    """First events come late at the only first replica, as ten run there."""
+    controller = make_controller(make_copy(0, 10_000))
+    keep_busy(controller, get_path(0), 10)
+    for number in range(10):
+        running = make_request(f'running-{number}')
+        assert controller.reserve(running, get_path(0), 100)
+    controller.record_first_event('running-0', 0.4, 0.5, 100)
+    for number in range(5):
+        controller.release(f'running-{number}', 100)
+    granted = [
+        identity
+        for number in range(9)
+        for identity in list_granted(
+            controller.enqueue(make_request(f'{number}'), 100)
+        )
+    ]
+    assert granted == ['0', '1', '2', '3']
