Less urgent clients are promised only the places that reach them

Refused clients of all priorities were told to come back at the pace of a quarter of all places. While urgent requests took nearly all of these, the less urgent came back faster than places reached them and were refused again.

The places of a priority are now those that it and less urgent ones get. Nodes that schedule without priorities are not touched.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -220,7 +220,7 @@
     ) -> None:
         self.ledger.add(request, path, now)
         self._shares.record_grant(request.priority, now)
-        self.returns.record_start(now)
+        self.returns.record_start(now, request.priority)
         self._forecast.record_grant(request.priority, now)
 
     def _decide(self, now: float) -> list[Granted | Refused]:
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_retry_delays.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_retry_delays.py
@@ -36,12 +36,17 @@
     """Retry times that were assigned to refused clients."""
 
     def __init__(self) -> None:
-        self._rate = EventRate(RATE_SECONDS)
+        self._rates: dict[int, EventRate] = {}
         self._last_retry_at: dict[int, float] = {}
 
-    def record_start(self, now: float) -> None:
-        """Record that a request was admitted."""
-        self._rate.record(now)
+    def record_start(self, now: float, priority: int = 0) -> None:
+        """Record that a request was admitted.
+
+        :param priority: of the request; 0 is served first.
+        """
+        if priority not in self._rates:
+            self._rates[priority] = EventRate(RATE_SECONDS)
+        self._rates[priority].record(now)
 
     def assign_delay(
         self, now: float, left: float, sample: float, priority: int = 0
@@ -55,7 +60,13 @@
         :param sample: random number from 0 to 1.
         :param priority: of the request; 0 is served first.
         """
-        rate = max(MIN_RATE, self._rate.read(now) * RETRY_FRACTION)
+        # The places of more urgent requests are not promised to it.
+        places = sum(
+            rate.read(now)
+            for rank, rate in self._rates.items()
+            if rank >= priority
+        )
+        rate = max(MIN_RATE, places * RETRY_FRACTION)
         last = max(
             (
                 retry_at
--- a/tests/core/admission/test_retry_delays.py
+++ b/tests/core/admission/test_retry_delays.py
@@ -45,3 +45,15 @@
     for _ in range(100):
         plan.assign_delay(6, 18, 0.5)
     assert plan.assign_delay(3600, 18, 0.5) <= 2
+
+
+def test_places_of_urgent_ones_are_not_promised() -> None:
+    """Twenty places per second go to urgent requests, four to others."""
+    plan = _make_plan(20)
+    for number in range(24):
+        plan.record_start(number / 4, priority=1)
+    delays = [plan.assign_delay(6, 60, 0.5, priority=1) for _ in range(10)]
+    gaps = [later - earlier for earlier, later in itertools.pairwise(delays)]
+    assert min(gaps) * 10 >= 9
+    urgent = [plan.assign_delay(6, 60, 0.5) for _ in range(2)]
+    assert urgent[1] - urgent[0] <= 1 / 4
