A client without a further try is not refused on a guess

A request whose client was refused before was refused for good as soon as the rate at which urgent requests took places reached that of all places, which it does by chance for moments, though it had a second left to wait.

Its wait is now the shortest possible, as if no further urgent request came: it is refused early only when even that is too long.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -280,16 +280,25 @@
     def _build_prediction(
         self, now: float
     ) -> Callable[[ReservationRequest, int], float]:
-        """Build a function that predicts the wait at a position."""
+        """Build a function that predicts the wait at a position.
+
+        The client of a retried request has no further try, so its wait is the
+        shortest that is possible.
+        """
         starved_first = self._choose_starved(now)
+        next_place = self._forecast.predict_next(now)
         predict = self._forecast.build_prediction(
             self.queue.list_priorities(), now
         )
-        return lambda request, position: (
-            self._forecast.predict_next(now)
-            if request is starved_first
-            else predict(request.priority, position)
-        )
+
+        def predict_wait(request: ReservationRequest, position: int) -> float:
+            if request is starved_first:
+                return next_place
+            if request.retried:
+                return position * next_place
+            return predict(request.priority, position)
+
+        return predict_wait
 
     def _refuse(self, request: ReservationRequest, now: float) -> Refused:
         self.queue.remove(request.identity)
--- a/tests/core/admission/test_waits.py
+++ b/tests/core/admission/test_waits.py
@@ -80,3 +80,18 @@
     decided = controller.admit_waiting(100.5)
     assert list_granted(decided) == ['in-time']
     assert [refusal.identity for refusal in list_refused(decided)] == ['late']
+
+
+def test_client_without_further_try_may_wait(
+    controller: AdmissionController,
+) -> None:
+    """Urgent requests took all places of late; two clients wait for one.
+
+    The new one is told to come back, the retried one waits for its chance.
+    """
+    for number in range(10):
+        controller.enqueue(make_request(f'urgent-{number}', tokens=0), 100)
+    back = make_request('back', 1, retried=True, start_by=101)
+    new = make_request('new', 1, start_by=101)
+    assert not list_refused(controller.enqueue(back, 100))
+    assert list_refused(controller.enqueue(new, 100))
