--- /dev/null
+++ b/tests/core/admission/test_priorities.py
@@ -0,0 +1,79 @@
+"""Priorities of requests, and the services that need an order."""
+
+from core_fleet import TYPICAL_MODEL
+from ryelatch_core.admission import get_priority, list_ranked_services
+from ryelatch_core.routing import (
+    Account,
+    Configuration,
+    RetryPolicy,
+    Route,
+    ServiceConfiguration,
+    Split,
+)
+
+SERVICES = {
+    'model': ServiceConfiguration('model', '/', 1, TYPICAL_MODEL),
+    'other': ServiceConfiguration('other', '/', 1, TYPICAL_MODEL),
+    'plain': ServiceConfiguration('plain', '/', 1),
+}
+
+
+def _make_route(
+    name: str, priority: int, *services: str, anonymous: bool = False
+) -> Route:
+    return Route(
+        name=name,
+        host='city.example',
+        prefix=f'/{name}/',
+        splits=tuple(Split(service, 1) for service in services),
+        retry_policy=RetryPolicy.ANY,
+        streaming=True,
+        max_attempts=2,
+        timeout=10,
+        objective=0.5,
+        gap=2,
+        priority=priority,
+        anonymous=anonymous,
+    )
+
+
+def _list_ranked(
+    *routes: Route, accounts: tuple[Account, ...] = ()
+) -> frozenset[str]:
+    return list_ranked_services(
+        Configuration(1, routes, SERVICES, accounts=accounts)
+    )
+
+
+def test_priority_of_an_account_comes_first() -> None:
+    """An account's own priority counts, also if it is the most urgent."""
+    route = _make_route('a', 1, 'model')
+    assert get_priority(route, None) == 1
+    assert get_priority(route, Account('plain', ('key',))) == 1
+    assert get_priority(route, Account('urgent', ('key',), 0)) == 0
+    assert get_priority(route, Account('patient', ('key',), 2)) == 2
+
+
+def test_equal_priorities_rank_no_service() -> None:
+    """No configuration without differing priorities is served otherwise."""
+    first = _make_route('a', 1, 'model')
+    second = _make_route('b', 1, 'model', 'other')
+    same = Account('same', ('key',), 1)
+    assert not _list_ranked(first, second)
+    assert not _list_ranked(first, second, accounts=(same,))
+    assert not _list_ranked(first, _make_route('c', 0, 'other'))
+
+
+def test_differing_routes_rank_a_common_service() -> None:
+    """Two routes that differ share one of the model services."""
+    first = _make_route('a', 0, 'model', 'plain')
+    second = _make_route('b', 2, 'model', 'other', 'plain')
+    assert _list_ranked(first, second) == {'model'}
+
+
+def test_account_ranks_services_that_it_may_use() -> None:
+    """Requests to an anonymous route have no account, so no other priority."""
+    known = _make_route('a', 1, 'model')
+    anonymous = _make_route('b', 1, 'other', anonymous=True)
+    urgent = Account('urgent', ('key',), 0)
+    assert _list_ranked(known, anonymous, accounts=(urgent,)) == {'model'}
