--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
+from ryelatch_core.admission._entries import EntryDelays
 from ryelatch_core.admission._forecast import PlaceForecast
 from ryelatch_core.admission._headroom import (
     ReplicaCapacity,
@@ -30,7 +31,6 @@
 )
 from ryelatch_core.admission._retry_delays import RetryScheduler
 from ryelatch_core.admission._starvation import StarvationTracker
-from ryelatch_core.admission._window import ConcurrencyWindows
 
 PREDICTION_SECONDS = 0.02
 """Minimum time between predictions of all waits, which take long."""
@@ -57,7 +57,7 @@
     queue: AdmissionQueue = field(default_factory=AdmissionQueue)
     returns: RetryScheduler = field(default_factory=RetryScheduler)
     _shares: StarvationTracker = field(default_factory=StarvationTracker)
-    windows: ConcurrencyWindows = field(init=False)
+    delays: EntryDelays = field(init=False)
     _capacities: Mapping[str, ReplicaCapacity] = field(default_factory=dict)
     _layers: int = 0
     _max_tokens: float = math.inf
@@ -66,8 +66,8 @@
     _forecast: PlaceForecast = field(default_factory=PlaceForecast)
 
     def __post_init__(self) -> None:
-        """Create the windows, which count what the ledger holds."""
-        self.windows = ConcurrencyWindows(self.sample, self.ledger.entries)
+        """Create the delays, which go by what the ledger holds."""
+        self.delays = EntryDelays(self.ledger.pending)
 
     def update(
         self, capacities: Mapping[str, ReplicaCapacity], layers: int
@@ -78,7 +78,7 @@
         """
         self._capacities = capacities
         self._layers = layers
-        self.windows.keep(capacities)
+        self.delays.keep(capacities)
         self._max_tokens = measure_largest(capacities.values(), layers)
 
     def reserve(
@@ -95,9 +95,10 @@
         if self.queue.blocks(request, self.ledger.account_tokens, starved):
             return False
         full = self.list_full(request.tokens, now)
-        if path[0] in self.list_without_slot() or not full.isdisjoint(path):
+        closed = self.list_closed(request.patience)
+        if path[0] in closed or not full.isdisjoint(path):
             return False
-        if self.ledger.unplaced and not self._has_free_slot(full):
+        if self.ledger.unplaced and not self._has_free_slot(request, full):
             return False
         self._grant(request, path, now)
         return True
@@ -143,19 +144,21 @@
         self.queue.remove(identity)
         self._free(identity, now)
 
-    def record_first_event(
-        self, identity: str, seconds: float, objective: float, now: float
+    def record_delay(
+        self, identity: str, seconds: float, *, begun: bool
     ) -> None:
         """Record how long a request took to its first event.
 
         :param seconds: from when it was sent.
-        :param objective: seconds within which its client expects the event.
+        :param begun: whether the event has arrived; if not, this is how long
+            the request has waited so far.
         """
         reservation = self.ledger.find(identity)
-        if reservation is not None and reservation.path:
-            self.windows.record_first_event(
-                reservation.path[0], seconds, objective, now
-            )
+        if reservation is None or not reservation.path or reservation.begun:
+            return
+        self.delays.record(reservation.path[0], seconds)
+        if begun:
+            self.ledger.begin(identity)
 
     def record_shortage(self, name: str, now: float) -> None:
         """Record that a replica refused a request for lack of memory."""
@@ -183,24 +186,35 @@
         full = list_full(self._capacities, self.ledger, tokens)
         return full | self._short_until.keys()
 
-    def list_without_slot(self) -> frozenset[str]:
+    def list_closed(self, patience: float) -> frozenset[str]:
         """List the replicas at which no further path may begin.
 
-        They have no free slot, or first events from there come late.
+        They have no free slot, or the first event would come late.
+
+        :param patience: longest time to the first event, in seconds.
         """
         without_slot = list_without_slot(self._capacities, self.ledger)
-        return without_slot | self.windows.list_closed()
+        return without_slot | {
+            name
+            for name in self.ledger.pending
+            if self.delays.exceeds(name, patience)
+        }
 
     def _has_room(self, request: ReservationRequest, now: float) -> bool:
         full = self.list_full(request.tokens, now)
-        if not self._has_free_slot(full):
+        if not self._has_free_slot(request, full):
             return False
         usable = self._list_usable(full)
-        return has_path(usable, self.list_without_slot(), self._layers)
+        closed = self.list_closed(request.patience)
+        return has_path(usable, closed, self._layers)
 
-    def _has_free_slot(self, full: frozenset[str]) -> bool:
+    def _has_free_slot(
+        self, request: ReservationRequest, full: frozenset[str]
+    ) -> bool:
         free = count_free_slots(
-            self._list_usable(full), self.ledger, self.windows.read_limit
+            self._list_usable(full),
+            self.ledger,
+            lambda name: self.delays.count_room(name, request.patience),
         )
         return free > 0
 
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
@@ -98,20 +98,23 @@
 def count_free_slots(
     capacities: Iterable[ReplicaCapacity],
     ledger: ReservationLedger,
-    read_limit: Callable[[str], float],
+    count_room: Callable[[str], float],
 ) -> int:
     """Count the paths that may still begin at some replicas.
 
     Slots that were granted to requests without a path are not free.
 
     :param capacities: of the replicas that have memory.
-    :param read_limit: returns the window of a first replica.
+    :param count_room: returns how many requests a first replica can begin in
+        time.
     """
     free = sum(
         max(
             0,
-            math.ceil(min(capacity.slots, read_limit(capacity.name)))
-            - ledger.entries[capacity.name],
+            min(
+                capacity.slots - ledger.entries[capacity.name],
+                math.floor(min(capacity.slots, count_room(capacity.name))),
+            ),
         )
         for capacity in capacities
         if not capacity.layers.first
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_ledger.py
@@ -1,7 +1,7 @@
 """Records the places that requests of all nodes occupy at replicas."""
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ryelatch_core.admission._reservation import ReservationRequest
 
@@ -20,11 +20,13 @@
         path is chosen.
     :param until: when it ends unless it is removed before, in monotonic
         seconds.
+    :param begun: whether its first event has arrived.
     """
 
     request: ReservationRequest
     path: tuple[str, ...]
     until: float
+    begun: bool = False
 
 
 @dataclass(eq=False)
@@ -34,6 +36,7 @@
     :param tokens: reserved tokens by name of the replica.
     :param requests: reservations by name of the replica.
     :param entries: reservations by name of the first replica of their path.
+    :param pending: those of them without a first event.
     :param account_tokens: reserved tokens by client account.
     :param unplaced: number of reservations without a path, which may go to
         any replica.
@@ -43,6 +46,7 @@
     tokens: Counter[str] = field(default_factory=Counter)
     requests: Counter[str] = field(default_factory=Counter)
     entries: Counter[str] = field(default_factory=Counter)
+    pending: Counter[str] = field(default_factory=Counter)
     account_tokens: Counter[str] = field(default_factory=Counter)
     unplaced: int = 0
     unplaced_tokens: int = 0
@@ -73,6 +77,8 @@
         until = request.expires if path else now + UNPLACED_SECONDS
         self._reservations[request.identity] = Reservation(request, path, until)
         self._count(request, path, 1)
+        if path:
+            _add(self.pending, path[0], 1)
 
     def place(self, identity: str, path: tuple[str, ...], now: float) -> None:
         """Record the path of a request that has a reservation, or had one.
@@ -82,8 +88,18 @@
         reservation = self._reservations.get(identity)
         request = reservation.request if reservation else None
         request = request or self._lapsed.get(identity)
-        if request is not None:
-            self.add(request, path, now)
+        if request is None:
+            return
+        self.add(request, path, now)
+        if reservation and reservation.begun and reservation.path[0] == path[0]:
+            self.begin(identity)
+
+    def begin(self, identity: str) -> None:
+        """Record that the first event of a request has arrived."""
+        reservation = self._reservations.get(identity)
+        if reservation and reservation.path and not reservation.begun:
+            self._reservations[identity] = replace(reservation, begun=True)
+            _add(self.pending, reservation.path[0], -1)
 
     def remove(self, identity: str) -> Reservation | None:
         """Remove a reservation.
@@ -92,8 +108,11 @@
         """
         self._lapsed.pop(identity, None)
         reservation = self._reservations.pop(identity, None)
-        if reservation is not None:
-            self._count(reservation.request, reservation.path, -1)
+        if reservation is None:
+            return None
+        self._count(reservation.request, reservation.path, -1)
+        if reservation.path and not reservation.begun:
+            _add(self.pending, reservation.path[0], -1)
         return reservation
 
     def find(self, identity: str) -> Reservation | None:
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_reservation.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_reservation.py
@@ -1,5 +1,6 @@
 """Requests for room at replicas, and the answers to them."""
 
+import math
 from dataclasses import dataclass
 
 
@@ -17,6 +18,7 @@
     :param retried: whether its client was refused before.
     :param start_by: latest time at which a place is still of use to it.
     :param expires: when its client stops waiting for the answer.
+    :param patience: longest time to its first event, in seconds.
     """
 
     identity: str
@@ -26,6 +28,7 @@
     retried: bool
     start_by: float
     expires: float
+    patience: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_costs.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_costs.py
@@ -170,4 +170,9 @@
     entry = 0 if replica.zone == query.zone else ENTRY_COST_SECONDS
     load = query.load.requests.get(replica.name, 0)
     used_fraction = min(1, load / replica.slots)
-    return float(entry + SLOTS_SECONDS * used_fraction**_SLOTS_POWER)
+    delay = query.load.entry_seconds.get(replica.name, 0)
+    return float(
+        entry
+        + SLOTS_SECONDS * used_fraction**_SLOTS_POWER
+        + EXCESS_WEIGHT * delay
+    )
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_load.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_load.py
@@ -3,7 +3,7 @@
 import math
 from collections import Counter
 from collections.abc import Container, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ryelatch_core.fleet._types import Stage
 
@@ -64,11 +64,14 @@
     :param tokens: of these requests.
     :param uncertainty: from 0 to 1; how little this node knows of the load of
         other nodes so far.
+    :param entry_seconds: predicted seconds to the first event of a path that
+        begins at a replica, where known.
     """
 
     requests: Mapping[str, float]
     tokens: Mapping[str, float]
     uncertainty: float = 0
+    entry_seconds: Mapping[str, float] = field(default_factory=dict)
 
 
 NO_LOAD = LoadEstimate({}, {})
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from ryelatch_core.admission import LATE_FRACTION
 from ryelatch_core.fleet import (
     NO_LOAD,
     PathQuery,
@@ -15,6 +16,12 @@
 from ryelatch_node.relay._progress import Progress
 from ryelatch_node.relay._query import count_tokens, make_path_query
 
+MAX_RETRIED_PATIENCE_SECONDS = 1.0
+"""Longest time to the first event of a request that will be late anyway.
+
+Its client leaves after two seconds without an event.
+"""
+
 MAX_FIRST_REPLICAS = 3
 """First replicas tried for a request that may crash the replica it runs on."""
 
@@ -143,11 +150,21 @@
     retried = is_retried(context, request)
     load = context.reservations.find_load(request.service)
     if load is not None:
-        return load.list_without_slot(request.service)
+        return load.list_closed(request.service, get_patience(context, request))
     heavy = context.accounts.exceeds_share(request.account)
     return context.windows.list_closed(yields=retried or heavy)
 
 
+def get_patience(context: RelayContext, request: AdmittedRequest) -> float:
+    """Return the longest acceptable time to the first event, in seconds.
+
+    A request whose client was refused before is late anyway.
+    """
+    if is_retried(context, request):
+        return MAX_RETRIED_PATIENCE_SECONDS
+    return request.route.objective * LATE_FRACTION
+
+
 def is_retried(context: RelayContext, request: AdmittedRequest) -> bool:
     """Whether the client of a request seems to have been refused before.
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_places.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_places.py
@@ -14,6 +14,7 @@
 from ryelatch_core.fleet import Stage
 from ryelatch_node.relay._choice import (
     choose_request_path,
+    get_patience,
     is_retried,
     misses_layers,
 )
@@ -166,6 +167,7 @@
         retried,
         start_by,
         request.deadline,
+        get_patience(context, request),
     )
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -136,8 +136,8 @@
                 stream.request.route.objective,
                 stream.progress,
             )
-            context.reservations.client.record_first_event(
-                stream.exchange.key, delay, stream.request.route.objective
+            context.reservations.client.record_delay(
+                stream.exchange.key, delay, begun=True
             )
         stream.exchange.detail.setdefault(
             'first', round_seconds(stream.progress - stream.request.arrived)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
@@ -31,6 +31,8 @@
         cause of a crash of its replicas.
     :param moving: whether a move to another path is in progress.
     :param finished: whether the reading of the answer has finished.
+    :param delay_reported: whether the controller of its zone was told that
+        its first event is late.
     :param stall_recorded: whether the present pause has been logged.
     :param delayed_by_loss: whether the stream waited for a lost replica.
     :param reason: why the stream was interrupted; empty if it was not.
@@ -52,6 +54,7 @@
     cleared: bool = False
     moving: bool = False
     finished: bool = False
+    delay_reported: bool = False
     stall_recorded: bool = False
     delayed_by_loss: bool = False
     reason: str = ''
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -10,6 +10,7 @@
 import asyncio
 from dataclasses import dataclass, field, replace
 
+from ryelatch_core.admission import LATE_FRACTION
 from ryelatch_core.events import catalogue, keep_running
 from ryelatch_core.fleet import Replica, choose_path
 from ryelatch_core.kernel import LagMeter, cancel_task
@@ -156,6 +157,7 @@
         lost: frozenset[str],
     ) -> None:
         pause = now - stream.progress
+        self._report_delay(stream, pause)
         silence_limit = _compute_silence_limit(stream)
         if lost and pause > silence_limit and stream.uses(lost):
             if now - stream.last_move_attempt > MOVE_PAUSE_SECONDS:
@@ -173,6 +175,21 @@
         if pause > GIVE_UP_SECONDS and self._may_resume(stream):
             stream.interrupt('silent')
 
+    def _report_delay(self, stream: LiveStream, pause: float) -> None:
+        """Report once to the controller that a first event is late.
+
+        Otherwise it would learn of a first replica that hangs only from the
+        streams that it still answers.
+        """
+        if stream.begun or stream.delay_reported:
+            return
+        if pause <= stream.request.route.objective * LATE_FRACTION:
+            return
+        stream.delay_reported = True
+        self.context.reservations.client.record_delay(
+            stream.exchange.key, pause, begun=False
+        )
+
     def _request_report(self, replica: Replica, now: float) -> None:
         """Request a report of a first replica, once for all its streams."""
         if (
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
@@ -185,17 +185,18 @@
         elif channel is not None:
             self._restore(held, channel)
 
-    def record_first_event(
-        self, identity: str, seconds: float, objective: float
+    def record_delay(
+        self, identity: str, seconds: float, *, begun: bool
     ) -> None:
         """Report how long a request took to its first event.
 
         :param seconds: from when it was sent.
-        :param objective: seconds within which its client expects the event.
+        :param begun: whether the event has arrived; if not, this is how long
+            the request has waited so far.
         """
         held = self._held.get(identity)
         if held is not None:
-            self._tell(held.key, Begin(held.number, seconds, objective))
+            self._tell(held.key, Begin(held.number, seconds, begun))
 
     def release(self, identity: str) -> None:
         """Report that a request has ended or no longer waits."""
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_frames.py
@@ -16,6 +16,7 @@
 
     :param start_in: seconds until a place is of no use any more.
     :param expires_in: seconds until the client stops waiting.
+    :param patience: longest time to the first event, in seconds.
     """
 
     priority: Count
@@ -24,6 +25,7 @@
     retried: bool
     start_in: Duration
     expires_in: Duration
+    patience: Duration
 
 
 class Reserve(msgspec.Struct, frozen=True, array_like=True, tag='reserve'):
@@ -64,12 +66,13 @@
     """Reports how long a request took to its first event.
 
     :param seconds: from when it was sent.
-    :param objective: seconds within which its client expects the event.
+    :param begun: whether the event has arrived; if not, this is how long the
+        request has waited so far.
     """
 
     number: Count
     seconds: Duration
-    objective: Duration
+    begun: bool
 
 
 class Release(msgspec.Struct, frozen=True, array_like=True, tag='release'):
@@ -95,6 +98,8 @@
     :param tokens: reserved tokens.
     :param free: tokens that may still be reserved.
     :param free_slots: paths that may still begin at it.
+    :param delay: predicted seconds to the first event of the next path that
+        begins at it.
     """
 
     name: IncarnationName
@@ -102,6 +107,7 @@
     tokens: Count
     free: Count
     free_slots: Count
+    delay: Duration
 
 
 class GrantReply(msgspec.Struct, frozen=True, array_like=True, tag='granted'):
@@ -160,6 +166,7 @@
         request.retried,
         max(0, request.start_by - now),
         max(0, request.expires - now),
+        request.patience,
     )
 
 
@@ -177,4 +184,5 @@
         terms.retried,
         now + terms.start_in,
         now + terms.expires_in,
+        terms.patience,
     )
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_load.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_load.py
@@ -73,7 +73,9 @@
         requests = {load.name: load.requests for load in reported}
         tokens = {load.name: load.tokens for load in reported}
         return LoadEstimate(
-            {**estimate.requests, **requests}, {**estimate.tokens, **tokens}
+            {**estimate.requests, **requests},
+            {**estimate.tokens, **tokens},
+            entry_seconds={load.name: load.delay for load in reported},
         )
 
     def list_full(self, service: str, tokens: int) -> frozenset[str]:
@@ -87,12 +89,15 @@
             if load.free < tokens
         )
 
-    def list_without_slot(self, service: str) -> frozenset[str]:
-        """List the replicas at which no further path may begin."""
+    def list_closed(self, service: str, patience: float) -> frozenset[str]:
+        """List the replicas at which no further path may begin.
+
+        :param patience: longest time to the first event, in seconds.
+        """
         return frozenset(
             load.name
             for load in self._list_recent(service, MAX_ROOM_AGE_SECONDS)
-            if not load.free_slots
+            if not load.free_slots or load.delay > patience
         )
 
     def _list_recent(self, service: str, max_age: float) -> list[ReplicaLoad]:
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
@@ -136,9 +136,9 @@
             self.controller.record_shortage(frame.replica, now)
             return
         identity = _identify(session, frame.number)
-        self.controller.record_first_event(
-            identity, frame.seconds, frame.objective, now
-        )
+        self.controller.record_delay(identity, frame.seconds, begun=frame.begun)
+        if frame.begun:
+            self._admit_waiting()
 
     def _reserve(
         self, session: ZoneSession, frame: Reserve, now: float
@@ -218,7 +218,6 @@
         controller = self.controller
         ledger = controller.ledger
         full = controller.list_full(0, now)
-        closed = controller.list_without_slot()
         held = ledger.unplaced_tokens - ledger.read_unplaced(holder)
         return tuple(
             ReplicaLoad(
@@ -228,9 +227,8 @@
                 0
                 if name in full
                 else _count_free(capacity.tokens - ledger.tokens[name] - held),
-                0
-                if name in closed
-                else max(0, capacity.slots - ledger.entries[name]),
+                max(0, capacity.slots - ledger.entries[name]),
+                controller.delays.predict(name),
             )
             for name, capacity in self._capacity.replicas.items()
         )
