Requests wait for first replicas that read prompts, also in a calm zone

Where first replicas are closed because prompts wait there, their places are freed by first events. Waits were predicted from the ends of answers alone: in a burst on a calm zone none had ended of late, so all requests above the first few were refused although they needed to wait for some prompts only.

While there is memory, the expected places are at least those that the first replicas begin. Of thirty requests that come to an idle zone at once, six began, none waited and 24 were refused; ten wait now, which are in time, and 14 are refused.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -12,12 +12,13 @@
 from dataclasses import dataclass, field
 
 from ryelatch_core.admission._entries import EntryDelays
-from ryelatch_core.admission._forecast import PlaceForecast
+from ryelatch_core.admission._forecast import MIN_RATE, PlaceForecast
 from ryelatch_core.admission._headroom import (
     ReplicaCapacity,
     count_free_slots,
     has_path,
     list_full,
+    list_usable,
     list_without_slot,
     measure_largest,
 )
@@ -204,7 +205,7 @@
         full = self.list_full(request.tokens, now)
         if not self._has_free_slot(request, full):
             return False
-        usable = self._list_usable(full)
+        usable = list_usable(self._capacities, full)
         closed = self.list_closed(request.patience)
         return has_path(usable, closed, self._layers)
 
@@ -212,19 +213,12 @@
         self, request: ReservationRequest, full: frozenset[str]
     ) -> bool:
         free = count_free_slots(
-            self._list_usable(full),
+            list_usable(self._capacities, full),
             self.ledger,
             lambda name: self.delays.count_room(name, request.patience),
         )
         return free > 0
 
-    def _list_usable(self, full: frozenset[str]) -> list[ReplicaCapacity]:
-        return [
-            capacity
-            for name, capacity in self._capacities.items()
-            if name not in full
-        ]
-
     def _free(self, identity: str, now: float) -> None:
         if self.ledger.remove(identity) is not None:
             self._forecast.record_freed(now)
@@ -300,9 +294,10 @@
         shortest that is possible.
         """
         starved_first = self._choose_starved(now)
-        next_place = self._forecast.predict_next(now)
+        freed = max(self._forecast.read_rate(now), self._read_start_rate(now))
+        next_place = 1 / max(MIN_RATE, freed)
         predict = self._forecast.build_prediction(
-            self.queue.list_priorities(), now
+            self.queue.list_priorities(), freed, now
         )
 
         def predict_wait(request: ReservationRequest, position: int) -> float:
@@ -314,6 +309,23 @@
 
         return predict_wait
 
+    def _read_start_rate(self, now: float) -> float:
+        """Return how many requests per second begin where there is memory.
+
+        Places there are freed by first events, not by the ends of answers.
+        """
+        longest = next(iter(self.queue)).request
+        full = self.list_full(longest.tokens, now)
+        usable = list_usable(self._capacities, full)
+        without_slot = list_without_slot(self._capacities, self.ledger)
+        if not has_path(usable, without_slot, self._layers):
+            return 0
+        return sum(
+            self.delays.read_rate(capacity.name)
+            for capacity in usable
+            if not capacity.layers.first and capacity.name not in without_slot
+        )
+
     def _refuse(self, request: ReservationRequest, now: float) -> Refused:
         self.queue.remove(request.identity)
         self._shares.record_refusal(request.priority, now)
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_entries.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_entries.py
@@ -13,6 +13,9 @@
 DEFAULT_PROMPT_SECONDS = 0.05
 """Time that a first replica takes for a prompt, before any was measured."""
 
+MIN_PROMPT_SECONDS = 0.001
+"""Lower bound of the time that a first replica takes for a prompt."""
+
 _LATEST_WEIGHT = 0.2
 """Weight of the latest measurement; the mean follows within five prompts."""
 
@@ -36,6 +39,11 @@
         mean = self._prompt_seconds.get(name, DEFAULT_PROMPT_SECONDS)
         self._prompt_seconds[name] = mean + _LATEST_WEIGHT * (latest - mean)
 
+    def read_rate(self, name: str) -> float:
+        """Return how many requests a first replica begins per second."""
+        each = self._prompt_seconds.get(name, DEFAULT_PROMPT_SECONDS)
+        return 1 / max(each, MIN_PROMPT_SECONDS)
+
     def predict(self, name: str) -> float:
         """Predict the seconds to the first event of the next request."""
         each = self._prompt_seconds.get(name, DEFAULT_PROMPT_SECONDS)
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_forecast.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_forecast.py
@@ -34,12 +34,12 @@
         """Record that a request got a place."""
         self._granted[priority].record(now)
 
-    def predict_next(self, now: float) -> float:
-        """Return the seconds until the next place is freed."""
-        return 1 / max(MIN_RATE, self._freed.read(now))
+    def read_rate(self, now: float) -> float:
+        """Return how many places are freed per second."""
+        return self._freed.read(now)
 
     def build_prediction(
-        self, priorities: Iterable[int], now: float
+        self, priorities: Iterable[int], freed: float, now: float
     ) -> Callable[[int, int], float]:
         """Build a function of priority and position that predicts waits.
 
@@ -47,8 +47,8 @@
         many as they took of late.
 
         :param priorities: those of the waiting requests.
+        :param freed: expected places per second.
         """
-        freed = self._freed.read(now)
         granted = {
             priority: rate.read(now) for priority, rate in self._granted.items()
         }
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
@@ -8,7 +8,7 @@
 import bisect
 import itertools
 import math
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Container, Iterable, Mapping
 from dataclasses import dataclass
 
 from ryelatch_core.admission._ledger import ReservationLedger
@@ -84,6 +84,18 @@
     )
 
 
+def list_usable(
+    capacities: Mapping[str, ReplicaCapacity], full: Container[str]
+) -> list[ReplicaCapacity]:
+    """List the replicas that have memory.
+
+    :param full: names of those without.
+    """
+    return [
+        capacity for name, capacity in capacities.items() if name not in full
+    ]
+
+
 def list_without_slot(
     capacities: Mapping[str, ReplicaCapacity], ledger: ReservationLedger
 ) -> frozenset[str]:
--- a/tests/core/admission/test_full_replicas.py
+++ b/tests/core/admission/test_full_replicas.py
@@ -6,6 +6,7 @@
     get_path,
     keep_busy,
     list_granted,
+    list_refused,
     make_controller,
     make_copy,
     make_request,
@@ -50,3 +51,22 @@
         )
     ]
     assert granted == ['0', '1']
+
+
+def test_burst_waits_for_first_replicas() -> None:
+    """Thirty requests come to an idle zone, which has freed no place of late.
+
+    Its only first replica reads a prompt in 0.05 s, and six are in time.
+    """
+    controller = make_controller(make_copy(0, 10_000))
+    decided = [
+        decision
+        for number in range(30)
+        for decision in controller.enqueue(
+            replace(make_request(f'{number}', start_by=100.5), patience=0.31),
+            100,
+        )
+    ]
+    assert len(list_granted(decided)) == 6
+    assert len(controller.queue) == 10
+    assert len(list_refused(decided)) == 14
