Smaller requests overtake one that finds no room yet

The first request in the queue was waited for until it fitted, whatever its size, while room for smaller ones stayed empty on all replicas.

Smaller requests may now overtake it in the first half of its time; room is kept for it in the second half. Room for the smallest one is checked first, so that a zone that is full to the brim costs no more than that.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -237,16 +237,41 @@
             self._forecast.record_freed(now)
         decided: list[Granted | Refused] = [*self._refuse_hopeless(now)]
         while self.queue:
-            first = self.queue.choose_first(
-                self.ledger.account_tokens, self._find_starved(now)
-            )
-            if not self._has_room(first, now):
+            admitted = self._choose_fitting(now)
+            if admitted is None:
                 break
-            self.queue.remove(first.identity)
-            self._grant(first, (), now)
-            decided.append(Granted(first.identity))
+            self.queue.remove(admitted.identity)
+            self._grant(admitted, (), now)
+            decided.append(Granted(admitted.identity))
         return decided
 
+    def _choose_fitting(self, now: float) -> ReservationRequest | None:
+        """Return the waiting request that gets the next place, if any.
+
+        Smaller requests may overtake one that doesn't fit yet, until it has
+        waited for half of its time; from then on, room is kept for it.
+        """
+        account_tokens = self.ledger.account_tokens
+        first = self.queue.choose_first(account_tokens, self._find_starved(now))
+        if self._has_room(first, now):
+            return first
+        smallest = min(
+            (waiting.request for waiting in self.queue),
+            key=lambda request: request.tokens,
+        )
+        if not self._has_room(smallest, now):
+            return None
+        too_large = first.tokens
+        for waiting in self.queue.sort(account_tokens):
+            request = waiting.request
+            if request.tokens < too_large:
+                if self._has_room(request, now):
+                    return request
+                too_large = request.tokens
+            if now - waiting.since > request.start_by - now:
+                return None
+        return None
+
     def _refuse_hopeless(self, now: float) -> list[Refused]:
         """Refuse the waiting requests that a place would be of no use to.
 
@@ -264,13 +289,6 @@
     def _find_starved(self, now: float) -> int | None:
         return self._shares.find_starved(self.queue.list_priorities(), now)
 
-    def _choose_starved(self, now: float) -> ReservationRequest | None:
-        """Return the waiting request that goes first out of order, if any."""
-        starved = self._find_starved(now)
-        if starved is None:
-            return None
-        return self.queue.choose_first(self.ledger.account_tokens, starved)
-
     def _refuse_late(self, now: float) -> list[Refused]:
         """Refuse the waiting requests that no place is expected for in time."""
         late: list[ReservationRequest] = []
@@ -293,7 +311,12 @@
         The client of a retried request has no further try, so its wait is the
         shortest that is possible.
         """
-        starved_first = self._choose_starved(now)
+        starved = self._find_starved(now)
+        starved_first = (
+            None
+            if starved is None
+            else self.queue.choose_first(self.ledger.account_tokens, starved)
+        )
         freed = max(self._forecast.read_rate(now), self._read_start_rate(now))
         next_place = 1 / max(MIN_RATE, freed)
         predict = self._forecast.build_prediction(
--- a/tests/core/admission/test_full_replicas.py
+++ b/tests/core/admission/test_full_replicas.py
@@ -70,3 +70,23 @@
     assert len(list_granted(decided)) == 6
     assert len(controller.queue) == 10
     assert len(list_refused(decided)) == 14
+
+
+def test_small_request_overtakes_a_large_one() -> None:
+    """A large request finds no room for a second; small ones would.
+
+    Room is kept for it from the middle of its time on.
+    """
+    controller = make_controller(make_copy(0, 1000))
+    keep_busy(controller, get_path(0), 10)
+    running = make_request('running', tokens=600)
+    assert controller.reserve(running, get_path(0), 100)
+    large = make_request('large', tokens=500, start_by=101)
+    assert not list_granted(controller.enqueue(large, 100))
+    early = controller.enqueue(make_request('early', tokens=100), 100.4)
+    assert list_granted(early) == ['early']
+    controller.place('early', get_path(0), 100.4)
+    late = controller.enqueue(make_request('late', tokens=100), 100.6)
+    assert not list_granted(late)
+    controller.release('running', 100.7)
+    assert list_granted(controller.admit_waiting(100.7))[0] == 'large'
