A controller that doesn't know the model yet refuses nobody for it

A node that has just started is asked to control a zone before it has read its configuration, and is told that the model has no layers and the zone no replicas. That counted as a lost zone, so all that waited were refused at once in place of waiting for the first lists. Without layers nothing is too large.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -75,12 +75,14 @@
     ) -> None:
         """Set what the replicas hold at once, by name.
 
-        :param layers: number of layers of the model.
+        :param layers: number of layers of the model; 0 if not known yet.
         """
         self._capacities = capacities
         self._layers = layers
         self.delays.keep(capacities)
-        self._max_tokens = measure_largest(capacities.values(), layers)
+        self._max_tokens = (
+            measure_largest(capacities.values(), layers) if layers else math.inf
+        )
 
     def reserve(
         self, request: ReservationRequest, path: tuple[str, ...], now: float
--- a/tests/core/admission/test_lost_zone.py
+++ b/tests/core/admission/test_lost_zone.py
@@ -35,6 +35,7 @@
 def test_requests_wait_for_the_first_list() -> None:
     """A node that has just started is asked before it knows the replicas."""
     controller = AdmissionController(random.Random(1).random)
+    controller.update({}, 0)
     early = make_request('early', start_by=103)
     assert not list_refused(controller.enqueue(early, 100))
     update(controller, make_copy(0, 100))
