A node that takes over a zone lets requests wait

When the node that controls a zone is lost, the next one has seen no place freed yet. It expected one in two seconds, so for about a second it refused all requests that found no room at once, though places became free as before.

The rate is now corrected for the time that was observed, and for the first 0.2 s no wait is too long. In the test, the request that can wait for 0.4 s was refused at once and waits now.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/_forecast.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_forecast.py
@@ -1,5 +1,6 @@
 """Predicts when waiting requests get a place."""
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -12,6 +13,9 @@
 MIN_RATE = 0.5
 """Lower bound of the expected places per second, so that waits are finite."""
 
+LEARNING_SECONDS = 0.2
+"""Time after which the rate of a new controller says something."""
+
 
 def _make_rate() -> EventRate:
     return EventRate(RATE_SECONDS)
@@ -22,12 +26,14 @@
     """Rates at which places are freed, and granted by priority."""
 
     _freed: EventRate = field(default_factory=_make_rate)
+    _began: float | None = None
     _granted: defaultdict[int, EventRate] = field(
         default_factory=lambda: defaultdict(_make_rate)
     )
 
     def record_freed(self, now: float) -> None:
         """Record that a place was freed."""
+        self._observe(now)
         self._freed.record(now)
 
     def record_grant(self, priority: int, now: float) -> None:
@@ -35,8 +41,15 @@
         self._granted[priority].record(now)
 
     def read_rate(self, now: float) -> float:
-        """Return how many places are freed per second."""
-        return self._freed.read(now)
+        """Return how many places are freed per second.
+
+        A node that takes over the control of a zone has seen none freed yet;
+        it lets requests wait rather than refuse all of them.
+        """
+        age = self._observe(now)
+        if age < LEARNING_SECONDS:
+            return math.inf
+        return self._freed.read(now) / -math.expm1(-age / RATE_SECONDS)
 
     def build_prediction(
         self, priorities: Iterable[int], freed: float, now: float
@@ -62,3 +75,9 @@
             return position / max(MIN_RATE, rates[priority])
 
         return predict
+
+    def _observe(self, now: float) -> float:
+        """Return for how many seconds places have been observed."""
+        if self._began is None:
+            self._began = now
+        return now - self._began
--- a/tests/core/admission/test_full_replicas.py
+++ b/tests/core/admission/test_full_replicas.py
@@ -59,6 +59,8 @@
     Its only first replica reads a prompt in 0.05 s, and six are in time.
     """
     controller = make_controller(make_copy(0, 10_000))
+    controller.restore(make_request('earlier'), get_path(0), 50)
+    controller.release('earlier', 60)
     decided = [
         decision
         for number in range(30)
--- a/tests/core/admission/test_waits.py
+++ b/tests/core/admission/test_waits.py
@@ -95,3 +95,20 @@
     new = make_request('new', 1, start_by=101)
     assert not list_refused(controller.enqueue(back, 100))
     assert list_refused(controller.enqueue(new, 100))
+
+
+def test_requests_wait_at_a_new_controller() -> None:
+    """A node takes over the control of a full zone from one that was lost."""
+    controller = make_controller(make_copy(0, 1000))
+    for number in range(10):
+        running = make_request(f'running-{number}')
+        controller.restore(running, get_path(0), 100)
+    waiting = make_request('waiting', start_by=100.4)
+    assert not list_refused(controller.enqueue(waiting, 100))
+    for number in range(2):
+        controller.release(f'running-{number}', 100.1 + number / 10)
+        decided = controller.admit_waiting(100.1 + number / 10)
+        assert not list_refused(decided)
+        next_one = make_request(f'{number}', start_by=100.6)
+        decided = controller.enqueue(next_one, 100.15 + number / 10)
+        assert not list_refused(decided)
