--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -18,6 +18,7 @@
     count_free_slots,
     has_path,
     list_full,
+    list_slow,
     list_usable,
     list_without_slot,
     measure_largest,
@@ -95,7 +96,7 @@
         starved = self._find_starved(now)
         if self.queue.blocks(request, self.ledger.account_tokens, starved):
             return False
-        full = self.list_full(request.tokens, now)
+        full = self.list_full(request.tokens, now, request.gap)
         closed = self.list_closed(request.patience)
         if path[0] in closed or not full.isdisjoint(path):
             return False
@@ -177,15 +178,24 @@
         self._predicted_at = now
         return [*decided, *self._refuse_late(now)]
 
-    def list_full(self, tokens: int, now: float) -> frozenset[str]:
-        """List the replicas without memory for a request of some tokens."""
+    def list_full(
+        self, tokens: int, now: float, gap: float = math.inf
+    ) -> frozenset[str]:
+        """List the replicas without room for a request.
+
+        They lack memory, or would become too slow.
+
+        :param tokens: of the request.
+        :param gap: longest time between two of its events, in seconds.
+        """
         self._short_until = {
             name: until
             for name, until in self._short_until.items()
             if until > now
         }
         full = list_full(self._capacities, self.ledger, tokens)
-        return full | self._short_until.keys()
+        slow = list_slow(self._capacities, self.ledger, tokens, gap)
+        return full | slow | self._short_until.keys()
 
     def list_closed(self, patience: float) -> frozenset[str]:
         """List the replicas at which no further path may begin.
@@ -202,7 +212,7 @@
         }
 
     def _has_room(self, request: ReservationRequest, now: float) -> bool:
-        full = self.list_full(request.tokens, now)
+        full = self.list_full(request.tokens, now, request.gap)
         if not self._has_free_slot(request, full):
             return False
         usable = list_usable(self._capacities, full)
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
@@ -13,10 +13,12 @@
 
 from ryelatch_core.admission._ledger import ReservationLedger
 from ryelatch_core.fleet import (
+    Accelerator,
     LayerRange,
     ModelProfile,
     Replica,
     estimate_capacity,
+    estimate_step,
 )
 
 USABLE_FRACTION = 0.9
@@ -27,6 +29,37 @@
 """
 
 
+MAX_SLOWDOWN = 1.5
+"""Slowdown that is accepted where even an idle replica is too slow."""
+
+
+@dataclass(frozen=True, slots=True)
+class EventSeconds:
+    """Seconds between two events of a stream, if all layers ran at a replica.
+
+    A path is at most as slow as the slowest of its replicas.
+
+    :param idle: without other requests.
+    :param per_request: added for each request that passes through.
+    :param per_token: added for each token of their context.
+    """
+
+    idle: float
+    per_request: float
+    per_token: float
+
+    def estimate(self, requests: int, tokens: int) -> float:
+        """Estimate the seconds with some requests in progress.
+
+        :param tokens: of these requests.
+        """
+        return self.idle + requests * self.per_request + tokens * self.per_token
+
+
+UNMEASURED = EventSeconds(0, 0, 0)
+"""Of a replica whose speed is not known."""
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaCapacity:
     """What a replica holds at once.
@@ -34,6 +67,7 @@
     :param tokens: tokens whose KV caches may be reserved.
     :param slots: requests whose path may begin at it.
     :param version: of the weights that it holds.
+    :param event_seconds: how the requests in progress slow it down.
     """
 
     name: str
@@ -41,6 +75,7 @@
     tokens: float
     slots: int
     version: int = 0
+    event_seconds: EventSeconds = UNMEASURED
 
 
 def measure_capacities(
@@ -59,6 +94,9 @@
             ),
             replica.slots,
             replica.version,
+            _measure_event_seconds(
+                profile, profile.accelerators[replica.accelerator]
+            ),
         )
         for replica in replicas
         if replica.layers is not None
@@ -67,6 +105,27 @@
     }
 
 
+def list_slow(
+    capacities: Mapping[str, ReplicaCapacity],
+    ledger: ReservationLedger,
+    tokens: int,
+    gap: float,
+) -> frozenset[str]:
+    """List the replicas that one more request would make too slow.
+
+    :param tokens: of the request.
+    :param gap: longest time between two events, in seconds.
+    """
+    return frozenset(
+        name
+        for name, capacity in capacities.items()
+        if capacity.event_seconds.estimate(
+            ledger.requests[name] + 1, ledger.tokens[name] + tokens
+        )
+        > max(gap, capacity.event_seconds.idle * MAX_SLOWDOWN)
+    )
+
+
 def list_full(
     capacities: Mapping[str, ReplicaCapacity],
     ledger: ReservationLedger,
@@ -84,6 +143,17 @@
     )
 
 
+def _measure_event_seconds(
+    profile: ModelProfile, accelerator: Accelerator
+) -> EventSeconds:
+    steps = profile.steps_per_event
+    layers = profile.layers
+    idle = steps * estimate_step(profile, accelerator, layers, 0)
+    one = steps * estimate_step(profile, accelerator, layers, 1)
+    context = steps * estimate_step(profile, accelerator, layers, 0, 1)
+    return EventSeconds(idle, one - idle, context - idle)
+
+
 def list_usable(
     capacities: Mapping[str, ReplicaCapacity], full: Container[str]
 ) -> list[ReplicaCapacity]:
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_reservation.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_reservation.py
@@ -19,6 +19,7 @@
     :param start_by: latest time at which a place is still of use to it.
     :param expires: when its client stops waiting for the answer.
     :param patience: longest time to its first event, in seconds.
+    :param gap: longest time between two of its events, in seconds.
     """
 
     identity: str
@@ -29,6 +30,7 @@
     start_by: float
     expires: float
     patience: float = math.inf
+    gap: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_costs.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_costs.py
@@ -134,7 +134,8 @@
     profile = query.profile
     accelerator = profile.accelerators[replica.accelerator]
     sequences = query.load.requests.get(replica.name, 0)
-    step = estimate_step(profile, accelerator, 1, sequences)
+    context = query.load.context.get(replica.name, 0)
+    step = estimate_step(profile, accelerator, 1, sequences, context)
     prefill = estimate_prefill(profile, accelerator, 1, query.prompt)
     crowding = 1 + min(fullness, _MAX_FULLNESS) ** 2
     noise = _sample_noise(query)
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_load.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_load.py
@@ -66,12 +66,14 @@
         other nodes so far.
     :param entry_seconds: predicted seconds to the first event of a path that
         begins at a replica, where known.
+    :param context: tokens of the requests of all nodes, where known.
     """
 
     requests: Mapping[str, float]
     tokens: Mapping[str, float]
     uncertainty: float = 0
     entry_seconds: Mapping[str, float] = field(default_factory=dict)
+    context: Mapping[str, float] = field(default_factory=dict)
 
 
 NO_LOAD = LoadEstimate({}, {})
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_performance.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_performance.py
@@ -3,6 +3,7 @@
 from ryelatch_core.fleet._types import Accelerator, LayerRange, ModelProfile
 
 _MS = 1000.0
+_TOKENS_PER_CONTEXT = 1000.0
 
 
 def fit_layers(
@@ -37,12 +38,15 @@
     accelerator: Accelerator,
     layers: int,
     sequences: float,
+    context: float = 0,
 ) -> float:
     """Estimate the duration of one decode step over some layers, in seconds.
 
     :param sequences: number of requests that are decoded together.
+    :param context: tokens of these requests, where known.
     """
     total = profile.step_ms + sequences * profile.sequence_ms
+    total += context / _TOKENS_PER_CONTEXT * profile.context_ms
     fraction = layers / profile.layers
     return total * accelerator.step_factor * fraction / _MS
 
--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_types.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_types.py
@@ -95,6 +95,9 @@
     :param typical_prompt: mean tokens of a prompt.
     :param typical_answer: mean tokens of an answer.
     :param accelerators: by name of their kind.
+    :param context_ms: added to a step for each thousand tokens of context of
+        the requests that are decoded.
+    :param steps_per_event: decode steps that an event of a stream takes.
     """
 
     layers: int
@@ -107,6 +110,8 @@
     typical_prompt: float
     typical_answer: float
     accelerators: Mapping[str, Accelerator]
+    context_ms: float = 0
+    steps_per_event: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_places.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_places.py
@@ -39,6 +39,13 @@
 FIRST_EVENT_SECONDS = 0.2
 """Time from a place to the first event, which the objective includes."""
 
+PACE_FRACTION = 0.5
+"""Fraction of the longest pause that events may take without other delays.
+
+Prompts that are read between events, and requests of other first replicas,
+take the rest.
+"""
+
 MAX_RETRIED_WAIT_SECONDS = 1.0
 """Longest wait of a request whose client was refused before.
 
@@ -168,6 +175,7 @@
         start_by,
         request.deadline,
         get_patience(context, request),
+        request.route.gap * PACE_FRACTION,
     )
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_frames.py
@@ -17,6 +17,7 @@
     :param start_in: seconds until a place is of no use any more.
     :param expires_in: seconds until the client stops waiting.
     :param patience: longest time to the first event, in seconds.
+    :param gap: longest time between two events, in seconds.
     """
 
     priority: Count
@@ -26,6 +27,7 @@
     start_in: Duration
     expires_in: Duration
     patience: Duration
+    gap: Duration
 
 
 class Reserve(msgspec.Struct, frozen=True, array_like=True, tag='reserve'):
@@ -167,6 +169,7 @@
         max(0, request.start_by - now),
         max(0, request.expires - now),
         request.patience,
+        request.gap,
     )
 
 
@@ -185,4 +188,5 @@
         now + terms.start_in,
         now + terms.expires_in,
         terms.patience,
+        terms.gap,
     )
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_load.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_load.py
@@ -75,6 +75,7 @@
         return LoadEstimate(
             {**estimate.requests, **requests},
             {**estimate.tokens, **tokens},
+            context=tokens,
             entry_seconds={load.name: load.delay for load in reported},
         )
 
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
@@ -12,6 +12,7 @@
     Queued,
     Refused,
     ReplicaCapacity,
+    ReservationRequest,
 )
 from ryelatch_core.events import UsageTracker
 from ryelatch_core.kernel import Clock
@@ -147,11 +148,13 @@
         request = read_terms(frame.terms, identity, now)
         if self.controller.reserve(request, frame.path, now):
             self._count(request.priority, 'granted')
-            session.reply(GrantReply(frame.number, self._list_load(now)))
+            load = self._list_load(request, now)
+            session.reply(GrantReply(frame.number, load))
             return
         self._unregister(session, identity)
         waiting = len(self.controller.queue)
-        session.reply(BusyReply(frame.number, self._list_load(now), waiting))
+        load = self._list_load(request, now)
+        session.reply(BusyReply(frame.number, load, waiting))
 
     def _enqueue(
         self, session: ZoneSession, frame: Enqueue, now: float
@@ -176,8 +179,7 @@
             match decision:
                 case Granted():
                     self.usage.count('admission', 'granted after a wait')
-                    load = self._list_load(now, decision.identity)
-                    session.reply(GrantReply(number, load))
+                    self._reply_granted(session, decision.identity, now)
                 case Queued():
                     session.reply(QueueReply(number, decision.wait))
                 case Refused():
@@ -207,18 +209,26 @@
                 self._capacity.replicas, self._capacity.layers
             )
 
+    def _reply_granted(
+        self, session: ZoneSession, identity: str, now: float
+    ) -> None:
+        """Tell a node that a request which waited has a place."""
+        reservation = self.controller.ledger.find(identity)
+        if reservation is not None:
+            load = self._list_load(reservation.request, now)
+            session.reply(GrantReply(session.identities[identity], load))
+
     def _list_load(
-        self, now: float, holder: str = ''
+        self, request: ReservationRequest, now: float
     ) -> tuple[ReplicaLoad, ...]:
-        """List the load of all replicas.
+        """List the load of all replicas, as far as it concerns a request.
 
-        :param holder: request that the list is for; it may use the room that
-            is held for it.
+        The request may use the room that is held for it.
         """
         controller = self.controller
         ledger = controller.ledger
-        full = controller.list_full(0, now)
-        held = ledger.unplaced_tokens - ledger.read_unplaced(holder)
+        full = controller.list_full(0, now, request.gap)
+        held = ledger.unplaced_tokens - ledger.read_unplaced(request.identity)
         return tuple(
             ReplicaLoad(
                 name,
