Places at replicas that would become too slow are granted once

A replica that has room for one more request before it is too slow was free for all that waited, as those without a path didn't count as slowing it down. They count at each replica now, as their tokens do. Of nine that wait where six may pass, nine were granted before and six are now. The wait for first replicas that read prompts goes by those that are not too slow. EventSeconds is public, as a part of ReplicaCapacity.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/__init__.py
@@ -3,6 +3,7 @@
 from ryelatch_core.admission._accounts import AccountTracker
 from ryelatch_core.admission._controller import AdmissionController
 from ryelatch_core.admission._headroom import (
+    EventSeconds,
     ReplicaCapacity,
     measure_capacities,
 )
@@ -28,6 +29,7 @@
     'AdmissionController',
     'AdmissionQueue',
     'ConcurrencyWindows',
+    'EventSeconds',
     'Granted',
     'Queued',
     'Refused',
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_controller.py
@@ -350,7 +350,7 @@
         Places there are freed by first events, not by the ends of answers.
         """
         longest = next(iter(self.queue)).request
-        full = self.list_full(longest.tokens, now)
+        full = self.list_full(longest.tokens, now, longest.gap)
         usable = list_usable(self._capacities, full)
         without_slot = list_without_slot(self._capacities, self.ledger)
         if not has_path(usable, without_slot, self._layers):
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_headroom.py
@@ -116,11 +116,13 @@
     :param tokens: of the request.
     :param gap: longest time between two events, in seconds.
     """
+    requests = ledger.unplaced + 1
+    needed = ledger.unplaced_tokens + tokens
     return frozenset(
         name
         for name, capacity in capacities.items()
         if capacity.event_seconds.estimate(
-            ledger.requests[name] + 1, ledger.tokens[name] + tokens
+            ledger.requests[name] + requests, ledger.tokens[name] + needed
         )
         > max(gap, capacity.event_seconds.idle * MAX_SLOWDOWN)
     )
--- a/tests/core/admission/test_full_replicas.py
+++ b/tests/core/admission/test_full_replicas.py
@@ -11,6 +11,7 @@
     make_copy,
     make_request,
 )
+from ryelatch_core.admission import EventSeconds
 
 
 def test_slots_are_granted_once() -> None:
@@ -92,3 +93,22 @@
     assert not list_granted(late)
     controller.release('running', 100.7)
     assert list_granted(controller.admit_waiting(100.7))[0] == 'large'
+
+
+def test_slow_replicas_are_granted_once() -> None:
+    """Each request slows its replicas by 0.01 s; six may pass through."""
+    capacities = [
+        replace(capacity, event_seconds=EventSeconds(0.04, 0.01, 0))
+        for capacity in make_copy(0, 10_000)
+    ]
+    controller = make_controller(capacities)
+    keep_busy(controller, get_path(0), 10)
+    decided = [
+        decision
+        for number in range(9)
+        for decision in controller.enqueue(
+            replace(make_request(f'{number}'), gap=0.101), 100
+        )
+    ]
+    assert list_granted(decided) == ['0', '1', '2', '3', '4', '5']
+    assert len(controller.queue) == 3
