--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -71,7 +71,7 @@
     unreliable = failing | progress.excluded
     strict = replace(query, avoid=unusable | unreliable, crosses=False)
     path = choose_path(offered, strict) if unreliable else ()
-    path = path or choose_path(offered, query)
+    path = path or _choose_widely(offered, query, suspects)
     if path and _may_crash_replicas(context, exchange, request):
         return _choose_isolated(offered, strict, request.digest) or path
     if path or not exchange.started:
@@ -83,6 +83,25 @@
     return choose_path(offered, lenient)
 
 
+def _choose_widely(
+    offered: list[Replica], query: PathQuery, suspects: frozenset[str]
+) -> tuple[Stage, ...]:
+    """Choose a path that changes zones only if no zone holds all layers.
+
+    Requests that changed zones because their own was full would fill the links
+    between zones, and hold up the streams of all others.
+
+    :param suspects: names of the replicas not to use however full others are.
+    """
+    if query.avoid <= suspects:
+        return choose_path(offered, query)
+    path = choose_path(offered, replace(query, crosses=False))
+    if path:
+        return path
+    idle = replace(query, avoid=suspects, closed=frozenset(), crosses=False)
+    return () if choose_path(offered, idle) else choose_path(offered, query)
+
+
 def _may_crash_replicas(
     context: RelayContext,
     exchange: Exchange,
