The route's priority decides among accounts of equal priority

Every account of a configuration may have a priority of its own. It goes before the route's; where all have the same one, it orders nothing and the routes were ignored: in a surge all requests had one rank.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/__init__.py
@@ -9,8 +9,9 @@
 )
 from ryelatch_core.admission._ledger import ReservationLedger
 from ryelatch_core.admission._priorities import (
+    Priority,
     get_priority,
-    list_ranked_services,
+    rank_priorities,
 )
 from ryelatch_core.admission._queue import AdmissionQueue
 from ryelatch_core.admission._ranking import rank_controllers
@@ -31,6 +32,7 @@
     'ConcurrencyWindows',
     'EventSeconds',
     'Granted',
+    'Priority',
     'Queued',
     'Refused',
     'ReplicaCapacity',
@@ -38,7 +40,7 @@
     'ReservationRequest',
     'RetryScheduler',
     'get_priority',
-    'list_ranked_services',
     'measure_capacities',
     'rank_controllers',
+    'rank_priorities',
 ]
--- a/packages/ryelatch-core/src/ryelatch_core/admission/_priorities.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_priorities.py
@@ -1,39 +1,53 @@
 """Ranks requests by the priorities that operators configure."""
 
+from collections import defaultdict
+from collections.abc import Mapping
+from typing import NamedTuple
+
 from ryelatch_core.routing import Account, Configuration, Route
 
 
-def get_priority(route: Route, account: Account | None) -> int:
-    """Return the priority of a request; 0 is served first.
+class Priority(NamedTuple):
+    """Priority of a request; the least is served first.
+
+    :param account: that of its client account, or of its route if the account
+        has none.
+    :param route: that of its route, which decides among equal accounts.
+    """
+
+    account: int
+    route: int
+
+
+def get_priority(route: Route, account: Account | None) -> Priority:
+    """Return the priority of a request.
 
-    :param account: its client account, whose priority replaces the route's;
-        ``None`` if the request is anonymous.
+    :param account: its client account; ``None`` if the request is anonymous.
     """
     if account is None or account.priority is None:
-        return route.priority
-    return account.priority
+        return Priority(route.priority, route.priority)
+    return Priority(account.priority, route.priority)
 
 
-def list_ranked_services(configuration: Configuration) -> frozenset[str]:
-    """List the model services whose requests differ in priority.
+def rank_priorities(
+    configuration: Configuration,
+) -> Mapping[str, tuple[Priority, ...]]:
+    """List the priorities of requests to each model service, in order.
 
-    Only these need an order among requests of several nodes. A request of an
-    account with its own priority may go to any route that isn't anonymous.
+    Only services whose requests differ in priority are included; requests to
+    the others need no order.
     """
-    overrides = {
-        account.priority
-        for account in configuration.accounts
-        if account.priority is not None
-    }
-    priorities: dict[str, set[int]] = {}
+    accounts: list[Account | None] = [*configuration.accounts]
+    priorities: dict[str, set[Priority]] = defaultdict(set)
     for route in configuration.routes:
-        ranks = {route.priority}
-        if not route.anonymous:
-            ranks |= overrides
+        callers = accounts
+        if route.anonymous or not accounts:
+            callers = [None]
+        ranks = {get_priority(route, account) for account in callers}
         for split in route.splits:
-            priorities.setdefault(split.service, set()).update(ranks)
-    return frozenset(
-        name
+            priorities[split.service] |= ranks
+    return {
+        name: tuple(sorted(priorities[name]))
         for name, service in configuration.services.items()
-        if service.model is not None and len(priorities.get(name, ())) > 1
-    )
+        if service.model is not None and len(priorities[name]) > 1
+    }
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -6,6 +6,7 @@
 
 from starlette.types import Message, Send
 
+from ryelatch_core.admission import Priority
 from ryelatch_core.events import EventKind, LineLog, catalogue
 from ryelatch_core.kernel import Clock
 from ryelatch_core.routing import RetryPolicy, Route
@@ -33,7 +34,7 @@
 
     :param target: path and query, byte for byte.
     :param account: name of its client account; empty if anonymous.
-    :param priority: 0 is served first.
+    :param priority: the least is served first.
     :param arrived: when its headers were received, in monotonic seconds.
     :param deadline: deadline of its complete answer, in monotonic seconds.
     :param version: version of the configuration under which it was admitted.
@@ -48,7 +49,7 @@
     route: Route
     service: str
     account: str
-    priority: int
+    priority: Priority
     arrived: float
     deadline: float
     version: int
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -228,14 +228,14 @@
     progress: Progress,
 ) -> _AttemptResult:
     request = stream.request
-    ranked = context.reservations.is_ranked(request.service)
+    rank = context.reservations.find_rank(request.service, request.priority)
     dispatch = Dispatch(
         stream.first_replica.entry,
         request.deadline - context.clock.monotonic(),
         request.account,
         stream.path,
         progress.splitter.last,
-        request.priority if ranked else None,
+        rank,
     )
     async with context.upstreams.send(
         stream.first_replica,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_places.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_places.py
@@ -90,13 +90,13 @@
 
     :returns: its stages; empty if there is no path, or no place in time.
     """
-    ranked = context.reservations.is_ranked(request.service)
-    if not ranked or place.asked:
+    rank = context.reservations.find_rank(request.service, request.priority)
+    if rank is None or place.asked:
         path = choose_request_path(context, exchange, request, progress)
         record_path(context, exchange, path)
         return path
     place.asked = True
-    wanted = _make_request(context, exchange, request)
+    wanted = _make_request(context, exchange, request, rank)
     client = context.reservations.client
     for _ in range(MAX_PATHS_ASKED):
         path = choose_request_path(context, exchange, request, progress)
@@ -159,7 +159,10 @@
 
 
 def _make_request(
-    context: RelayContext, exchange: Exchange, request: AdmittedRequest
+    context: RelayContext,
+    exchange: Exchange,
+    request: AdmittedRequest,
+    rank: int,
 ) -> ReservationRequest:
     now = context.now()
     retried = is_retried(context, request)
@@ -168,7 +171,7 @@
         start_by = now + MAX_RETRIED_WAIT_SECONDS
     return ReservationRequest(
         exchange.key,
-        request.priority,
+        rank,
         request.account,
         count_tokens(context, request),
         retried,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_refusals.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_refusals.py
@@ -61,7 +61,7 @@
             _UNAVAILABLE,
             'no place in time',
             retry_after=place.retry_after,
-            priority=request.priority,
+            priority=list(request.priority),
             account=request.account,
             zone=place.zone,
             waited=round_seconds(place.waited),
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_service.py
@@ -1,8 +1,10 @@
 """Reserves places at the replicas of services with ranked requests."""
 
-from dataclasses import dataclass
+import bisect
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
-from ryelatch_core.admission import list_ranked_services
+from ryelatch_core.admission import Priority, rank_priorities
 from ryelatch_core.events import LineLog, UsageTracker
 from ryelatch_core.kernel import App, Service
 from ryelatch_core.routing import RoutingTable
@@ -29,19 +31,25 @@
     load: FleetLoad
     tasks: Tasks
     _table: RoutingTable | None = None
-    _ranked: frozenset[str] = frozenset()
+    _ranks: Mapping[str, tuple[Priority, ...]] = field(default_factory=dict)
 
     def is_ranked(self, service: str) -> bool:
         """Whether the requests of a service differ in priority."""
         table = self.configuration.table
         if table is not self._table:
             self._table = table
-            self._ranked = (
-                list_ranked_services(table.configuration)
-                if table
-                else frozenset()
-            )
-        return service in self._ranked
+            self._ranks = rank_priorities(table.configuration) if table else {}
+        return service in self._ranks
+
+    def find_rank(self, service: str, priority: Priority) -> int | None:
+        """Find the rank of a priority among those of a service, from 0.
+
+        :returns: ``None`` if the requests of the service don't differ.
+        """
+        if not self.is_ranked(service):
+            return None
+        # A priority from an earlier configuration takes the next rank.
+        return bisect.bisect_left(self._ranks[service], priority)
 
     def find_load(self, service: str) -> FleetLoad | None:
         """Find the load of all nodes at the replicas of a service.
--- a/tests/core/admission/test_priorities.py
+++ b/tests/core/admission/test_priorities.py
@@ -1,7 +1,7 @@
 """Priorities of requests, and the services that need an order."""
 
 from core_fleet import TYPICAL_MODEL
-from ryelatch_core.admission import get_priority, list_ranked_services
+from ryelatch_core.admission import Priority, get_priority, rank_priorities
 from ryelatch_core.routing import (
     Account,
     Configuration,
@@ -37,21 +37,34 @@
     )
 
 
-def _list_ranked(
+def _rank(
     *routes: Route, accounts: tuple[Account, ...] = ()
-) -> frozenset[str]:
-    return list_ranked_services(
+) -> dict[str, list[Priority]]:
+    ranked = rank_priorities(
         Configuration(1, routes, SERVICES, accounts=accounts)
     )
+    return {name: list(ranks) for name, ranks in ranked.items()}
 
 
 def test_priority_of_an_account_comes_first() -> None:
     """An account's own priority counts, also if it is the most urgent."""
     route = _make_route('a', 1, 'model')
-    assert get_priority(route, None) == 1
-    assert get_priority(route, Account('plain', ('key',))) == 1
-    assert get_priority(route, Account('urgent', ('key',), 0)) == 0
-    assert get_priority(route, Account('patient', ('key',), 2)) == 2
+    urgent = get_priority(route, Account('urgent', ('key',), 0))
+    patient = get_priority(route, Account('patient', ('key',), 2))
+    assert get_priority(route, None) == Priority(1, 1)
+    assert get_priority(route, Account('plain', ('key',))) == Priority(1, 1)
+    assert urgent < get_priority(route, None) < patient
+    assert urgent < get_priority(_make_route('b', 0, 'model'), None)
+
+
+def test_route_decides_among_equal_accounts() -> None:
+    """All accounts have the same priority, so that of the route counts."""
+    first = _make_route('a', 0, 'model')
+    second = _make_route('b', 2, 'model')
+    same = Account('same', ('key',), 1)
+    assert _rank(first, second, accounts=(same,)) == {
+        'model': [Priority(1, 0), Priority(1, 2)]
+    }
 
 
 def test_equal_priorities_rank_no_service() -> None:
@@ -59,21 +72,23 @@
     first = _make_route('a', 1, 'model')
     second = _make_route('b', 1, 'model', 'other')
     same = Account('same', ('key',), 1)
-    assert not _list_ranked(first, second)
-    assert not _list_ranked(first, second, accounts=(same,))
-    assert not _list_ranked(first, _make_route('c', 0, 'other'))
+    assert not _rank(first, second)
+    assert not _rank(first, second, accounts=(same,))
+    assert not _rank(first, _make_route('c', 0, 'other'))
 
 
 def test_differing_routes_rank_a_common_service() -> None:
     """Two routes that differ share one of the model services."""
     first = _make_route('a', 0, 'model', 'plain')
     second = _make_route('b', 2, 'model', 'other', 'plain')
-    assert _list_ranked(first, second) == {'model'}
+    assert _rank(first, second).keys() == {'model'}
 
 
 def test_account_ranks_services_that_it_may_use() -> None:
     """Requests to an anonymous route have no account, so no other priority."""
     known = _make_route('a', 1, 'model')
     anonymous = _make_route('b', 1, 'other', anonymous=True)
-    urgent = Account('urgent', ('key',), 0)
-    assert _list_ranked(known, anonymous, accounts=(urgent,)) == {'model'}
+    accounts = (Account('urgent', ('key',), 0), Account('plain', ('key',)))
+    assert _rank(known, anonymous, accounts=accounts) == {
+        'model': [Priority(0, 1), Priority(1, 1)]
+    }
