--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_load.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_load.py
@@ -90,15 +90,12 @@
             if load.free < tokens
         )
 
-    def list_closed(self, service: str, patience: float) -> frozenset[str]:
-        """List the replicas at which no further path may begin.
-
-        :param patience: longest time to the first event, in seconds.
-        """
+    def list_closed(self, service: str) -> frozenset[str]:
+        """List the replicas at which no further path may begin."""
         return frozenset(
             load.name
             for load in self._list_recent(service, MAX_ROOM_AGE_SECONDS)
-            if not load.free_slots or load.delay > patience
+            if not load.free_slots
         )
 
     def _list_recent(self, service: str, max_age: float) -> list[ReplicaLoad]:
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
@@ -228,6 +228,7 @@
         controller = self.controller
         ledger = controller.ledger
         full = controller.list_full(0, now, request.gap)
+        closed = controller.list_closed(request.patience)
         held = ledger.unplaced_tokens - ledger.read_unplaced(request.identity)
         return tuple(
             ReplicaLoad(
@@ -237,7 +238,9 @@
                 0
                 if name in full
                 else _count_free(capacity.tokens - ledger.tokens[name] - held),
-                max(0, capacity.slots - ledger.entries[name]),
+                0
+                if name in closed
+                else max(0, capacity.slots - ledger.entries[name]),
                 controller.delays.predict(name),
             )
             for name, capacity in self._capacity.replicas.items()
