--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -31,16 +31,17 @@
     exchange: Exchange,
     request: AdmittedRequest,
     progress: Progress,
-    zone: str | None = None,
+    granted_zone: str | None = None,
 ) -> tuple[Stage, ...]:
     """Choose the path for the next attempt of a request.
 
-    :param zone: the only availability zone that it may use; ``None`` if it
-        may use any.
+    :param granted_zone: the availability zone in which a place was granted to
+        it; there it finds room however full the replicas were before. ``None``
+        if it may use any zone.
     :returns: its stages; empty if there is no path.
     """
     with context.usage.measure_time('paths'):
-        return _choose(context, exchange, request, progress, zone)
+        return _choose(context, exchange, request, progress, granted_zone)
 
 
 def _choose(
@@ -48,22 +49,23 @@
     exchange: Exchange,
     request: AdmittedRequest,
     progress: Progress,
-    zone: str | None,
+    granted_zone: str | None,
 ) -> tuple[Stage, ...]:
     suspects = context.replicas.list_suspects()
     unusable = suspects
-    if not exchange.started:
+    limited = granted_zone is None and not exchange.started
+    if limited:
         unusable |= _list_without_memory(context, request)
     query = make_path_query(context, request, unusable)
     if query is None:
         return ()
     throttled = context.throttle.list_closed()
-    full = frozenset() if exchange.started else _list_closed(context, request)
+    full = _list_closed(context, request) if limited else frozenset()
     query = replace(query, closed=throttled | full)
     offered = [
         replica
         for replica in context.replicas.list_service(request.service)
-        if zone is None or replica.zone == zone
+        if granted_zone is None or replica.zone == granted_zone
     ]
     # A first replica that failed or stalled this request would most likely do
     # so again, and so would replicas that fail many requests.
@@ -169,7 +171,7 @@
     retried = is_retried(context, request)
     load = context.reservations.find_load(request.service)
     if load is not None:
-        return load.list_closed(request.service, get_patience(context, request))
+        return load.list_closed(request.service)
     heavy = context.accounts.exceeds_share(request.account)
     return context.windows.list_closed(yields=retried or heavy)
 
