Requests wait for the first lists of a node that has just started

Callers saw: after all nodes had lost power, they came back at once and were refused with "no configuration yet" at every node, and their one retry was refused too.

Cause: a request waited for 0.3 s. On a link of 14 Mbit/s a configuration of 1,849 routes takes 0.532 to 0.577 s from the store (0.043 to 0.058 s on one of 200 Mbit/s), at all 105 nodes with such links alike; neither the store nor its rates were short.

Now a request waits for half of the time that its client gives it, and 1.2 s at most, so that its client still has time for another try, and doesn't leave its stream before it is told when to come. Waits end 0.3 s after the store became unavailable, and later requests are refused at once then. 512 requests and 8 MiB of bodies wait at most. A request whose client leaves while it waits is not run; formerly it was sent on.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import traceback
+from collections.abc import Callable
 
 from starlette.types import Receive, Scope, Send
 
@@ -18,13 +19,14 @@
     admit,
 )
 from ryelatch_node.relay._context import RelayContext
+from ryelatch_node.relay._disconnect import wait_for_disconnect
 from ryelatch_node.relay._errors import AnswerBroken, ClientGone
 from ryelatch_node.relay._exchange import (
     AdmittedRequest,
     Exchange,
     round_seconds,
 )
-from ryelatch_node.relay._initial_sync import InitialSync
+from ryelatch_node.relay._initial_sync import InitialSync, PendingRequest
 from ryelatch_node.relay._metrics import RelayMetrics
 from ryelatch_node.relay._model import relay_model
 from ryelatch_node.relay._non_model import relay_non_model
@@ -43,6 +45,7 @@
 class Ingress:
     """Serves the requests of clients.
 
+    :param is_store_out: whether the store is unavailable to this node.
     :ivar stop_state: progress of the planned shutdown of this node.
     :ivar open_requests: requests in progress.
     """
@@ -52,13 +55,14 @@
         context: RelayContext,
         watch: StreamWatch,
         metrics: RelayMetrics,
+        is_store_out: Callable[[], bool],
     ) -> None:
         self.stop_state = ShutdownState()
         self.open_requests = 0
         self._context = context
         self._watch = watch
         self._metrics = metrics
-        self._initial_sync = InitialSync(context)
+        self._initial_sync = InitialSync(context, is_store_out)
 
     async def serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request, and log an exception that it raises."""
@@ -100,8 +104,16 @@
             exchange.closing = True
             await exchange.refuse(_REQUEST_TIMEOUT, 'the body stands still')
             return
-        await self._initial_sync.wait()
         received = ReceivedRequest(scope, terms, body, arrived)
+        try:
+            await self._wait_for_sync(exchange, received, receive)
+        except ClientGone:
+            exchange.record(
+                catalogue.EXCHANGE_LEFT,
+                seconds=round_seconds(context.now() - arrived),
+                sends=0,
+            )
+            return
         request = admit(context, self.stop_state, received)
         if isinstance(request, Refusal):
             await self._refuse(exchange, request)
@@ -109,6 +121,20 @@
         await self._relay(exchange, request, receive)
         self._log_completion(exchange, request)
 
+    async def _wait_for_sync(
+        self, exchange: Exchange, received: ReceivedRequest, receive: Receive
+    ) -> None:
+        """Wait until this node has what it needs to serve a request.
+
+        :raises ClientGone: if its client disconnects meanwhile.
+        """
+        pending = PendingRequest(
+            len(received.body), received.received_at, received.terms.deadline
+        )
+        waited = await self._initial_sync.wait(pending, receive)
+        if waited:
+            exchange.detail['sync_wait'] = round_seconds(waited)
+
     async def _refuse(self, exchange: Exchange, refusal: Refusal) -> None:
         configuration = self._context.configuration
         await exchange.refuse(
@@ -119,6 +145,7 @@
             age=round_seconds(configuration.age),
             digest=refusal.digest,
             ended=refusal.ended,
+            **exchange.detail,
         )
 
     async def _read_body(self, receive: Receive) -> bytes:
@@ -148,7 +175,7 @@
         relaying = asyncio.create_task(
             self._relay_until_deadline(exchange, request)
         )
-        disconnect = asyncio.create_task(_wait_for_disconnect(receive))
+        disconnect = asyncio.create_task(wait_for_disconnect(receive))
         await asyncio.wait(
             (relaying, disconnect), return_when=asyncio.FIRST_COMPLETED
         )
@@ -219,9 +246,3 @@
             version=request.version,
             **exchange.detail,
         )
-
-
-async def _wait_for_disconnect(receive: Receive) -> None:
-    message = await receive()
-    while message['type'] != 'http.disconnect':
-        message = await receive()
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -1,11 +1,13 @@
 """Registers the services of the relay with the application of a node."""
 
 import asyncio
+from collections.abc import Callable
 
 from ryelatch_core.events import LineLog, UsageTracker, catalogue, keep_running
 from ryelatch_core.fleet import LoadTracker, Replica
 from ryelatch_core.kernel import App, Service, cancel_task
 from ryelatch_node.listener import Listener
+from ryelatch_node.peer_sync import PeerSync
 from ryelatch_node.ports import (
     AnswerMetadata,
     HeaderCodec,
@@ -129,7 +131,7 @@
     )
     server = RelayServer(
         context,
-        Ingress(context, watch, metrics),
+        Ingress(context, watch, metrics, _make_outage_check(app)),
         metrics,
         app.find('listener', Listener).front,
     )
@@ -202,6 +204,12 @@
     )
 
 
+def _make_outage_check(app: App) -> Callable[[], bool]:
+    """Create the function that tells whether the store is unavailable."""
+    peer_server = app.find('news', PeerSync).server
+    return lambda: peer_server.get_store_health().out
+
+
 def _make_answer_hook(throttle: Throttle, replicas: ReplicaView) -> AnswerHook:
     """Create the hook that applies what replicas state in their answers."""
 
