Nodes with slow links get large lists from a node with a fast one

Callers saw: nodes with links of 14 Mbit/s needed over half a second after a start before they could serve, beside nodes that had the same lists after 0.05 s.

Now such a node asks a node that watches for others, if that one has six times its link and a list is missing after 0.1 s. The exchange is the one of a start in an outage of the store; the store's own list is used if it arrives first. Fleets of fewer than twenty nodes, and fleets with links of like speed, ask nobody.

The peer's packets wait behind those of the store on the node's link, so less is won than the compressed size allows.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -466,6 +466,13 @@
     'This node received the list of nodes from a peer during a store outage.',
 )
 
+SOURCE_CHOSEN = EventKind(
+    1708,
+    'source-chosen',
+    'This node has just started, and requests lists from a peer that has a '
+    'faster link.',
+)
+
 NODE_COSTS = EventKind(
     1705,
     'node-costs',
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_bootstrap_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_bootstrap_client.py
@@ -1,4 +1,4 @@
-"""Initial state from a peer, for a node that starts during a store outage."""
+"""Initial state from a peer, for a node that the store doesn't serve soon."""
 
 import asyncio
 from collections.abc import Callable
@@ -30,7 +30,9 @@
 
 @dataclass(eq=False)
 class BootstrapClient:
-    """Receives bootstrap messages, and lists objects from their sender.
+    """Lists objects from a peer, until this node has what it needs.
+
+    The peer is the sender of a bootstrap message, or one that was offered.
 
     :param is_synced: whether this node has the state it needs to serve.
     :param accept_nodes: called with the list of nodes that a peer sent.
@@ -58,13 +60,20 @@
             self.peer_available.set()
         return BootstrapReply(self.is_synced())
 
+    def offer_source(self, peer: NodeEntry) -> None:
+        """Use a peer as the source of state, unless this node has one."""
+        if self._source is None and not self.is_synced():
+            self._source = peer
+            self.log.record(catalogue.SOURCE_CHOSEN, peer=peer.name)
+            self.peer_available.set()
+
     async def request_list(self, object_kind: str) -> StoreUpdate | None:
-        """Request all objects of a kind from the sender of the last message.
+        """Request all objects of a kind from the peer that is the source.
 
         :param object_kind: kind of object in the store.
-        :returns: ``None`` if no peer has sent a bootstrap message, or if the
-            request fails or the peer has no complete list. After a failure,
-            the next bootstrap message selects the peer for further requests.
+        :returns: ``None`` if there is no source, or if the request fails or the
+            peer has no complete list. After a failure, the next bootstrap
+            message or offer selects the peer for further requests.
         """
         peer = self._source
         if peer is None:
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
@@ -32,6 +32,7 @@
     unpack,
 )
 from ryelatch_node.peer_sync._health_request import request_store_health
+from ryelatch_node.peer_sync._initial_source import InitialSources
 from ryelatch_node.peer_sync._server import PeerServer
 from ryelatch_node.peer_sync._watch_cache import (
     PeerPartitioned,
@@ -63,8 +64,8 @@
     :param server: serves the requests of peers.
     :param required_kinds: kinds of object that this node requires to serve.
     :param announce_count: called with the number of nodes that a peer listed.
-    :param bootstrap_client: provides the initial state from a peer if this node
-        starts during a store outage.
+    :param bootstrap_client: provides the initial state from a peer if the store
+        doesn't.
     """
 
     log: LineLog
@@ -84,6 +85,7 @@
     _connections: dict[str, PeerConnection] = field(default_factory=dict)
     _listener: asyncio.Server | None = None
     _bootstrap_task: 'asyncio.Task[None] | None' = None
+    _sources_task: 'asyncio.Task[None] | None' = None
 
     def __post_init__(self) -> None:
         """Create the server, the bootstrap client and the cooldowns."""
@@ -99,7 +101,7 @@
         self._cooldowns = PeerCooldowns(self.clock)
 
     async def start(self) -> None:
-        """Listen for peers, and start to contact nodes that may restart."""
+        """Listen for peers, and start to exchange initial state with them."""
         host, port = self.startup.peers
         self._listener = await asyncio.start_server(
             self.server.serve, host, port
@@ -109,7 +111,7 @@
         self.start_bootstrapper()
 
     def start_bootstrapper(self) -> None:
-        """Begin to contact nodes that start during a store outage."""
+        """Begin to contact starting nodes, and to look for initial state."""
         bootstrapper = Bootstrapper(
             self.log,
             self.startup.name,
@@ -122,10 +124,22 @@
         self._bootstrap_task = asyncio.create_task(
             keep_running('greetings', bootstrapper.run, self.log)
         )
+        sources = InitialSources(
+            self.startup.name,
+            self.startup.zone,
+            self.startup.link_mbps,
+            self.bootstrap_client,
+            lambda: self._nodes,
+            lambda: self._is_synced,
+        )
+        self._sources_task = asyncio.create_task(
+            keep_running('sources', sources.run, self.log)
+        )
 
     async def stop(self) -> None:
         """Stop all tasks and close all connections."""
         await cancel_task(self._bootstrap_task)
+        await cancel_task(self._sources_task)
         if self._listener is not None:
             self._listener.close()
         for object_kind in tuple(self._connections):
--- a/tests/virtual/store.py
+++ b/tests/virtual/store.py
@@ -59,11 +59,13 @@
 
     :param troubles: faults by client; all other clients meet none.
     :param delay: seconds that each response takes.
+    :param list_delays: seconds that a list takes beyond that, by client.
     :param calls: time, client and path of each call.
     """
 
     troubles: dict[str, Trouble] = field(default_factory=dict)
     delay: float = ANSWER_SECONDS
+    list_delays: dict[str, float] = field(default_factory=dict)
     calls: list[tuple[float, str, str]] = field(default_factory=list)
     revision: int = 1
     _objects: dict[str, dict[str, dict[str, Any]]] = field(default_factory=dict)
@@ -135,6 +137,7 @@
             return self._read(kind, path.partition('/')[2])
         watch = re.search(r'watch=(\d+)&waitMs=(\d+)', path)
         if watch is None:
+            await asyncio.sleep(self.list_delays.get(caller, 0))
             return self._list(kind)
         return await self._watch(
             caller, kind, int(watch[1]), int(watch[2]) / 1000
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -95,6 +95,8 @@
         ``drain``.
     :param unreachable: nodes whose links to other nodes transmit nothing.
     :param zones: zones of the nodes that are not in ``zone-a``.
+    :param links: bandwidth of nodes' links, in Mbit/s; about the same for all
+        others.
     :param follows_quarantine: whether the nodes follow the quarantine, too.
     :param make_unshared_kind: creates another kind of object that the nodes
         follow, and that no peer announces.
@@ -106,6 +108,7 @@
     nodes: dict[str, VirtualNode] = field(default_factory=dict)
     unreachable: set[str] = field(default_factory=set)
     zones: dict[str, str] = field(default_factory=dict)
+    links: dict[str, float] = field(default_factory=dict)
     follows_quarantine: bool = False
     make_unshared_kind: Callable[[], Kind] | None = None
 
@@ -120,7 +123,12 @@
         for name in names:
             self.nodes[name] = self._make(name)
         entries = [
-            NodeEntry(name, self._find_zone(name), f'{name}:1', 1000 - order)
+            NodeEntry(
+                name,
+                self._find_zone(name),
+                f'{name}:1',
+                self.links.get(name, 1000 - order),
+            )
             for order, name in enumerate(self.nodes)
         ]
         for node in self.nodes.values():
@@ -172,7 +180,9 @@
 
         log = LineLog(name, clock, write)
         startup = make_startup(1)._replace(
-            name=name, zone=self._find_zone(name)
+            name=name,
+            zone=self._find_zone(name),
+            link_mbps=self.links.get(name, 1000),
         )
         bounds = compute_departure_bounds(self.drain, self.steady)
         view = ReplicaView(log, clock, Hub(), bounds)
