--- a/packages/ryelatch-core/src/ryelatch_core/membership/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/membership/__init__.py
@@ -23,6 +23,7 @@
     Vm,
 )
 from ryelatch_core.membership._watchers import (
+    NODES_PER_WATCHER,
     NodeEntry,
     choose_watchers,
     shares_watches,
@@ -33,6 +34,7 @@
     'COMMAND_TIMEOUT_SECONDS',
     'CONNECT_TIMEOUT_SECONDS',
     'NEVER',
+    'NODES_PER_WATCHER',
     'STORE_OVERDUE_SECONDS',
     'TTL_SECONDS',
     'DepartureBounds',
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
@@ -66,6 +66,7 @@
     :param announce_count: called with the number of nodes that a peer listed.
     :param bootstrap_client: provides the initial state from a peer if the store
         doesn't.
+    :param initial_sources: chooses that peer if the store is only slow.
     """
 
     log: LineLog
@@ -78,6 +79,7 @@
     required_kinds: frozenset[str] = frozenset()
     announce_count: Callable[[int], None] = _ignore_count
     bootstrap_client: BootstrapClient = field(init=False)
+    initial_sources: InitialSources = field(init=False)
     _caches: dict[str, WatchCache] = field(
         default_factory=lambda: defaultdict(WatchCache)
     )
@@ -88,7 +90,7 @@
     _sources_task: 'asyncio.Task[None] | None' = None
 
     def __post_init__(self) -> None:
-        """Create the server, the bootstrap client and the cooldowns."""
+        """Create the parts that keep state of their own."""
         self.server = PeerServer(self.clock, self.usage, self._caches)
         self.bootstrap_client = BootstrapClient(
             self.log,
@@ -98,6 +100,15 @@
             self._accept_nodes,
         )
         self.server.handle_message = self.bootstrap_client.handle_message
+        self.initial_sources = InitialSources(
+            self.clock,
+            self.startup.name,
+            self.startup.zone,
+            self.startup.link_mbps,
+            self.bootstrap_client,
+            lambda: self._nodes,
+            lambda: self._is_synced,
+        )
         self._cooldowns = PeerCooldowns(self.clock)
 
     async def start(self) -> None:
@@ -124,16 +135,8 @@
         self._bootstrap_task = asyncio.create_task(
             keep_running('greetings', bootstrapper.run, self.log)
         )
-        sources = InitialSources(
-            self.startup.name,
-            self.startup.zone,
-            self.startup.link_mbps,
-            self.bootstrap_client,
-            lambda: self._nodes,
-            lambda: self._is_synced,
-        )
         self._sources_task = asyncio.create_task(
-            keep_running('sources', sources.run, self.log)
+            keep_running('sources', self.initial_sources.run, self.log)
         )
 
     async def stop(self) -> None:
@@ -149,6 +152,7 @@
     def update_nodes(self, nodes: Iterable[NodeEntry]) -> None:
         """Set the list of all nodes, this one included."""
         self._nodes = tuple(nodes)
+        self.initial_sources.nodes_known.set()
 
     def reset(
         self,
