--- a/tests/platform/test_start_of_all_nodes.py
+++ b/tests/platform/test_start_of_all_nodes.py
@@ -6,6 +6,7 @@
 
 from ryelatch_core.membership import NodeEntry
 from ryelatch_node.peer_sync._initial_source import list_sources
+from ryelatch_node.relay._admission import MAX_DENIAL_AGE_SECONDS
 from virtual.loop import run
 from virtual.world import World
 
@@ -87,6 +88,22 @@
     run(play())
 
 
+def test_state_of_a_source_is_confirmed_soon() -> None:
+    """Nodes deny nothing, as the list that a source sent them is too old."""
+
+    async def play() -> None:
+        world = await _start()
+        await _restart(world, _SLOW)
+        await asyncio.sleep(_SOON_SECONDS)
+        for _ in range(40):
+            await asyncio.sleep(0.1)
+            ages = [node.configuration.age for node in world.nodes.values()]
+            assert max(ages) < MAX_DENIAL_AGE_SECONDS
+        await world.stop()
+
+    run(play())
+
+
 def test_slow_link_is_left_to_the_source() -> None:
     """The list of a source waits on the link behind the list of the store."""
 
