Only followers on slow links act differently when they get first lists

The first watch began sooner also in fleets where no node follows another, after a start in an outage, and a task waited for sources where the link is fast. Nothing there needed it, so such fleets are left as they were.

--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
@@ -32,7 +32,10 @@
     unpack,
 )
 from ryelatch_node.peer_sync._health_request import request_store_health
-from ryelatch_node.peer_sync._initial_source import InitialSources
+from ryelatch_node.peer_sync._initial_source import (
+    SLOW_LINK_MBPS,
+    InitialSources,
+)
 from ryelatch_node.peer_sync._server import PeerServer
 from ryelatch_node.peer_sync._watch_cache import (
     PeerPartitioned,
@@ -135,9 +138,10 @@
         self._bootstrap_task = asyncio.create_task(
             keep_running('greetings', bootstrapper.run, self.log)
         )
-        self._sources_task = asyncio.create_task(
-            keep_running('sources', self.initial_sources.run, self.log)
-        )
+        if self.startup.link_mbps < SLOW_LINK_MBPS:
+            self._sources_task = asyncio.create_task(
+                keep_running('sources', self.initial_sources.run, self.log)
+            )
 
     async def stop(self) -> None:
         """Stop all tasks and close all connections."""
