ryelatch explain tells why a request got no place

Callers' requests refused with 'no place in time' were explained by their reason only, and the loss of a controller was left out of the changes before.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_explanation.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_explanation.py
@@ -36,6 +36,7 @@
         'order-unanswered',
         'lease-taken',
         'lease-lost',
+        'controller-lost',
         'node-started',
         'node-draining',
         'node-stopped',
@@ -60,6 +61,10 @@
         ),
         'layers are missing': 'no replica held some layers of the model',
         'all paths are full': 'every path had a replica at its limit',
+        'no place in time': (
+            'the zone had no room for it in time, as requests that go first '
+            'took what was freed'
+        ),
         'no upstream has room': 'all replicas of the service refused it',
         'the answer was lost': (
             'an upstream received the request, but its answer was not received'
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -52,3 +52,23 @@
     missing = _run('r-1', str(tmp_path / 'absent.log'))
     assert missing.returncode == 2
     assert 'absent.log' in missing.stderr
+
+
+def test_refusal_for_priority_is_explained(tmp_path: Path) -> None:
+    """A less urgent request finds no place, just after a controller is lost."""
+    path = tmp_path / 'node-a.log'
+    lines = (
+        {'time': 1, 'process': 'node-a', 'name': 'controller-lost'},
+        {
+            'time': 2,
+            'process': 'node-a',
+            'name': 'exchange-refused',
+            'request': 'r-2',
+            'reason': 'no place in time',
+        },
+    )
+    path.write_text(''.join(f'{json.dumps(line)}\n' for line in lines))
+    result = _run('r-2', str(path))
+    assert result.returncode == 0
+    assert 'requests that go first took what was freed' in result.stdout
+    assert 'the last change before: controller-lost' in result.stdout
