ryelatch costs lists places by rank of priority

Grants after a wait and refusals were counted without the rank of the request, and a place that a request got at once after two busy paths was counted as one after a wait, without being counted as queued. All four outcomes are now counted by rank, under names that the node and the command share.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/__init__.py
@@ -8,6 +8,11 @@
     measure_capacities,
 )
 from ryelatch_core.admission._ledger import ReservationLedger
+from ryelatch_core.admission._outcomes import (
+    PlaceOutcome,
+    name_outcome,
+    sum_outcomes,
+)
 from ryelatch_core.admission._priorities import (
     Priority,
     get_priority,
@@ -32,6 +37,7 @@
     'ConcurrencyWindows',
     'EventSeconds',
     'Granted',
+    'PlaceOutcome',
     'Priority',
     'Queued',
     'Refused',
@@ -41,6 +47,8 @@
     'RetryScheduler',
     'get_priority',
     'measure_capacities',
+    'name_outcome',
     'rank_controllers',
     'rank_priorities',
+    'sum_outcomes',
 ]
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
@@ -9,10 +9,12 @@
 from ryelatch_core.admission import (
     AdmissionController,
     Granted,
+    PlaceOutcome,
     Queued,
     Refused,
     ReplicaCapacity,
     ReservationRequest,
+    name_outcome,
 )
 from ryelatch_core.events import UsageTracker
 from ryelatch_core.kernel import Clock
@@ -80,6 +82,7 @@
     _numbers: 'itertools.count[int]' = field(default_factory=itertools.count)
     _sessions: dict[str, ZoneSession] = field(default_factory=dict)
     _owners: dict[str, ZoneSession] = field(default_factory=dict)
+    _ranks: dict[str, int] = field(default_factory=dict)
     _capacity: ZoneCapacity = ZoneCapacity({}, 0)
     _measured: float = float('-inf')
     _ticking: bool = False
@@ -115,7 +118,7 @@
             case Enqueue():
                 self._enqueue(session, frame, now)
             case Restore():
-                identity = self._register(session, frame.number)
+                identity = self._register(session, frame)
                 request = read_terms(frame.terms, identity, now)
                 self.controller.restore(request, frame.path, now)
             case Place():
@@ -144,10 +147,10 @@
     def _reserve(
         self, session: ZoneSession, frame: Reserve, now: float
     ) -> None:
-        identity = self._register(session, frame.number)
+        identity = self._register(session, frame)
         request = read_terms(frame.terms, identity, now)
         if self.controller.reserve(request, frame.path, now):
-            self._count(request.priority, 'granted')
+            self._count(identity, PlaceOutcome.GRANTED)
             load = self._list_load(request, now)
             session.reply(GrantReply(frame.number, load))
             return
@@ -159,11 +162,11 @@
     def _enqueue(
         self, session: ZoneSession, frame: Enqueue, now: float
     ) -> None:
-        identity = self._register(session, frame.number)
+        identity = self._register(session, frame)
         request = read_terms(frame.terms, identity, now)
-        self._deliver(self.controller.enqueue(request, now), now)
+        self._deliver(self.controller.enqueue(request, now), now, identity)
         if identity in self.controller.queue:
-            self._count(request.priority, 'queued')
+            self._count(identity, PlaceOutcome.QUEUED)
             self._start_ticking()
 
     def _admit_waiting(self) -> None:
@@ -171,31 +174,48 @@
         self._deliver(self.controller.admit_waiting(now), now)
 
     def _deliver(
-        self, decisions: Sequence[Granted | Queued | Refused], now: float
+        self,
+        decisions: Sequence[Granted | Queued | Refused],
+        now: float,
+        arrived: str = '',
     ) -> None:
+        """Send decisions to the nodes that own the requests.
+
+        :param arrived: the request that has just asked, and has not waited.
+        """
         for decision in decisions:
             session = self._owners[decision.identity]
             number = session.identities[decision.identity]
             match decision:
                 case Granted():
-                    self.usage.count('admission', 'granted after a wait')
+                    at_once = decision.identity == arrived
+                    self._count(
+                        decision.identity,
+                        PlaceOutcome.GRANTED
+                        if at_once
+                        else PlaceOutcome.GRANTED_LATER,
+                    )
                     self._reply_granted(session, decision.identity, now)
                 case Queued():
                     session.reply(QueueReply(number, decision.wait))
                 case Refused():
-                    self.usage.count('admission', 'refused')
+                    self._count(decision.identity, PlaceOutcome.REFUSED)
                     self._unregister(session, decision.identity)
                     session.reply(RefusalReply(number, decision.retry_after))
 
-    def _register(self, session: ZoneSession, number: int) -> str:
-        identity = _identify(session, number)
-        session.identities[identity] = number
+    def _register(
+        self, session: ZoneSession, frame: Reserve | Enqueue | Restore
+    ) -> str:
+        identity = _identify(session, frame.number)
+        session.identities[identity] = frame.number
         self._owners[identity] = session
+        self._ranks[identity] = frame.terms.priority
         return identity
 
     def _unregister(self, session: ZoneSession, identity: str) -> None:
         session.identities.pop(identity, None)
         self._owners.pop(identity, None)
+        self._ranks.pop(identity, None)
 
     def _release(self, session: ZoneSession, identity: str) -> None:
         self.controller.release(identity, self.clock.monotonic())
@@ -258,8 +278,8 @@
         finally:
             self._ticking = False
 
-    def _count(self, priority: int, outcome: str) -> None:
-        self.usage.count('admission', f'priority {priority}', outcome)
+    def _count(self, identity: str, outcome: PlaceOutcome) -> None:
+        self.usage.count(*name_outcome(self._ranks[identity], outcome))
 
 
 def _count_free(tokens: float) -> int:
