--- a/tests/node/reservations/test_zone_counts.py
+++ b/tests/node/reservations/test_zone_counts.py
@@ -33,6 +33,7 @@
     """The admission of a zone with room for one request, and a session."""
 
     replies: list[AnyReply] = field(default_factory=list)
+    lines: list[bytes] = field(default_factory=list)
     usage: UsageTracker = field(default_factory=UsageTracker)
     admission: ZoneAdmission = field(init=False)
     session: ZoneSession = field(init=False)
@@ -47,7 +48,7 @@
             self.usage,
             make_controller(copy),
             lambda: capacity,
-            Tasks(LineLog('node-a', clock, len), 'reservations'),
+            Tasks(LineLog('node-a', clock, self._write), 'reservations'),
         )
         self.session = self.admission.open(self.replies.append)
 
@@ -70,6 +71,10 @@
         sums = sum_outcomes(self.usage.counts)
         return {rank: dict(counts) for rank, counts in sums.items()}
 
+    def _write(self, line: bytes) -> int:
+        self.lines.append(line)
+        return len(line)
+
 
 def _make_terms(rank: int, start_in: float) -> Terms:
     return Terms(rank, 'shop', 90, False, start_in, 10, 5, 5)
@@ -121,3 +126,18 @@
         assert zone.read_counts() == {0: {PlaceOutcome.GRANTED: 1}}
 
     run(scenario())
+
+
+def test_decisions_write_no_lines() -> None:
+    """In a surge, a line for each place would push out the others."""
+
+    async def scenario() -> None:
+        zone = _Zone()
+        for number in range(100):
+            zone.enqueue(number, rank=0, start_in=number % 2)
+        await asyncio.sleep(_LEARNED_SECONDS)
+        assert any(isinstance(reply, GrantReply) for reply in zone.replies)
+        assert any(isinstance(reply, RefusalReply) for reply in zone.replies)
+        assert not zone.lines
+
+    run(scenario())
