--- /dev/null
+++ b/tests/node/reservations/test_reservations.py
@@ -0,0 +1,310 @@
+"""Places that nodes reserve from each other."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+import pytest
+
+from ryelatch_node.peer_sync import SessionRequest, encode
+from ryelatch_node.reservations import BusyReply, GrantReply, RefusalReply
+from ryelatch_node.reservations._client import REPLY_SECONDS
+from ryelatch_node.reservations._frames import (
+    Begin,
+    Restore,
+    make_terms,
+)
+from virtual.links import LINK_SECONDS
+from virtual.loop import run
+from virtual.reservations import KEY, PATH, ReservingFleet, make_request
+
+_MARGIN_SECONDS = 10 * LINK_SECONDS
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def _hold(client: Any, identity: str) -> None:
+    """Reserve a place and send the request."""
+    reply = await client.reserve(KEY, make_request(identity), PATH)
+    assert isinstance(reply, GrantReply)
+    client.place(identity, PATH)
+
+
+def _wait(client: Any, identity: str, wait: float = 4) -> 'asyncio.Task[Any]':
+    return asyncio.create_task(
+        client.enqueue(KEY, make_request(identity, wait))
+    )
+
+
+def test_one_place_is_granted_once() -> None:
+    """Without a common controller, each node would send to the last place."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        _, second, third = fleet.start(3)
+        await _hold(second.client, 'r-1')
+        request = make_request('r-2')
+        reply = await third.client.reserve(KEY, request, PATH)
+        assert isinstance(reply, BusyReply)
+        waiting = _wait(third.client, 'r-2')
+        await asyncio.sleep(0.1)
+        assert not waiting.done()
+        second.client.release('r-1')
+        assert isinstance(await waiting, GrantReply)
+        await fleet.stop()
+
+    run(main())
+
+
+def test_killed_controller_lets_waiters_decide() -> None:
+    """The controller is killed while a request waits for it."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        first, second, third = fleet.start(3)
+        await _hold(second.client, 'r-1')
+        waiting = _wait(third.client, 'r-2')
+        await asyncio.sleep(0.1)
+        assert first.waiting == 1
+        killed = _now()
+        await fleet.kill(first)
+        assert await waiting is None
+        assert _now() - killed <= _MARGIN_SECONDS
+        await fleet.stop()
+
+    run(main())
+
+
+def test_next_controller_learns_the_places() -> None:
+    """The controller is killed while it holds places of several nodes."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=3)
+        first, second, third = fleet.start(3)
+        await _hold(second.client, 'r-1')
+        await _hold(third.client, 'r-2')
+        await fleet.kill(first)
+        await asyncio.sleep(_MARGIN_SECONDS)
+        await _hold(third.client, 'r-3')
+        assert second.reserved == 2
+        reply = await second.client.reserve(KEY, make_request('r-4'), PATH)
+        assert isinstance(reply, BusyReply)
+        assert second.reserved == 3
+        third.client.release('r-2')
+        await asyncio.sleep(_MARGIN_SECONDS)
+        await _hold(second.client, 'r-4')
+        await fleet.stop()
+
+    run(main())
+
+
+def test_request_without_a_controller_is_counted() -> None:
+    """No controller replied to a request, which was sent nevertheless."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        first, second, third = fleet.start(3)
+        fleet.paused.add(first.name)
+        assert await third.client.reserve(KEY, make_request('r-1'), PATH) is (
+            None
+        )
+        third.client.place('r-1', PATH)
+        reply = await third.client.reserve(KEY, make_request('r-2'), PATH)
+        assert isinstance(reply, BusyReply)
+        assert second.reserved == 1
+        await fleet.stop()
+
+    run(main())
+
+
+def test_paused_controller_is_left_soon() -> None:
+    """The controller accepts connections and doesn't reply."""
+
+    async def main() -> None:
+        fleet = ReservingFleet()
+        first, second, third = fleet.start(3)
+        fleet.paused.add(first.name)
+        began = _now()
+        assert await third.client.reserve(KEY, make_request('r-1'), PATH) is (
+            None
+        )
+        assert _now() - began <= REPLY_SECONDS + _MARGIN_SECONDS
+        began = _now()
+        await _hold(third.client, 'r-2')
+        assert _now() - began <= _MARGIN_SECONDS
+        assert second.reserved == 1
+        await fleet.stop()
+
+    run(main())
+
+
+def test_without_controller_nodes_decide() -> None:
+    """No controller can be reached; later requests don't wait for any."""
+
+    async def main() -> None:
+        fleet = ReservingFleet()
+        first, second, third, fourth = fleet.start(4)
+        fleet.killed.update(node.name for node in (first, second, third))
+        client = fourth.client
+        assert await client.reserve(KEY, make_request('r-1'), PATH) is None
+        began = _now()
+        assert await client.reserve(KEY, make_request('r-2'), PATH) is None
+        assert await client.enqueue(KEY, make_request('r-3')) is None
+        assert _now() == began
+        assert fleet.count_lines('controller-lost') == 3
+        await fleet.stop()
+
+    run(main())
+
+
+def test_places_of_a_dead_node_are_free_at_once() -> None:
+    """A node dies that holds a place and has a request that waits."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        first, second, third = fleet.start(3)
+        await _hold(second.client, 'r-1')
+        dying = _wait(second.client, 'r-2')
+        waiting = _wait(third.client, 'r-3')
+        await asyncio.sleep(0.1)
+        dying.cancel()
+        killed = _now()
+        await fleet.kill(second)
+        assert isinstance(await waiting, GrantReply)
+        assert _now() - killed <= _MARGIN_SECONDS
+        assert first.waiting == 0
+        assert first.reserved == 1
+        await fleet.stop()
+
+    run(main())
+
+
+def test_cancelled_request_leaves_no_place() -> None:
+    """A client leaves while its request waits."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        first, second, third = fleet.start(3)
+        await _hold(second.client, 'r-1')
+        waiting = _wait(third.client, 'r-2')
+        await asyncio.sleep(0.1)
+        waiting.cancel()
+        await asyncio.sleep(0)
+        third.client.release('r-2')
+        await asyncio.sleep(_MARGIN_SECONDS)
+        assert first.waiting == 0
+        second.client.release('r-1')
+        await asyncio.sleep(_MARGIN_SECONDS)
+        assert first.reserved == 0
+        assert not third.client.holds('r-2')
+        await fleet.stop()
+
+    run(main())
+
+
+def test_lost_release_frees_the_place() -> None:
+    """A request ends while its controller is lost to its node."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        first, second, third = fleet.start(3)
+        await _hold(third.client, 'r-1')
+        fleet.paused.add(first.name)
+        assert await third.client.enqueue(KEY, make_request('r-2')) is None
+        third.client.release('r-1')
+        third.client.release('r-2')
+        await asyncio.sleep(_MARGIN_SECONDS)
+        assert first.reserved == 0
+        await _hold(third.client, 'r-3')
+        assert second.reserved == 1
+        await fleet.stop()
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    'frame',
+    [
+        b'\x00\x00\x00\x01\xc1',
+        b'\xff\xff\xff\xff',
+    ],
+)
+def test_nonsense_of_a_node_ends_only_its_session(frame: bytes) -> None:
+    """A node sends nonsense; the places of the others stay."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=2)
+        first, second, third = fleet.start(3)
+        await _hold(second.client, 'r-1')
+        reader, writer = await third.peer_sync.dial(first.name, 1)
+        writer.write(encode(SessionRequest(*KEY)))
+        terms = make_terms(make_request('r'), _now())
+        writer.write(encode(Restore(1, terms, PATH)))
+        await asyncio.sleep(_MARGIN_SECONDS)
+        assert first.reserved == 2
+        writer.write(encode(Begin(1, 0.1, True)))
+        writer.write(frame)
+        await asyncio.sleep(_MARGIN_SECONDS)
+        assert reader.at_eof()
+        assert first.reserved == 1
+        await _hold(second.client, 'r-2')
+        await fleet.stop()
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        b'\x00\x00\x00\x01\xc1',
+        b'\xff\xff\xff\xff',
+        msgspec.msgpack.encode('no frame at all'),
+    ],
+)
+def test_nonsense_of_a_controller_is_no_reply(reply: bytes) -> None:
+    """A controller sends nonsense; its waiters decide for themselves."""
+
+    async def main() -> None:
+        fleet = ReservingFleet()
+        first, second, third = fleet.start(3)
+
+        async def serve(_request: Any, _reader: Any, writer: Any) -> None:
+            writer.write(reply)
+            await asyncio.sleep(1)
+
+        first.peer_sync.server.serve_session = serve
+        began = _now()
+        assert await third.client.enqueue(KEY, make_request('r-1')) is None
+        assert _now() - began <= REPLY_SECONDS + _MARGIN_SECONDS
+        await _hold(third.client, 'r-2')
+        assert second.reserved == 1
+        await fleet.stop()
+
+    run(main())
+
+
+def test_ended_requests_leave_nothing_behind() -> None:
+    """Whatever became of requests, neither side keeps anything of them."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        first, second, third = fleet.start(3)
+        await _hold(second.client, 'r-0')
+        await third.client.reserve(KEY, make_request('r-1'), PATH)
+        tasks = [
+            _wait(third.client, f'r-{number}', 0.2) for number in range(2, 20)
+        ]
+        replies = await asyncio.gather(*tasks)
+        assert all(isinstance(reply, RefusalReply) for reply in replies)
+        second.client.release('r-0')
+        await asyncio.sleep(_MARGIN_SECONDS)
+        for client in (second.client, third.client):
+            assert not client._held
+            assert not client._pending
+        assert not first.zone._owners
+        assert (first.reserved, first.waiting) == (0, 0)
+        await fleet.stop()
+
+    run(main())
