A request that asks for room while it waits ends no task

Cause: when a node asked for room on a path with the number of a request that waited already, the busy reply dropped the request's owner but left it in the queue. The next decision on it raised a KeyError, which ended the task that decides on all waiting requests of the zone. Our own nodes never reuse a number; a faulty peer may. A request that asks anew now leaves the queue first, so the queue and the owners hold the same requests.

--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
@@ -145,6 +145,8 @@
         self, session: ZoneSession, frame: Reserve, now: float
     ) -> None:
         identity = self._register(session, frame.number)
+        # A request that asks anew waits no longer.
+        self.controller.release(identity, now)
         request = read_terms(frame.terms, identity, now)
         if self.controller.reserve(request, frame.path, now):
             self._count(request.priority, 'granted')
--- a/tests/node/reservations/test_reservations.py
+++ b/tests/node/reservations/test_reservations.py
@@ -11,6 +11,8 @@
 from ryelatch_node.reservations._client import REPLY_SECONDS
 from ryelatch_node.reservations._frames import (
     Begin,
+    Enqueue,
+    Reserve,
     Restore,
     make_terms,
 )
@@ -224,6 +226,28 @@
     run(main())
 
 
+def test_place_asked_for_twice_ends_nothing() -> None:
+    """A peer asks for room with the number of a request that waits."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        first = fleet.start(1)[0]
+        replies: list[Any] = []
+        session = first.zone.open(replies.append)
+        terms = make_terms(make_request('r'), _now())
+        first.zone.handle(session, Reserve(1, terms, PATH))
+        first.zone.handle(session, Enqueue(2, terms))
+        first.zone.handle(session, Reserve(2, terms, PATH))
+        assert isinstance(replies[-1], BusyReply)
+        assert first.waiting == 0
+        first.zone.close(session)
+        await asyncio.sleep(1)
+        assert not fleet.count_lines('task-crashed')
+        await fleet.stop()
+
+    run(main())
+
+
 @pytest.mark.parametrize(
     'frame',
     [
