A controller that has not read the list of replicas refuses no request

Cause: a node that had just started and was asked to control a zone computed its capacity from an empty list of replicas. No request fitted, so each one that waited was refused at once with a time at which to retry. The capacity is now unknown until the list was read, and requests wait as long as they may.

--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_controllers.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_controllers.py
@@ -102,10 +102,14 @@
         return sum(len(zone.controller.ledger) for zone in self._zones.values())
 
     def _measure(self, key: ZoneKey) -> ZoneCapacity:
-        """Compute what the replicas of a zone hold that can be reached."""
+        """Compute what the replicas of a zone hold that can be reached.
+
+        Before the list of replicas was read, no layers are known either, so
+        that no request is refused for being too large.
+        """
         table = self.configuration.table
         service = table and table.configuration.services.get(key.service)
-        if not service or service.model is None:
+        if not service or service.model is None or not self.replicas.listed:
             return ZoneCapacity({}, 0)
         reachable = self.replicas.list_reachable(key.service)
         members = (replica for replica in reachable if replica.zone == key.zone)
--- a/tests/node/reservations/test_reservations.py
+++ b/tests/node/reservations/test_reservations.py
@@ -248,6 +248,23 @@
     run(main())
 
 
+def test_controller_without_list_refuses_nothing() -> None:
+    """A controller has just started and has not read the replicas yet."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        first, second = fleet.start(2)
+        first.replicas.listed = False
+        first.replicas.remove(PATH[0], unanswered=0)
+        waiting = _wait(second.client, 'r-1')
+        await asyncio.sleep(0.15)
+        assert not waiting.done()
+        waiting.cancel()
+        await fleet.stop()
+
+    run(main())
+
+
 @pytest.mark.parametrize(
     'frame',
     [
