Nonsense in messages about reservations ends the session it came in

Cause: an infinite time to a first event was taken into the mean of a replica, which then stayed infinite: no further path began there. A path without replicas raised an IndexError outside the errors that end a session, and an infinite delay was passed on to the client. Times, counts and the length of paths are now bounded where they are decoded, and what a node sends is clamped to the same bounds, so that no client can end the session of its node.

--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_frames.py
@@ -7,9 +7,29 @@
 from ryelatch_core.admission import ReservationRequest
 from ryelatch_node.peer_sync import Duration, IncarnationName
 
-Count = Annotated[int, msgspec.Meta(ge=0)]
+MAX_SECONDS = 3600.0
+"""Longest delay that is reported, far above any that occurs."""
+
+MAX_COUNT = 1_000_000_000_000
+"""Largest number that is reported, far above any that occurs."""
+
+_MAX_PATH_LENGTH = 1024
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 """A number of things, not negative."""
 
+BoundedDuration = Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS)]
+"""Seconds, neither negative nor infinite.
+
+A mean over them would stay infinite, and a client would never retry.
+"""
+
+Path = Annotated[
+    tuple[IncarnationName, ...],
+    msgspec.Meta(min_length=1, max_length=_MAX_PATH_LENGTH),
+]
+"""Names of the replicas of a path, in order; there is at least one."""
+
 
 class Terms(msgspec.Struct, frozen=True, array_like=True):
     """What a request needs; times are relative, as clocks of VMs differ.
@@ -39,7 +59,7 @@
 
     number: Count
     terms: Terms
-    path: Annotated[tuple[IncarnationName, ...], msgspec.Meta(min_length=1)]
+    path: Path
 
 
 class Enqueue(msgspec.Struct, frozen=True, array_like=True, tag='enqueue'):
@@ -54,14 +74,14 @@
 
     number: Count
     terms: Terms
-    path: tuple[IncarnationName, ...]
+    path: Path
 
 
 class Place(msgspec.Struct, frozen=True, array_like=True, tag='place'):
     """Reports the path on which an admitted request was sent."""
 
     number: Count
-    path: tuple[IncarnationName, ...]
+    path: Path
 
 
 class Begin(msgspec.Struct, frozen=True, array_like=True, tag='begin'):
@@ -73,7 +93,7 @@
     """
 
     number: Count
-    seconds: Duration
+    seconds: BoundedDuration
     begun: bool
 
 
@@ -150,7 +170,7 @@
     """
 
     number: Count
-    retry_after: Duration
+    retry_after: BoundedDuration
 
 
 AnyReply: TypeAlias = GrantReply | BusyReply | QueueReply | RefusalReply
@@ -164,7 +184,7 @@
     return Terms(
         request.priority,
         request.account,
-        request.tokens,
+        min(request.tokens, MAX_COUNT),
         request.retried,
         max(0, request.start_by - now),
         max(0, request.expires - now),
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
@@ -17,6 +17,7 @@
 from ryelatch_core.events import UsageTracker
 from ryelatch_core.kernel import Clock
 from ryelatch_node.reservations._frames import (
+    MAX_SECONDS,
     AnyFrame,
     AnyReply,
     Begin,
@@ -187,7 +188,8 @@
                 case Refused():
                     self.usage.count('admission', 'refused')
                     self._unregister(session, decision.identity)
-                    session.reply(RefusalReply(number, decision.retry_after))
+                    delay = min(decision.retry_after, MAX_SECONDS)
+                    session.reply(RefusalReply(number, delay))
 
     def _register(self, session: ZoneSession, number: int) -> str:
         identity = _identify(session, number)
--- a/tests/node/reservations/test_reservations.py
+++ b/tests/node/reservations/test_reservations.py
@@ -1,6 +1,7 @@
 """Places that nodes reserve from each other."""
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -12,6 +13,7 @@
 from ryelatch_node.reservations._frames import (
     Begin,
     Enqueue,
+    Place,
     Reserve,
     Restore,
     make_terms,
@@ -270,6 +272,10 @@
     [
         b'\x00\x00\x00\x01\xc1',
         b'\xff\xff\xff\xff',
+        encode(Place(1, ())),
+        encode(Place(1, PATH * 10_000)),
+        encode(Begin(1, float('inf'), True)),
+        encode(Begin(1, 1e300, False)),
     ],
 )
 def test_nonsense_of_a_node_ends_only_its_session(frame: bytes) -> None:
@@ -301,6 +307,8 @@
     [
         b'\x00\x00\x00\x01\xc1',
         b'\xff\xff\xff\xff',
+        encode(RefusalReply(0, float('inf'))),
+        encode(RefusalReply(0, 1e300)),
         msgspec.msgpack.encode('no frame at all'),
     ],
 )
@@ -349,3 +357,20 @@
         await fleet.stop()
 
     run(main())
+
+
+def test_huge_request_ends_no_session() -> None:
+    """A client announces a prompt of any length; other requests go on."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=2)
+        first, _, third = fleet.start(3)
+        await _hold(third.client, 'r-1')
+        huge = replace(make_request('r-2'), tokens=2**63, expires=1e6)
+        reply = await third.client.enqueue(KEY, huge)
+        assert isinstance(reply, RefusalReply)
+        assert first.reserved == 1
+        assert not fleet.count_lines('controller-lost')
+        await fleet.stop()
+
+    run(main())
