A controller whose VM is gone holds up requests for 0.15 s, not 0.3 s

In the test a request waited 0.302 s for a connection to a controller that accepts none, and all others of the zone waited with it; three such nodes in a row would have taken 0.9 s. The time for a reply did not include that of the connection. Each connection now gets the time that a reply gets: at most 0.16 s passed in the test until the next node had granted the place.

--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
@@ -41,7 +41,7 @@
 from ryelatch_node.tasks import Tasks
 
 REPLY_SECONDS = 0.15
-"""Longest wait for a reply, or beyond the time that a request may wait.
+"""Longest wait for a connection, a reply, or beyond the time for a place.
 
 Within a region a reply takes a millisecond. Without one, the request is served
 as if there were no controllers.
@@ -273,9 +273,10 @@
                 self.controllers, key, lambda reply: self._receive(key, reply)
             )
         try:
-            connection = await connect_to_peer(
-                self.peer_sync.dial, node.address
-            )
+            async with asyncio.timeout(REPLY_SECONDS):
+                connection = await connect_to_peer(
+                    self.peer_sync.dial, node.address
+                )
         except REQUEST_ERRORS as error:
             self._record_lost(key, node.address, type(error).__name__)
             return None
--- a/tests/node/reservations/test_reservations.py
+++ b/tests/node/reservations/test_reservations.py
@@ -144,6 +144,22 @@
     run(main())
 
 
+def test_unreachable_controller_is_left_soon() -> None:
+    """The VM of the controller is gone, and no connection is established."""
+
+    async def main() -> None:
+        fleet = ReservingFleet()
+        first, second, third = fleet.start(3)
+        fleet.unreachable.add(first.name)
+        began = _now()
+        await _hold(third.client, 'r-1')
+        assert _now() - began <= REPLY_SECONDS + _MARGIN_SECONDS
+        assert second.reserved == 1
+        await fleet.stop()
+
+    run(main())
+
+
 def test_without_controller_nodes_decide() -> None:
     """No controller can be reached; later requests don't wait for any."""
 
