Data on a simulated connection arrives in the order in which it was sent

Cause: each piece was delivered by a timer of its own, and the loop runs timers of the same time in any order. The pieces are now taken from a queue, as in TCP.

--- a/tests/virtual/links.py
+++ b/tests/virtual/links.py
@@ -1,6 +1,7 @@
 """Simulated connections between nodes, in virtual time."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -33,17 +34,22 @@
         self.transport = _Transport(near, far)
         self._far = far
         self._carries = carries
+        self._in_transit: deque[bytes] = deque()
 
     def write(self, data: bytes) -> None:
         """Deliver the data after the link's delay, if the link transmits."""
         loop = asyncio.get_running_loop()
         if self._carries():
-            loop.call_later(LINK_SECONDS, self._deliver, data)
+            self._in_transit.append(data)
+            loop.call_later(LINK_SECONDS, self._deliver)
 
     async def drain(self) -> None:
         """Return at once, as there is no flow control."""
 
-    def _deliver(self, data: bytes) -> None:
+    def _deliver(self) -> None:
+        # Callbacks of the same time run in any order, but data does not
+        # overtake other data.
+        data = self._in_transit.popleft()
         # The connection may have been closed while the data was in transit.
         if not self._far._eof:  # type: ignore[attr-defined]
             self._far.feed_data(data)
