A controller that replies again is no longer in a growing backoff

Cause: the backoff of a controller doubled each time its connection was lost, up to 64 s, and no reply ever ended it, so that one lost a few times in its life was left for a minute. A reply now ends the backoff.

--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
@@ -229,7 +229,10 @@
                 )
                 held.channel = channel
                 channel.send(frame)
-                return await reply
+                received = await reply
+                if received is not None:
+                    self._backoffs.end(channel.address)
+                return received
         except TimeoutError:
             self._abandon(held.key, channel, 'no reply')
             return None
--- a/tests/node/reservations/test_reservations.py
+++ b/tests/node/reservations/test_reservations.py
@@ -244,6 +244,26 @@
     run(main())
 
 
+def test_backoff_ends_with_a_reply() -> None:
+    """A controller is lost for a moment many times in its life.
+
+    If the backoffs grew each time, it would be left for a minute.
+    """
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=9)
+        first, _, third = fleet.start(3)
+        for number in range(6):
+            await _hold(third.client, f'r-{number}')
+            third.client.release(f'r-{number}')
+            assert fleet.dialled[-1] == first.name
+            await first.peer_sync.server.stop()
+            await asyncio.sleep(2.1)
+        await fleet.stop()
+
+    run(main())
+
+
 def test_place_asked_for_twice_ends_nothing() -> None:
     """A peer asks for room with the number of a request that waits."""
 
