--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_zone.py
@@ -19,6 +19,7 @@
 from ryelatch_core.events import UsageTracker
 from ryelatch_core.kernel import Clock
 from ryelatch_node.reservations._frames import (
+    MAX_SECONDS,
     AnyFrame,
     AnyReply,
     Begin,
@@ -148,6 +149,8 @@
         self, session: ZoneSession, frame: Reserve, now: float
     ) -> None:
         identity = self._register(session, frame)
+        # A request that asks anew waits no longer.
+        self.controller.release(identity, now)
         request = read_terms(frame.terms, identity, now)
         if self.controller.reserve(request, frame.path, now):
             self._count(identity, PlaceOutcome.GRANTED)
@@ -201,7 +204,8 @@
                 case Refused():
                     self._count(decision.identity, PlaceOutcome.REFUSED)
                     self._unregister(session, decision.identity)
-                    session.reply(RefusalReply(number, decision.retry_after))
+                    delay = min(decision.retry_after, MAX_SECONDS)
+                    session.reply(RefusalReply(number, delay))
 
     def _register(
         self, session: ZoneSession, frame: Reserve | Enqueue | Restore
