A zone keeps to its best controller, and a path is reported to that of its own zone

A node that had left a controller after one late reply stayed with the second for good, while others stayed with the first; both granted the whole room. A further attempt in another zone was reported to the first zone's controller. Both tests failed before.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -59,9 +59,10 @@
     query = make_path_query(context, request, unusable)
     if query is None:
         return ()
-    throttled = context.throttle.list_closed()
-    full = _list_closed(context, request) if limited else frozenset()
-    query = replace(query, closed=throttled | full)
+    closed = context.throttle.list_closed()
+    if limited:
+        closed |= _list_closed(context, request)
+    query = replace(query, closed=closed)
     offered = [
         replica
         for replica in context.replicas.list_service(request.service)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_places.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_places.py
@@ -119,7 +119,9 @@
 ) -> None:
     """Report the path of a request that holds a place."""
     if path:
-        context.reservations.client.place(exchange.key, _list_names(path))
+        context.reservations.client.place(
+            exchange.key, path[0].replica.zone, _list_names(path)
+        )
 
 
 async def _wait(
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
@@ -169,15 +169,22 @@
         """Whether this node holds a place for a request."""
         return identity in self._held
 
-    def place(self, identity: str, path: tuple[str, ...]) -> None:
+    def place(self, identity: str, zone: str, path: tuple[str, ...]) -> None:
         """Report the path on which a request was sent, or moved to.
 
         Does nothing for a request that needs no place. One that was sent
         without asking a controller, as none replied, is reported as well.
+
+        :param zone: the availability zone of the path.
+        :param path: names of the replicas, in order.
         """
         held = self._held.get(identity)
         if held is None or held.path == path:
             return
+        if held.key.zone != zone:
+            self._tell(held.key, Release(held.number))
+            held.key = held.key._replace(zone=zone)
+            held.channel = None
         held.path = path
         channel = self._channels.get(held.key)
         if channel is not None and held.channel is channel:
@@ -242,7 +249,7 @@
     def _receive(self, key: ZoneKey, message: AnyReply) -> None:
         """Handle a message of a controller."""
         if isinstance(message, GrantReply):
-            self.load.record(key, message.load, 0)
+            self.load.record(key, message.load, self.load.count_waiting(key))
         elif isinstance(message, BusyReply):
             self.load.record(key, message.load, message.waiting)
         pending = self._pending.get(message.number)
@@ -259,16 +266,36 @@
     async def _open_channel(self, key: ZoneKey) -> Channel | None:
         """Find the channel to the controller of a zone, or open one."""
         async with self._locks[key]:
-            channel = self._channels.get(key)
-            if channel is not None:
-                return channel
+            present = self._channels.get(key)
             for node in self._list_controllers(key):
+                if present is not None and self._stays(key, present, node):
+                    return present
                 channel = await self._connect(key, node)
                 if channel is not None:
-                    self._channels[key] = channel
-                    self._restore_all(key, channel)
+                    await self._use_channel(key, channel)
                     return channel
-        return None
+        return present
+
+    def _stays(self, key: ZoneKey, channel: Channel, best: NodeEntry) -> bool:
+        """Whether a channel is kept.
+
+        It is left for that of a node with a better rank, as otherwise two
+        nodes would control the zone for good after one of them was slow once.
+        """
+        address = '' if best.name == self.name else best.address
+        waits = any(
+            held.key == key and held.number in self._pending
+            for held in self._held.values()
+        )
+        return channel.address == address or waits
+
+    async def _use_channel(self, key: ZoneKey, channel: Channel) -> None:
+        """Use a channel in place of the present one, if any."""
+        previous = self._channels.get(key)
+        self._channels[key] = channel
+        self._restore_all(key, channel)
+        if previous is not None:
+            await previous.close()
 
     async def _connect(self, key: ZoneKey, node: NodeEntry) -> Channel | None:
         if node.name == self.name:
--- a/tests/node/reservations/test_reservations.py
+++ b/tests/node/reservations/test_reservations.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ryelatch_node.peer_sync import SessionRequest, encode
+from ryelatch_node.peer_sync._backoffs import BACKOFF_SECONDS
 from ryelatch_node.reservations import BusyReply, GrantReply, RefusalReply
 from ryelatch_node.reservations._client import REPLY_SECONDS
 from ryelatch_node.reservations._frames import (
@@ -33,7 +34,7 @@
     """Reserve a place and send the request."""
     reply = await client.reserve(KEY, make_request(identity), PATH)
     assert isinstance(reply, GrantReply)
-    client.place(identity, PATH)
+    client.place(identity, KEY.zone, PATH)
 
 
 def _wait(client: Any, identity: str, wait: float = 4) -> 'asyncio.Task[Any]':
@@ -114,7 +115,7 @@
         assert await third.client.reserve(KEY, make_request('r-1'), PATH) is (
             None
         )
-        third.client.place('r-1', PATH)
+        third.client.place('r-1', KEY.zone, PATH)
         reply = await third.client.reserve(KEY, make_request('r-2'), PATH)
         assert isinstance(reply, BusyReply)
         assert second.reserved == 1
@@ -144,6 +145,45 @@
     run(main())
 
 
+def test_controller_is_used_again_when_it_replies() -> None:
+    """After one late reply, a node would keep to a second controller for good.
+
+    Both would then grant the whole room of the zone.
+    """
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        first, second, third = fleet.start(3)
+        await _hold(second.client, 'r-1')
+        fleet.paused.add(first.name)
+        await third.client.reserve(KEY, make_request('r-2'), PATH)
+        await _hold(third.client, 'r-3')
+        fleet.paused.clear()
+        await asyncio.sleep(BACKOFF_SECONDS)
+        reply = await third.client.reserve(KEY, make_request('r-4'), PATH)
+        assert isinstance(reply, BusyReply)
+        assert first.reserved == 2
+        assert second.reserved == 0
+        await fleet.stop()
+
+    run(main())
+
+
+def test_path_in_another_zone_is_reported_there() -> None:
+    """A further attempt of a request went through another zone unseen."""
+
+    async def main() -> None:
+        fleet = ReservingFleet()
+        first, _, third = fleet.start(3)
+        await _hold(third.client, 'r-1')
+        third.client.place('r-1', 'elsewhere', ('m-elsewhere',))
+        await asyncio.sleep(_MARGIN_SECONDS)
+        assert first.reserved == 0
+        await fleet.stop()
+
+    run(main())
+
+
 def test_unreachable_controller_is_left_soon() -> None:
     """The VM of the controller is gone, and no connection is established."""
 
