Nodes return to the preferred controller of a zone

Cause: a node kept its channel as long as the connection held. After a restart of the preferred controller, or once a new node became it, nodes with a channel stayed with the earlier one while all others asked the preferred one, and two granted the same places without end. A node now opens a channel to the preferred controller as soon as that is in no backoff, reports its places there, and closes the earlier channel when no request waits over it: requests that wait still get their decision, and none waits for the new connection.

--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections import defaultdict
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 from ryelatch_core.admission import ReservationRequest, rank_controllers
@@ -258,17 +259,50 @@
 
     async def _open_channel(self, key: ZoneKey) -> Channel | None:
         """Find the channel to the controller of a zone, or open one."""
-        async with self._locks[key]:
-            channel = self._channels.get(key)
+        channel = self._channels.get(key)
+        if channel is None:
+            async with self._locks[key]:
+                return await self._choose(key)
+        preferred = next(iter(self._list_controllers(key)), None)
+        if (
+            preferred is not None
+            and _get_address(preferred, self.name) != channel.address
+            and not self._locks[key].locked()
+        ):
+            self.tasks.spawn(self._move(key))
+        return channel
+
+    async def _choose(self, key: ZoneKey) -> Channel | None:
+        """Open a channel to the first controller that can be reached.
+
+        If it is the present one, its channel stays in use.
+        """
+        for node in self._list_controllers(key):
+            present = self._channels.get(key)
+            if present and present.address == _get_address(node, self.name):
+                return present
+            channel = await self._connect(key, node)
             if channel is not None:
+                self._channels[key] = channel
+                self._restore_all(key, channel)
                 return channel
-            for node in self._list_controllers(key):
-                channel = await self._connect(key, node)
-                if channel is not None:
-                    self._channels[key] = channel
-                    self._restore_all(key, channel)
-                    return channel
-        return None
+        return self._channels.get(key)
+
+    async def _move(self, key: ZoneKey) -> None:
+        """Return to the preferred controller, as all other nodes do.
+
+        Requests that wait at the earlier one get its decision.
+        """
+        async with self._locks[key]:
+            earlier = self._channels.get(key)
+            channel = await self._choose(key)
+        if earlier is None or channel is earlier:
+            return
+        try:
+            while _awaits(earlier, self._held.values(), self._pending):
+                await asyncio.sleep(REPLY_SECONDS)
+        finally:
+            await earlier.close()
 
     async def _connect(self, key: ZoneKey, node: NodeEntry) -> Channel | None:
         if node.name == self.name:
@@ -353,3 +387,23 @@
             reason=reason,
             seconds=seconds,
         )
+
+
+def _awaits(
+    channel: Channel, held: Iterable[_Held], pending: Container[int]
+) -> bool:
+    """Whether requests wait for a reply over a channel.
+
+    :param pending: numbers of the requests that wait for any reply.
+    """
+    return any(
+        place.channel is channel and place.number in pending for place in held
+    )
+
+
+def _get_address(node: NodeEntry, own_name: str) -> str:
+    """Return the address that a channel to a node has.
+
+    :param own_name: name of this node, which needs no connection to itself.
+    """
+    return '' if node.name == own_name else node.address
--- a/tests/node/reservations/test_reservations.py
+++ b/tests/node/reservations/test_reservations.py
@@ -179,6 +179,55 @@
     run(main())
 
 
+def test_restarted_controller_takes_over_again() -> None:
+    """The controller restarts while its nodes use the next one.
+
+    If they stayed with that one, and new nodes asked the first, two would
+    grant the same places for ever.
+    """
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=2)
+        first, second, third = fleet.start(3)
+        await _hold(third.client, 'r-1')
+        await fleet.kill(first)
+        await asyncio.sleep(_MARGIN_SECONDS)
+        await _hold(third.client, 'r-2')
+        first = fleet.restart(first)
+        await asyncio.sleep(3)
+        await third.client.reserve(KEY, make_request('r-3'), PATH)
+        await asyncio.sleep(_MARGIN_SECONDS)
+        reply = await third.client.reserve(KEY, make_request('r-4'), PATH)
+        assert isinstance(reply, BusyReply)
+        await asyncio.sleep(2 * REPLY_SECONDS)
+        assert first.reserved == 2
+        assert second.reserved == 0
+        await fleet.stop()
+
+    run(main())
+
+
+def test_lists_that_differed_agree_again() -> None:
+    """A new node is the preferred controller, and others learn of it later."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=2)
+        first, second, third = fleet.start(3)
+        older = [second.name, third.name]
+        fleet.update_nodes(older, older)
+        await _hold(third.client, 'r-1')
+        await _hold(first.client, 'r-2')
+        assert (first.reserved, second.reserved) == (1, 1)
+        fleet.update_nodes(older, [first.name, *older])
+        await third.client.reserve(KEY, make_request('r-3'), PATH)
+        third.client.release('r-3')
+        await asyncio.sleep(2 * REPLY_SECONDS)
+        assert (first.reserved, second.reserved) == (2, 0)
+        await fleet.stop()
+
+    run(main())
+
+
 def test_places_of_a_dead_node_are_free_at_once() -> None:
     """A node dies that holds a place and has a request that waits."""
 
@@ -410,3 +459,28 @@
         await fleet.stop()
 
     run(main())
+
+
+def test_waiters_outlast_a_change_of_controllers() -> None:
+    """The preferred controller returns while a request waits at the next."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        first, second, third = fleet.start(3)
+        older = [second.name, third.name]
+        fleet.update_nodes(older, older)
+        await _hold(third.client, 'r-1')
+        waiting = _wait(third.client, 'r-2')
+        await asyncio.sleep(0.1)
+        fleet.update_nodes(older, [first.name, *older])
+        await third.client.reserve(KEY, make_request('r-3'), PATH)
+        await asyncio.sleep(_MARGIN_SECONDS)
+        assert first.reserved == 1
+        reply = await waiting
+        assert reply is not None
+        third.client.place('r-2', PATH)
+        await asyncio.sleep(2 * REPLY_SECONDS)
+        assert second.reserved == 0
+        await fleet.stop()
+
+    run(main())
