--- a/tests/node/relay/test_places.py
+++ b/tests/node/relay/test_places.py
@@ -61,8 +61,9 @@
         await asyncio.sleep(0.1)
         return self.enqueued
 
-    def place(self, _: str, path: tuple[str, ...]) -> None:
+    def place(self, _: str, zone: str, path: tuple[str, ...]) -> None:
         """Record the path that was reported."""
+        assert path[0].endswith(zone)
         self.placed.append(path)
 
     def release(self, identity: str) -> None:
