--- a/packages/ryelatch-core/src/ryelatch_core/admission/_priorities.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_priorities.py
@@ -34,11 +34,13 @@
 ) -> Mapping[str, tuple[Priority, ...]]:
     """List the priorities of requests to each model service, in order.
 
-    Only services whose requests differ in priority are included; requests to
-    the others need no order.
+    Only services whose routes differ in priority are included; requests to
+    the others need no order. Accounts with priorities of their own don't call
+    for one by themselves.
     """
     accounts: list[Account | None] = [*configuration.accounts]
     priorities: dict[str, set[Priority]] = defaultdict(set)
+    routes: dict[str, set[int]] = defaultdict(set)
     for route in configuration.routes:
         callers = accounts
         if route.anonymous or not accounts:
@@ -46,8 +48,9 @@
         ranks = {get_priority(route, account) for account in callers}
         for split in route.splits:
             priorities[split.service] |= ranks
+            routes[split.service].add(route.priority)
     return {
         name: tuple(sorted(priorities[name]))
         for name, service in configuration.services.items()
-        if service.model is not None and len(priorities[name]) > 1
+        if service.model is not None and len(routes[name]) > 1
     }
