Requests wait only in zones that hold all layers

Callers were refused with 'no place in time' at once and all along, after a zone had lost layers. Its controller has no path and refuses everybody, so nobody waits there, and each request chose the zone where the fewest wait. Zones without a path of their own are left out now; if none has one, the path may change zones, as before. The test chose zone-a before.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -199,15 +199,27 @@
     return timeout < longest - route.objective
 
 
-def misses_layers(context: RelayContext, request: AdmittedRequest) -> bool:
-    """Whether a request has no path even when load is disregarded."""
+def misses_layers(
+    context: RelayContext, request: AdmittedRequest, zone: str | None = None
+) -> bool:
+    """Whether a request has no path even when load is disregarded.
+
+    :param zone: the availability zone that the path must not leave; ``None``
+        if it may use any, and several.
+    """
     query = make_path_query(
         context, request, context.replicas.list_unreachable()
     )
     if query is None:
         return True
-    unloaded = replace(query, local_tokens={}, load=NO_LOAD)
-    offered = context.replicas.list_service(request.service)
+    unloaded = replace(
+        query, local_tokens={}, load=NO_LOAD, crosses=zone is None
+    )
+    offered = [
+        replica
+        for replica in context.replicas.list_service(request.service)
+        if zone is None or replica.zone == zone
+    ]
     return not choose_path(offered, unloaded)
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_places.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_places.py
@@ -134,6 +134,8 @@
 ) -> tuple[Stage, ...]:
     """Wait for a place in the zone where the fewest requests wait."""
     key = _choose_zone(context, request)
+    if key is None:
+        return choose_request_path(context, exchange, request, progress)
     began = context.now()
     reply = await context.reservations.client.enqueue(key, wanted)
     place.zone = key.zone
@@ -148,16 +150,29 @@
     return path
 
 
-def _choose_zone(context: RelayContext, request: AdmittedRequest) -> ZoneKey:
-    """Choose the zone in which a request waits."""
+def _choose_zone(
+    context: RelayContext, request: AdmittedRequest
+) -> ZoneKey | None:
+    """Choose the zone in which a request waits.
+
+    Nobody waits in a zone without all layers, as its controller refuses all.
+
+    :returns: ``None`` if no zone holds all layers.
+    """
     load = context.reservations.load
     own = context.startup.zone
     zones = {
         replica.zone
         for replica in context.replicas.list_service(request.service)
     }
-    keys = (ZoneKey(request.service, zone) for zone in sorted(zones | {own}))
-    return min(keys, key=lambda key: (load.count_waiting(key), key.zone != own))
+    keys = (ZoneKey(request.service, zone) for zone in sorted(zones))
+    ordered = sorted(
+        keys, key=lambda key: (load.count_waiting(key), key.zone != own)
+    )
+    whole = (
+        key for key in ordered if not misses_layers(context, request, key.zone)
+    )
+    return next(whole, None)
 
 
 def _make_request(
--- a/tests/node/relay/test_places.py
+++ b/tests/node/relay/test_places.py
@@ -166,6 +166,24 @@
     run(main())
 
 
+def test_zone_without_layers_attracts_nobody(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nobody waits in a zone that lost layers, as it refuses all at once."""
+
+    async def main() -> None:
+        client = _Client(_BUSY, _GRANT)
+        relay = _Relay(monkeypatch, client, _FAR, _FAR, _FAR)
+        monkeypatch.setattr(
+            places, 'misses_layers', lambda *args: args[2:] == ('zone-a',)
+        )
+        relay.load.record(ZoneKey('model', 'zone-b'), (), 3)
+        assert await relay.choose(places.Place()) == _FAR
+        assert client.waited == [ZoneKey('model', 'zone-b')]
+
+    run(main())
+
+
 def test_equal_waits_prefer_the_own_zone(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
