--- a/packages/ryelatch-node/src/ryelatch_node/ports/_startup.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_startup.py
@@ -33,6 +33,8 @@
     :param stall_seconds: time after which upstreams treat an unresponsive
         upstream as lost.
     :param fenced: whether upstreams refuse commands with old fencing numbers.
+    :param fleet_admission: whether requests to services whose routes differ in
+        priority need a place that is reserved over all nodes.
     """
 
     name: str
@@ -53,6 +55,7 @@
     steady_seconds: float
     stall_seconds: float
     fenced: bool
+    fleet_admission: bool = False
 
 
 RESTART_ONLY = (
@@ -63,6 +66,7 @@
     'metrics',
     'peers',
     'store',
+    'fleet_admission',
 )
 """Settings that take effect only when the process starts."""
 
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_service.py
@@ -23,6 +23,8 @@
 
     Only the requests of services whose configuration ranks them by priority
     need a place; all others are served as each node decides by itself.
+
+    :param enabled: whether the settings of this node call for places at all.
     """
 
     configuration: ConfigurationView
@@ -30,6 +32,7 @@
     controllers: ZoneControllers
     load: FleetLoad
     tasks: Tasks
+    enabled: bool = True
     _table: RoutingTable | None = None
     _ranks: Mapping[str, tuple[Priority, ...]] = field(default_factory=dict)
 
@@ -39,7 +42,7 @@
         if table is not self._table:
             self._table = table
             self._ranks = rank_priorities(table.configuration) if table else {}
-        return service in self._ranks
+        return self.enabled and service in self._ranks
 
     def find_rank(self, service: str, priority: Priority) -> int | None:
         """Find the rank of a priority among those of a service, from 0.
@@ -70,6 +73,7 @@
 def setup(app: App) -> None:
     """Add the service ``reservations``."""
     log = app.find('log', LineLog)
+    startup = app.find('startup', RelayStartup)
     configuration = app.find('configuration', ConfigurationView)
     peer_sync = app.find('news', PeerSync)
     tasks = Tasks(log, 'reservations')
@@ -84,7 +88,7 @@
     peer_sync.server.serve_session = controllers.serve
     load = FleetLoad(app.clock)
     client = ReservationClient(
-        app.find('startup', RelayStartup).name,
+        startup.name,
         log,
         app.clock,
         peer_sync,
@@ -92,7 +96,14 @@
         load,
         tasks,
     )
-    reservations = Reservations(configuration, client, controllers, load, tasks)
+    reservations = Reservations(
+        configuration,
+        client,
+        controllers,
+        load,
+        tasks,
+        startup.fleet_admission,
+    )
     app.add(
         Service('reservations', reservations, ('news',), stop=reservations.stop)
     )
--- a/tests/node/reservations/test_load.py
+++ b/tests/node/reservations/test_load.py
@@ -135,3 +135,15 @@
         await fleet.stop()
 
     run(main())
+
+
+def test_settings_without_admission_rank_nothing() -> None:
+    """Routes differ, but the settings of the node don't call for places."""
+
+    async def main() -> None:
+        reservations, _ = _make_reservations(ReservingFleet(), 0, 1)
+        assert reservations.is_ranked(KEY.service)
+        reservations.enabled = False
+        assert not reservations.is_ranked(KEY.service)
+
+    run(main())
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -34,6 +34,13 @@
     assert startup.store.port == 8223
     assert startup.zones == ('zone-a',)
     assert (startup.revoke_seconds, startup.stall_seconds) == (4, 2)
+    assert not startup.fleet_admission
+
+
+def test_admission_is_switched_on(tmp_path: Path) -> None:
+    path = tmp_path / 'settings.toml'
+    path.write_text(f'fleetAdmission = true\n{_GOOD}')
+    assert read_settings(path).fleet_admission
 
 
 @pytest.mark.parametrize(
