Test: callers of nodes without links to the replicas are refused

The stand-in store tells each node addresses of its own for the replicas, at which its links listen; a link can be dark or refuse connections now.

--- a/tests/fleet/running.py
+++ b/tests/fleet/running.py
@@ -69,7 +69,7 @@
     async def add(self, replica: ReplicaStandIn) -> ReplicaStandIn:
         """Start a replica, and register it at the store."""
         replica.store = self.store
-        runner, port = await _serve(replica.make_app())
+        runner, port = await serve_app(replica.make_app())
         replica.stop_listening = next(iter(runner.sites)).stop
         self.runners.append(runner)
         replica.address = f'127.0.0.1:{port}'
@@ -206,16 +206,20 @@
             for number in range(1, count)
         ]
         nodes = [first, *peers]
-        names = [node.startup.name for node in nodes]
-        await wait_until(
-            lambda: all(
-                first.store.get('ryelatch-nodes', name) for name in names
-            )
-        )
-        await asyncio.sleep(_SETTLING_SECONDS)
+        await settle_nodes(nodes)
         yield nodes
 
 
+async def settle_nodes(nodes: list[RunningNode]) -> None:
+    """Wait until nodes with the same store have counted each other."""
+    store = nodes[0].store
+    names = [node.startup.name for node in nodes]
+    await wait_until(
+        lambda: all(store.get('ryelatch-nodes', name) for name in names)
+    )
+    await asyncio.sleep(_SETTLING_SECONDS)
+
+
 @contextlib.asynccontextmanager
 async def run_node(
     replicas: Iterable[ReplicaStandIn],
@@ -228,7 +232,7 @@
     """
     store = ObjectStore()
     store.put('config', 'main', configuration or make_configuration())
-    runner, port = await _serve(store.make_app())
+    runner, port = await serve_app(store.make_app())
     startup = make_startup(port)._replace(**changes)
     async with ClientSession(auto_decompress=False) as http:
         node = _make_node(store, {}, startup, http)
@@ -365,9 +369,10 @@
     )
 
 
-async def _serve(
+async def serve_app(
     app: web.Application,
 ) -> tuple[web.AppRunner, int]:
+    """Serve an application on loopback; returns its runner and port."""
     runner = web.AppRunner(
         app, shutdown_timeout=0.1, access_log=None, handler_cancellation=True
     )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,15 @@
 _DURATION_SECONDS = (0.3, 3.5)
 _GRACE_SECONDS = 9.0
 
+_SINGLE_LINK_MODES = (
+    LinkMode.OPEN,
+    LinkMode.DELAYED,
+    LinkMode.SILENT,
+    LinkMode.ONE_WAY,
+    LinkMode.RESET,
+)
+"""Modes of one link; the draws of older seeds depend on their order."""
+
 Fault = Callable[[World], Awaitable[None]]
 
 
@@ -64,7 +73,7 @@
         *world.links.values(),
     ]
     link = world.random_source.choice(links)
-    link.switch(world.random_source.choice(list(LinkMode)))
+    link.switch(world.random_source.choice(_SINGLE_LINK_MODES))
     await asyncio.sleep(_sample_duration(world))
     link.switch(LinkMode.OPEN)
 
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -1,4 +1,4 @@
-"""TCP proxies on loopback that delay, drop or reset traffic."""
+"""TCP proxies on loopback that delay, drop, refuse or reset traffic."""
 
 import asyncio
 import contextlib
@@ -11,6 +11,9 @@
 
 _CHUNK_BYTES = 65_536
 _DELAY_SECONDS = 0.3
+_BACKLOG = 128
+_FILLERS = 2
+"""Connections that fill the shortest backlog, so that no other completes."""
 
 
 class LinkMode(enum.Enum):
@@ -25,6 +28,12 @@
     RESET = 'reset'
     """Open connections are reset, new ones as soon as they are accepted."""
 
+    DARK = 'dark'
+    """Open connections carry nothing, and new ones are never established."""
+
+    REFUSING = 'refusing'
+    """Open connections work, new ones are refused."""
+
 
 _ZERO_LINGER = struct.pack('ii', 1, 0)
 
@@ -37,6 +46,24 @@
     writer.transport.abort()
 
 
+def _bind(port: int = 0) -> socket.socket:
+    """Bind a socket on loopback whose port another socket may share."""
+    bound = socket.socket()
+    bound.setblocking(False)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    bound.bind(('127.0.0.1', port))
+    return bound
+
+
+def _fill_backlog(port: int) -> list[socket.socket]:
+    """Open connections that are never accepted."""
+    fillers = [socket.socket() for _ in range(_FILLERS)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex(('127.0.0.1', port))
+    return fillers
+
+
 @dataclass(eq=False)
 class Link:
     """Listener on loopback that forwards connections to a target."""
@@ -44,7 +71,11 @@
     target: tuple[str, int]
     mode: LinkMode = LinkMode.OPEN
     port: int = 0
-    _server: asyncio.Server | None = None
+    _listener: socket.socket | None = None
+    _reserved: socket.socket | None = None
+    _fillers: list[socket.socket] = field(default_factory=list)
+    _accepting: 'asyncio.Task[None] | None' = None
+    _tasks: set['asyncio.Task[None]'] = field(default_factory=set)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     @property
@@ -54,24 +85,31 @@
 
     async def start(self) -> None:
         """Start listening."""
-        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        self._reserved = _bind()
+        self.port = self._reserved.getsockname()[1]
+        self._listen()
 
     async def stop(self) -> None:
         """Stop listening, and reset and wait for all connections."""
-        if self._server is not None:
-            self._server.close()
-        self.reset()
+        await self.close()
+        if self._reserved is not None:
+            self._reserved.close()
         await wait_until(lambda: not self._writers)
 
     async def close(self) -> None:
         """Refuse new connections, and reset all open ones."""
-        if self._server is not None:
-            self._server.close()
+        self._refuse()
         self.reset()
 
     def switch(self, mode: LinkMode) -> None:
         """Change the mode; ``RESET`` also resets all open connections."""
+        # Connections that lost bytes while the link was dark stay cut.
+        if mode is not self.mode and LinkMode.DARK in {mode, self.mode}:
+            self._set_dark(dark=mode is LinkMode.DARK)
+        if mode is LinkMode.REFUSING:
+            self._refuse()
+        elif self.mode is LinkMode.REFUSING:
+            self._listen()
         self.mode = mode
         if mode is LinkMode.RESET:
             self.reset()
@@ -81,11 +119,54 @@
         for writer in tuple(self._writers):
             _abort(writer)
 
-    async def _accept(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
+    def _listen(self) -> None:
+        if self._listener is None:
+            self._listener = _bind(self.port)
+            self._listener.listen(_BACKLOG)
+            self._accepting = asyncio.create_task(
+                self._accept_all(self._listener)
+            )
+
+    def _refuse(self) -> None:
+        if self._accepting is not None:
+            self._accepting.cancel()
+            self._accepting = None
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        self._drop_fillers()
+
+    def _set_dark(self, *, dark: bool) -> None:
+        """Stop or start to accept connections, without refusing any."""
+        if self._listener is None:
+            return
+        if dark and self._accepting is not None:
+            self._accepting.cancel()
+            self._accepting = None
+            self._listener.listen(0)
+            self._fillers = _fill_backlog(self.port)
+        if not dark and self._accepting is None:
+            self._drop_fillers()
+            self._listener.listen(_BACKLOG)
+            self._accepting = asyncio.create_task(
+                self._accept_all(self._listener)
+            )
+
+    def _drop_fillers(self) -> None:
+        for filler in self._fillers:
+            filler.close()
+        self._fillers = []
+
+    async def _accept_all(self, listener: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, _ = await loop.sock_accept(listener)
+            task = asyncio.create_task(self._serve(accepted))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, accepted: socket.socket) -> None:
+        reader, writer = await asyncio.open_connection(sock=accepted)
         if self.mode is LinkMode.RESET:
             _abort(writer)
             return
@@ -120,7 +201,7 @@
             while chunk := await reader.read(_CHUNK_BYTES):
                 if self.mode is LinkMode.DELAYED:
                     await asyncio.sleep(_DELAY_SECONDS)
-                dropped = self.mode is LinkMode.SILENT
+                dropped = self.mode in {LinkMode.SILENT, LinkMode.DARK}
                 dropped = dropped or (
                     to_client and self.mode is LinkMode.ONE_WAY
                 )
--- a/tests/standins/objects.py
+++ b/tests/standins/objects.py
@@ -3,10 +3,24 @@
 import asyncio
 import contextlib
 import json
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeAlias
 
 from aiohttp import web
 
+Present: TypeAlias = Callable[[str, dict[str, Any]], dict[str, Any]]
+"""Changes a stored object, by its kind, for the callers of one application."""
+
+_PRESENT = web.AppKey('present', object)
+
+
+def _present_unchanged(_: str, stored: dict[str, Any]) -> dict[str, Any]:
+    return stored
+
+
+def _get_present(request: web.Request) -> Present:
+    return request.app[_PRESENT]  # type: ignore[return-value]
+
 
 class ObjectStore:
     """Objects by kind and name under one revision counter, with faults.
@@ -60,9 +74,15 @@
         self._history_start = self.revision
         self._notify_watchers()
 
-    def make_app(self) -> web.Application:
-        """Make the HTTP application that serves the store."""
+    def make_app(
+        self, present: Present = _present_unchanged
+    ) -> web.Application:
+        """Make the HTTP application that serves the store.
+
+        :param present: changes the objects that lists and watches return.
+        """
         app = web.Application()
+        app[_PRESENT] = present
         app.router.add_get('/objects/{kind}', self._list)
         app.router.add_post('/objects/{kind}', self._create)
         app.router.add_get('/objects/{kind}/{name}', self._read)
@@ -101,9 +121,10 @@
         following = [
             entry for entry in entries if entry['metadata']['name'] > after
         ]
+        present = _get_present(request)
         return web.json_response(
             {
-                'entries': following[:20],
+                'entries': [present(kind, entry) for entry in following[:20]],
                 'hasMore': len(following) > 20,
                 'at': self.revision,
             }
@@ -115,11 +136,12 @@
         since = int(request.query['watch'])
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(request.query['waitMs']) / 1000
+        present = _get_present(request)
         while True:
             if since < self._history_start and not self.hide_changes:
                 return web.json_response({'at': self.revision}, status=410)
             events = [
-                event
+                {**event, 'object': present(kind, event['object'])}
                 for revision, changed_kind, event in self._history
                 if revision > since
                 and changed_kind == kind
