Streams in progress go on through another node when links are lost

What callers saw: a stream paused for 1.1 s when the links of its node hung, as the node asked the unreachable first replica for a report and then tried another unreachable one. Cause: the way a stream is left was that of a lost replica.

--- a/packages/ryelatch-node/src/ryelatch_node/links/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_service.py
@@ -126,9 +126,18 @@
         now = self.state.clock.monotonic()
         for replica in failed:
             self._contacts.record_failed(replica.address, now)
-        doubtful = any(self._is_doubtful(replica, now) for replica in failed)
-        if doubtful and self.examiner.begin():
-            self.tasks.spawn(self.examiner.run(now))
+        if any(self._is_doubtful(replica, now) for replica in failed):
+            self._examine(now)
+
+    def record_silent_path(self, path: Iterable[Replica]) -> None:
+        """Record that no replica of a path responded, however few these are.
+
+        The links are examined, unless they are known to be lost.
+        """
+        silent = tuple(path)
+        self.record_failed(silent)
+        if not all(map(self.is_lost, silent)):
+            self._examine(self.state.clock.monotonic())
 
     async def reply(self, request: ReachRequest) -> ReachReply:
         """Reply to a node that asks what this one reaches."""
@@ -152,6 +161,10 @@
         if not self._contacts.has_failed(address, connected):
             self.record_reached(address)
 
+    def _examine(self, since: float) -> None:
+        if self.examiner.begin():
+            self.tasks.spawn(self.examiner.run(since))
+
     def _is_doubtful(self, failed: Replica, now: float) -> bool:
         if self.is_lost(failed):
             return False
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_path_checks.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_path_checks.py
@@ -147,7 +147,10 @@
                 self.context.links.record_reached(replica.address)
             else:
                 failed.append(replica)
-        self.context.links.record_failed(failed)
+        if len(failed) == len(replicas):
+            self.context.links.record_silent_path(failed)
+        else:
+            self.context.links.record_failed(failed)
 
     async def _reach(self, replica: Replica) -> Reachability:
         """Connect to a replica twice in parallel, with a delayed second try.
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -17,6 +17,7 @@
 from ryelatch_node.ports import CommandResult
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._exchange import round_seconds
+from ryelatch_node.relay._lost_links import leave_lost_links
 from ryelatch_node.relay._migration_planner import MigrationPlanner
 from ryelatch_node.relay._path_checks import PathChecks
 from ryelatch_node.relay._probe import Prober
@@ -159,6 +160,8 @@
     ) -> None:
         pause = now - stream.progress
         self._report_delay(stream, pause)
+        if leave_lost_links(self.context, stream, pause):
+            return
         silence_limit = _compute_silence_limit(stream)
         if lost and pause > silence_limit and stream.uses(lost):
             if now - stream.last_move_attempt > MOVE_PAUSE_SECONDS:
--- a/tests/standins/links.py
+++ b/tests/standins/links.py
@@ -14,6 +14,9 @@
     def record_failed(self, replicas: Iterable[Replica]) -> None:
         """Ignore replicas that can't be reached."""
 
+    def record_silent_path(self, path: Iterable[Replica]) -> None:
+        """Ignore a path of which no replica responded."""
+
     def is_lost(self, _: Replica) -> bool:
         """Return that no replica is lost to this node alone."""
         return False
