A node that has lost its links plans no layers

What callers saw: after a cut, long refusals in zones that had been whole. Cause: the same as of the refusals: suspicions due to the own links count as losses of replicas. Such a node, and one whose links are being examined, leaves the planning to others: it neither takes nor renews the lease.

--- a/packages/ryelatch-node/src/ryelatch_node/links/_examination.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_examination.py
@@ -70,6 +70,7 @@
         finally:
             self._earliest = self.state.clock.monotonic() + self._cooldown
             self._settled.set()
+            self.state.announce()
 
     def _conclude(
         self,
--- a/packages/ryelatch-node/src/ryelatch_node/links/_state.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_state.py
@@ -18,7 +18,10 @@
 
 @dataclass(frozen=True)
 class LinksChanged:
-    """The links of this node to some groups were lost or regained."""
+    """The links to some groups were lost or regained, or were examined.
+
+    :param lost: the groups that are lost now.
+    """
 
     lost: frozenset[LinkGroup]
 
@@ -57,7 +60,6 @@
                     since=round(now - since, _DIGITS),
                     reached_by=witness,
                 )
-        self._announce()
 
     def record_probe(self, group: LinkGroup, *, reached: bool) -> None:
         """Record the result of probing a lost group."""
@@ -65,14 +67,18 @@
         regained = self.lost.record_probe(group, now, reached=reached)
         if regained is not None:
             self._log_regained(group, regained, now)
-            self._announce()
+            self.announce()
 
     def forget_removed(self) -> None:
         """Forget the groups that have no replicas any more."""
         before = self.lost.groups
         self.lost.drop_missing(group_replicas(self.replicas.replicas.values()))
         if self.lost.groups != before:
-            self._announce()
+            self.announce()
+
+    def announce(self) -> None:
+        """Tell the services of this node which groups are lost."""
+        self.hub.emit(LinksChanged(self.lost.groups))
 
     def _log_regained(
         self, group: LinkGroup, lost: LostGroup, now: float
@@ -83,6 +89,3 @@
             zone=group.zone,
             seconds=round(now - lost.since, _DIGITS),
         )
-
-    def _announce(self) -> None:
-        self.hub.emit(LinksChanged(self.lost.groups))
--- a/packages/ryelatch-node/src/ryelatch_node/placement/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/placement/_service.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
@@ -17,6 +18,7 @@
     plan_moves,
 )
 from ryelatch_core.kernel import App, Clock, Service, cancel_task
+from ryelatch_node.links import Links, LinksChanged
 from ryelatch_node.placement._commands import CommandSender
 from ryelatch_node.placement._lease import BASE_JITTER_SECONDS, LeaseManager
 from ryelatch_node.placement._timing import PlanTiming
@@ -79,9 +81,17 @@
     allow_relayout: bool
 
 
+def _may_always_plan() -> bool:
+    return True
+
+
 @dataclass(eq=False)
 class PlacementController:
-    """Plans layer placement; commands replicas while it holds the lease."""
+    """Plans layer placement; commands replicas while it holds the lease.
+
+    :param may_plan: whether this node can tell lost replicas from links that
+        it has lost itself.
+    """
 
     log: LineLog
     clock: Clock
@@ -90,6 +100,7 @@
     commands: ReplicaCommands
     lease: LeaseManager
     usage: UsageTracker = field(default_factory=UsageTracker)
+    may_plan: Callable[[], bool] = _may_always_plan
     _planned: _PlanInput | None = None
     _last_gap_check: tuple[_Pools, bool] | None = None
     _timing: PlanTiming = field(default_factory=PlanTiming)
@@ -118,8 +129,8 @@
         """Stop planning."""
         await cancel_task(self._task)
 
-    def wake(self, _: ReplicasChanged) -> None:
-        """Check the layers soon, as the view of the replicas has changed."""
+    def wake(self, _: ReplicasChanged | LinksChanged) -> None:
+        """Check the layers soon, as what this node knows has changed."""
         self._wake.set()
 
     def set_node_count(self, counted: NodeCountChanged) -> None:
@@ -143,6 +154,10 @@
 
     async def _reconcile(self) -> None:
         await self._commands.check_overdue()
+        if not self.may_plan():
+            # Other nodes reach what this one doesn't. The lease isn't renewed,
+            # so one of them takes it if there is work to do.
+            return
         now = self.clock.monotonic()
         with self.usage.measure_time('look for gaps'):
             state = self._observe(now)
@@ -266,6 +281,7 @@
     """Add the service ``placement``."""
     startup = app.find('startup', RelayStartup)
     log = app.find('log', LineLog)
+    links = app.find('links', Links)
     controller = PlacementController(
         log=log,
         clock=app.clock,
@@ -273,6 +289,7 @@
         replicas=app.find('replicas', ReplicaView),
         commands=app.find('orders', ReplicaCommands),
         usage=app.find('costs', UsageTracker),
+        may_plan=lambda: links.reliable,
         lease=LeaseManager(
             log=log,
             clock=app.clock,
@@ -282,6 +299,7 @@
         ),
     )
     app.hub.connect(ReplicasChanged, controller.wake)
+    app.hub.connect(LinksChanged, controller.wake)
     app.hub.connect(NodeCountChanged, controller.set_node_count)
     app.add(
         Service(
