--- a/packages/ryelatch-node/src/ryelatch_node/links/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_service.py
@@ -19,9 +19,6 @@
 from ryelatch_node.tasks import Tasks
 from ryelatch_node.views import ReplicaView
 
-RECENT_SECONDS = 1.0
-"""Time for which a new connection shows that a group is reached."""
-
 HOLD_SECONDS = 0.02
 """Time after which a new connection counts; a reset arrives within 6 ms."""
 
@@ -90,10 +87,24 @@
             chosen = self.helpers.choose(service, excluded)
         return chosen
 
+    def reaches(self, service: str) -> bool:
+        """Whether no links to a service are lost or being examined."""
+        return self.examiner.settled and not self.state.lost.has_service(
+            service
+        )
+
     def is_lost(self, replica: Replica) -> bool:
         """Whether the links to a replica's group are lost."""
         return (replica.service, replica.zone) in self.lost
 
+    async def explains_loss(self, replica: Replica) -> bool:
+        """Whether a replica was lost to this node alone.
+
+        Waits for the examination in progress, if there is one.
+        """
+        await self.examiner.wait()
+        return self.is_lost(replica)
+
     def record_connected(self, address: str) -> None:
         """Record a new connection, which counts unless it is reset at once.
 
@@ -172,13 +183,14 @@
         return self._contacts.is_doubtful(failed, listed, now)
 
     async def _reaches(self, group: LinkGroup) -> bool:
-        """Whether this node reaches a group, for a node that asks."""
+        """Whether this node reaches a group, for a node that asks.
+
+        Earlier connections prove nothing: if several nodes lose their links at
+        the same moment, each of them would be sent the requests of the others.
+        """
         if group in self.lost:
             return False
         listed = self.state.list_group(group)
-        since = self.state.clock.monotonic() - RECENT_SECONDS
-        if self._contacts.was_reached(listed, since):
-            return True
         return await self.prober.probe(group, listed) is ProbeResult.REACHED
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_link_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_link_frames.py
@@ -66,11 +66,13 @@
     """The node itself ends the request with an error.
 
     :param retry_after: seconds after which the client should retry, if any.
+    :param reaches: whether the node reaches the replicas of the service.
     """
 
     status: int
     reason: str
     retry_after: Duration | None = None
+    reaches: bool = True
 
 
 class ForwardStart(msgspec.Struct, frozen=True, array_like=True, tag='start'):
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from starlette.types import Message
@@ -51,10 +52,13 @@
     """The connection of a node that forwards a request.
 
     Looks like the connection of a client to the code that relays requests.
+
+    :param reaches: whether this node reaches the replicas of the service.
     """
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    reaches: Callable[[], bool]
 
     async def receive(self) -> Message:
         """Wait until the node closes the connection.
@@ -82,7 +86,9 @@
         self, status: int, reason: str, retry_after: float | None
     ) -> None:
         """Send that this node ends the request with an error."""
-        await self.write(ForwardRefused(status, reason, retry_after))
+        await self.write(
+            ForwardRefused(status, reason, retry_after, self.reaches())
+        )
 
     async def write(self, reply: ForwardReply) -> None:
         """Send a message.
@@ -134,7 +140,10 @@
 
         :raises EOFError: if its answer is incomplete.
         """
-        connection = _Connection(reader, writer)
+        links = self.context.links
+        connection = _Connection(
+            reader, writer, lambda: links.reaches(forwarded.service)
+        )
         alive = asyncio.create_task(connection.keep_alive())
         self.in_progress += 1
         try:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
@@ -165,7 +165,7 @@
             head = await answer.read_head()
             if isinstance(head, ForwardRefused):
                 return await _handle_refusal(
-                    exchange, request, attempts, helper, head
+                    context, exchange, request, attempts, helper, head
                 )
             return await pass_on(answer)
     except HelperLost as error:
@@ -182,6 +182,7 @@
 
 
 async def _handle_refusal(
+    context: RelayContext,
     exchange: Exchange,
     request: AdmittedRequest,
     attempts: ForwardAttempts,
@@ -199,6 +200,8 @@
         reason=refusal.reason,
         outcome='not run' if refusal.status in _NOT_RUN else 'failed',
     )
+    if not refusal.reaches:
+        context.links.helpers.drop(helper.node.name)
     if refusal.status in _NOT_RUN:
         attempts.refusal = refusal
         return False
--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -12,6 +12,7 @@
     make_model_replicas,
     make_non_model_replicas,
     open_request,
+    wait_until,
 )
 from soak.links import LinkMode
 from standins.replica import ReplicaStandIn
@@ -76,6 +77,8 @@
             )
         )
         assert answered == [[200] * 12] * 3
+        taken = [linked.node.count('forward-taken') for linked in nodes]
+        assert taken[:2] == [0, 0]
         bookings = [
             run.identity
             for replica in replicas
@@ -130,3 +133,35 @@
         await reading
         runs = [run.identity for replica in replicas for run in replica.runs]
         assert runs.count('r-1') == 1
+
+
+async def test_lost_links_are_no_crashes() -> None:
+    """A popular request is refused by all nodes, as three have lost links.
+
+    Each of them takes the replica whose connection broke for a crashed one,
+    and three crashes under one request are enough for a refusal.
+    """
+    replicas = make_model_replicas(*[(0, 8)] * 6)
+    for replica in replicas:
+        replica.pause = 0.4
+    async with run_linked_nodes(replicas, 4) as nodes:
+        streams = [
+            asyncio.create_task(
+                ask(linked.node, '/plan/x', identity=f'c-{number}')
+            )
+            for number, linked in enumerate(nodes[:3])
+        ]
+        await wait_until(lambda: sum(map(_count_runs, replicas)) == 3)
+        await asyncio.sleep(0.1)
+        for linked in nodes[:3]:
+            linked.cut(LinkMode.REFUSING)
+            for link in linked.links.values():
+                link.reset()
+        answers = await asyncio.gather(*streams)
+        assert [answer[1] for answer in answers] == [make_event_stream(5)] * 3
+        await asyncio.sleep(1)
+        assert not nodes[0].node.store.list_names('ryelatch-quarantine')
+
+
+def _count_runs(replica: ReplicaStandIn) -> int:
+    return len(replica.runs)
