Lost links are no crashes of replicas

What callers would see: a popular request is refused by all nodes. Three nodes lose their links; each loses one run of it, finds the replica's address refusing connections, and writes a crash to the store: three crashes under one request. They were deleted only when another node had run the request for half a second.

--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_crashes.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_crashes.py
@@ -1,6 +1,7 @@
 """Replica crashes under one request."""
 
 import enum
+from collections.abc import Collection
 from dataclasses import dataclass
 
 MAX_INCARNATIONS = 16
@@ -49,6 +50,15 @@
             return self.merge(Crashes(begun=names, events=events))
         return self.merge(Crashes(waiting=names, events=events))
 
+    def remove(self, incarnations: Collection[str]) -> 'Crashes':
+        """Remove the crashes of some replicas."""
+        kept = Crashes(
+            self.begun.difference(incarnations),
+            self.waiting.difference(incarnations),
+            self.events,
+        )
+        return kept if kept.incarnations else Crashes()
+
     def merge(self, other: 'Crashes') -> 'Crashes':
         """Combine the crashes that two nodes have seen."""
         begun = self.begun | other.begun
--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, replace
 
 from ryelatch_core.quarantine._causes import (
@@ -200,6 +200,32 @@
         self.evaluate(now)
         return True
 
+    def retract(
+        self, incarnations: Collection[str], since: float, now: float
+    ) -> bool:
+        """Take back crashes that this node recorded by mistake.
+
+        :param incarnations: names of replicas that have not crashed.
+        :param since: crashes under requests that had none since then stay, in
+            monotonic seconds.
+        :returns: whether there were any.
+        """
+        mistaken = {
+            digest: state
+            for digest, state in self._states.items()
+            if state.changed >= since
+            and not state.local.incarnations.isdisjoint(incarnations)
+        }
+        for digest, state in mistaken.items():
+            local = state.local.remove(incarnations)
+            if local == NO_CRASHES and state.stored is None:
+                del self._states[digest]
+            else:
+                self._update(digest, replace(state, local=local), now)
+        if mistaken:
+            self.evaluate(now)
+        return bool(mistaken)
+
     def put(self, stored: StoredCrashes, now: float) -> None:
         """Apply what the store holds about a request."""
         state = self._states.get(stored.digest, CrashState())
--- a/packages/ryelatch-node/src/ryelatch_node/quarantine/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/quarantine/_service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from ryelatch_core.events import LineLog, catalogue, keep_running
@@ -25,6 +25,10 @@
 They share one check of the replica, and are recorded in the same moment.
 """
 
+RETRACT_SECONDS = 2.0
+"""Time for which crashes may be taken back; links are known to be lost in 1 s.
+"""
+
 SETTLE_TICK_SECONDS = 0.05
 """Interval at which a held request looks whether it is refused."""
 
@@ -135,6 +139,15 @@
         if self.tracker.record_run(digest, self.clock.monotonic()):
             self._on_change()
 
+    def retract_crashes(self, incarnations: Collection[str]) -> None:
+        """Take back crashes recorded just now, as the replicas are running.
+
+        Only this node had lost them, with its links.
+        """
+        now = self.clock.monotonic()
+        if self.tracker.retract(incarnations, now - RETRACT_SECONDS, now):
+            self._on_change()
+
     def put(self, stored: StoredCrashes) -> None:
         """Apply the stored crashes of a request."""
         self.tracker.put(stored, self.clock.monotonic())
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_crash_checks.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_crash_checks.py
@@ -49,10 +49,15 @@
         return check
 
     async def has_crashed(self, replica: Replica) -> bool:
-        """Check whether a replica's address refuses connections."""
+        """Check whether a replica's address refuses connections.
+
+        A firewall refuses them too, but only those of this node.
+        """
         # A client that disconnects must not cancel the check for the others.
         check = asyncio.shield(self.start(replica))
-        return await check is Reachability.REFUSED
+        if await check is not Reachability.REFUSED:
+            return False
+        return not await self.links.explains_loss(replica)
 
     async def _check(self, replica: Replica) -> Reachability:
         """Connect to a replica, and suspect it if it has crashed.
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -197,6 +197,7 @@
 
     def apply_links(changed: LinksChanged) -> None:
         context.replicas.apply_cut(changed.lost)
+        context.quarantine.retract_crashes(context.replicas.cut.list_names())
         context.upstreams.abort_connecting(
             replica.address
             for replica in context.replicas.replicas.values()
--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -160,7 +160,9 @@
         answers = await asyncio.gather(*streams)
         assert [answer[1] for answer in answers] == [make_event_stream(5)] * 3
         await asyncio.sleep(1)
-        assert not nodes[0].node.store.list_names('ryelatch-quarantine')
+        calls = nodes[0].node.store.calls
+        written = [call for call in calls if call.startswith('POST')]
+        assert not any('quarantine' in call for call in written)
 
 
 def _count_runs(replica: ReplicaStandIn) -> int:
--- a/tests/standins/objects.py
+++ b/tests/standins/objects.py
@@ -68,10 +68,6 @@
         """Return an object with its metadata, or None."""
         return self._objects.get(kind, {}).get(name)
 
-    def list_names(self, kind: str) -> list[str]:
-        """List the names of all objects of a kind."""
-        return sorted(self._objects.get(kind, {}))
-
     def forget_history(self) -> None:
         """Drop all history, so that watches since older revisions get 410."""
         self._history.clear()
