--- a/packages/ryelatch-core/src/ryelatch_core/fleet/_load.py
+++ b/packages/ryelatch-core/src/ryelatch_core/fleet/_load.py
@@ -91,6 +91,8 @@
     def __init__(self) -> None:
         self.requests: Counter[str] = Counter()
         self.tokens: Counter[str] = Counter()
+        self._own_requests: Counter[str] = Counter()
+        self._own_tokens: Counter[str] = Counter()
         self._means: dict[str, _Mean] = {}
         self._nodes = 1
         self._started_at: float | None = None
@@ -134,23 +136,48 @@
         """Set the number of nodes of the fleet."""
         self._nodes = nodes
 
-    def add(self, path: Iterable[Stage], tokens: int, now: float) -> None:
-        """Record a request that was sent on a path."""
+    def add(
+        self,
+        path: Iterable[Stage],
+        tokens: int,
+        now: float,
+        *,
+        own: bool = True,
+    ) -> None:
+        """Record a request that was sent on a path.
+
+        :param own: whether its client is connected to this node. The requests
+            of other nodes say nothing of how many each node has.
+        """
         for stage in path:
-            self._update_mean(stage.replica.name, now)
-            self.requests[stage.replica.name] += 1
-            self.tokens[stage.replica.name] += tokens
+            name = stage.replica.name
+            self._update_mean(name, now)
+            self.requests[name] += 1
+            self.tokens[name] += tokens
+            self._own_requests[name] += own
+            self._own_tokens[name] += tokens * own
 
-    def remove(self, path: Iterable[Stage], tokens: int, now: float) -> None:
-        """Record that a request has finished."""
+    def remove(
+        self,
+        path: Iterable[Stage],
+        tokens: int,
+        now: float,
+        *,
+        own: bool = True,
+    ) -> None:
+        """Record that a request has finished.
+
+        :param own: as in :meth:`add`.
+        """
         for stage in path:
             name = stage.replica.name
             self._update_mean(name, now)
             self.requests[name] -= 1
             self.tokens[name] -= tokens
+            self._own_requests[name] -= own
+            self._own_tokens[name] -= tokens * own
             if self.requests[name] <= 0:
-                del self.requests[name]
-                del self.tokens[name]
+                self._forget(name)
 
     def estimate(self, now: float) -> LoadEstimate:
         """Estimate the load of all nodes at each replica.
@@ -174,6 +201,16 @@
             self._compute_uncertainty(now),
         )
 
+    def _forget(self, name: str) -> None:
+        """Forget a replica without requests of this node."""
+        for counts in (
+            self.requests,
+            self.tokens,
+            self._own_requests,
+            self._own_tokens,
+        ):
+            counts.pop(name, None)
+
     def _compute_uncertainty(self, now: float) -> float:
         """Compute how little this node knows of other nodes, from 0 to 1."""
         started_at = now if self._started_at is None else self._started_at
@@ -200,6 +237,6 @@
         mean = self._means.setdefault(name, _Mean(0, 0, now))
         time_constant = MEAN_SECONDS_PER_NODE * self._nodes
         weight = 1 - math.exp((mean.updated - now) / time_constant)
-        mean.requests += weight * (self.requests[name] - mean.requests)
-        mean.tokens += weight * (self.tokens[name] - mean.tokens)
+        mean.requests += weight * (self._own_requests[name] - mean.requests)
+        mean.tokens += weight * (self._own_tokens[name] - mean.tokens)
         mean.updated = now
--- a/packages/ryelatch-node/src/ryelatch_node/links/_prober.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_prober.py
@@ -8,6 +8,7 @@
 from ryelatch_core.fleet import Replica
 from ryelatch_core.kernel import Clock
 from ryelatch_core.links import LinkGroup, ProbeResult, choose_probes
+from ryelatch_core.membership import NEVER
 from ryelatch_node.ports import ReplicaCommands
 
 PROBE_SECONDS = 0.08
@@ -22,6 +23,13 @@
 MAX_LATENESS_SECONDS = 0.03
 """Lateness of this process beyond which a failed probe proves nothing."""
 
+FRESH_SECONDS = 0.25
+"""Time for which a successful probe answers the requests of other nodes.
+
+If most nodes of a large fleet have lost their links, each of the others is
+asked up to a hundred times a second.
+"""
+
 MAX_ROUNDS = 3
 """Maximum rounds for one probe, if this process was late in each of them."""
 
@@ -36,6 +44,7 @@
     clock: Clock
     commands: ReplicaCommands
     sample: Callable[[], float]
+    _reached_at: dict[LinkGroup, float] = field(default_factory=dict)
     _running: dict[LinkGroup, 'asyncio.Task[ProbeResult]'] = field(
         default_factory=dict
     )
@@ -47,6 +56,21 @@
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
 
+    async def reaches(
+        self, group: LinkGroup, replicas: Sequence[Replica]
+    ) -> bool:
+        """Whether a group was reached just now, or is reached by a probe.
+
+        :param replicas: all of the group.
+        """
+        now = self.clock.monotonic()
+        if now - self._reached_at.get(group, NEVER) < FRESH_SECONDS:
+            return True
+        found = await self.probe(group, replicas)
+        if found is ProbeResult.REACHED:
+            self._reached_at[group] = self.clock.monotonic()
+        return found is ProbeResult.REACHED
+
     async def probe(
         self, group: LinkGroup, replicas: Sequence[Replica]
     ) -> ProbeResult:
--- a/packages/ryelatch-node/src/ryelatch_node/links/_recovery.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_recovery.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from ryelatch_core.links import LinkGroup, ProbeResult
+from ryelatch_core.membership import NEVER
 from ryelatch_node.links._prober import LinkProber
 from ryelatch_node.links._state import LinkState
 from ryelatch_node.links._witnesses import Witnesses
@@ -13,6 +14,13 @@
 """Interval at which other nodes are asked what they reach and have free."""
 
 
+ASK_SECONDS = 0.3
+"""Least time between two rounds of requests to other nodes.
+
+Each request that finds no helper would begin one while all are full.
+"""
+
+
 @dataclass(eq=False)
 class Recovery:
     """Probes the lost groups, and keeps what is known of helpers up to date."""
@@ -23,7 +31,7 @@
     tasks: Tasks
     _running: bool = False
     _asking: 'asyncio.Task[None] | None' = None
-    _asked_at: float = 0
+    _asked_at: float = NEVER
 
     def start(self) -> None:
         """Start to probe, unless the probes are running already."""
@@ -32,7 +40,13 @@
             self.tasks.spawn(self._run())
 
     async def ask(self) -> None:
-        """Ask other nodes what they reach, once for all who want to know."""
+        """Ask other nodes what they reach, once for all who want to know.
+
+        Does nothing if they were asked just now.
+        """
+        now = self.state.clock.monotonic()
+        if self._asking is None and now < self._asked_at + ASK_SECONDS:
+            return
         if self._asking is None:
             self._asking = asyncio.create_task(self._ask())
             self._asking.add_done_callback(self._end_asking)
--- a/packages/ryelatch-node/src/ryelatch_node/links/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_service.py
@@ -7,7 +7,7 @@
 from ryelatch_core.events import LineLog
 from ryelatch_core.fleet import Replica
 from ryelatch_core.kernel import App, Service
-from ryelatch_core.links import Contacts, Helper, LinkGroup, ProbeResult
+from ryelatch_core.links import Contacts, Helper, LinkGroup
 from ryelatch_node.links._examination import Examiner, make_examiner
 from ryelatch_node.links._known_helpers import Helpers
 from ryelatch_node.links._prober import LinkProber
@@ -191,7 +191,7 @@
         if group in self.lost:
             return False
         listed = self.state.list_group(group)
-        return await self.prober.probe(group, listed) is ProbeResult.REACHED
+        return await self.prober.reaches(group, listed)
 
 
 def setup(app: App) -> None:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
@@ -144,12 +144,25 @@
         connection = _Connection(
             reader, writer, lambda: links.reaches(forwarded.service)
         )
+        try:
+            if self.get_room() > 0:
+                await self._serve_alive(forwarded, connection)
+            else:
+                await connection.refuse(
+                    _UNAVAILABLE, 'this node has no room', 0
+                )
+        except Exception as error:
+            # The code that relays has logged it. The end of the connection
+            # shows the other node that its request has no answer.
+            raise EOFError from error
+
+    async def _serve_alive(
+        self, forwarded: ForwardRequest, connection: _Connection
+    ) -> None:
         alive = asyncio.create_task(connection.keep_alive())
         self.in_progress += 1
         try:
             await self._serve(forwarded, connection)
-        except ClientGone as error:
-            raise EOFError from error
         finally:
             self.in_progress -= 1
             await cancel_task(alive)
@@ -191,8 +204,6 @@
         A configuration older than that of the origin could send it to a
         service that its route has left.
         """
-        if self.get_room() <= 0:
-            return Refusal(_UNAVAILABLE, 'this node has no room', 0)
         if self.context.configuration.version < forwarded.version:
             return Refusal(
                 _UNAVAILABLE, 'older configuration', OLDER_RETRY_SECONDS
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from starlette.types import Receive, Scope, Send
 
@@ -66,19 +66,8 @@
 
     async def serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request, and log an exception that it raises."""
-        self.open_requests += 1
-        try:
+        with self._track():
             await self._serve(scope, receive, send)
-        except Exception:
-            # The HTTP server responds with 500, or closes the connection if
-            # the response has started. Its own log is off, so the cause
-            # would be lost without this line.
-            self._context.log.record(
-                catalogue.EXCHANGE_CRASHED, trace=traceback.format_exc()
-            )
-            raise
-        finally:
-            self.open_requests -= 1
 
     async def relay(
         self,
@@ -90,12 +79,26 @@
 
         The retries that it earns are earned at the node of its client.
         """
+        with self._track():
+            await self._relay(exchange, request, receive)
+            self._log_completion(exchange, request)
+
+    @contextlib.contextmanager
+    def _track(self) -> Iterator[None]:
+        """Count a request as in progress, and log what it raises."""
         self.open_requests += 1
         try:
-            await self._relay(exchange, request, receive)
+            yield
+        except Exception:
+            # The HTTP server responds with 500, or closes the connection if
+            # the response has started. Its own log is off, so the cause
+            # would be lost without this line.
+            self._context.log.record(
+                catalogue.EXCHANGE_CRASHED, trace=traceback.format_exc()
+            )
+            raise
         finally:
             self.open_requests -= 1
-        self._log_completion(exchange, request)
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         context = self._context
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_stream_migrator.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream_migrator.py
@@ -81,8 +81,9 @@
         # The load of a stream that finished meanwhile is no longer counted.
         if accepted and not stream.finished:
             now = self.context.clock.monotonic()
-            self.context.load.remove(stream.path, stream.tokens, now)
-            self.context.load.add(path, stream.tokens, now)
+            load, own = self.context.load, not stream.request.origin
+            load.remove(stream.path, stream.tokens, now, own=own)
+            load.add(path, stream.tokens, now, own=own)
             stream.path = path
             record_path(self.context, stream.exchange, path)
             stream.progress = now
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_stream_scope.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream_scope.py
@@ -23,7 +23,8 @@
     :raises TimeoutError: if the stream was interrupted.
     """
     account = stream.request.account
-    context.load.add(stream.path, stream.tokens, stream.sent)
+    own = not stream.request.origin
+    context.load.add(stream.path, stream.tokens, stream.sent, own=own)
     context.windows.add(stream.first_replica.name)
     context.accounts.add(account)
     streams.add(stream)
@@ -35,4 +36,4 @@
         streams.discard(stream)
         context.windows.remove(stream.first_replica.name)
         context.accounts.remove(account)
-        context.load.remove(stream.path, stream.tokens, context.now())
+        context.load.remove(stream.path, stream.tokens, context.now(), own=own)
--- /dev/null
+++ b/tests/platform/test_forwarding.py
@@ -0,0 +1,276 @@
+"""Failures while a request is served by another node than its client's."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import msgspec
+import pytest
+
+from fleet.cutting import LinkedNode, run_linked_nodes
+from fleet.running import (
+    KEY,
+    ask,
+    make_event_stream,
+    make_model_replicas,
+    make_non_model_replicas,
+    open_request,
+    wait_until,
+)
+from ryelatch_node.peer_sync import (
+    ForwardAlive,
+    ForwardPiece,
+    ForwardRefused,
+    ForwardReply,
+    ForwardRequest,
+    ForwardStart,
+    PeerSync,
+    encode,
+    read_body,
+)
+from ryelatch_node.relay import _forward_server
+from soak.links import LinkMode
+from standins.replica import ReplicaStandIn
+
+_EVENTS = 20
+
+
+def _make_replicas(pause: float = 0.05) -> list[ReplicaStandIn]:
+    replicas = [
+        *make_model_replicas((0, 8), (0, 8)),
+        *make_non_model_replicas(2),
+    ]
+    for replica in replicas:
+        replica.events = _EVENTS
+        replica.pause = pause
+    return replicas
+
+
+@contextlib.asynccontextmanager
+async def _run_cut(
+    replicas: list[ReplicaStandIn], count: int = 3
+) -> AsyncIterator[list[LinkedNode]]:
+    """Run nodes of which the first one has lost its links, and knows it."""
+    async with run_linked_nodes(replicas, count) as nodes:
+        nodes[0].cut(LinkMode.REFUSING)
+        await ask(nodes[0].node, '/ping/x', identity='first')
+        assert nodes[0].node.count('links-lost')
+        yield nodes
+
+
+def _find_runs(replicas: list[ReplicaStandIn], identity: str) -> int:
+    return sum(
+        run.identity == identity for replica in replicas for run in replica.runs
+    )
+
+
+def _find_helper(nodes: list[LinkedNode], identity: str) -> LinkedNode:
+    return next(
+        linked
+        for linked in nodes
+        for line in linked.node.lines
+        if line['name'] == 'forward-taken' and line['request'] == identity
+    )
+
+
+async def _disconnect_peers(linked: LinkedNode) -> None:
+    """Break all connections of other nodes to a node."""
+    await linked.node.app.find('news', PeerSync).server.stop()
+
+
+async def test_client_that_leaves_ends_the_request() -> None:
+    """A replica works on for a client that has left the node without links."""
+    replicas = _make_replicas(pause=0.3)
+    async with _run_cut(replicas) as nodes:
+        async with open_request(
+            nodes[0].node, '/plan/x', identity='left'
+        ) as response:
+            await response.content.readuntil(b'token 2\n\n')
+            response.close()
+        await wait_until(
+            lambda: any(
+                run.cancelled and run.identity == 'left'
+                for replica in replicas
+                for run in replica.runs
+            ),
+            seconds=1,
+        )
+
+
+async def test_stream_goes_on_when_its_helper_is_lost() -> None:
+    """A stream breaks with the node that serves it for one without links."""
+    replicas = _make_replicas()
+    async with _run_cut(replicas) as nodes:
+        async with open_request(
+            nodes[0].node, '/plan/x', identity='moved'
+        ) as response:
+            received = await response.content.readuntil(b'token 3\n\n')
+            await _disconnect_peers(_find_helper(nodes, 'moved'))
+            received += await response.read()
+        assert received == make_event_stream(_EVENTS)
+
+
+async def test_unsafe_request_runs_once() -> None:
+    """A booking is sent again, or said not to have run, as a helper is lost."""
+    replicas = _make_replicas()
+    async with _run_cut(replicas) as nodes:
+        for replica in replicas:
+            replica.hang = True
+        asking = asyncio.create_task(
+            ask(nodes[0].node, '/book/x', identity='booked')
+        )
+        await wait_until(lambda: _find_runs(replicas, 'booked'))
+        await _disconnect_peers(_find_helper(nodes, 'booked'))
+        status, _, _ = await asking
+        assert status in {502, 504}
+        assert _find_runs(replicas, 'booked') == 1
+
+
+async def test_request_is_forwarded_once_only() -> None:
+    """Nodes without links send a request to each other in a circle."""
+    replicas = _make_replicas()
+    async with _run_cut(replicas) as nodes:
+        for linked in nodes[1:]:
+            linked.cut(LinkMode.REFUSING)
+            for link in linked.links.values():
+                link.reset()
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        status, _, headers = await ask(
+            nodes[0].node, '/plan/x', identity='circle'
+        )
+        assert status == 503
+        assert 'retry-after' in headers
+        assert loop.time() - started < 2
+        taken = sum(linked.node.count('forward-taken') for linked in nodes)
+        assert taken <= 4
+
+
+async def test_node_without_room_is_left_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A full node refuses a request that another node has room for."""
+    replicas = _make_replicas()
+    async with _run_cut(replicas) as nodes:
+        monkeypatch.setattr(_forward_server, 'MAX_REQUESTS', 1)
+        answers = await asyncio.gather(
+            *(
+                ask(nodes[0].node, '/plan/x', identity=f'c-{number}')
+                for number in range(2)
+            )
+        )
+        assert [answer[0] for answer in answers] == [200, 200]
+
+
+async def test_time_left_arrives_with_the_request() -> None:
+    """A replica gets more time than the client still waits."""
+    replicas = _make_replicas()
+    async with _run_cut(replicas) as nodes:
+        await ask(
+            nodes[0].node,
+            '/ping/x',
+            identity='timed',
+            X_Ryelatch_Deadline_Ms='900',
+        )
+        run = next(
+            run
+            for replica in replicas
+            for run in replica.runs
+            if run.identity == 'timed'
+        )
+        assert int(run.headers['X-Ryelatch-Deadline-Ms']) <= 900
+
+
+async def _send_frame(
+    linked: LinkedNode, frame: ForwardRequest, host: str
+) -> list[ForwardReply]:
+    """Forward a request as a node at a host would; returns the replies."""
+    address = linked.node.app.find('news', PeerSync).address
+    reader, writer = await asyncio.open_connection(
+        address.host, address.port, local_addr=(host, 0)
+    )
+    replies: list[ForwardReply] = []
+    writer.write(encode(frame))
+    try:
+        while not _is_last(replies):
+            body = await read_body(reader)
+            replies.append(msgspec.msgpack.decode(body, type=ForwardReply))
+    except (EOFError, OSError):
+        return replies
+    finally:
+        writer.close()
+    return replies
+
+
+def _is_last(replies: list[ForwardReply]) -> bool:
+    last = replies[-1] if replies else ForwardAlive()
+    return isinstance(last, ForwardRefused) or (
+        isinstance(last, ForwardPiece) and last.last
+    )
+
+
+def _make_frame(key: str = KEY, version: int = 1) -> ForwardRequest:
+    headers = {
+        'host': 'city.example',
+        'x-ryelatch-request-id': 'frame',
+        'api-key': key,
+    }
+    return ForwardRequest(
+        origin='node-0',
+        method='POST',
+        path=b'/ping/x',
+        query=b'',
+        headers=tuple(
+            (name.encode(), text.encode()) for name, text in headers.items()
+        ),
+        body=b'question',
+        service='booking',
+        version=version,
+        elapsed=0.1,
+    )
+
+
+async def test_stranger_can_forward_nothing() -> None:
+    """A host that is no node's has a request run through the port of nodes."""
+    replicas = _make_replicas()
+    async with run_linked_nodes(replicas, 2) as nodes:
+        replies = await _send_frame(nodes[1], _make_frame(), '127.0.0.9')
+        assert not replies
+        assert not _find_runs(replicas, 'frame')
+
+
+async def test_node_checks_the_key_itself() -> None:
+    """A key that was taken away is accepted as another node forwards it."""
+    replicas = _make_replicas()
+    async with run_linked_nodes(replicas, 2) as nodes:
+        replies = await _send_frame(
+            nodes[1], _make_frame(key='taken-away'), '127.0.0.1'
+        )
+        refusal = replies[-1]
+        assert isinstance(refusal, ForwardRefused)
+        # 503 if this node's configuration isn't confirmed at the moment.
+        assert refusal.status in {401, 503}
+        assert 'unknown key' in refusal.reason
+        assert not _find_runs(replicas, 'frame')
+
+
+async def test_node_with_an_older_configuration_refuses() -> None:
+    """A request goes where its route has led before the last change."""
+    replicas = _make_replicas()
+    async with run_linked_nodes(replicas, 2) as nodes:
+        replies = await _send_frame(
+            nodes[1], _make_frame(version=2), '127.0.0.1'
+        )
+        refusal = replies[-1]
+        assert isinstance(refusal, ForwardRefused)
+        assert refusal.status == 503
+        assert not _find_runs(replicas, 'frame')
+
+
+async def test_node_of_the_fleet_is_served() -> None:
+    replicas = _make_replicas()
+    async with run_linked_nodes(replicas, 2) as nodes:
+        replies = await _send_frame(nodes[1], _make_frame(), '127.0.0.1')
+        heads = [reply for reply in replies if isinstance(reply, ForwardStart)]
+        assert [head.status for head in heads] == [200]
+        assert _find_runs(replicas, 'frame') == 1
--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -14,6 +14,7 @@
     open_request,
     wait_until,
 )
+from ryelatch_node.links import Links
 from soak.links import LinkMode
 from standins.replica import ReplicaStandIn
 
@@ -167,3 +168,67 @@
 
 def _count_runs(replica: ReplicaStandIn) -> int:
     return len(replica.runs)
+
+
+@pytest.mark.parametrize(
+    'of', [{'service': 'booking'}, {'zone': 'zone-b'}], ids=['service', 'zone']
+)
+async def test_part_of_the_links_is_lost(of: dict[str, str]) -> None:
+    """Callers are refused as the links to one service or zone are lost."""
+    replicas = [
+        *make_model_replicas((0, 8), (0, 8)),
+        *make_non_model_replicas(2),
+    ]
+    for replica in replicas[:2]:
+        replica.zone = 'zone-b'
+    async with run_linked_nodes(replicas, 2) as nodes:
+        nodes[0].cut(**of)
+        await _ask_all(nodes[0], 'early', 2)
+        await asyncio.sleep(DETECTION_SECONDS)
+        assert await _ask_all(nodes[0], 'late') == [200] * 12
+
+
+async def test_zone_without_power_is_no_lost_link() -> None:
+    """All nodes take the loss of a zone for lost links, and ask each other."""
+    replicas = [
+        *make_model_replicas((0, 8), (0, 8), (0, 8), (0, 8)),
+        *make_non_model_replicas(2),
+    ]
+    for replica in replicas[:2]:
+        replica.zone = 'zone-b'
+    async with run_linked_nodes(replicas, 2) as nodes:
+        for linked in nodes:
+            linked.cut(zone='zone-b')
+        await asyncio.gather(
+            *(_ask_all(linked, linked.node.startup.name, 4) for linked in nodes)
+        )
+        assert not any(linked.node.count('links-lost') for linked in nodes)
+
+
+async def test_replica_that_is_silent_is_no_lost_link() -> None:
+    """Requests are forwarded as one replica falls silent for a second."""
+    replicas = _make_replicas()
+    async with run_linked_nodes(replicas, 2) as nodes:
+        link = nodes[0].links[replicas[0].name]
+        link.switch(LinkMode.DARK)
+        await _ask_all(nodes[0], 'silent', 3)
+        link.switch(LinkMode.OPEN)
+        await _ask_all(nodes[0], 'again', 1)
+        assert not nodes[0].node.count('links-lost')
+
+
+async def test_cuts_that_come_and_go() -> None:
+    """Callers are refused as links are lost, regained and lost again."""
+    replicas = _make_replicas()
+    async with run_linked_nodes(replicas, 2) as nodes:
+        for turn, mode in enumerate((*_MODES, *_MODES)):
+            nodes[0].cut(mode)
+            await _ask_all(nodes[0], f'cut-{turn}', 1)
+            assert await _ask_all(nodes[0], f'known-{turn}', 1) == [200] * 3
+            nodes[0].heal()
+            await asyncio.sleep(turn / 4)
+        await wait_until(
+            lambda: not nodes[0].node.app.find('links', Links).lost
+        )
+        assert await _ask_all(nodes[0], 'healed') == [200] * 12
+        assert nodes[0].node.count('links-regained')
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -128,21 +128,27 @@
             )
 
     def _refuse(self) -> None:
-        if self._accepting is not None:
-            self._accepting.cancel()
-            self._accepting = None
+        self._stop_accepting()
         if self._listener is not None:
             self._listener.close()
             self._listener = None
         self._drop_fillers()
 
+    def _stop_accepting(self) -> None:
+        if self._accepting is None or self._listener is None:
+            return
+        self._accepting.cancel()
+        self._accepting = None
+        # The loop removes it only later, when another socket may have the
+        # same descriptor.
+        asyncio.get_running_loop().remove_reader(self._listener)
+
     def _set_dark(self, *, dark: bool) -> None:
         """Stop or start to accept connections, without refusing any."""
         if self._listener is None:
             return
         if dark and self._accepting is not None:
-            self._accepting.cancel()
-            self._accepting = None
+            self._stop_accepting()
             self._listener.listen(0)
             self._fillers = _fill_backlog(self.port)
         if not dark and self._accepting is None:
