Operators see which requests went through another node, and why

explain reads the lines of both nodes: what became of a request at the node that served it for another is a part of its outcome, not the outcome. Metrics: requests_forwarded, requests_taken.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_explanation.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_explanation.py
@@ -30,6 +30,8 @@
         'registry-stale',
         'registry-fresh',
         'replica-suspected',
+        'links-lost',
+        'links-regained',
         'upstream-down',
         'order-sent',
         'order-refused',
@@ -65,6 +67,10 @@
             'the zone had no room for it in time, as requests that go first '
             'took what was freed'
         ),
+        'no node reaches the upstreams': (
+            'the node had lost its links to the upstreams, and no other node '
+            'took the request'
+        ),
         'no upstream has room': 'all replicas of the service refused it',
         'the answer was lost': (
             'an upstream received the request, but its answer was not received'
@@ -148,9 +154,11 @@
             or _has_same_digest(line, request_lines)
         )
     )
-    cause = _determine_cause(
-        request_lines, state_changes
-    ) + _describe_missing_entry(request_lines)
+    cause = (
+        _determine_cause(_list_client_lines(request_lines), state_changes)
+        + _describe_missing_entry(request_lines)
+        + _describe_forwarding(request_lines)
+    )
     return Explanation(request_lines, state_changes, cause)
 
 
@@ -194,13 +202,49 @@
     if failures:
         detail = failures[-1].detail
         fault = detail.get('reason') or f'status {detail.get("status")}'
-        message = f'replica {detail.get("replica")} failed the attempt: {fault}'
+        peer = detail.get('peer')
+        subject = f'node {peer}' if peer else f'replica {detail.get("replica")}'
+        message = f'{subject} failed the attempt: {fault}'
         return _add_last_change(message, state_changes)
     if last == 'exchange-ended':
         return 'it was answered'
     return 'its outcome is not in these lines'
 
 
+def _list_client_lines(request_lines: tuple[Line, ...]) -> tuple[Line, ...]:
+    """List the lines of the node that the client was connected to.
+
+    What became of a request at a node that served it for another one is only a
+    part of its outcome.
+
+    :returns: all lines if they are not among them.
+    """
+    helpers = {
+        line.process for line in request_lines if line.name == 'forward-taken'
+    }
+    own = tuple(line for line in request_lines if line.process not in helpers)
+    return own or request_lines
+
+
+def _describe_forwarding(request_lines: tuple[Line, ...]) -> str:
+    """Describe why and through which nodes a request was forwarded.
+
+    :returns: an empty string if it was not.
+    """
+    forwards = [
+        line for line in request_lines if line.name == 'exchange-forwarded'
+    ]
+    if not forwards:
+        return ''
+    first = forwards[0]
+    peers = ', '.join(str(line.detail.get('peer')) for line in forwards)
+    zones = ', '.join(first.detail.get('lost', ()))
+    return (
+        f'; {first.process} had lost its links to {first.detail.get("service")}'
+        f' in {zones}, and forwarded it to {peers}'
+    )
+
+
 def _describe_missing_entry(request_lines: tuple[Line, ...]) -> str:
     """Describe how long a chosen replica had been missing from the store.
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -133,6 +133,8 @@
             ),
             'places_reserved': context.reservations.controllers.count_reserved,
             'links_lost': lambda: len(context.links.lost),
+            'requests_forwarded': context.links.helpers.busy.total,
+            'requests_taken': lambda: forward_server.in_progress,
             'replicas_limited': lambda: context.throttle.count_limited(),
             'requests_suspected': lambda: context.quarantine.count_suspects(),
             'retries_left': lambda: context.budget.left,
@@ -141,7 +143,8 @@
         context.usage,
     )
     ingress = Ingress(context, watch, metrics, _make_outage_check(app))
-    _serve_other_nodes(app, context, ForwardServer(context, ingress, watch.lag))
+    forward_server = ForwardServer(context, ingress, watch.lag)
+    _serve_other_nodes(app, context, forward_server)
     server = RelayServer(
         context,
         ingress,
--- a/tests/core/events/test_explanation.py
+++ b/tests/core/events/test_explanation.py
@@ -98,3 +98,65 @@
     assert explanation is not None
     assert [line.time for line in explanation.state_changes] == [50, 52]
     assert explanation.cause.startswith('replicas had crashed')
+
+
+_FORWARDED = (
+    _write(100, 'links-lost', service='model', zone='a', reached_by='edge-2'),
+    _write(
+        101,
+        'exchange-forwarded',
+        request='f',
+        peer='edge-2',
+        service='model',
+        lost=['a', 'b'],
+    ),
+    json.dumps(
+        {
+            'time': 101.1,
+            'process': 'edge-2',
+            'name': 'forward-taken',
+            'request': 'f',
+            'origin': 'edge-1',
+        },
+        separators=(',', ':'),
+    ),
+    json.dumps(
+        {
+            'time': 101.2,
+            'process': 'edge-2',
+            'name': 'exchange-refused',
+            'request': 'f',
+            'reason': 'all paths are full',
+        },
+        separators=(',', ':'),
+    ),
+)
+
+
+def test_forwarded_request_leads_to_lost_links() -> None:
+    """Served elsewhere in the end, after the first other node refused it."""
+    ended = _write(102, 'exchange-ended', request='f', status=200)
+    explanation = explain_request(read_lines([*_FORWARDED, ended]), 'f')
+    assert explanation is not None
+    assert explanation.cause == (
+        'it was answered; edge-1 had lost its links to model in a, b, and '
+        'forwarded it to edge-2'
+    )
+    assert 'links-lost' in {line.name for line in explanation.state_changes}
+
+
+def test_lost_helper_is_named() -> None:
+    lines = [
+        *_FORWARDED,
+        _write(
+            102,
+            'exchange-failed',
+            request='f',
+            peer='edge-2',
+            reason='EOFError',
+        ),
+        _write(103, 'exchange-broken', request='f'),
+    ]
+    explanation = explain_request(read_lines(lines), 'f')
+    assert explanation is not None
+    assert 'node edge-2 failed the attempt: EOFError' in explanation.cause
