The soak cuts nodes off from all replicas; nodes connect from their own address

Nodes on hosts of their own showed that a VM with several addresses may connect from any of them: connections that only nodes may make come from the address that the node has registered.

--- a/packages/ryelatch-node/src/ryelatch_node/forwarding/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/forwarding/_client.py
@@ -20,7 +20,6 @@
     ForwardStart,
     PeerConnection,
     PeerSync,
-    connect_to_peer,
     encode,
     read_body,
 )
@@ -181,7 +180,7 @@
                 return connection
             connection.drop()
         try:
-            return await connect_to_peer(self.peer_sync.dial, address)
+            return await self.peer_sync.connect_as_node(address)
         except OSError as error:
             raise HelperLost(type(error).__name__, sent=False) from error
 
--- a/packages/ryelatch-node/src/ryelatch_node/links/_witnesses.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_witnesses.py
@@ -16,7 +16,6 @@
     PeerSync,
     ReachReply,
     ReachRequest,
-    connect_to_peer,
 )
 from ryelatch_node.tasks import Tasks
 
@@ -97,7 +96,7 @@
 
     async def _exchange(self, address: str, request: ReachRequest) -> bytes:
         """Send a request over a connection of its own; returns the reply."""
-        connection = await connect_to_peer(self.peer_sync.dial, address)
+        connection = await self.peer_sync.connect_as_node(address)
         try:
             return await connection.send_request(request)
         finally:
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_connection.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_connection.py
@@ -13,10 +13,13 @@
 """Longest wait for a connection to a peer; within a region it takes 2 ms."""
 
 Dial: TypeAlias = Callable[
-    [str, int],
+    ...,
     Awaitable[tuple[asyncio.StreamReader, asyncio.StreamWriter]],
 ]
-"""Function that opens a connection to a host and port."""
+"""Function that opens a connection to a host and port.
+
+With ``local_addr``, a host and port, the connection comes from there.
+"""
 
 REQUEST_ERRORS = (OSError, EOFError, ValueError, msgspec.MsgspecError)
 """Exceptions that a failed request raises; timeouts are among them."""
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
@@ -1,6 +1,7 @@
 """Watches the store through peers, and serves the watches of peers."""
 
 import asyncio
+import functools
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -266,6 +267,19 @@
             self.dial, self.clock, peer.address, object_kind, since
         )
 
+    async def connect_as_node(self, address: str) -> PeerConnection:
+        """Connect to a peer from the host of this node's own address.
+
+        The peer serves some requests only to hosts that it knows as nodes; a
+        VM with several addresses would use any of them.
+
+        :param address: ``host:port`` of the peer.
+        :raises OSError: if it can't be reached in time.
+        """
+        own_host = self.startup.peers.host
+        dial = functools.partial(self.dial, local_addr=(own_host, 0))
+        return await connect_to_peer(dial, address)
+
     @property
     def nodes(self) -> tuple[NodeEntry, ...]:
         """All nodes, this one included."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -27,6 +27,11 @@
         action='store_true',
         help='with replicas that announce rate limits and ask for backoff',
     )
+    parser.add_argument(
+        '--cutting',
+        action='store_true',
+        help='with nodes that are cut off from all replicas',
+    )
     return parser.parse_args()
 
 
@@ -45,6 +50,7 @@
                 folder,
                 crashing=options.crashing,
                 asking=options.asking,
+                cutting=options.cutting,
             )
         )
         failed += bool(outcome.violations)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,10 @@
 
 _PAUSE_SECONDS = (0.05, 0.8)
 _DURATION_SECONDS = (0.3, 3.5)
+_CUT_SECONDS = (0.5, 5.0)
+_CUTS = 6
+"""Weight of cuts among the other faults, in soaks that have them."""
+
 _GRACE_SECONDS = 9.0
 
 _SINGLE_LINK_MODES = (
@@ -175,6 +179,30 @@
 )
 
 
+async def cut_nodes(world: World) -> None:
+    """Cut most nodes off from all replicas, or those of a service."""
+    source = world.random_source
+    mode = source.choice((LinkMode.DARK, LinkMode.RESET, LinkMode.REFUSING))
+    nodes = source.sample(world.nodes, source.randint(1, len(world.nodes) - 1))
+    service = source.choice(('', '', 'model', 'booking'))
+    names = {
+        replica.name
+        for replica in world.replicas
+        if service in {'', replica.service}
+    }
+    links = [
+        link
+        for node in nodes
+        for name, link in node.replica_links.items()
+        if name in names
+    ]
+    for link in links:
+        link.switch(mode)
+    await asyncio.sleep(source.uniform(*_CUT_SECONDS))
+    for link in links:
+        link.switch(LinkMode.OPEN)
+
+
 async def inject_faults(world: World, seconds: float) -> list[str]:
     """Inject faults at random times, and wait until all have ended.
 
@@ -185,8 +213,9 @@
     deadline = loop.time() + seconds
     tasks: list[asyncio.Task[None]] = []
     names: list[str] = []
+    faults = FAULTS + (cut_nodes,) * _CUTS if world.cutting else FAULTS
     while loop.time() < deadline:
-        fault = world.random_source.choice(FAULTS)
+        fault = world.random_source.choice(faults)
         names.append(fault.__name__)
         tasks.append(asyncio.ensure_future(fault(world)))
         await asyncio.sleep(world.random_source.uniform(*_PAUSE_SECONDS))
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -44,6 +44,7 @@
     *,
     crashing: bool = False,
     asking: bool = False,
+    cutting: bool = False,
 ) -> Outcome:
     """Run one seed.
 
@@ -51,8 +52,9 @@
     :param folder: for settings and log files of the processes.
     :param crashing: whether a client sends a request that crashes replicas.
     :param asking: whether replicas announce limits and ask for backoff.
+    :param cutting: whether nodes are cut off from all replicas.
     """
-    async with run_world(seed, folder) as world:
+    async with run_world(seed, folder, cutting=cutting) as world:
         clients = Clients(world)
         stop_clients = asyncio.Event()
         crashing_client = CrashingClient(world, clients, random.Random(seed))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -23,7 +23,7 @@
     make_non_model_replicas,
 )
 from soak.links import Link
-from standins.objects import ObjectStore
+from standins.objects import ObjectStore, Present
 from standins.replica import ReplicaStandIn
 
 NODE_COUNT = 3
@@ -62,6 +62,8 @@
     :param expected_exits: exits that the soak caused.
     :param exits: exits that were observed.
     :param started_at: monotonic seconds.
+    :param replica_links: links of its own to the replicas, by their names, in
+        soaks that cut nodes off from all replicas.
     """
 
     name: str
@@ -73,6 +75,7 @@
     expected_exits: int = 0
     exits: int = 0
     started_at: float = 0
+    replica_links: dict[str, Link] = field(default_factory=dict)
     process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
@@ -136,6 +139,7 @@
     :param leaving_since: when replicas announced that they leave, by name.
     :param added_replicas: number of all so far.
     :param recovered_at: when the faults were over; 0 before.
+    :param cutting: whether each node has links of its own to the replicas.
     :param limited_replica: the overloaded replica with a limit, and since when.
     """
 
@@ -151,6 +155,7 @@
     added_replicas: int = 0
     recovered_at: float = 0
     limited_replica: tuple[str, float] | None = None
+    cutting: bool = False
 
     async def add_replica(self, replica: ReplicaStandIn) -> ReplicaStandIn:
         """Start a replica behind a link, and register it by a unique name."""
@@ -164,6 +169,8 @@
         replica.stop_listening = link.close
         replica.crash_on = CRASHING_BODY
         replica.address = link.address
+        for node in self.nodes:
+            await self._link_replica(node, replica.name)
         self.replicas.append(replica)
         replica.register()
         return replica
@@ -198,7 +205,9 @@
             address_source.randint(0, 250),
         )
         host = f'127.{low}.{high}.{len(self.nodes) + 7}'
-        store_link = await self._open_link(self.store.make_app())
+        replica_links: dict[str, Link] = {}
+        store_app = self.store.make_app(_present_links(replica_links))
+        store_link = await self._open_link(store_app)
         front_link = Link((host, 8227))
         await front_link.start()
         settings = folder / f'{name}.toml'
@@ -206,8 +215,16 @@
             _SETTINGS.format(name=name, host=host, store=store_link.address)
         )
         node = Node(
-            name, host, settings, store_link, front_link, folder / f'{name}.log'
+            name,
+            host,
+            settings,
+            store_link,
+            front_link,
+            folder / f'{name}.log',
+            replica_links=replica_links,
         )
+        for replica_name in self.links:
+            await self._link_replica(node, replica_name)
         node.start()
         self.nodes.append(node)
 
@@ -223,6 +240,8 @@
         """Kill the node processes, then stop the links and stand-ins."""
         for node in self.nodes:
             node.kill()
+            for replica_link in node.replica_links.values():
+                await replica_link.stop()
             await node.front_link.stop()
             await node.store_link.stop()
         for link in self.links.values():
@@ -230,6 +249,13 @@
         for runner in self.runners:
             await runner.cleanup()
 
+    async def _link_replica(self, node: Node, name: str) -> None:
+        """Open the link of a node to a replica, if nodes have their own."""
+        if self.cutting:
+            link = Link(('127.0.0.1', self.links[name].port))
+            await link.start()
+            node.replica_links[name] = link
+
     async def _open_link(self, app: web.Application) -> Link:
         runner = web.AppRunner(
             app,
@@ -245,6 +271,18 @@
         return link
 
 
+def _present_links(links: dict[str, Link]) -> Present:
+    """Make a function that tells a node its own addresses of replicas."""
+
+    def present(kind: str, stored: dict[str, Any]) -> dict[str, Any]:
+        link = links.get(stored['metadata']['name'])
+        if kind != 'servers' or link is None:
+            return stored
+        return {**stored, 'spec': {**stored['spec'], 'addr': link.address}}
+
+    return present
+
+
 async def _is_ready(http: ClientSession, node: Node) -> bool:
     try:
         async with http.get(f'http://{node.host}:8220/readyz') as response:
@@ -254,9 +292,14 @@
 
 
 @asynccontextmanager
-async def run_world(seed: int, folder: Path) -> AsyncIterator[World]:
-    """Start a world, and stop all of it at the end."""
-    world = World(random.Random(seed), ObjectStore())
+async def run_world(
+    seed: int, folder: Path, *, cutting: bool = False
+) -> AsyncIterator[World]:
+    """Start a world, and stop all of it at the end.
+
+    :param cutting: whether each node has links of its own to the replicas.
+    """
+    world = World(random.Random(seed), ObjectStore(), cutting=cutting)
     world.configure([KEY, SPARE_KEY])
     try:
         await _populate(world, folder)
--- a/tests/soak_tests/test_soak.py
+++ b/tests/soak_tests/test_soak.py
@@ -11,6 +11,7 @@
     CI_SEEDS,
     CRASHING_REGRESSIONS,
     CRASHING_SEED,
+    CUTTING_SEED,
     REGRESSIONS,
 )
 
@@ -54,3 +55,13 @@
     outcome = await run_seed(ASKING_SEED, CI_SECONDS, tmp_path, asking=True)
     assert outcome.faults
     assert not outcome.violations
+
+
+async def test_nodes_without_links_keep_all_promises(tmp_path: Path) -> None:
+    """A promise is broken as nodes lose their links amid other faults.
+
+    Requests pass two nodes then, each of which may be lost on the way.
+    """
+    outcome = await run_seed(CUTTING_SEED, CI_SECONDS, tmp_path, cutting=True)
+    assert 'cut_nodes' in outcome.faults
+    assert not outcome.violations
