--- a/tests/fleet/cutting.py
+++ b/tests/fleet/cutting.py
@@ -11,6 +11,7 @@
     run_peer,
     serve_app,
     settle_nodes,
+    wait_until,
 )
 from ryelatch_node.ports import Address
 from soak.links import Link, LinkMode
@@ -60,6 +61,7 @@
     async with contextlib.AsyncExitStack() as stack:
         # It only owns the stand-ins, at which the links end.
         origin = await stack.enter_async_context(run_node(held, name='origin'))
+        await wait_until(lambda: origin.store.get('ryelatch-nodes', 'origin'))
         await origin.app.stop()
         origin.store.drop('ryelatch-nodes', 'origin')
         linked = [
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -274,3 +274,14 @@
         heads = [reply for reply in replies if isinstance(reply, ForwardStart)]
         assert [head.status for head in heads] == [200]
         assert _find_runs(replicas, 'frame') == 1
+
+
+async def test_forwarded_request_goes_no_further() -> None:
+    """A request passes one node after the other, each without links."""
+    replicas = _make_replicas()
+    async with _run_cut(replicas) as nodes:
+        replies = await _send_frame(nodes[0], _make_frame(), '127.0.0.1')
+        refusal = replies[-1]
+        assert isinstance(refusal, ForwardRefused)
+        assert not refusal.reaches
+        assert not _find_runs(replicas, 'frame')
--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -196,12 +196,14 @@
     ]
     for replica in replicas[:2]:
         replica.zone = 'zone-b'
-    async with run_linked_nodes(replicas, 2) as nodes:
+    zones = {0: 'zone-b', 1: 'zone-b'}
+    async with run_linked_nodes(replicas, 2, zones=zones) as nodes:
         for linked in nodes:
             linked.cut(zone='zone-b')
         await asyncio.gather(
             *(_ask_all(linked, linked.node.startup.name, 4) for linked in nodes)
         )
+        assert any(linked.node.count('links-examined') for linked in nodes)
         assert not any(linked.node.count('links-lost') for linked in nodes)
 
 
