--- a/packages/ryelatch-node/src/ryelatch_node/views/_replicas.py
+++ b/packages/ryelatch-node/src/ryelatch_node/views/_replicas.py
@@ -252,9 +252,14 @@
     def suspect(self, replica: Replica, reason: str, *, full: bool) -> None:
         """Keep new work from a replica for a while.
 
+        Does nothing if this node alone can't reach it: it gets no work from
+        here anyway, and a failure says nothing of the replica.
+
         :param reason: for the log.
         :param full: whether the replica responded, but had no capacity.
         """
+        if replica.name in self.cut.list_names():
+            return
         seconds = FULL_SECONDS if full else UNREACHABLE_SECONDS
         until = self._clock.monotonic() + seconds
         if not full:
