--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -2,15 +2,12 @@
 
 import asyncio
 import enum
-from collections.abc import AsyncIterator
 
 from ryelatch_core.events import catalogue
 from ryelatch_core.fleet import Stage
 from ryelatch_core.quarantine import CRASH_THRESHOLD
 from ryelatch_core.streams import EventSplitter, StreamError
-from ryelatch_node.forwarding import ForwardedAnswer, HelperLost
-from ryelatch_node.peer_sync import ForwardStart
-from ryelatch_node.ports import Dispatch, Headers
+from ryelatch_node.ports import Dispatch
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._crashes import record_stream_crash
 from ryelatch_node.relay._errors import (
@@ -23,9 +20,12 @@
     Exchange,
     round_seconds,
 )
+from ryelatch_node.relay._forwarded_stream import (
+    forward_stream,
+    strip_length,
+)
 from ryelatch_node.relay._forwarding import (
     ForwardAttempts,
-    forward,
     refuse_forwarded,
 )
 from ryelatch_node.relay._permits import acquire_permit
@@ -95,69 +95,11 @@
             if result is _AttemptResult.DONE:
                 return
     attempts = ForwardAttempts(progress.may_have_run, paid)
-    if await _forward(context, exchange, request, progress, attempts):
+    if await forward_stream(context, exchange, request, progress, attempts):
         return
     await _give_up(context, exchange, request, progress, place, attempts)
 
 
-async def _forward(
-    context: RelayContext,
-    exchange: Exchange,
-    request: AdmittedRequest,
-    progress: Progress,
-    attempts: ForwardAttempts,
-) -> bool:
-    """Forward a request to other nodes if links to the replicas are lost.
-
-    :returns: whether the client has the complete answer.
-    """
-    attempts.last_event = progress.splitter.last
-
-    async def pass_on(answer: ForwardedAnswer) -> bool:
-        head = answer.head
-        assert head is not None
-        if head.status != _OK:
-            body = b''.join([piece async for piece in answer.iterate()])
-            if exchange.started:
-                raise AnswerBroken
-            await exchange.answer(head.status, list(head.headers), body)
-            return True
-        try:
-            await _forward_pieces(
-                exchange, progress.splitter, head, answer.iterate()
-            )
-        finally:
-            attempts.last_event = progress.splitter.last
-        return True
-
-    done = await forward(context, exchange, request, attempts, pass_on)
-    progress.may_have_run = attempts.may_have_run
-    return done
-
-
-async def _forward_pieces(
-    exchange: Exchange,
-    splitter: EventSplitter,
-    head: ForwardStart,
-    pieces: AsyncIterator[bytes],
-) -> None:
-    """Pass the events of a forwarded stream on to the client."""
-    splitter.discard_partial()
-    headers = _strip_length(list(head.headers))
-    async for piece in pieces:
-        events = splitter.feed(piece)
-        if not events:
-            continue
-        if not exchange.started:
-            await exchange.start(head.status, headers)
-        await exchange.write(events)
-    if splitter.has_partial:
-        raise HelperLost('ended in the middle of an event', sent=True)
-    if not exchange.started:
-        await exchange.start(head.status, headers)
-    await exchange.write(b'', more=False)
-
-
 async def _choose_path(
     context: RelayContext,
     exchange: Exchange,
@@ -374,12 +316,12 @@
             continue
         record_progress(context, stream)
         if not exchange.started:
-            await exchange.start(answer.status, _strip_length(answer.headers))
+            await exchange.start(answer.status, strip_length(answer.headers))
         await exchange.write(events)
     if splitter.has_partial:
         raise SendError(SendErrorKind.LOST, 'ended in the middle of an event')
     if not exchange.started:
-        await exchange.start(answer.status, _strip_length(answer.headers))
+        await exchange.start(answer.status, strip_length(answer.headers))
     await exchange.write(b'', more=False)
     context.replicas.clear_suspicion(stream.first_replica)
     context.quarantine.record_run(stream.request.digest)
@@ -387,11 +329,6 @@
     return _AttemptResult.DONE
 
 
-def _strip_length(headers: Headers) -> Headers:
-    """Drop the content length: a resumed stream may have another length."""
-    return [pair for pair in headers if pair[0] != b'content-length']
-
-
 async def _give_up(
     context: RelayContext,
     exchange: Exchange,
