A node that was paused itself doesn't give up the node that serves for it

A silence counts only if this process ran all along. test_own_pause_is_no_silence: red without the guard.

--- a/packages/ryelatch-node/src/ryelatch_node/forwarding/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/forwarding/_client.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ryelatch_core.kernel import App, Clock, Service
+from ryelatch_core.kernel import App, Clock, Service, ran_late
 from ryelatch_core.links import Helper
 from ryelatch_node.links import Links
 from ryelatch_node.peer_sync import (
@@ -63,6 +63,7 @@
     """
 
     connection: PeerConnection
+    clock: Clock
     patient: bool
     complete: bool = False
     head: ForwardStart | None = None
@@ -102,14 +103,41 @@
                 return reply
 
     async def _read_any(self) -> ForwardReply:
-        seconds = SILENCE_SECONDS if self._confirmed else CONFIRM_SECONDS
         try:
-            async with asyncio.timeout(None if self.patient else seconds):
-                body = await read_body(self.connection.reader)
+            body = await self._read_body()
             return msgspec.msgpack.decode(body, type=ForwardReply)
         except REQUEST_ERRORS as error:
             raise HelperLost(type(error).__name__, sent=True) from error
 
+    async def _read_body(self) -> bytes:
+        """Read the body of the next message.
+
+        :raises TimeoutError: if it doesn't come in time.
+        """
+        reading = asyncio.create_task(read_body(self.connection.reader))
+        try:
+            while not reading.done():
+                await self._wait(reading)
+            return await reading
+        finally:
+            reading.cancel()
+
+    async def _wait(self, reading: 'asyncio.Task[bytes]') -> None:
+        """Wait for a message, or until it is overdue.
+
+        If this process was paused, the message may have arrived unread.
+
+        :raises TimeoutError: if it is overdue, and this process ran all along.
+        """
+        if self.patient:
+            await asyncio.wait((reading,))
+            return
+        seconds = SILENCE_SECONDS if self._confirmed else CONFIRM_SECONDS
+        due = self.clock.monotonic() + seconds
+        await asyncio.wait((reading,), timeout=seconds)
+        if not reading.done() and not ran_late(due, self.clock.monotonic()):
+            raise TimeoutError
+
 
 @dataclass(eq=False)
 class ForwardClient:
@@ -156,7 +184,7 @@
         """
         name, address = helper.node.name, helper.node.address
         connection = await self._connect(address, repeatable=repeatable)
-        answer = ForwardedAnswer(connection, patient=not repeatable)
+        answer = ForwardedAnswer(connection, self.clock, patient=not repeatable)
         busy = self.links.helpers.busy
         busy[name] += 1
         try:
