An examination that concluded nothing doesn't stop the next one

Suspected from reading, not from lines: a late process concludes nothing, and a cooldown of 0.8 s followed all the same, in which the stream found no path and was given up.

--- a/packages/ryelatch-node/src/ryelatch_node/links/_examination.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_examination.py
@@ -11,7 +11,10 @@
 from ryelatch_node.links._witnesses import Witnesses
 
 FIRST_COOLDOWN_SECONDS = 0.4
-"""Time after an examination in which no other one begins."""
+"""Time after an examination in which no other one begins.
+
+One that concluded nothing, as this process ran late, doesn't count.
+"""
 
 MAX_COOLDOWN_SECONDS = 3.0
 """Maximum of that time, which doubles while no links are found to be lost."""
@@ -73,12 +76,19 @@
         :param since: when the first connection failed, in monotonic seconds.
         """
         try:
-            unreached = await self._list_unreached()
+            results = await self._probe_groups()
+            unreached = frozenset(
+                group
+                for group, result in results.items()
+                if result is ProbeResult.UNREACHED
+            )
             fresh = unreached - self.state.lost.groups
             found = await self.witnesses.ask(fresh) if fresh else {}
             self._conclude(fresh, found, since)
+            if ProbeResult.UNKNOWN not in results.values():
+                now = self.state.clock.monotonic()
+                self._earliest = now + self._cooldown
         finally:
-            self._earliest = self.state.clock.monotonic() + self._cooldown
             self._settled.set()
             self.state.announce()
 
@@ -101,8 +111,8 @@
         else:
             self._cooldown = min(MAX_COOLDOWN_SECONDS, 2 * self._cooldown)
 
-    async def _list_unreached(self) -> frozenset[LinkGroup]:
-        """Probe groups, and list those that didn't respond."""
+    async def _probe_groups(self) -> dict[LinkGroup, ProbeResult]:
+        """Probe groups, those with failures first."""
         listed = group_replicas(self.state.replicas.replicas.values())
         now = self.state.clock.monotonic()
         failing = self.contacts.list_failing(listed, now)
@@ -111,11 +121,7 @@
         results = await asyncio.gather(
             *(self.prober.probe(group, groups[group]) for group in groups)
         )
-        return frozenset(
-            group
-            for group, result in zip(groups, results, strict=True)
-            if result is ProbeResult.UNREACHED
-        )
+        return dict(zip(groups, results, strict=True))
 
 
 def make_examiner(
--- a/packages/ryelatch-node/src/ryelatch_node/links/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_service.py
@@ -68,9 +68,14 @@
     async def has_lost(self, service: str) -> bool:
         """Whether the links to replicas of a service are lost.
 
-        Waits for the examination in progress, if there is one.
+        Waits for the examination in progress, if there is one. While the links
+        are in doubt, another one is begun: the last may have concluded nothing,
+        and the request that asks would be refused.
         """
         await self.examiner.wait()
+        if not self.state.lost.has_service(service):
+            self._examine_doubts(service)
+            await self.examiner.wait()
         return self.state.lost.has_service(service)
 
     async def choose_helper(
@@ -173,6 +178,12 @@
         if not self.contacts.has_failed(address, connected):
             self.record_reached(address)
 
+    def _examine_doubts(self, service: str) -> None:
+        now = self.state.clock.monotonic()
+        listed = self.state.replicas.list_service(service)
+        if any(self._is_doubtful(replica, now) for replica in listed):
+            self._examine(now)
+
     def _examine(self, since: float) -> None:
         if self.examiner.begin():
             self.tasks.spawn(self.examiner.run(since))
