Nodes log which parts of a prompt a crashed replica was running

Lines of crashes named whole requests only, so crashes under requests that share a part of their prompts looked like crashes without a cause. The parts that requests may share are read from the header and stand in each request-suspected line.

--- a/packages/ryelatch-node/src/ryelatch_node/ports/__init__.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/__init__.py
@@ -18,6 +18,7 @@
     apply_reloadable,
 )
 from ryelatch_node.ports._wire import (
+    MAX_PARTS,
     AnswerMetadata,
     Dispatch,
     HeaderCodec,
@@ -26,6 +27,7 @@
 )
 
 __all__ = [
+    'MAX_PARTS',
     'Address',
     'AnswerMetadata',
     'CommandResult',
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_wire.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_wire.py
@@ -9,6 +9,10 @@
 """Raw headers, with names in lower case."""
 
 
+MAX_PARTS = 32
+"""Shared parts of a prompt that are considered, from its start."""
+
+
 @dataclass(frozen=True, slots=True)
 class RequestMetadata:
     """Metadata that a client sends with its request.
@@ -21,6 +25,8 @@
     :param hint: the client's estimate of the tokens of the answer.
     :param last_event: number of the last event of the stream that the client
         has received.
+    :param parts: hashes of the parts of its prompt that other requests may
+        share, in order.
     """
 
     identity: str
@@ -30,6 +36,7 @@
     answer: int = 0
     hint: int | None = None
     last_event: int | None = None
+    parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ryelatch-node/src/ryelatch_node/quarantine/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/quarantine/_service.py
@@ -112,6 +112,7 @@
         request: str,
         *,
         events: int = 0,
+        parts: Collection[str] = (),
     ) -> None:
         """Record that a replica crashed while it held a request.
 
@@ -120,6 +121,7 @@
         :param phase: whether the request had begun to run or was waiting.
         :param request: ID of the attempt, for the log.
         :param events: events of its answer that had arrived from the replica.
+        :param parts: hashes of the shared parts of its prompt, for the log.
         """
         now = self.clock.monotonic()
         self._update_knowledge()
@@ -131,6 +133,7 @@
                 replica=incarnation,
                 manner=phase.value,
                 events=events,
+                parts=list(parts),
             )
             self._on_change()
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_crashes.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_crashes.py
@@ -46,6 +46,7 @@
         phase,
         stream.exchange.identity,
         events=stream.delivered,
+        parts=stream.request.terms.parts,
     )
     return True
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from ryelatch_platform._headers import read_answer
+from ryelatch_node.ports import MAX_PARTS
+from ryelatch_platform._headers import read_answer, read_request
 
 
 @pytest.mark.parametrize(
@@ -50,3 +51,28 @@
     backoff = read_answer(503, [(b'retry-after', text)]).backoff
     assert backoff is not None
     assert math.isnan(backoff)
+
+
+@pytest.mark.parametrize(
+    ('text', 'parts'),
+    [
+        (b'5c1e:800,91bd:410,e440:250', ('5c1e', '91bd')),
+        (b'e440:250', ()),
+        (b'', ()),
+        (b'5C1E:800, 91bd ,e440:250', ('5c1e', '91bd')),
+        (b'5c1e:1,5c1e:2,91bd:3,e440:4', ('5c1e', '91bd')),
+        (b'xyz:1,:2,,5c1e,91bd:x', ('5c1e',)),
+        (b'f' * 40 + b':1,91bd:2,e440:3', ('91bd',)),
+    ],
+)
+def test_shared_parts_are_read(text: bytes, parts: tuple[str, ...]) -> None:
+    """The part of the request alone, or nonsense, is taken for a shared one."""
+    terms = read_request([(b'x-ryelatch-prefix-hash', text)])
+    assert terms.parts == parts
+
+
+def test_shared_parts_are_bounded() -> None:
+    """A client sends thousands of parts with each request."""
+    text = ','.join(f'{number:x}:1' for number in range(5000)).encode()
+    terms = read_request([(b'x-ryelatch-prefix-hash', text)])
+    assert len(terms.parts) == MAX_PARTS
