--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -56,6 +56,7 @@
         and resets the connection.
     :param crash_on: body of a request that crashes it, after the head of a
         stream's answer was sent; its address refuses connections from then on.
+    :param crash_on_part: hash of a part of the prompts that crash it likewise.
     :param crashed: whether it has crashed.
     :param extra_headers: additional headers of all its answers.
     :param refusals: times of its refusals, by the event loop's clock.
@@ -87,6 +88,7 @@
     other_identity: bool = False
     unframed_part: bool = False
     crash_on: bytes = b''
+    crash_on_part: str = ''
     crashed: bool = False
     extra_headers: dict[str, str] = field(default_factory=dict)
     refusals: list[float] = field(default_factory=list)
@@ -260,7 +262,7 @@
     async def _run(self, request: web.Request, run: Run) -> web.StreamResponse:
         if self.hang:
             await asyncio.Event().wait()
-        if self.crash_on and run.body == self.crash_on:
+        if self._crashes_on(run):
             return await self._crash_during(request, run)
         headers = self._make_signed_headers(
             'other' if self.other_identity else run.identity
@@ -278,6 +280,13 @@
             body=f'answer of {self.name}'.encode(), headers=headers
         )
 
+    def _crashes_on(self, run: Run) -> bool:
+        if self.crash_on and run.body == self.crash_on:
+            return True
+        parts = run.headers.get('X-Ryelatch-Prefix-Hash', '').split(',')
+        hashes = {part.partition(':')[0] for part in parts}
+        return bool(self.crash_on_part) and self.crash_on_part in hashes
+
     async def _crash_during(
         self, request: web.Request, run: Run
     ) -> web.StreamResponse:
