Calls of the own front tell a reset from the end of an answer

An upstream that answers with neither a length nor chunks ends its answer by closing the connection. After a reset the HTTP library takes the part that has come for the whole, and a client of the product's own front got it as a complete 200. The relay had a protocol class against that; the front's forwarder had not. Both use it now.

--- a/packages/ryelatch-node/src/ryelatch_node/non_model/_forward.py
+++ b/packages/ryelatch-node/src/ryelatch_node/non_model/_forward.py
@@ -13,6 +13,7 @@
 from ryelatch_core.retries import RetryBudget
 from ryelatch_core.settings import Route
 from ryelatch_core.settings import Service as NonModelService
+from ryelatch_node.connections import report_resets
 
 MAX_ANSWER_BYTES = 8_388_608
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -93,8 +94,10 @@
 
     async def start(self) -> None:
         """Open the HTTP session."""
+        connector = aiohttp.TCPConnector(force_close=True, limit=0)
+        report_resets(connector)
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(force_close=True, limit=0),
+            connector=connector,
             auto_decompress=False,
             skip_auto_headers=('User-Agent', 'Content-Type'),
         )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -1,7 +1,6 @@
 """The HTTP client that sends requests to upstreams."""
 
 import asyncio
-import functools
 import itertools
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable, Iterable
@@ -14,6 +13,7 @@
 
 from ryelatch_core.fleet import Replica
 from ryelatch_core.membership import CONNECT_TIMEOUT_SECONDS
+from ryelatch_node.connections import report_resets
 from ryelatch_node.ports import AnswerMetadata, HeaderCodec, Headers
 from ryelatch_node.relay._errors import SendError, SendErrorKind
 
@@ -25,6 +25,7 @@
 and be repeated, where its route allows that.
 """
 
+_FRAMING_HEADERS = (b'content-length', b'transfer-encoding')
 _SKIPPED_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 _CONNECT_ERRORS = (
     aiohttp.ClientConnectorError,
@@ -45,22 +46,6 @@
 """Handles a connection to a replica at an address that succeeded or failed."""
 
 
-class _StrictHandler(ResponseHandler):
-    """Reports a reset connection as an error for bodies without a length.
-
-    A body without a length ends when its connection is closed. After a reset
-    the parser would take the part that has arrived for the complete body, and
-    so would the client.
-    """
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Set an error on a body that is incomplete after a reset."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(str(exc)))
-        super().connection_lost(exc)
-
-
 class _ObservedConnector(aiohttp.TCPConnector):
     """Reports which new connections were established, and which were not.
 
@@ -75,10 +60,7 @@
         self._on_connected = on_connected
         self._on_failed = on_failed
         self._connecting: dict[str, set[asyncio.Timeout]] = defaultdict(set)
-        # The library has no public way to set another protocol class.
-        self._factory = functools.partial(  # type: ignore[assignment]
-            _StrictHandler, loop=self._loop
-        )
+        report_resets(self)
 
     def abort_connecting(self, address: str) -> None:
         """Let the connection attempts to an address fail at once."""
@@ -131,6 +113,15 @@
         self.terms = terms
         self._response = response
 
+    @property
+    def framed(self) -> bool:
+        """Whether the answer states where its body ends.
+
+        Otherwise it ends with the connection, also when a replica crashes.
+        """
+        names = {name for name, _ in self.headers}
+        return not names.isdisjoint(_FRAMING_HEADERS)
+
     async def read(self) -> bytes:
         """Read the complete body.
 
