A stream without a length that ends before its first event is broken off

A replica that closes the connection after the head of an unframed stream was taken for one that had answered with no events: the client got an empty 200 as complete. It is resumed at another replica now. And as a crash between two events looks like the end of such a stream, its end no longer clears a request or its parts of crashes; running for half a second still does.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -326,11 +326,15 @@
         await exchange.write(events)
     if splitter.has_partial:
         raise SendError(SendErrorKind.LOST, 'ended in the middle of an event')
+    if not (answer.framed or stream.delivered):
+        raise SendError(SendErrorKind.LOST, 'ended before the first event')
     if not exchange.started:
         await exchange.start(answer.status, strip_length(answer.headers))
     await exchange.write(b'', more=False)
     context.replicas.clear_suspicion(stream.first_replica)
-    context.quarantine.record_run(stream.request.fingerprint)
+    if answer.framed:
+        # A replica that crashes between two events ends any other stream too.
+        context.quarantine.record_run(stream.request.fingerprint)
     record_outcome(context, stream, failed=False)
     return _AttemptResult.DONE
 
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import enum
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -32,6 +33,20 @@
     at: float = field(default_factory=_read_clock)
 
 
+class Unframed(enum.Enum):
+    """How an answer ends that has neither a length nor chunks."""
+
+    WHOLE = 'whole'
+    INSIDE = 'inside'
+    """The connection is closed inside an event, or in the first line."""
+
+    EMPTY = 'empty'
+    """The connection is closed before anything of the body was sent."""
+
+    RESET = 'reset'
+    """The connection is reset after a complete event."""
+
+
 @dataclass(eq=False)
 class ReplicaStandIn:
     """A replica with its state and its faults.
@@ -54,6 +69,8 @@
     :param other_identity: whether it answers with another request's id.
     :param unframed_part: whether it sends a partial answer without a length,
         and resets the connection.
+    :param unframed: how its answers end that have no length; ``None`` for
+        answers with one. After one that isn't whole, they are.
     :param crash_on: body of a request that crashes it, after the head of a
         stream's answer was sent; its address refuses connections from then on.
     :param crash_on_part: hash of a part of the prompts that crash it likewise.
@@ -87,6 +104,7 @@
     hang: bool = False
     other_identity: bool = False
     unframed_part: bool = False
+    unframed: Unframed | None = None
     crash_on: bytes = b''
     crash_on_part: str = ''
     crashed: bool = False
@@ -274,6 +292,8 @@
             return web.Response(status=self.fail, headers=headers, body=b'no')
         if self.unframed_part:
             return await self._reset_unframed(request, headers)
+        if self.unframed:
+            return await self._answer_unframed(request, run, headers)
         if 'X-Ryelatch-Hop-Count' in run.headers:
             return await self._stream(request, run, headers)
         return web.Response(
@@ -303,18 +323,46 @@
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
         assert request.transport is not None
-        lines = ''.join(f'{name}: {text}\r\n' for name, text in headers.items())
-        request.transport.write(
-            f'HTTP/1.1 200 OK\r\n{lines}\r\npart of'.encode()
-        )
+        request.transport.write(_make_unframed_head(headers) + b'part of')
         await asyncio.sleep(0.05)
-        sock = request.transport.get_extra_info('socket')
-        # Closing with SO_LINGER of zero sends a reset.
-        with contextlib.suppress(OSError):
-            sock.setsockopt(1, 13, b'\x01\0\0\0\0\0\0\0')
-        request.transport.abort()
+        _reset(request.transport)
+        return web.Response()
+
+    async def _answer_unframed(
+        self, request: web.Request, run: Run, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Send an answer that ends with its connection."""
+        transport = request.transport
+        assert transport is not None
+        ending = self.unframed
+        self.unframed = Unframed.WHOLE
+        transport.write(_make_unframed_head(headers))
+        if ending is not Unframed.EMPTY:
+            await self._write_unframed(transport, run, ending)
+        if ending is Unframed.RESET:
+            _reset(transport)
+        else:
+            transport.close()
         return web.Response()
 
+    async def _write_unframed(
+        self, transport: asyncio.Transport, run: Run, ending: Unframed | None
+    ) -> None:
+        pieces = [f'answer of {self.name}'.encode()]
+        if 'X-Ryelatch-Hop-Count' in run.headers:
+            last = int(run.headers.get('Last-Event-Id', '0'))
+            pieces = [
+                f'id: {number}\ndata: token {number}\n\n'.encode()
+                for number in range(last + 1, self.events + 1)
+            ]
+        if ending is not Unframed.WHOLE:
+            pieces = pieces[:2]
+        if ending is Unframed.INSIDE:
+            pieces[-1] = pieces[-1][:-1]
+        for piece in pieces:
+            transport.write(piece)
+            await asyncio.sleep(self.pause)
+
     async def _stream(
         self,
         request: web.Request,
@@ -355,3 +403,16 @@
             **self._make_headers(identity),
             'X-Ryelatch-Replica-Signature': signature,
         }
+
+
+def _make_unframed_head(headers: dict[str, str]) -> bytes:
+    lines = ''.join(f'{name}: {text}\r\n' for name, text in headers.items())
+    return f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode()
+
+
+def _reset(transport: asyncio.Transport) -> None:
+    """Close a connection with SO_LINGER of zero, which sends a reset."""
+    sock = transport.get_extra_info('socket')
+    with contextlib.suppress(OSError):
+        sock.setsockopt(1, 13, b'\x01\0\0\0\0\0\0\0')
+    transport.abort()
