A refused part is tried once for the whole fleet; tests of parts over nodes

And a trial that ran left the crashes without a cause, so the next part that had met them took over the blame: all that met the same crashes is acquitted with it.

Tests: eight replicas crash for no part and nothing is refused; five requests with one part at five nodes, the node that saw most crashes killed, all nodes started anew, one trial of seven nodes; in virtual time for seven and seventy-two nodes.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -377,12 +377,6 @@
 REQUEST_RELEASED = EventKind(
     1424, 'request-released', 'What was refused is admitted again.'
 )
-REQUEST_TRIED = EventKind(
-    1438,
-    'request-tried',
-    'One request of the fleet is sent although it is refused: its run would '
-    'show that it crashes no replica.',
-)
 REPORT_DOUBTFUL = EventKind(
     1421,
     'report-doubtful',
@@ -391,6 +385,12 @@
     'If frequent, give the VM more processor time.',
     Level.WARNING,
 )
+REQUEST_TRIED = EventKind(
+    1438,
+    'request-tried',
+    'One request of the fleet is sent although it is refused: its run would '
+    'show that it crashes no replica.',
+)
 
 CLAIM_MADE = EventKind(
     1501, 'claim-made', 'An idempotency key was claimed in the store.'
--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_causes.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_causes.py
@@ -225,7 +225,7 @@
     unexplained = candidate.incarnations.difference(
         *(other.incarnations for other in parts)
     )
-    if len(unexplained) > MAX_COINCIDENCES:
+    if unexplained:
         return frozenset()
     return frozenset(other.key for other in parts)
 
--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
@@ -172,7 +172,7 @@
         ]
         return max(
             suspects,
-            key=lambda key: len(self._states[key].crashes.incarnations),
+            key=lambda name: len(self._states[name].crashes.incarnations),
             default=None,
         )
 
@@ -202,10 +202,20 @@
     def record_run(self, fingerprint: Fingerprint, now: float) -> bool:
         """Record that a request has run and its replica has not crashed.
 
+        If it is a trial, the crashes had another reason. They would otherwise
+        count against the next key that met them.
+
         :returns: whether crashes were recorded for any of its keys.
         """
-        self._cleared.record(fingerprint.keys, now)
-        suspects = [key for key in fingerprint.keys if key in self._states]
+        causes = list(_list_concerning(self._causes, fingerprint, settled=True))
+        acquitted = [
+            key
+            for key in self._over_threshold.keys() & self._states.keys()
+            if _is_explained(self._states[key], causes)
+        ]
+        keys = (*fingerprint.keys, *acquitted)
+        self._cleared.record(keys, now)
+        suspects = self._states.keys() & keys
         for key in suspects:
             self._set_local(key, NO_CRASHES, now)
         if suspects:
@@ -374,10 +384,8 @@
 
     def _set_local(self, key: str, local: Crashes, now: float) -> None:
         """Set the crashes that this node has seen under a key."""
-        state = self._states[key]
-        if local == NO_CRASHES and state.stored is None:
-            self._states.pop(key)
-        else:
+        state = self._states.pop(key)
+        if state.stored or local != NO_CRASHES:
             self._update(key, replace(state, local=local), now)
 
     def _update(self, key: str, state: CrashState, now: float) -> None:
@@ -395,6 +403,12 @@
             del self._states[next(oldest, key)]
 
 
+def _is_explained(state: CrashState, causes: Iterable[Cause]) -> bool:
+    """Whether one of some causes explains all crashes under a key."""
+    incarnations = state.crashes.incarnations
+    return any(incarnations <= cause.crashes.incarnations for cause in causes)
+
+
 def _list_concerning(
     causes: Iterable[Cause], fingerprint: Fingerprint, *, settled: bool
 ) -> Iterator[Cause]:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -89,6 +89,8 @@
     :param finished: whether the answer was sent completely.
     :param client_gone: whether the client has closed its connection.
     :param sends: how often the request was sent to an upstream.
+    :param unsent: how many of these reached no upstream.
+    :param on_trial: whether it is the fleet's trial of what is refused.
     :param ran: runs that count against the attempts its route allows.
     :param status: HTTP status of the answer; 0 before it started.
     :param pause: longest time between two pieces of the answer, in seconds.
@@ -106,6 +108,8 @@
     finished: bool = False
     client_gone: bool = False
     sends: int = 0
+    unsent: int = 0
+    on_trial: bool = False
     ran: int = 0
     status: int = 0
     pause: float = 0
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
@@ -328,6 +328,7 @@
         outcome=error.kind.value,
     )
     if error.kind is SendErrorKind.UNSENT:
+        exchange.unsent += 1
         context.replicas.suspect(replica, error.reason, full=False)
     elif error.reason == UNRESPONSIVE:
         context.replicas.suspect(replica, error.reason, full=True)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -152,7 +152,9 @@
     reason: str,
 ) -> None:
     """Record that an attempt finished without a complete answer."""
-    if kind is not SendErrorKind.UNSENT:
+    if kind is SendErrorKind.UNSENT:
+        stream.exchange.unsent += 1
+    else:
         progress.may_have_run = True
     if stream.reason:
         progress.excluded.add(stream.first_replica.name)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_verdicts.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_verdicts.py
@@ -26,10 +26,14 @@
 ) -> bool:
     """Whether a request may be sent, as far as crashes of replicas tell.
 
-    A trial is sent once: it must not crash a second replica.
+    A trial reaches one replica: it must not crash a second one.
     """
     if context.quarantine.find_refused(request.fingerprint) is None:
         return True
-    if not request.trial or exchange.sends:
+    if not request.trial or exchange.sends > exchange.unsent:
         return False
-    return await context.quarantine.claim_trial(request.fingerprint)
+    if not exchange.on_trial:
+        exchange.on_trial = await context.quarantine.claim_trial(
+            request.fingerprint
+        )
+    return exchange.on_trial
--- a/tests/core/quarantine/test_parts.py
+++ b/tests/core/quarantine/test_parts.py
@@ -168,6 +168,21 @@
     assert not _refuses(tracker, _ask(_FIRST), later)
 
 
+def test_trial_acquits_what_met_the_same_crashes() -> None:
+    """The software is mended, and the next part takes over the blame."""
+    tracker = _make()
+    for number in range(6):
+        _crash(
+            tracker, f'r-{number}', _ask(_FIRST, _DEAD, _key(f'a{number % 2}'))
+        )
+    request = _ask(_FIRST, _DEAD, _key('a0'))
+    assert _refuses(tracker, request)
+    tracker.record_run(request, _LATER)
+    later = _LATER + SETTLE_SECONDS
+    for other in ('a0', 'a1'):
+        assert not _refuses(tracker, _ask(_key(other)), later)
+
+
 def test_whole_request_explains_its_parts() -> None:
     """One request crashes replicas by its content, and its parts are refused.
 
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -3,11 +3,13 @@
 import asyncio
 import contextlib
 import itertools
+import math
 from collections.abc import AsyncIterator, Iterator
 
 import pytest
 
 from fleet.running import RunningNode, ask, make_model_replicas, run_nodes
+from ryelatch_core.quarantine import _tracker
 from standins.replica import ReplicaStandIn
 
 _CRASHING = 'dead'
@@ -71,6 +73,23 @@
         yield tuple(parts)
 
 
+async def _crash_five(
+    nodes: list[RunningNode],
+    replicas: list[ReplicaStandIn],
+    variants: Iterator[tuple[str, ...]],
+) -> None:
+    """Crash five replicas, and wait until all nodes know of it.
+
+    Where fewer crash, the requests are refused before.
+    """
+    senders = itertools.cycle(nodes)
+    for number in range(1000, 1060):
+        await _ask(next(senders), number, *next(variants))
+        if _count_crashed(replicas) >= _BEFORE:
+            break
+    await asyncio.sleep(_SETTLING_SECONDS)
+
+
 @pytest.mark.parametrize('position', [0, 1, 2])
 async def test_part_that_crashes_replicas_is_refused(position: int) -> None:
     """Requests that are all different crash replicas by a part they share."""
@@ -79,11 +98,7 @@
         numbers = itertools.count()
         variants = _vary_parts(position)
         senders = itertools.cycle(nodes)
-        while _count_crashed(replicas) < _BEFORE:
-            await _ask(next(senders), next(numbers), *next(variants))
-            if next(numbers) > 60:
-                break
-        await asyncio.sleep(_SETTLING_SECONDS)
+        await _crash_five(nodes, replicas, variants)
         sent = _count_runs(replicas)
         for _ in range(12):
             status = await _ask(next(senders), next(numbers), *next(variants))
@@ -94,3 +109,61 @@
             for node, other in itertools.product(nodes, _OTHERS)
         ]
         assert sound == [200] * len(sound)
+
+
+async def test_crashes_of_their_own_refuse_no_part() -> None:
+    """Eight replicas crash whatever they run, and popular parts are refused."""
+    replicas = make_model_replicas(*[(0, 8)] * 12)
+    async with _run_nodes(replicas) as nodes:
+        numbers = itertools.count()
+        statuses: list[int] = []
+
+        async def send() -> None:
+            node = nodes[next(numbers) % len(nodes)]
+            other = _OTHERS[next(numbers) % len(_OTHERS)]
+            statuses.append(await _ask(node, next(numbers), _FIRST, other))
+
+        for replica in replicas[:8]:
+            await asyncio.gather(send(), send(), replica.crash(), send())
+        # Streams that lose two replicas in a row end with 502.
+        assert set(statuses) <= {200, 502}
+        await asyncio.sleep(_SETTLING_SECONDS)
+        statuses.clear()
+        await asyncio.gather(*(send() for _ in range(12)))
+        assert statuses == [200] * len(statuses)
+        assert not any(node.count('request-quarantined') for node in nodes)
+
+
+async def test_refused_part_is_tried_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A part is refused for good though the replicas' software is mended.
+
+    As long as it isn't, each node's trial crashes a replica, and is resent.
+    """
+
+    def set_delays(first: float, second: float) -> None:
+        monkeypatch.setattr(_tracker, 'TRIAL_DELAYS_SECONDS', (first, second))
+
+    replicas = make_model_replicas(*[(0, 8)] * 24)
+    async with _run_nodes(replicas) as nodes:
+        variants = _vary_parts(1)
+        await _crash_five(nodes, replicas, variants)
+        sent = _count_runs(replicas)
+        numbers = itertools.count()
+        set_delays(0, math.inf)
+        for node in nodes * 2:
+            await _ask(node, next(numbers), *next(variants))
+        assert _count_runs(replicas) == sent + 1
+        assert sum(node.count('request-tried') for node in nodes) == 1
+        for replica in replicas:
+            replica.crash_on_part = ''
+        set_delays(0, 0)
+        # A node that has not heard of the last crash can't claim the trial.
+        for _ in range(20):
+            await asyncio.sleep(_SETTLING_SECONDS / 10)
+            if await _ask(nodes[0], next(numbers), *next(variants)) == 200:
+                break
+        await asyncio.sleep(_SETTLING_SECONDS)
+        for node in nodes:
+            assert await _ask(node, next(numbers), *next(variants)) == 200
--- a/tests/platform/test_quarantine_reach.py
+++ b/tests/platform/test_quarantine_reach.py
@@ -11,13 +11,15 @@
 
 import pytest
 
-from ryelatch_core.quarantine import Fingerprint, RequestPhase
+from ryelatch_core.quarantine import Fingerprint, RequestPhase, make_part_key
+from ryelatch_core.quarantine._tracker import TRIAL_DELAYS_SECONDS
 from ryelatch_platform._quarantine import QUARANTINE_KIND
-from virtual.loop import run
+from virtual.loop import VirtualClock, run
 from virtual.store import Trouble
 from virtual.world import World
 
 _REQUEST = Fingerprint('0123456789abcdef')
+_PART = make_part_key('model', 'dead')
 
 
 @dataclass(frozen=True)
@@ -174,6 +176,117 @@
     run(play())
 
 
+def _record_part_crashes(world: World, names: Iterable[str]) -> None:
+    """Record a crash at each of some nodes, under requests with one part."""
+    for number, name in enumerate(names):
+        request = Fingerprint(f'{number:016x}', (_PART,))
+        world.nodes[name].quarantine.record_crash(
+            request, f'r-{number}', RequestPhase.BEGUN, f'c-{number}'
+        )
+
+
+def _list_forwarding_part(
+    world: World, exempt: Iterable[str] = ()
+) -> list[str]:
+    """List the nodes that would forward another request with the part.
+
+    A request that is held isn't forwarded.
+    """
+    other = Fingerprint('f' * 16, (_PART,))
+    now = VirtualClock().monotonic()
+    return [
+        name
+        for name, node in world.nodes.items()
+        if name not in exempt
+        and not node.quarantine.tracker.is_unsettled(other, now)
+        and not node.quarantine.find_refused(other)
+    ]
+
+
+@_FLEETS
+def test_crashes_under_a_part_seen_by_five(fleet: _Fleet) -> None:
+    """Five requests crash a replica each, at a node each, and share a part."""
+
+    async def play() -> None:
+        world = await _start(fleet)
+        _record_part_crashes(
+            world, [f'node-{number:02}' for number in range(1, 6)]
+        )
+        await asyncio.sleep(fleet.bound)
+        assert not _list_forwarding_part(world)
+        await world.stop()
+
+    run(play())
+
+
+@_FLEETS
+def test_node_that_saw_most_crashes_is_killed(fleet: _Fleet) -> None:
+    """The crashes of a part are lost with the node that saw four of them.
+
+    They were written at the second of them, as the first is kept for a while.
+    """
+
+    async def play() -> None:
+        world = await _start(fleet)
+        _record_part_crashes(world, ['node-01', *['node-02'] * 4])
+        await asyncio.sleep(1)
+        await world.nodes['node-02'].stop()
+        world.unreachable.add('node-02')
+        await asyncio.sleep(fleet.bound)
+        assert not _list_forwarding_part(world, exempt=('node-02',))
+        await world.stop()
+
+    run(play())
+
+
+@_FLEETS
+def test_all_nodes_start_while_a_part_is_refused(fleet: _Fleet) -> None:
+    """All nodes are stopped and started, and each lets the part in."""
+
+    async def play() -> None:
+        world = await _start(fleet)
+        _record_part_crashes(world, ('node-01', 'node-02', 'node-03'))
+        await asyncio.sleep(fleet.bound)
+        await world.restart(list(world.nodes))
+        await asyncio.sleep(fleet.bound)
+        assert not _list_forwarding_part(world)
+        await world.stop()
+
+    run(play())
+
+
+def test_one_node_of_all_gets_the_trial() -> None:
+    """Each of seven nodes lets a refused part in, and crashes a replica."""
+
+    async def play() -> None:
+        world = await _start(_SMALL)
+        _record_part_crashes(world, ('node-01', 'node-02', 'node-03'))
+        await asyncio.sleep(TRIAL_DELAYS_SECONDS[0] + _SMALL.bound)
+        requests = [
+            Fingerprint(f'{number:016x}', (_PART,)) for number in range(10, 17)
+        ]
+        nodes = list(world.nodes.values())
+        assert all(
+            node.quarantine.may_claim_trial(request)
+            for node, request in zip(nodes, requests, strict=True)
+        )
+        claims = await asyncio.gather(
+            *(
+                node.quarantine.claim_trial(request)
+                for node, request in zip(nodes, requests, strict=True)
+            )
+        )
+        assert sum(claims) == 1
+        await asyncio.sleep(_SMALL.bound)
+        assert not any(
+            node.quarantine.may_claim_trial(request)
+            for node, request in zip(nodes, requests, strict=True)
+        )
+        await world.stop()
+
+    run(play())
+
+
 @_FLEETS
 def test_crashes_cause_few_store_calls(fleet: _Fleet) -> None:
     """The loss of many replicas causes many calls to the store.
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -13,7 +13,7 @@
 from standins.replica import Unframed
 
 
-async def test_whole_answers_without_length_are_passed_on() -> None:
+async def test_whole_answers_without_length_pass() -> None:
     """An answer is taken for a broken one as it ends with its connection."""
     async with run_node(
         [*make_model_replicas((0, 8)), *make_non_model_replicas(1)]
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -323,7 +323,7 @@
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
         assert request.transport is not None
-        request.transport.write(_make_unframed_head(headers) + b'part of')
+        request.transport.writelines((_make_unframed_head(headers), b'part of'))
         await asyncio.sleep(0.05)
         _reset(request.transport)
         return web.Response()
