--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
@@ -98,11 +98,9 @@
         return len(self._states)
 
     @property
-    def refused(self) -> dict[str, Crashes]:
-        """Causes of refusals as of the last evaluation, with their crashes."""
-        return {
-            cause.key: cause.crashes for cause in self._causes if cause.settled
-        }
+    def refused(self) -> dict[str, Cause]:
+        """Causes of refusals as of the last evaluation, by their keys."""
+        return {cause.key: cause for cause in self._causes if cause.settled}
 
     def find_refused(self, fingerprint: Fingerprint) -> Cause | None:
         """Find the cause for which a request is refused.
--- a/packages/ryelatch-node/src/ryelatch_node/quarantine/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/quarantine/_service.py
@@ -226,12 +226,13 @@
         """Log which requests are newly refused, and which no longer are."""
         refused = self.tracker.refused
         for digest in refused.keys() - self._logged:
-            crashes = refused[digest]
+            cause = refused[digest]
             self.log.record(
                 catalogue.REQUEST_QUARANTINED,
                 digest=digest,
-                begun=sorted(crashes.begun),
-                waiting=sorted(crashes.waiting),
+                causes=sorted(cause.keys),
+                begun=sorted(cause.crashes.begun),
+                waiting=sorted(cause.crashes.waiting),
             )
         for digest in self._logged - refused.keys():
             self.log.record(catalogue.REQUEST_RELEASED, digest=digest)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,6 +22,11 @@
         action='store_true',
         help='with a request that crashes replicas',
     )
+    parser.add_argument(
+        '--crashing-part',
+        action='store_true',
+        help='with different requests that crash replicas by a common part',
+    )
     parser.add_argument(
         '--asking',
         action='store_true',
@@ -49,6 +54,7 @@
                 options.seconds,
                 folder,
                 crashing=options.crashing,
+                crashing_part=options.crashing_part,
                 asking=options.asking,
                 cutting=options.cutting,
             )
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,7 +4,8 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 
-from fleet.running import make_event_stream
+from fleet.running import MODEL_SERVICE, make_event_stream
+from ryelatch_core.quarantine import make_part_key
 from soak.clients import Attempt, Clients
 from soak.crashing import CRASHING_KINDS, compute_digest
 from soak.throttling import (
@@ -12,7 +13,13 @@
     LIMIT_PER_SECOND,
     WINDOW_SECONDS,
 )
-from soak.world import CRASHING_BODY, SPARE_KEY, STREAM_EVENTS, World
+from soak.world import (
+    CRASHING_BODY,
+    CRASHING_PART,
+    SPARE_KEY,
+    STREAM_EVENTS,
+    World,
+)
 from standins.replica import Run
 
 REVOKE_SECONDS = 5.0
@@ -116,20 +123,26 @@
     late_runs = [
         run
         for _, run in _list_runs(world)
-        if run.body == CRASHING_BODY and run.at > world.recovered_at
+        if _crashes_replicas(run) and run.at > world.recovered_at
     ]
     if len(late_runs) > MAX_CRASHING_RUNS:
         yield (
             f'{crash_count} replicas crashed; runs after recovery: {late_runs}'
         )
-    crashing_digests = {compute_digest(kind) for kind in CRASHING_KINDS}
+    keys = {compute_digest(kind) for kind in CRASHING_KINDS}
+    keys |= world.crashing_keys | {make_part_key(MODEL_SERVICE, CRASHING_PART)}
     for node in world.nodes:
         for line in node.read_log_lines():
-            harmless = line.get('digest') not in crashing_digests
+            harmless = keys.isdisjoint(line.get('causes', ()))
             if line['name'] == 'request-quarantined' and harmless:
                 yield f'{node.name} quarantined a harmless request: {line}'
 
 
+def _crashes_replicas(run: Run) -> bool:
+    parts = run.headers.get('X-Ryelatch-Prefix-Hash', '')
+    return run.body == CRASHING_BODY or f'{CRASHING_PART}:' in parts
+
+
 def check_limit(world: World, clients: Clients) -> Iterator[str]:
     """A limited replica gets about its limit at most, but some requests."""
     if world.limited_replica is None:
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -13,6 +13,7 @@
 CLIENT_COUNT = 8
 _DEADLINE_MS = 4000
 _PAUSE_SECONDS = (0.0, 0.1)
+_SHARED_PARTS = 3
 _KINDS = ('plan', 'plan', 'ping', 'book')
 
 
@@ -66,8 +67,12 @@
         kind: str,
         key: str,
         body: bytes = b'question',
+        part: str = '',
     ) -> Attempt:
-        """Send a request and read its answer."""
+        """Send a request and read its answer.
+
+        :param part: another part of its prompt.
+        """
         loop = asyncio.get_running_loop()
         number = next(self._numbers)
         attempt = Attempt(f'r-{number}', kind, key, loop.time())
@@ -77,6 +82,7 @@
             'X-Ryelatch-Request-Id': attempt.identity,
             'X-Ryelatch-Deadline-Ms': str(_DEADLINE_MS),
             'X-Ryelatch-Token-Usage': '100,40',
+            'X-Ryelatch-Prefix-Hash': _list_parts(number, part),
             'Api-Key': key,
         }
         url = f'http://{node.front_link.address}/{kind}/x'
@@ -110,3 +116,10 @@
         node = random_source.choice(self.world.nodes)
         kind = random_source.choice(_KINDS)
         return await self.send(http, node, kind, key)
+
+
+def _list_parts(number: int, further: str) -> str:
+    """List the parts of a prompt; the first two are shared with others."""
+    shared = ['f1', further, f'a{number % _SHARED_PARTS}']
+    parts = [*filter(None, shared), f'e{number:x}']
+    return ','.join(f'{part}:20' for part in parts)
--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -1,7 +1,9 @@
-"""A client that repeats a request which crashes replicas."""
+"""A client whose requests crash replicas."""
 
 import asyncio
+import itertools
 import random
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from aiohttp import ClientSession
@@ -9,7 +11,7 @@
 from fleet.running import KEY
 from ryelatch_core.quarantine import digest_request
 from soak.clients import Clients
-from soak.world import CRASHING_BODY, World
+from soak.world import CRASHING_BODY, CRASHING_PART, World
 from standins.replica import ReplicaStandIn
 
 CRASHING_KINDS = ('plan', 'ping')
@@ -24,23 +26,27 @@
 _RECOVERY_TRIES = 8
 
 
-def compute_digest(kind: str) -> str:
-    """Compute the digest under which nodes quarantine the request."""
+def compute_digest(kind: str, body: bytes = CRASHING_BODY) -> str:
+    """Compute the digest under which nodes quarantine a request."""
     account = KEY.removesuffix('-key')
-    return digest_request(
-        'city.example', 'POST', f'/{kind}/x', account, CRASHING_BODY
-    )
+    return digest_request('city.example', 'POST', f'/{kind}/x', account, body)
 
 
 @dataclass(eq=False)
 class CrashingClient:
-    """Sends the request to random nodes, and replaces crashed replicas."""
+    """Sends such requests to random nodes, and replaces crashed replicas.
+
+    :param by_part: whether the requests differ in all but a part of their
+        prompts, or are copies of one request.
+    """
 
     world: World
     clients: Clients
     random_source: random.Random
+    by_part: bool = False
     _tasks: list['asyncio.Task[None]'] = field(default_factory=list)
     _replaced: set[str] = field(default_factory=set)
+    _numbers: Iterator[int] = field(default_factory=itertools.count)
 
     def start(self) -> None:
         """Start to send the request and to replace crashed replicas."""
@@ -68,8 +74,13 @@
     async def _send_once(self) -> None:
         node = self.random_source.choice(self.world.nodes)
         kind = self.random_source.choice(CRASHING_KINDS)
+        body, part = CRASHING_BODY, ''
+        if self.by_part:
+            kind, part = 'plan', CRASHING_PART
+            body = f'question {next(self._numbers)}'.encode()
+            self.world.crashing_keys.add(compute_digest(kind, body))
         async with ClientSession() as http:
-            await self.clients.send(http, node, kind, KEY, CRASHING_BODY)
+            await self.clients.send(http, node, kind, KEY, body, part)
 
     async def _replace_crashed(self) -> None:
         """Replace crashed replicas by new incarnations at other addresses."""
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -43,6 +43,7 @@
     folder: Path,
     *,
     crashing: bool = False,
+    crashing_part: bool = False,
     asking: bool = False,
     cutting: bool = False,
 ) -> Outcome:
@@ -51,13 +52,17 @@
     :param seconds: time during which faults start; the last ones end later.
     :param folder: for settings and log files of the processes.
     :param crashing: whether a client sends a request that crashes replicas.
+    :param crashing_part: whether it sends different ones with such a part.
     :param asking: whether replicas announce limits and ask for backoff.
     :param cutting: whether nodes are cut off from all replicas.
     """
     async with run_world(seed, folder, cutting=cutting) as world:
         clients = Clients(world)
         stop_clients = asyncio.Event()
-        crashing_client = CrashingClient(world, clients, random.Random(seed))
+        crashing_client = CrashingClient(
+            world, clients, random.Random(seed), crashing_part
+        )
+        crashing = crashing or crashing_part
         throttled = ThrottledReplicas(world, clients, random.Random(seed))
         if crashing:
             crashing_client.start()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -35,6 +35,9 @@
 
 CRASHING_BODY = b'a question under which replicas end'
 
+CRASHING_PART = 'dead'
+"""Part of prompts under which replicas crash, in soaks of such parts."""
+
 SPARE_KEY = 'ward-2-key'
 """API key that is revoked during a run."""
 
@@ -155,6 +158,7 @@
     added_replicas: int = 0
     recovered_at: float = 0
     limited_replica: tuple[str, float] | None = None
+    crashing_keys: set[str] = field(default_factory=set)
     cutting: bool = False
 
     async def add_replica(self, replica: ReplicaStandIn) -> ReplicaStandIn:
@@ -168,6 +172,7 @@
         self.links[replica.name] = link
         replica.stop_listening = link.close
         replica.crash_on = CRASHING_BODY
+        replica.crash_on_part = CRASHING_PART
         replica.address = link.address
         for node in self.nodes:
             await self._link_replica(node, replica.name)
--- a/tests/soak_tests/test_soak.py
+++ b/tests/soak_tests/test_soak.py
@@ -9,6 +9,7 @@
     ASKING_SEED,
     CI_SECONDS,
     CI_SEEDS,
+    CRASHING_PART_SEED,
     CRASHING_REGRESSIONS,
     CRASHING_SEED,
     CUTTING_SEED,
@@ -40,6 +41,15 @@
     assert not outcome.violations
 
 
+async def test_crashing_part_is_kept_out(tmp_path: Path) -> None:
+    """Requests that share only a part crash replicas amid other faults."""
+    outcome = await run_seed(
+        CRASHING_PART_SEED, CI_SECONDS, tmp_path, crashing_part=True
+    )
+    assert outcome.faults
+    assert not outcome.violations
+
+
 @pytest.mark.parametrize('seed', CRASHING_REGRESSIONS)
 async def test_harmless_requests_are_not_refused(
     seed: int, tmp_path: Path
