--- a/packages/ryelatch-node/src/ryelatch_node/links/_prober.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_prober.py
@@ -12,7 +12,7 @@
 from ryelatch_node.ports import ReplicaCommands
 
 PROBE_SECONDS = 0.08
-"""Timeout of a probe: a connection takes 2 to 6 ms, and is held for 10."""
+"""Timeout of a probe: a connection takes 2 to 6 ms, and is held for 20."""
 
 SECOND_TRY_SECONDS = 0.03
 """Delay before a second connection is tried in parallel to the first one.
