Windows that learned of an overload long ago don't bind a node that gets more clients

A node's concurrency windows shrink in a burst and grow only while they are used. A window that has not shrunk for 10 s is forgotten; a first event that is late makes a new one at once.

--- a/packages/ryelatch-core/src/ryelatch_core/admission/_window.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_window.py
@@ -80,6 +80,14 @@
 whole request each, all nodes together overran the slots repeatedly.
 """
 
+WINDOW_LIFETIME_SECONDS = 10.0
+"""Time since it last shrank after which a window is forgotten.
+
+It grows only while it is used. A node with few clients would keep the window of
+a burst, and refuse most of those whom the load balancer sends to it when other
+nodes are out.
+"""
+
 _MIN_USED_FRACTION = 0.7
 """Fraction of a window that must be in use for it to grow."""
 
@@ -91,6 +99,11 @@
     limit: float
     cooldown_until: float
 
+    @property
+    def shrunk_at(self) -> float:
+        """When it shrank last, in monotonic seconds."""
+        return self.cooldown_until - SHRINK_COOLDOWN_SECONDS
+
 
 class ConcurrencyWindows:
     """Concurrency windows of one node, by name of the first replica.
@@ -167,6 +180,14 @@
             if name in names
         }
 
+    def forget_old(self, now: float) -> None:
+        """Forget the windows that have not shrunk for a while."""
+        self._windows = {
+            name: window
+            for name, window in self._windows.items()
+            if now - window.shrunk_at < WINDOW_LIFETIME_SECONDS
+        }
+
     def _is_closed(self, name: str, limit: float) -> bool:
         if self.requests[name] >= max(1, limit):
             return True
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -71,6 +71,7 @@
             self._context.replicas.drop_expired()
             self._context.budget.refill(HOUSEKEEPING_SECONDS)
             self._forget_removed()
+            self._context.windows.forget_old(self._context.now())
             self._context.quarantine.evaluate()
             self._context.links.forget_removed()
             self._context.forwarding.close_idle()
