--- a/packages/ryelatch-core/src/ryelatch_core/admission/_window.py
+++ b/packages/ryelatch-core/src/ryelatch_core/admission/_window.py
@@ -81,11 +81,11 @@
 """
 
 WINDOW_LIFETIME_SECONDS = 10.0
-"""Time since it last shrank after which a window is forgotten.
+"""Time since one of them last shrank after which all windows are forgotten.
 
-It grows only while it is used. A node with few clients would keep the window of
-a burst, and refuse most of those whom the load balancer sends to it when other
-nodes are out.
+A window grows only while it is used. A node with few clients would keep the
+windows of a burst, and refuse most of those whom the load balancer sends to it
+when other nodes are out.
 """
 
 _MIN_USED_FRACTION = 0.7
@@ -181,12 +181,14 @@
         }
 
     def forget_old(self, now: float) -> None:
-        """Forget the windows that have not shrunk for a while."""
-        self._windows = {
-            name: window
-            for name, window in self._windows.items()
-            if now - window.shrunk_at < WINDOW_LIFETIME_SECONDS
-        }
+        """Forget all windows if none of them has shrunk for a while.
+
+        While one still shrinks, the others are needed too: requests turned
+        away from it would fill their replicas.
+        """
+        shrunk_at = (window.shrunk_at for window in self._windows.values())
+        if now - max(shrunk_at, default=now) >= WINDOW_LIFETIME_SECONDS:
+            self._windows.clear()
 
     def _is_closed(self, name: str, limit: float) -> bool:
         if self.requests[name] >= max(1, limit):
--- a/tests/core/admission/test_hot_node.py
+++ b/tests/core/admission/test_hot_node.py
@@ -82,3 +82,13 @@
     _shrink(windows, 0)
     windows.forget_old(WINDOW_LIFETIME_SECONDS)
     assert windows.read_limit('m-0') < 1
+
+
+def test_windows_hold_while_one_shrinks() -> None:
+    """All but one replica lose their windows in an overload that goes on."""
+    windows = ConcurrencyWindows(lambda: 0.5, Counter())
+    _shrink(windows, 0)
+    late = WINDOW_LIFETIME_SECONDS
+    windows.record_first_event('m-0', _OBJECTIVE, _OBJECTIVE, late)
+    windows.forget_old(late + 5)
+    assert windows.read_limit('m-1') < 1
--- a/tests/core/quarantine/test_parts.py
+++ b/tests/core/quarantine/test_parts.py
@@ -24,7 +24,7 @@
 
 _NOW = 100.0
 _LATER = _NOW + SETTLE_SECONDS
-_DEAD = make_part_key('model', 'dead')
+_DEAD = make_part_key('model', 'fdead')
 _FIRST = make_part_key('model', 'f1')
 _numbers = itertools.count()
 
@@ -225,7 +225,7 @@
     tracker = _make()
     for number in range(4):
         _crash(tracker, f'r-{number}', _ask(_DEAD))
-    assert not _refuses(tracker, _ask(make_part_key('other', 'dead')))
+    assert not _refuses(tracker, _ask(make_part_key('other', 'fdead')))
 
 
 def test_part_may_crash_replicas_after_an_update() -> None:
