--- a/tests/core/events/test_explanation.py
+++ b/tests/core/events/test_explanation.py
@@ -100,6 +100,31 @@
     assert explanation.cause.startswith('replicas had crashed')
 
 
+def test_refusal_for_a_part_leads_to_its_crashes() -> None:
+    """The crashes behind a refusal were of requests with other contents.
+
+    They have a part of their prompts in common, for which it is refused.
+    """
+    lines = [
+        _write(50, 'request-suspected', digest='d', parts=['p', 'q']),
+        _write(51, 'request-suspected', digest='e', parts=['q']),
+        _write(52, 'request-quarantined', digest='p', causes=['p']),
+        _write(53, 'request-tried', digest='p', trials=1),
+        _write(
+            90,
+            'exchange-refused',
+            request='a',
+            digest='f',
+            causes=['p'],
+            reason='replicas ended under a part of this prompt',
+        ),
+    ]
+    explanation = explain_request(read_lines(lines), 'a')
+    assert explanation is not None
+    assert [line.time for line in explanation.state_changes] == [50, 52, 53]
+    assert 'with this part' in explanation.cause
+
+
 _FORWARDED = (
     _write(100, 'links-lost', service='model', zone='a', reached_by='edge-2'),
     _write(
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -8,8 +8,22 @@
 
 import pytest
 
-from fleet.running import RunningNode, ask, make_model_replicas, run_nodes
-from ryelatch_core.quarantine import _tracker
+from fleet.running import (
+    MODEL_SERVICE,
+    RunningNode,
+    ask,
+    make_model_replicas,
+    run_node,
+    run_nodes,
+    wait_until,
+)
+from ryelatch_core.quarantine import (
+    Fingerprint,
+    RequestPhase,
+    _tracker,
+    make_part_key,
+)
+from ryelatch_node.quarantine import Quarantine
 from standins.replica import ReplicaStandIn
 
 _CRASHING = 'dead'
@@ -111,6 +125,31 @@
         assert sound == [200] * len(sound)
 
 
+async def test_refusal_names_the_part() -> None:
+    """A client, and an operator, can't tell why a sound request is refused."""
+    async with run_node(make_model_replicas((0, 8))) as node:
+        quarantine = node.app.find('quarantine', Quarantine)
+        await wait_until(quarantine.store.is_current)
+        key = make_part_key(MODEL_SERVICE, _CRASHING)
+        for number in range(3):
+            quarantine.record_crash(
+                Fingerprint(f'{number:016x}', (key,)),
+                f'm-{number}',
+                RequestPhase.BEGUN,
+                f'lost-{number}',
+            )
+        status, body, headers = await ask(
+            node, '/plan/x', X_Ryelatch_Prefix_Hash=f'{_CRASHING}:90,e1:10'
+        )
+        assert (status, float(headers['retry-after'])) == (503, 60)
+        assert b'replicas ended under a part of this prompt' in body
+        assert node.find('exchange-refused')['causes'] == [key]
+        assert not node.replicas['m-0'].runs
+        metrics = f'http://127.0.0.1:{node.server.metrics.port}/metrics'
+        async with node.http.get(metrics) as response:
+            assert 'parts_quarantined 1' in await response.text()
+
+
 async def test_crashes_of_their_own_refuse_no_part() -> None:
     """Eight replicas crash whatever they run, and popular parts are refused."""
     replicas = make_model_replicas(*[(0, 8)] * 12)
