--- a/review/stand_in_store.py
+++ b/review/stand_in_store.py
@@ -24,7 +24,6 @@
         self.history = []
         self.history_start = 0
         self.away = False
-        self.lost = []
         self.written_by_outside = []
         self._copies = []
         self._changed = asyncio.Event()
@@ -57,43 +56,43 @@
         for transport in tuple(self._connections):
             transport.abort()
 
-    def end_drill(self, age_s, pending):
+    def end_drill(self, age_s, pending, again_s):
         """Come back from a copy that is `age_s` old.
 
-        Writes of the system since then are gone. The operator's and the
-        replicas' writes are written again, `pending` ones (which waited for
-        the store) first.
+        Writes of the system since then are gone. What the operator and the
+        replicas wrote since then is written again after `again_s` seconds;
+        `pending`, which waited for the store, is written at once.
         """
         oldest = time.monotonic() - age_s
         older = [kept for kept in self._copies if kept[0] <= oldest]
         at, revision, objects, history, start = older[-1]
-        before = self.revision
         again = [entry for entry in self.written_by_outside if entry[0] > at]
+        lost = {
+            'revision_before': self.revision, 'revision_of_the_copy': revision,
+            'to_be_written_again': [
+                f'{kind}/{name}' for _, kind, name, _ in again
+            ],
+        }
         self.objects = copy.deepcopy(objects)
         self.revision = revision
         self.history = list(history)
         self.history_start = start
         self.era += 1
-        revisions = {}
-        for kind, name, spec in pending:
-            revisions[kind, name] = self.put(kind, name, spec)
-        for _, kind, name, spec in again:
-            if spec is None:
-                if name in self.objects.get(kind, {}):
-                    self._drop(kind, name)
-            else:
-                self._put(kind, name, spec)
-        self.away = False
-        return {
-            'revision before': before,
-            'revision of the copy': revision,
-            'revision after what was written again': self.revision,
-            'written again': len(again),
-            'revisions of what waited': {
-                f'{kind}/{name}': number
-                for (kind, name), number in revisions.items()
-            },
+        waited = {
+            f'{kind}/{name}': self.put(kind, name, spec)
+            for kind, name, spec in pending
         }
+        self.away = False
+        loop = asyncio.get_running_loop()
+        loop.call_later(again_s, self._write_again, again)
+        return {**lost, 'revisions_of_what_waited': waited}
+
+    def _write_again(self, entries):
+        for _, kind, name, spec in entries:
+            if spec is not None:
+                self._put(kind, name, spec)
+            elif name in self.objects.get(kind, {}):
+                self._drop(kind, name)
 
     # The interface of the store.
 
