A silent replica costs no stream: another run is started beside it

Callers saw streams of sound replicas cut off beside changes of the configuration, and 502 for requests without a first event, whenever replicas stood still for about a second.

Cause: silence was taken for loss. A report that did not come within 0.4 s ended all streams of a first replica at once, 1.3 s without an event ended one of them, and a connection that was refused or unanswered the rest. The connection that still stood was closed before it was known whether any other path, retry or attempt was left; the stream then had neither.

A longer bound only moves the fault.

Now the watch never ends a run for silence. It starts another run beside it, a hedge, within the same limits as before: attempts of the route, the retry budget, one a pass for silence, a path with another first replica. The first run whose next event arrives goes on alone; the other is interrupted in the same step, so only one delivers, and a run counts for the attempts whatever it was taken for. A hedge that is refused or lost leaves the run as it was. A run that goes on ends the suspicion of its path. Only evidence ends a run: its connection, a later incarnation, a refused connection that lost links don't explain.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -203,6 +203,19 @@
     'stream-resumed',
     'A stream continues as a new request after the last event delivered.',
 )
+STREAM_HEDGED = EventKind(
+    1309,
+    'stream-hedged',
+    'Another run is started beside a stream whose replicas are silent; the '
+    'first run that delivers goes on.',
+    'If frequent, check the first replica named in the event.',
+    Level.WARNING,
+)
+RUN_OVERTAKEN = EventKind(
+    1310,
+    'run-overtaken',
+    'A run of a request ended because another run of it delivers.',
+)
 
 UPSTREAM_UP = EventKind(1401, 'upstream-up', 'An upstream is connected.')
 UPSTREAM_DOWN = EventKind(
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -91,6 +91,7 @@
     :param sends: how often the request was sent to an upstream.
     :param unsent: how many of these reached no upstream.
     :param on_trial: whether it is the fleet's trial of what is refused.
+    :param unbegun: runs in progress of which no event has arrived yet.
     :param ran: runs that count against the attempts its route allows.
     :param status: HTTP status of the answer; 0 before it started.
     :param pause: longest time between two pieces of the answer, in seconds.
@@ -111,6 +112,7 @@
     unsent: int = 0
     on_trial: bool = False
     ran: int = 0
+    unbegun: int = 0
     status: int = 0
     pause: float = 0
     _written: float | None = None
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarded_stream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarded_stream.py
@@ -26,7 +26,7 @@
 
     :returns: whether the client has the complete answer.
     """
-    attempts.last_event = progress.splitter.last
+    attempts.last_event = progress.last_event
 
     async def pass_on(answer: ForwardedAnswer) -> bool:
         head = answer.head
@@ -37,12 +37,12 @@
                 raise AnswerBroken
             await exchange.answer(head.status, list(head.headers), body)
             return True
+        splitter = EventSplitter(progress.last_event)
         try:
-            await _forward_pieces(
-                exchange, progress.splitter, head, answer.iterate()
-            )
+            await _forward_pieces(exchange, splitter, head, answer.iterate())
         finally:
-            attempts.last_event = progress.splitter.last
+            progress.last_event = splitter.last
+            attempts.last_event = splitter.last
         return True
 
     done = await forward(context, exchange, request, attempts, pass_on)
@@ -57,7 +57,6 @@
     pieces: AsyncIterator[bytes],
 ) -> None:
     """Pass the events of a forwarded stream on to the client."""
-    splitter.discard_partial()
     headers = strip_length(list(head.headers))
     async for piece in pieces:
         events = splitter.feed(piece)
--- /dev/null
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_hedging.py
@@ -0,0 +1,54 @@
+"""Starts further runs of a request whose runs in progress are silent."""
+
+from ryelatch_core.events import catalogue
+from ryelatch_node.relay._attempt import Relaying, attempt_path
+from ryelatch_node.relay._choice import choose_request_path
+from ryelatch_node.relay._exchange import round_seconds
+from ryelatch_node.relay._hedges import AttemptResult
+from ryelatch_node.relay._permits import acquire_permit
+from ryelatch_node.relay._places import record_path
+from ryelatch_node.relay._stream import LiveStream
+
+
+def start_hedge(relaying: Relaying, silent: LiveStream, reason: str) -> None:
+    """Start another run beside one that is silent.
+
+    :param reason: why the run counts as silent, for the log.
+    """
+    context, runs = relaying.context, relaying.progress.runs
+    relaying.exchange.record(
+        catalogue.STREAM_HEDGED,
+        replica=silent.first_replica.name,
+        reason=reason,
+        pause=round_seconds(context.now() - silent.progress),
+        events=silent.delivered,
+    )
+    runs.start(_hedge(relaying, silent))
+
+
+async def _hedge(relaying: Relaying, silent: LiveStream) -> AttemptResult:
+    try:
+        return await _run_elsewhere(relaying)
+    finally:
+        silent.hedged = False
+
+
+async def _run_elsewhere(relaying: Relaying) -> AttemptResult:
+    """Run a request at a first replica that has no run of it in progress.
+
+    Nothing is sent if a run has gone on meanwhile, or if there is no such path
+    or no retry left.
+    """
+    context, progress = relaying.context, relaying.progress
+    exchange, request = relaying.exchange, relaying.request
+    claims = progress.runs.claims
+    progress.excluded |= progress.runs.list_first_replicas()
+    path = choose_request_path(context, exchange, request, progress)
+    if not path or path[0].replica.name in progress.excluded:
+        return AttemptResult.AGAIN
+    if not await acquire_permit(context, exchange, path[0].replica):
+        return AttemptResult.AGAIN
+    if progress.runs.claims != claims or not context.budget.spend():
+        return AttemptResult.AGAIN
+    record_path(context, exchange, path)
+    return await attempt_path(relaying, path)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -9,13 +9,17 @@
 from ryelatch_core.fleet import (
     Replica,
 )
-from ryelatch_core.streams import EventSplitter
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._errors import SendErrorKind
 from ryelatch_node.relay._exchange import round_seconds
+from ryelatch_node.relay._hedges import HedgedRuns
 from ryelatch_node.relay._probe import Prober
 from ryelatch_node.relay._shortages import record_shortage
-from ryelatch_node.relay._stream import FIRST_REPLICA_LOST, LiveStream
+from ryelatch_node.relay._stream import (
+    FIRST_REPLICA_LOST,
+    OVERTAKEN,
+    LiveStream,
+)
 from ryelatch_node.relay._upstream import Answer
 
 _UNAVAILABLE = 503
@@ -30,7 +34,9 @@
 class Progress:
     """Results of all attempts of one request so far.
 
-    :param splitter: splits the answer into events, over all attempts.
+    :param last_event: number of the last event that the client has.
+    :param runs: the runs in progress.
+    :param paid: whether a retry was spent for an attempt that wasn't made.
     :param excluded: first replicas whose runs failed or were interrupted, which
         other attempts avoid where they can.
     :param may_have_run: whether an attempt may have run without an answer.
@@ -39,7 +45,9 @@
         it is passed on if no other attempt succeeds.
     """
 
-    splitter: EventSplitter
+    last_event: int | None = None
+    runs: HedgedRuns = field(default_factory=HedgedRuns)
+    paid: bool = False
     excluded: set[str] = field(default_factory=set)
     may_have_run: bool = False
     crashes: int = 0
@@ -115,13 +123,15 @@
     """Record that one or more events of a stream have arrived."""
     stream.progress = context.clock.monotonic()
     stream.delivered += 1
-    stream.stall_recorded = False
+    if stream.stall_recorded:
+        _record_end_of_stall(context, stream)
     if not stream.cleared and stream.has_run_long(stream.progress):
         stream.cleared = True
         context.quarantine.record_run(stream.request.fingerprint)
     if not stream.begun:
         stream.begun = True
         stream.first_event = stream.progress
+        stream.exchange.unbegun -= 1
         stream.exchange.ran += 1
         delay = stream.progress - stream.sent
         context.load.record_first_event(stream.path, delay, stream.progress)
@@ -144,6 +154,20 @@
         )
 
 
+def _record_end_of_stall(context: RelayContext, stream: LiveStream) -> None:
+    """Record that a stream goes on, so that all of its path works.
+
+    What its silence looked like neither keeps work from these replicas nor
+    shrinks the window of the first one.
+    """
+    stream.stall_recorded = False
+    stream.delayed_by_loss = True
+    unreachable = context.replicas.list_unreachable()
+    for stage in stream.path:
+        if stage.replica.name in unreachable:
+            context.replicas.clear_suspicion(stage.replica)
+
+
 def record_failure(
     context: RelayContext,
     stream: LiveStream,
@@ -156,6 +180,9 @@
         stream.exchange.unsent += 1
     else:
         progress.may_have_run = True
+    if stream.reason == OVERTAKEN:
+        _record_overtaken(stream)
+        return
     if stream.reason:
         progress.excluded.add(stream.first_replica.name)
     if kind is SendErrorKind.LOST:
@@ -167,14 +194,28 @@
         outcome=kind.value,
         answered=stream.answered,
         events=stream.delivered,
-        last_event=progress.splitter.last,
+        last_event=progress.last_event,
     )
-    if kind is not SendErrorKind.INVALID and reason != 'silent':
+    if kind is not SendErrorKind.INVALID:
         context.replicas.suspect(
             stream.first_replica, reason, full=kind is not SendErrorKind.UNSENT
         )
 
 
+def _record_overtaken(stream: LiveStream) -> None:
+    """Record a run that ended because another one delivers the answer.
+
+    It says nothing of its replica, and counts if it may have begun.
+    """
+    stream.exchange.ran += not stream.begun
+    stream.exchange.record(
+        catalogue.RUN_OVERTAKEN,
+        replica=stream.first_replica.name,
+        events=stream.delivered,
+        hedged=stream.hedged,
+    )
+
+
 def _count_run(stream: LiveStream) -> int:
     """Return what a lost attempt adds to the count of the request's runs.
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
@@ -1,15 +1,26 @@
 """The state that a node holds about one stream in progress."""
 
 import asyncio
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 
 from ryelatch_core.fleet import Replica, Stage
 from ryelatch_core.quarantine import CRASH_WINDOW_SECONDS
+from ryelatch_core.streams import EventSplitter
 from ryelatch_node.relay._exchange import AdmittedRequest, Exchange
 
 FIRST_REPLICA_LOST = 'first replica lost'
-"""Reason of an interruption because the first replica can't be reached."""
+"""Reason of an interruption because the first replica has ended."""
+
+OVERTAKEN = 'overtaken'
+"""Reason of an interruption because another run of the request delivers."""
+
+HEDGE_PAUSE_SECONDS = 0.3
+"""Least time between two hedges of a run."""
+
+
+def _start_no_hedge(_stream: 'LiveStream', _reason: str) -> None:
+    """Start nothing, for runs that are never hedged."""
 
 
 @dataclass(eq=False)
@@ -24,6 +35,10 @@
     :param tokens: tokens whose KV cache is accounted for on the path.
     :param scope: the timeout around the reading of the answer; it is
         rescheduled to now to interrupt the stream.
+    :param splitter: splits what arrives into events that the client lacks.
+    :param start_hedge: starts another run beside this one, for a reason.
+    :param hedged: whether such a run is in progress.
+    :param next_hedge: when another one may be started.
     :param answered: whether the status and headers of the answer arrived.
     :param first_event: when the first event arrived.
     :param begun: whether the first event has arrived.
@@ -48,6 +63,10 @@
     progress: float
     tokens: int
     scope: asyncio.Timeout
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+    start_hedge: Callable[['LiveStream', str], None] = _start_no_hedge
+    hedged: bool = False
+    next_hedge: float = 0
     answered: bool = False
     first_event: float | None = None
     begun: bool = False
@@ -83,6 +102,16 @@
         first = self.first_event
         return first is not None and now - first >= CRASH_WINDOW_SECONDS
 
+    def hedge(self, reason: str, now: float) -> None:
+        """Start another run beside this one, which goes on.
+
+        :param reason: for the log.
+        :param now: monotonic seconds.
+        """
+        self.hedged = True
+        self.next_hedge = now + HEDGE_PAUSE_SECONDS
+        self.start_hedge(self, reason)
+
     def interrupt(self, reason: str) -> None:
         """Stop reading the answer, so that another attempt can resume it.
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_stream_scope.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream_scope.py
@@ -28,11 +28,13 @@
     context.windows.add(stream.first_replica.name)
     context.accounts.add(account)
     streams.add(stream)
+    stream.exchange.unbegun += 1
     try:
         async with stream.scope:
             yield
     finally:
         stream.finished = True
+        stream.exchange.unbegun -= not stream.begun
         streams.discard(stream)
         context.windows.remove(stream.first_replica.name)
         context.accounts.remove(account)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -87,8 +87,8 @@
 zones.
 """
 
-GIVE_UP_SECONDS = 1.3
-"""Pause after which a stream is resumed on another path.
+HEDGE_SECONDS = 1.3
+"""Pause after which another run is started beside a stream.
 
 Clients disconnect after two seconds without an event, and a new run needs
 about half a second to produce its first one.
@@ -112,7 +112,7 @@
     _report_requested: dict[str, float] = field(default_factory=dict)
     _tasks: Tasks = field(init=False)
     lag: LagMeter = field(default_factory=LagMeter)
-    _interrupted: int = 0
+    _reserved: int = 0
     _ticker: 'asyncio.Task[None] | None' = None
 
     def __post_init__(self) -> None:
@@ -149,7 +149,7 @@
     def _check_streams(self) -> None:
         now = self.context.clock.monotonic()
         lost = self.context.replicas.list_unreachable()
-        self._interrupted = 0
+        self._reserved = 0
         for stream in tuple(self.streams):
             if not stream.moving and not stream.reason:
                 self._check_stream(stream, now, lost)
@@ -163,10 +163,9 @@
         pause = now - stream.progress
         self._report_delay(stream, pause)
         if self.context.links.is_lost(stream.first_replica):
-            if leaves_lost_links(
-                self.context, stream, pause, self._interrupted
-            ):
-                self._interrupt(stream, LINKS_LOST)
+            if leaves_lost_links(self.context, stream, pause, self._reserved):
+                self._reserved += 1
+                stream.interrupt(LINKS_LOST)
             return
         silence_limit = _compute_silence_limit(stream)
         if lost and pause > silence_limit and stream.uses(lost):
@@ -183,10 +182,9 @@
         else:
             self._check_leaving(stream, now)
         # The next one finds out in the next check whether this one has left a
-        # path with room: all that stall would otherwise be cut off for it.
-        gives_up = pause > GIVE_UP_SECONDS and not self._interrupted
-        if gives_up and self._may_resume(stream):
-            self._interrupt(stream, 'silent')
+        # path with room.
+        if pause > HEDGE_SECONDS and not self._reserved:
+            self._hedge(stream, 'silent')
 
     def _report_delay(self, stream: LiveStream, pause: float) -> None:
         """Report once to the controller that a first event is late.
@@ -235,7 +233,7 @@
         if report is None:
             self.context.links.record_failed((replica,))
             self.context.replicas.suspect(replica, 'no report', full=False)
-            self._interrupt_streams_on(replica)
+            self._hedge_streams_on(replica)
             return
         for stream in self.streams:
             address = report.stalled.get(stream.request.terms.identity)
@@ -258,13 +256,10 @@
                     stage.replica, 'stalls', full=False
                 )
 
-    def _interrupt_streams_on(self, replica: Replica) -> None:
-        for stream in self.streams:
-            if (
-                stream.first_replica.name == replica.name
-                and stream.request.repeatable
-            ):
-                stream.interrupt(FIRST_REPLICA_LOST)
+    def _hedge_streams_on(self, replica: Replica) -> None:
+        for stream in tuple(self.streams):
+            if stream.first_replica.name == replica.name:
+                self._hedge(stream, 'no report')
 
     async def _move_off_unreachable(
         self, stream: LiveStream, pause: float
@@ -277,13 +272,13 @@
         path in another zone.
         """
         lost = self.context.replicas.list_unreachable()
+        stream.delayed_by_loss = True
+        stream.last_move_attempt = self.context.clock.monotonic()
         if stream.first_replica.name in lost:
-            stream.interrupt(FIRST_REPLICA_LOST)
+            self._leave_first_replica(stream)
             return
         stream.moving = True
-        stream.delayed_by_loss = True
-        stream.last_move_attempt = self.context.clock.monotonic()
-        resumable = self._may_resume(stream)
+        resumable = self._may_hedge(stream)
         try:
             result = await self._migrator.move(
                 stream, lost, crosses=not resumable
@@ -301,43 +296,65 @@
         )
         if may_wait and self._is_repair_imminent(stream):
             return
-        # If this node has no free path, another node may serve the client:
-        # after the interruption, the client requests the rest of the answer
-        # there, unless it has given up by then.
-        recoverable_elsewhere = (
-            stream.request.repeatable and pause > GIVE_UP_SECONDS
-        )
-        if resumable or recoverable_elsewhere:
-            self._interrupt(
-                stream, f'move {result.value}' if result else 'no path'
-            )
+        self._hedge(stream, f'move {result.value}' if result else 'no path')
+
+    def _leave_first_replica(self, stream: LiveStream) -> None:
+        """Resume a stream elsewhere, and end it here if its replica has ended.
+
+        One that only can't be reached may go on, so the stream stays there
+        until another run delivers.
+        """
+        self._hedge(stream, 'first replica unreachable')
+        self._tasks.spawn(self._interrupt_if_ended(stream))
+
+    async def _interrupt_if_ended(self, stream: LiveStream) -> None:
+        """Interrupt a stream whose first replica is known to have ended.
+
+        A later incarnation has its place, or its address refuses connections.
+        Neither silence nor a missing registry entry shows that.
+        """
+        replica = stream.first_replica
+        now = self.context.clock.monotonic()
+        replaced = self.context.replicas.incarnations.list_crashed(now)
+        if (
+            replica.name in replaced
+            or await self.context.crash_checks.has_crashed(replica)
+        ):
+            stream.interrupt(FIRST_REPLICA_LOST)
+
+    def _hedge(self, stream: LiveStream, reason: str) -> None:
+        """Start another run beside a stream, if it may have one."""
+        if self._may_hedge(stream):
+            self._reserved += 1
+            stream.hedge(reason, self.context.clock.monotonic())
 
-    def _may_resume(self, stream: LiveStream) -> bool:
-        """Whether a new run may resume a stream that is still running.
+    def _may_hedge(self, stream: LiveStream) -> bool:
+        """Whether another run may be started beside a stream.
 
-        Otherwise streams would be interrupted although no retry or no other
-        path is left, and would be lost although their replicas would
-        continue them: 38 of 69 streams after one crash.
+        The runs in progress count, also before their first events.
         """
         request = stream.request
-        if self.context.budget.left - self._interrupted < 1:
+        now = self.context.clock.monotonic()
+        if stream.hedged or stream.reason or now < stream.next_hedge:
             return False
-        if not self._has_path(stream):
+        if self.context.budget.left - self._reserved < 1:
             return False
-        # The run in progress counts, even if none of its events arrived yet.
-        ran = stream.exchange.ran + int(not stream.begun)
-        return request.repeatable and ran < request.route.max_attempts
-
-    def _interrupt(self, stream: LiveStream, reason: str) -> None:
-        """Interrupt a stream that then spends a retry."""
-        self._interrupted += 1
-        stream.interrupt(reason)
+        ran = stream.exchange.ran + stream.exchange.unbegun
+        if not request.repeatable or ran >= request.route.max_attempts:
+            return False
+        if stream.delivered and stream.splitter.last is None:
+            # Without event IDs a new run would repeat what was delivered.
+            return False
+        if self.context.quarantine.find_suspect(request.fingerprint):
+            return False
+        return self._has_path(stream)
 
     def _has_path(self, stream: LiveStream) -> bool:
-        """Whether any zone has a path for a new run."""
+        """Whether any zone has a path for a run at another first replica."""
         service = stream.request.service
         lost = self.context.replicas.list_unreachable()
-        query = make_path_query(self.context, stream.request, lost)
+        avoided = lost | {stream.first_replica.name}
+        query = make_path_query(self.context, stream.request, avoided)
         if query is None:
             return False
         single_zone = replace(query, crosses=False)
--- a/packages/ryelatch-node/src/ryelatch_node/views/_replicas.py
+++ b/packages/ryelatch-node/src/ryelatch_node/views/_replicas.py
@@ -55,7 +55,7 @@
         self._suspects = Suspects()
         self._unreachable = Suspects()
         self._missing = MissingEntries()
-        self._incarnations = Incarnations()
+        self.incarnations = Incarnations()
         self._overrides = ReportOverrides()
         self._reported_leaving = LeavingIncarnations()
         self._leaving_since: dict[str, float] = {}
@@ -239,7 +239,7 @@
         """
         now = self._clock.monotonic()
         lost = self._unreachable.list_names(now)
-        return lost | self._incarnations.list_crashed(now)
+        return lost | self.incarnations.list_crashed(now)
 
     def find_leaving_since(self, name: str) -> float | None:
         """Find the earliest time at which a replica may have begun to leave.
@@ -309,8 +309,8 @@
         """
         replica = self._reported_leaving.mark(replica)
         related = self._index.list_related(replica)
-        self._incarnations.record_appearance(replica)
-        if self._incarnations.is_outdated(
+        self.incarnations.record_appearance(replica)
+        if self.incarnations.is_outdated(
             replica, related, self._clock.monotonic()
         ):
             return
@@ -321,7 +321,7 @@
         now = self._clock.monotonic()
         if self._overrides.defer(replica, now, self.freshness.at):
             return
-        for crashed in self._incarnations.list_replaced(replica, related):
+        for crashed in self.incarnations.list_replaced(replica, related):
             self._mark_crashed(crashed)
         self._index.put(replica)
         if replica.leaving:
@@ -344,7 +344,7 @@
         self._hub.emit(ReplicasChanged())
 
     def _mark_crashed(self, replica: Replica) -> None:
-        self._incarnations.record_crash(replica, self._clock.monotonic())
+        self.incarnations.record_crash(replica, self._clock.monotonic())
         self._log.record(
             catalogue.REPLICA_ENDED,
             replica=replica.name,
--- /dev/null
+++ b/tests/platform/test_hedged_streams.py
@@ -0,0 +1,138 @@
+"""Streams that run at two first replicas, of which one was silent."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import aiohttp
+
+from fleet.running import (
+    RunningNode,
+    make_event_stream,
+    make_model_replicas,
+    open_request,
+    run_node,
+    wait_until,
+)
+from ryelatch_node.relay._watch import StreamWatch
+from standins.replica import ReplicaStandIn
+
+_SENT_EVENTS = 2
+
+
+def _make_replicas(count: int) -> list[ReplicaStandIn]:
+    return make_model_replicas(*((0, 8) for _ in range(count)))
+
+
+@contextlib.asynccontextmanager
+async def _hedge_stream(
+    replicas: list[ReplicaStandIn],
+) -> AsyncIterator[tuple[RunningNode, aiohttp.ClientResponse]]:
+    """Let the first run of a stream fall silent until it is hedged."""
+    for replica in replicas:
+        replica.stall_after = _SENT_EVENTS
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        await response.content.readuntil(b'token 2\n\n')
+        await wait_until(lambda: node.count('stream-resumed'))
+        yield node, response
+
+
+def _list_runs(node: RunningNode) -> list[str]:
+    return [
+        name for name, replica in node.replicas.items() for _ in replica.runs
+    ]
+
+
+def _find_first(node: RunningNode) -> ReplicaStandIn:
+    return node.replicas[node.find('exchange-sent')['path'][0][0]]
+
+
+def _find_second(node: RunningNode) -> ReplicaStandIn:
+    return node.replicas[node.find('stream-resumed')['path'][0][0]]
+
+
+async def test_silent_run_goes_on_beside_its_hedge() -> None:
+    """A stream is cut off at a replica that goes on a moment later."""
+    async with _hedge_stream(_make_replicas(2)) as (node, response):
+        _find_first(node).resume()
+        rest = await response.read()
+        assert make_event_stream(5).endswith(rest)
+        second = _find_second(node)
+        await wait_until(lambda: second.runs[0].cancelled)
+        assert not _find_first(node).runs[0].cancelled
+        assert node.find('run-overtaken')['replica'] == second.name
+
+
+async def test_hedge_continues_after_the_last_event() -> None:
+    """A hedge repeats or skips events, or both of its runs deliver."""
+    replicas = _make_replicas(2)
+    async with _hedge_stream(replicas) as (node, response):
+        first, second = _find_first(node), _find_second(node)
+        second.resume()
+        rest = await response.read()
+        assert rest == make_event_stream(5).partition(b'token 2\n\n')[2]
+        await wait_until(lambda: first.runs[0].cancelled)
+        assert second.runs[0].headers['Last-Event-Id'] == '2'
+        assert node.find('run-overtaken')['replica'] == first.name
+
+
+async def test_refused_hedge_leaves_the_run() -> None:
+    """A stream ends with a hedge that finds no room."""
+    replicas = _make_replicas(2)
+    async with run_node(replicas) as node:
+        async with open_request(node, '/plan/x') as response:
+            await wait_until(lambda: node.count('exchange-sent'))
+            first = _find_first(node)
+            for replica in node.replicas.values():
+                replica.refuse = 0 if replica is first else 503
+                replica.stall_after = _SENT_EVENTS
+            await wait_until(lambda: node.count('stream-resumed'))
+            first.resume()
+            assert await response.read() == make_event_stream(5)
+        assert _list_runs(node) == [first.name]
+
+
+async def test_lost_run_waits_for_its_hedge() -> None:
+    """A stream ends as its first run breaks while a hedge is in progress."""
+    async with _hedge_stream(_make_replicas(2)) as (node, response):
+        await _find_first(node).crash()
+        await wait_until(lambda: node.count('exchange-failed'))
+        _find_second(node).resume()
+        rest = await response.read()
+        assert make_event_stream(5).endswith(rest)
+        assert len(_list_runs(node)) == 2
+
+
+async def test_client_that_leaves_ends_both_runs() -> None:
+    """A hedge goes on after its client has left."""
+    async with _hedge_stream(_make_replicas(2)) as (node, response):
+        response.close()
+        runs = [replica.runs[0] for replica in node.replicas.values()]
+        await wait_until(lambda: all(run.cancelled for run in runs))
+        streams = node.app.find('streams', StreamWatch)
+        await wait_until(lambda: not streams.streams)
+        assert not any(streams.context.load.requests.values())
+        assert not streams.context.windows.requests
+
+
+async def test_silence_of_all_replicas_is_survived() -> None:
+    """All replicas fall silent in turn, and a third run would be too many."""
+    async with _hedge_stream(_make_replicas(3)) as (node, response):
+        await asyncio.sleep(1.5)
+        assert len(_list_runs(node)) == 2
+        _find_first(node).resume()
+        assert make_event_stream(5).endswith(await response.read())
+
+
+async def test_suspicion_ends_with_the_silence() -> None:
+    """A replica that goes on after a silence gets no work for seconds."""
+    async with _hedge_stream(_make_replicas(2)) as (node, response):
+        first = _find_first(node)
+        view = node.app.find('streams', StreamWatch).context.replicas
+        view.suspect(view.replicas[first.name], 'no report', full=False)
+        first.resume()
+        await response.read()
+        assert not view.list_suspects()
