A lost connection alone leaves no run out of the attempts

Replicas ran requests more often than their route allows: a stream whose connections to three sound replicas were reset ran three times where two runs are allowed. `_count_run` took a run that ended with its connection for one whose replica had ended, and left it out.

A lost run now counts from the start and is left out once a check finds that the address refuses connections. The check is the one shared with the quarantine; a request at the limit of its attempts waits for it, so callers of replicas that did crash are served as before.

test_resets_at_sound_replicas_count failed before (3 runs); test_ended_replicas_leave_the_attempts passed before and after, and keeps the other direction.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -1,5 +1,6 @@
 """One request of a client, from its headers to the end of its answer."""
 
+import asyncio
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -12,7 +13,7 @@
 from ryelatch_core.kernel import Clock
 from ryelatch_core.quarantine import Fingerprint
 from ryelatch_core.routing import RetryPolicy, Route
-from ryelatch_node.ports import Headers, RequestMetadata
+from ryelatch_node.ports import Headers, Reachability, RequestMetadata
 from ryelatch_node.relay._errors import ClientGone
 
 _HOP_HEADERS = frozenset(
@@ -113,6 +114,7 @@
     on_trial: bool = False
     ran: int = 0
     unbegun: int = 0
+    _doubtful: set['asyncio.Task[Reachability]'] = field(default_factory=set)
     status: int = 0
     pause: float = 0
     _written: float | None = None
@@ -128,6 +130,19 @@
         """Write a log line about this request."""
         self.log.record(kind, request=self.identity, **detail)
 
+    def doubt_run(self, check: 'asyncio.Task[Reachability]') -> None:
+        """Count a run until a check finds that its replica has ended.
+
+        :param check: connects to the replica.
+        """
+        self._doubtful.add(check)
+        check.add_done_callback(self._settle_run)
+
+    async def settle_runs(self) -> None:
+        """Wait until it is known which lost runs count."""
+        if self._doubtful:
+            await asyncio.wait(self._doubtful)
+
     async def start(self, status: int, headers: Headers) -> None:
         """Send the headers of the answer."""
         kept = [
@@ -202,6 +217,12 @@
         body = json.dumps({'error': reason}).encode()
         await self.answer(status, headers, body)
 
+    def _settle_run(self, check: 'asyncio.Task[Reachability]') -> None:
+        self._doubtful.discard(check)
+        if check.cancelled() or check.exception() is not None:
+            return
+        self.ran -= check.result() is Reachability.REFUSED
+
     async def _send_message(self, message: Message) -> None:
         if self.client_gone:
             raise ClientGone
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -133,6 +133,8 @@
     :returns: its name for the log; empty if the request may be sent.
     """
     if exchange.sends:
+        if exchange.ran >= request.route.max_attempts:
+            await exchange.settle_runs()
         spent = _find_spent_limit(exchange, request, progress)
         if spent:
             return spent
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -186,7 +186,7 @@
     if stream.reason:
         progress.excluded.add(stream.first_replica.name)
     if kind is SendErrorKind.LOST:
-        stream.exchange.ran += _count_run(stream)
+        _count_run(context, stream)
     stream.exchange.record(
         catalogue.EXCHANGE_FAILED,
         replica=stream.first_replica.name,
@@ -216,15 +216,15 @@
     )
 
 
-def _count_run(stream: LiveStream) -> int:
-    """Return what a lost attempt adds to the count of the request's runs.
+def _count_run(context: RelayContext, stream: LiveStream) -> None:
+    """Count a lost attempt as a run of its request, unless its replica ended.
 
-    A run that was lost with its first replica doesn't count, and is taken off
-    again if it had begun. A run that this node interrupted counts even if no
-    event arrived, because it may have begun. Otherwise a stream may run more
-    often than its route allows: seven streams ran on three first replicas
-    where two were allowed.
+    It may have begun though no event arrived. Its connection alone doesn't
+    show that the replica ended: a connection to a sound replica may be reset.
     """
-    if stream.reason in {'', FIRST_REPLICA_LOST}:
-        return -1 if stream.begun else 0
-    return 0 if stream.begun else 1
+    exchange = stream.exchange
+    exchange.ran += not stream.begun
+    if stream.reason == FIRST_REPLICA_LOST:
+        exchange.ran -= 1
+    elif not stream.reason:
+        exchange.doubt_run(context.crash_checks.start(stream.first_replica))
--- a/tests/platform/test_lost_streams.py
+++ b/tests/platform/test_lost_streams.py
@@ -212,3 +212,33 @@
                 await response.read()
         await wait_until(lambda: node.count('exchange-broken'))
         assert node.find('exchange-broken')['obstacle'] == 'retry budget'
+
+
+async def test_resets_at_sound_replicas_count() -> None:
+    """A stream runs at more replicas than its route allows after resets."""
+    replicas = make_model_replicas((0, 8), (0, 8), (0, 8))
+    for replica in replicas:
+        replica.break_after = 2
+    async with run_node(replicas) as node:
+        with pytest.raises(aiohttp.ClientError):
+            await ask(node, '/plan/x')
+        await wait_until(lambda: node.count('exchange-broken'))
+        assert sum(len(replica.runs) for replica in replicas) == 2
+        assert node.find('exchange-broken')['obstacle'] == 'attempts'
+
+
+@pytest.mark.usefixtures('_harmless')
+async def test_ended_replicas_leave_the_attempts() -> None:
+    """A stream is given up after two crashes though a third replica is sound."""
+    replicas = make_model_replicas((0, 8), (0, 8), (0, 8))
+    for replica in replicas:
+        replica.pause = 0.1
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        received = await response.content.readuntil(b'token 1\n\n')
+        await _find_streaming(node).crash()
+        received += await response.content.readuntil(b'token 2\n\n')
+        await _find_streaming(node).crash()
+        assert received + await response.read() == make_event_stream(5)
