--- a/tests/platform/test_lost_streams.py
+++ b/tests/platform/test_lost_streams.py
@@ -229,7 +229,7 @@
 
 @pytest.mark.usefixtures('_harmless')
 async def test_ended_replicas_leave_the_attempts() -> None:
-    """A stream is given up after two crashes though a third replica is sound."""
+    """A stream is given up after two crashes beside a sound replica."""
     replicas = make_model_replicas((0, 8), (0, 8), (0, 8))
     for replica in replicas:
         replica.pause = 0.1
