Requests without a model: a silent replica keeps its run while another is tried

Callers saw 502, 'the answer was lost', after half of their time, from replicas that stood still for a second and would have answered in time. The run was cut before it was known whether anything could follow it: without a retry in the budget, another replica or another attempt nothing did. Where a second run followed and was refused, failed or silent too, nothing was left of the first.

Now an overdue run goes on, and a second is begun beside it under the same conditions as before (replica, attempt, retry, verdict). The first answer that isn't a failure is the client's; the runs that nobody needs any more end at once. What is overdue counts as an attempt of the route, once, whatever becomes of it. Forwarding over other nodes is one more run beside the others.

Ruled out: a longer patience before the first is cut, which moves the fault to another silence. Runs that may happen once were waited for to the deadline already, and are.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
@@ -1,13 +1,13 @@
 """Relays requests to services without a model."""
 
-import asyncio
 import functools
+import math
 from dataclasses import dataclass, field
 
 from ryelatch_core.events import catalogue
 from ryelatch_core.fleet import Replica
 from ryelatch_node.forwarding import ForwardedAnswer
-from ryelatch_node.ports import Dispatch
+from ryelatch_node.ports import Dispatch, Headers
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._crashes import UNRESPONSIVE, record_non_model_crash
 from ryelatch_node.relay._errors import SendError, SendErrorKind
@@ -23,11 +23,11 @@
 )
 from ryelatch_node.relay._permits import acquire_permit, compute_retry_after
 from ryelatch_node.relay._refusals import refuse_quarantined
-from ryelatch_node.relay._upstream import Answer
+from ryelatch_node.relay._runs import Runs, open_runs
 from ryelatch_node.relay._verdicts import is_allowed, wait_for_verdict
 
 ATTEMPT_FRACTION = 0.5
-"""Fraction of the time left that an attempt may take if another may follow.
+"""Fraction of the time left after which another attempt is begun beside one.
 
 A replica that hangs never answers. The other half of the time is enough for an
 attempt at another replica.
@@ -49,7 +49,8 @@
 class _ReceivedAnswer:
     """An answer of a replica, relayed unless a better one follows."""
 
-    answer: Answer
+    status: int
+    headers: Headers
     body: bytes
 
 
@@ -67,39 +68,105 @@
     lost: bool = False
 
 
+@dataclass(eq=False)
+class _Run:
+    """One attempt at a replica.
+
+    :param counted: whether it counts against the attempts of the route.
+    """
+
+    replica: Replica
+    counted: bool = False
+
+    def count(self, exchange: Exchange) -> None:
+        """Count it against the attempts that the route allows, once."""
+        exchange.ran += not self.counted
+        self.counted = True
+
+
 async def relay_non_model(
     context: RelayContext, exchange: Exchange, request: AdmittedRequest
 ) -> None:
-    """Send a request to replicas until one answers, and relay its answer."""
+    """Send a request to replicas until one answers, and relay its answer.
+
+    A replica that is silent for long keeps its run while others are tried.
+    """
     attempts = _Attempts()
-    while not _is_final(attempts, repeatable=request.repeatable):
+    is_settled = functools.partial(_is_settled, exchange, request, attempts)
+    async with open_runs(context.clock, is_settled) as runs:
+        await _send_in_turn(context, exchange, request, attempts, runs)
+        may_have_run = attempts.lost or runs.in_progress
+        elsewhere = ForwardAttempts(may_have_run)
+        if attempts.received is None:
+            runs.start(
+                _forward(context, exchange, request, attempts, elsewhere)
+            )
+        await runs.wait()
+    if not exchange.finished:
+        await _finish(context, exchange, request, attempts, elsewhere)
+
+
+async def _send_in_turn(
+    context: RelayContext,
+    exchange: Exchange,
+    request: AdmittedRequest,
+    attempts: _Attempts,
+    runs: Runs,
+) -> None:
+    """Send a request to one replica after the other.
+
+    :returns: once it is settled, or can't be sent to another replica.
+    """
+    compute_due = functools.partial(_compute_due, context, exchange, request)
+    while not runs.is_settled():
         await wait_for_verdict(context, exchange, request)
         replica = await _choose_replica(context, exchange, request, attempts)
-        if replica is None:
+        if replica is None or runs.is_settled():
             break
         if not await _may_send(context, exchange, request):
             break
         attempts.names.add(replica.name)
-        await _run_attempt(context, exchange, request, replica, attempts)
-    elsewhere = ForwardAttempts(attempts.lost)
-    if attempts.received is None and await forward(
-        context,
-        exchange,
-        request,
-        elsewhere,
-        functools.partial(_pass_on, exchange),
-    ):
-        return
-    attempts.lost = elsewhere.may_have_run
-    await _finish(context, exchange, request, attempts, elsewhere)
+        run = _Run(replica)
+        _record_send(context, exchange, request, replica)
+        runs.start(_run_attempt(context, exchange, request, run, attempts))
+        if await runs.wait_for_latest(compute_due):
+            _record_overdue(context, exchange, run)
+
+
+def _compute_due(
+    context: RelayContext, exchange: Exchange, request: AdmittedRequest
+) -> float:
+    """Compute when another attempt is begun beside the present one.
+
+    :returns: monotonic seconds; infinite if no other attempt is allowed.
+    """
+    if not request.repeatable or exchange.sends >= request.route.max_attempts:
+        return math.inf
+    now = context.clock.monotonic()
+    return now + (request.deadline - now) * ATTEMPT_FRACTION
 
 
-async def _pass_on(exchange: Exchange, answer: ForwardedAnswer) -> bool:
-    """Pass the answer that another node received on to the client."""
-    body = b''.join([piece async for piece in answer.iterate()])
-    assert answer.head is not None
-    await exchange.answer(answer.head.status, list(answer.head.headers), body)
-    return True
+async def _forward(
+    context: RelayContext,
+    exchange: Exchange,
+    request: AdmittedRequest,
+    attempts: _Attempts,
+    elsewhere: ForwardAttempts,
+) -> None:
+    """Forward a request to other nodes, if links to its replicas are lost."""
+
+    async def keep(answer: ForwardedAnswer) -> bool:
+        body = b''.join([piece async for piece in answer.iterate()])
+        head = answer.head
+        assert head is not None
+        attempts.received = _ReceivedAnswer(
+            head.status, list(head.headers), body
+        )
+        return True
+
+    await forward(context, exchange, request, elsewhere, keep)
+    if elsewhere.tried:
+        attempts.lost = attempts.lost or elsewhere.may_have_run
 
 
 async def _choose_replica(
@@ -124,11 +191,12 @@
     context: RelayContext,
     exchange: Exchange,
     request: AdmittedRequest,
-    replica: Replica,
+    run: _Run,
     attempts: _Attempts,
 ) -> None:
+    replica = run.replica
     try:
-        received = await _try_replica(context, exchange, request, replica)
+        received = await _try_replica(context, exchange, request, run)
     except SendError as error:
         _record_failure(context, exchange, replica, error)
         await record_non_model_crash(context, exchange, request, replica, error)
@@ -137,14 +205,19 @@
     attempts.received = received or attempts.received
 
 
-def _is_final(attempts: _Attempts, *, repeatable: bool) -> bool:
-    """Whether no further attempt is allowed or needed."""
-    if not repeatable:
-        return attempts.lost or attempts.received is not None
-    return (
-        attempts.received is not None
-        and attempts.received.answer.status < _SERVER_ERROR
-    )
+def _is_settled(
+    exchange: Exchange, request: AdmittedRequest, attempts: _Attempts
+) -> bool:
+    """Whether no further result is awaited.
+
+    While an error is being sent to the client, it is sent to its end.
+    """
+    if exchange.started:
+        return exchange.finished
+    received = attempts.received
+    if not request.repeatable:
+        return attempts.lost or received is not None
+    return received is not None and received.status < _SERVER_ERROR
 
 
 async def _finish(
@@ -156,10 +229,8 @@
 ) -> None:
     tried = len(attempts.names)
     if attempts.received:
-        answer = attempts.received.answer
-        await exchange.answer(
-            answer.status, answer.headers, attempts.received.body
-        )
+        received = attempts.received
+        await exchange.answer(received.status, received.headers, received.body)
     elif attempts.lost:
         await exchange.refuse(_BAD_GATEWAY, 'the answer was lost', tried=tried)
     elif not (
@@ -223,20 +294,12 @@
     )
 
 
-async def _try_replica(
+def _record_send(
     context: RelayContext,
     exchange: Exchange,
     request: AdmittedRequest,
     replica: Replica,
-) -> _ReceivedAnswer | None:
-    """Send the request to a replica, within its part of the time left.
-
-    :returns: the answer; ``None`` if the replica refused to run the request.
-    :raises SendError: if no usable answer arrives in time.
-    """
-    now = context.clock.monotonic()
-    time_left = request.deadline - now
-    dispatch = Dispatch(replica.entry, time_left, request.account)
+) -> None:
     exchange.sends += 1
     exchange.record(
         catalogue.EXCHANGE_SENT,
@@ -244,26 +307,34 @@
         service=request.service,
         digest=request.digest,
         attempt=exchange.sends,
-        left=round_seconds(time_left),
+        left=round_seconds(request.deadline - context.now()),
         version=request.version,
         load=context.load.requests[replica.name],
         list_age=round_seconds(context.replicas.freshness.age),
         missing=round_seconds(context.replicas.find_missing((replica.name,))),
     )
-    is_last = (
-        not request.repeatable or exchange.sends >= request.route.max_attempts
-    )
+
+
+async def _try_replica(
+    context: RelayContext,
+    exchange: Exchange,
+    request: AdmittedRequest,
+    run: _Run,
+) -> _ReceivedAnswer | None:
+    """Send the request to a replica.
+
+    :returns: the answer; ``None`` if the replica refused to run the request.
+    :raises SendError: if no usable answer arrives.
+    """
+    replica = run.replica
+    now = context.now()
+    dispatch = Dispatch(replica.entry, request.deadline - now, request.account)
     context.load.requests[replica.name] += 1
     try:
-        async with asyncio.timeout(
-            time_left if is_last else time_left * ATTEMPT_FRACTION
-        ):
-            return await _send(context, exchange, request, replica, dispatch)
-    except TimeoutError as error:
-        exchange.ran += 1
-        raise SendError(SendErrorKind.LOST, UNRESPONSIVE) from error
+        return await _send(context, exchange, request, run, dispatch)
     except SendError as error:
-        exchange.ran += error.kind is not SendErrorKind.UNSENT
+        if error.kind is not SendErrorKind.UNSENT:
+            run.count(exchange)
         raise
     finally:
         context.load.requests[replica.name] -= 1
@@ -275,9 +346,10 @@
     context: RelayContext,
     exchange: Exchange,
     request: AdmittedRequest,
-    replica: Replica,
+    run: _Run,
     dispatch: Dispatch,
 ) -> _ReceivedAnswer | None:
+    replica = run.replica
     async with context.upstreams.send(
         replica,
         request.method,
@@ -301,7 +373,7 @@
         body = await answer.read()
         if not answer.terms.signed:
             raise SendError(SendErrorKind.INVALID, 'unsigned answer')
-    exchange.ran += 1
+    run.count(exchange)
     context.quarantine.record_run(request.fingerprint)
     failed = answer.status >= _SERVER_ERROR
     context.failures.record(
@@ -312,7 +384,7 @@
     )
     if not failed:
         context.replicas.clear_suspicion(replica)
-    return _ReceivedAnswer(answer, body)
+    return _ReceivedAnswer(answer.status, answer.headers, body)
 
 
 def _record_failure(
@@ -330,5 +402,17 @@
     if error.kind is SendErrorKind.UNSENT:
         exchange.unsent += 1
         context.replicas.suspect(replica, error.reason, full=False)
-    elif error.reason == UNRESPONSIVE:
-        context.replicas.suspect(replica, error.reason, full=True)
+
+
+def _record_overdue(
+    context: RelayContext, exchange: Exchange, run: _Run
+) -> None:
+    """Record a run that is in progress while another one is begun."""
+    run.count(exchange)
+    exchange.record(
+        catalogue.EXCHANGE_FAILED,
+        replica=run.replica.name,
+        reason=UNRESPONSIVE,
+        outcome='in progress',
+    )
+    context.replicas.suspect(run.replica, UNRESPONSIVE, full=True)
