Forwarded requests: a silent node isn't left where nothing can follow it

Callers of a node without links saw 502, or a broken stream, when the node that served them stood still for a second: after 0.9 s without a sign of life (0.3 s before the first) the origin closed the connection, which cancels the run, and only then looked for another node, an attempt and a retry.

Now it looks first. Without a known node that has room, an attempt of the route or a retry in the budget the origin waits on, and looks again after each further silence.

Not mended: where another node may be tried the first run is still cut before the second delivers. Keeping both needs a turn between two sources of events.

--- a/packages/ryelatch-node/src/ryelatch_node/forwarding/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/forwarding/_client.py
@@ -1,7 +1,7 @@
 """The connections over which requests are forwarded to other nodes."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -40,6 +40,10 @@
 """Time for which a connection without a request is kept."""
 
 
+def _may_always_leave() -> bool:
+    return True
+
+
 class HelperLost(Exception):
     """The node that a request was forwarded to can't be reached any more.
 
@@ -58,6 +62,8 @@
 
     :param patient: whether to wait however long the node is silent, as the
         request can't be sent to another one.
+    :param may_leave: whether another node may be tried now. If not, a silent
+        one may still be the only one that can answer.
     :param complete: whether all of it has arrived.
     :param head: its status and headers, once they have arrived.
     """
@@ -65,6 +71,7 @@
     connection: PeerConnection
     clock: Clock
     patient: bool
+    may_leave: Callable[[], bool] = _may_always_leave
     complete: bool = False
     head: ForwardStart | None = None
     _confirmed: bool = False
@@ -127,7 +134,8 @@
 
         If this process was paused, the message may have arrived unread.
 
-        :raises TimeoutError: if it is overdue, and this process ran all along.
+        :raises TimeoutError: if it is overdue, this process ran all along, and
+            another node may be tried.
         """
         if self.patient:
             await asyncio.wait((reading,))
@@ -135,7 +143,8 @@
         seconds = SILENCE_SECONDS if self._confirmed else CONFIRM_SECONDS
         due = self.clock.monotonic() + seconds
         await asyncio.wait((reading,), timeout=seconds)
-        if not reading.done() and not ran_late(due, self.clock.monotonic()):
+        late = ran_late(due, self.clock.monotonic())
+        if not reading.done() and not late and self.may_leave():
             raise TimeoutError
 
 
@@ -171,7 +180,12 @@
 
     @asynccontextmanager
     async def send(
-        self, helper: Helper, request: ForwardRequest, *, repeatable: bool
+        self,
+        helper: Helper,
+        request: ForwardRequest,
+        *,
+        repeatable: bool,
+        may_leave: Callable[[], bool] = _may_always_leave,
     ) -> AsyncIterator[ForwardedAnswer]:
         """Forward a request to another node.
 
@@ -180,11 +194,14 @@
         :param repeatable: whether the request may run more than once. If not,
             a connection of its own is used, as it would be unknown whether an
             idle one was closed before or after the request arrived.
+        :param may_leave: whether another node may be tried now.
         :raises HelperLost: if the node can't be reached.
         """
         name, address = helper.node.name, helper.node.address
         connection = await self._connect(address, repeatable=repeatable)
-        answer = ForwardedAnswer(connection, self.clock, patient=not repeatable)
+        answer = ForwardedAnswer(
+            connection, self.clock, not repeatable, may_leave
+        )
         busy = self.links.helpers.busy
         busy[name] += 1
         try:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
@@ -5,6 +5,7 @@
 and takes part in nothing else.
 """
 
+import functools
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -142,6 +143,25 @@
     return paid or context.budget.spend()
 
 
+def _may_leave(
+    context: RelayContext,
+    exchange: Exchange,
+    request: AdmittedRequest,
+    attempts: ForwardAttempts,
+) -> bool:
+    """Whether a request may be sent to yet another node than the present one.
+
+    Otherwise a node that is silent may be the only one that can answer it.
+    """
+    if len(attempts.tried) >= MAX_HELPERS or context.budget.left < 1:
+        return False
+    # The run at the present node counts once it is left.
+    if exchange.ran + 1 >= request.route.max_attempts:
+        return False
+    others = context.links.helpers.choose(request.service, attempts.tried)
+    return others is not None
+
+
 async def _attempt(
     context: RelayContext,
     exchange: Exchange,
@@ -160,7 +180,12 @@
     exchange.detail['forwarded_to'] = helper.node.name
     try:
         async with context.forwarding.send(
-            helper, frame, repeatable=request.repeatable
+            helper,
+            frame,
+            repeatable=request.repeatable,
+            may_leave=functools.partial(
+                _may_leave, context, exchange, request, attempts
+            ),
         ) as answer:
             head = await answer.read_head()
             if isinstance(head, ForwardRefused):
