--- a/packages/ryelatch-node/src/ryelatch_node/links/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_service.py
@@ -93,6 +93,10 @@
             chosen = self.helpers.choose(service, excluded)
         return chosen
 
+    def has_helper(self, service: str) -> bool:
+        """Whether a node is known that serves requests to a service."""
+        return self.helpers.choose(service) is not None
+
     def reaches(self, service: str) -> bool:
         """Whether no links to a service are lost or being examined."""
         return self.examiner.settled and not self.state.lost.has_service(
--- a/tests/standins/links.py
+++ b/tests/standins/links.py
@@ -21,6 +21,10 @@
         """Return that no replica is lost to this node alone."""
         return False
 
+    def has_helper(self, _: str) -> bool:
+        """Return that other nodes serve requests."""
+        return True
+
     async def explains_loss(self, _: Replica) -> bool:
         """Return that no loss is due to this node's links."""
         return False
