Fleet admission: places of a node without power are freed

Where fleet admission is on, callers were refused or waited for room that nobody used: a node that had lost power kept its places at the controllers to the deadlines of its requests, up to 20 s for streams. A controller waits for a node's messages without a bound, and a connection whose other end has no power doesn't end.

Now a node promises, as it opens a session, to send something at least once a second while it holds places there, and sends a heartbeat when it has nothing else. After four heartbeats without a message the controller ends the session and logs `session-lost`; its places go to others. The bound follows from what the node promised, and only runs while it holds places. A controller that handles the bound late looks again: messages may have arrived unread. A node that was only silent finds its connection closed and reports its places to the next controller after a second, also if no request comes; before, only its next request did so.

In an update: the promise is a last field that earlier controllers ignore, a node without it has no bound, and the heartbeat is a release of a number that no request has, so that earlier controllers accept it and change nothing.

Ruled out: TCP keep-alive. The kernel of a process that stands still answers it, and so does anything between the two that ends connections.

Before: test_places_of_a_node_without_power_are_freed failed, with a refusal after 8 s in place of the grant, and test_node_reports_its_places_after_a_silence, with the place still held after 5 s of silence. The tests of a silence of up to 2 s, twice, of the controller's own pause and of a node without heartbeats passed before and guard the bound. The simulated links learn nodes of which nothing arrives.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -277,6 +277,14 @@
     'If frequent, check the links between the nodes.',
     Level.WARNING,
 )
+SESSION_LOST = EventKind(
+    1439,
+    'session-lost',
+    'A node that holds places in a zone sent nothing for several heartbeats; '
+    'its places are given to others.',
+    'Check whether a VM was lost, or the links between the nodes.',
+    Level.WARNING,
+)
 LINKS_LOST = EventKind(
     1435,
     'links-lost',
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_frames.py
@@ -125,10 +125,13 @@
 
     :param service: the service whose replicas are reserved.
     :param zone: the availability zone of these replicas.
+    :param heartbeat: longest time between two messages while the node holds
+        places, in seconds; 0 if it promises none, as nodes before this field.
     """
 
     service: str
     zone: str
+    heartbeat: Duration = 0
 
 
 class ListReply(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_channel.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_channel.py
@@ -17,6 +17,10 @@
 )
 from ryelatch_node.reservations._controllers import ZoneControllers, ZoneKey
 from ryelatch_node.reservations._frames import AnyFrame, AnyReply
+from ryelatch_node.reservations._heartbeats import (
+    HEARTBEAT_SECONDS,
+    send_heartbeats,
+)
 from ryelatch_node.reservations._zone import ZoneSession
 
 
@@ -62,6 +66,7 @@
 
     connection: PeerConnection
     reading: 'asyncio.Task[None]'
+    beating: 'asyncio.Task[None]'
 
     @property
     def address(self) -> str:
@@ -75,6 +80,7 @@
     async def close(self) -> None:
         """Close the connection at once."""
         self.connection.drop()
+        await cancel_task(self.beating)
         await cancel_task(self.reading)
 
 
@@ -96,15 +102,22 @@
     key: ZoneKey,
     receive: Callable[[AnyReply], None],
     end: Callable[[], None],
+    holds_places: Callable[[], bool],
 ) -> RemoteChannel:
     """Open a session with another node.
 
     :param receive: called with each reply.
     :param end: called when the connection has ended by itself.
+    :param holds_places: whether heartbeats are needed now.
     """
-    connection.writer.write(encode(SessionRequest(key.service, key.zone)))
+    request = SessionRequest(key.service, key.zone, HEARTBEAT_SECONDS)
+    connection.writer.write(encode(request))
     reading = asyncio.create_task(_read(connection, receive, end))
-    return RemoteChannel(connection, reading)
+    beating = asyncio.create_task(
+        send_heartbeats(connection.writer, holds_places)
+    )
+    reading.add_done_callback(lambda _: beating.cancel())
+    return RemoteChannel(connection, reading, beating)
 
 
 async def _read(
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
@@ -38,6 +38,7 @@
     Shortage,
     make_terms,
 )
+from ryelatch_node.reservations._heartbeats import HEARTBEAT_SECONDS
 from ryelatch_node.reservations._load import FleetLoad
 from ryelatch_node.tasks import Tasks
 
@@ -195,7 +196,7 @@
         if channel is not None and held.channel is channel:
             channel.send(Place(held.number, path))
         elif channel is not None:
-            self._restore(held, channel)
+            _restore(held, channel, self.clock.monotonic())
 
     def record_delay(
         self, identity: str, seconds: float, *, begun: bool
@@ -334,6 +335,7 @@
             key,
             lambda reply: self._receive(key, reply),
             lambda: self._handle_end(key, node.address),
+            lambda: _holds_places(self._held.values(), key),
         )
 
     def _list_controllers(self, key: ZoneKey) -> list[NodeEntry]:
@@ -354,12 +356,7 @@
         """Report the requests in progress to a new controller."""
         for held in self._held.values():
             if held.key == key and held.path:
-                self._restore(held, channel)
-
-    def _restore(self, held: _Held, channel: Channel) -> None:
-        terms = make_terms(held.request, self.clock.monotonic())
-        held.channel = channel
-        channel.send(Restore(held.number, terms, held.path))
+                _restore(held, channel, self.clock.monotonic())
 
     def _tell(self, key: ZoneKey, frame: AnyFrame) -> None:
         """Send a message without a reply; lost if there is no channel."""
@@ -374,6 +371,16 @@
             del self._channels[key]
             self._fail_pending(key)
             self._record_lost(key, address, 'connection lost')
+            self.tasks.spawn(self._report_soon(key))
+
+    async def _report_soon(self, key: ZoneKey) -> None:
+        """Report the places to the next controller, however few requests come.
+
+        A node that was silent has lost them at a controller that goes on.
+        """
+        await asyncio.sleep(HEARTBEAT_SECONDS)
+        if _holds_places(self._held.values(), key):
+            await self._open_channel(key)
 
     def _abandon(self, key: ZoneKey, channel: Channel, reason: str) -> None:
         """Leave a controller that doesn't reply."""
@@ -401,6 +408,19 @@
         )
 
 
+def _restore(held: _Held, channel: Channel, now: float) -> None:
+    """Report a request in progress over a channel.
+
+    :param now: monotonic seconds.
+    """
+    held.channel = channel
+    channel.send(Restore(held.number, make_terms(held.request, now), held.path))
+
+
+def _holds_places(held: Iterable[_Held], key: ZoneKey) -> bool:
+    return any(place.key == key for place in held)
+
+
 async def _wait_for_reply(pending: _Pending) -> None:
     """Wait until a reply has come, or its time is over.
 
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_controllers.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_controllers.py
@@ -8,10 +8,11 @@
 import msgspec
 
 from ryelatch_core.admission import AdmissionController, measure_capacities
-from ryelatch_core.events import UsageTracker
+from ryelatch_core.events import LineLog, UsageTracker, catalogue
 from ryelatch_core.kernel import Clock
-from ryelatch_node.peer_sync import SessionRequest, encode, read_body
+from ryelatch_node.peer_sync import SessionRequest, encode
 from ryelatch_node.reservations._frames import AnyFrame, AnyReply
+from ryelatch_node.reservations._heartbeats import read_message
 from ryelatch_node.reservations._zone import (
     ZoneAdmission,
     ZoneCapacity,
@@ -38,6 +39,7 @@
     :param sample: returns random numbers from 0 to 1.
     """
 
+    log: LineLog
     clock: Clock
     usage: UsageTracker
     configuration: ConfigurationView
@@ -75,7 +77,8 @@
     ) -> None:
         """Serve the session of another node until its connection ends.
 
-        :raises OSError: if the connection is lost.
+        :raises OSError: if the connection is lost, or the node holds places and
+            is silent for several heartbeats.
         :raises EOFError: if the node closes it.
         :raises ValueError: if what it sends is not a message.
         """
@@ -85,11 +88,25 @@
             writer.write(encode(message))
 
         session = self.find_zone(key).open(reply)
+
+        def holds_places() -> bool:
+            return bool(session.identities)
+
         try:
             while True:
-                body = await read_body(reader)
+                body = await read_message(
+                    self.clock, reader, request.heartbeat, holds_places
+                )
                 frame = msgspec.msgpack.decode(body, type=AnyFrame)
                 self.find_zone(key).handle(session, frame)
+        except TimeoutError:
+            self.log.record(
+                catalogue.SESSION_LOST,
+                service=key.service,
+                zone=key.zone,
+                places=len(session.identities),
+            )
+            raise
         finally:
             self.close(key, session)
 
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_frames.py
@@ -103,6 +103,13 @@
     number: Count
 
 
+HEARTBEAT = Release(MAX_COUNT)
+"""Sign of life of a node that holds places and has nothing else to send.
+
+No request has this number, so every controller accepts it and changes nothing.
+"""
+
+
 class Shortage(msgspec.Struct, frozen=True, array_like=True, tag='shortage'):
     """Reports that a replica refused a request for lack of memory."""
 
--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_service.py
@@ -78,6 +78,7 @@
     peer_sync = app.find('news', PeerSync)
     tasks = Tasks(log, 'reservations')
     controllers = ZoneControllers(
+        log,
         app.clock,
         app.find('costs', UsageTracker),
         configuration,
--- a/tests/node/reservations/test_reservations.py
+++ b/tests/node/reservations/test_reservations.py
@@ -20,10 +20,12 @@
     make_terms,
 )
 from virtual.links import LINK_SECONDS
-from virtual.loop import run
+from virtual.loop import VirtualLoop, run
 from virtual.reservations import KEY, PATH, ReservingFleet, make_request
 
 _MARGIN_SECONDS = 10 * LINK_SECONDS
+_LOSS_SECONDS = 5
+"""Time in which a node that has lost power is known to be lost."""
 
 
 def _now() -> float:
@@ -291,6 +293,103 @@
     run(main())
 
 
+def test_places_of_a_node_without_power_are_freed() -> None:
+    """A node loses power, and its place is kept to its request's deadline."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        first, second, third = fleet.start(3)
+        await _hold(second.client, 'r-1')
+        waiting = _wait(third.client, 'r-2', 8)
+        await asyncio.sleep(2)
+        fleet.silent.add(second.name)
+        lost = _now()
+        assert isinstance(await waiting, GrantReply)
+        assert _now() - lost <= _LOSS_SECONDS
+        assert first.reserved == 1
+        assert fleet.count_lines('session-lost') == 1
+        await fleet.stop()
+
+    run(main())
+
+
+@pytest.mark.parametrize('silence', [0.3, 1, 1.3, 2])
+def test_silent_node_keeps_its_places(silence: float) -> None:
+    """The place of a node that is silent for a moment is given to another."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        second, third = fleet.start(3)[1:]
+        await _hold(second.client, 'r-1')
+        waiting = _wait(third.client, 'r-2', 10)
+        for _ in range(2):
+            await asyncio.sleep(1.5)
+            fleet.silent.add(second.name)
+            await asyncio.sleep(silence)
+            fleet.silent.clear()
+        await asyncio.sleep(1)
+        assert not waiting.done()
+        assert fleet.count_lines('session-lost') == 0
+        waiting.cancel()
+        await fleet.stop()
+
+    run(main())
+
+
+def test_node_reports_its_places_after_a_silence() -> None:
+    """A node was taken for lost, and its requests in progress stay unknown."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        first, second, _ = fleet.start(3)
+        await _hold(second.client, 'r-1')
+        fleet.silent.add(second.name)
+        await asyncio.sleep(_LOSS_SECONDS)
+        assert first.reserved == 0
+        fleet.silent.clear()
+        await asyncio.sleep(_LOSS_SECONDS)
+        assert sum(node.reserved for node in fleet.nodes.values()) == 1
+        await fleet.stop()
+
+    run(main())
+
+
+def test_pause_of_a_controller_ends_no_session() -> None:
+    """A controller without processor time takes all nodes for lost."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        first, second, _ = fleet.start(3)
+        await _hold(second.client, 'r-1')
+        await asyncio.sleep(1.5)
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        loop.freeze(10)
+        await asyncio.sleep(1.5)
+        assert first.reserved == 1
+        assert fleet.count_lines('session-lost') == 0
+        await fleet.stop()
+
+    run(main())
+
+
+def test_node_without_heartbeats_keeps_its_places() -> None:
+    """A node that sends no heartbeats, as in an update, is taken for lost."""
+
+    async def main() -> None:
+        fleet = ReservingFleet(slots=1)
+        first, second, _ = fleet.start(3)
+        _, writer = await second.peer_sync.dial(first.name, 1)
+        writer.write(encode(SessionRequest(*KEY)))
+        terms = make_terms(make_request('r-1'), _now())
+        writer.write(encode(Reserve(1, terms, PATH)))
+        await asyncio.sleep(2 * _LOSS_SECONDS)
+        assert first.reserved == 1
+        await fleet.stop()
+
+    run(main())
+
+
 def test_cancelled_request_leaves_no_place() -> None:
     """A client leaves while its request waits."""
 
--- a/tests/virtual/reservations.py
+++ b/tests/virtual/reservations.py
@@ -1,6 +1,7 @@
 """Nodes that reserve places from each other, in virtual time."""
 
 import asyncio
+import functools
 import json
 import random
 from collections.abc import Iterable
@@ -76,6 +77,8 @@
     :param killed: nodes that refuse connections.
     :param unreachable: nodes to which no connection is established.
     :param paused: nodes that accept connections and neither read nor write.
+    :param silent: nodes of which nothing arrives over connections that they
+        opened, as if they had lost power.
     :param dialled: the nodes to which connections were opened, in order.
     :param lines: log lines of all nodes.
     """
@@ -85,6 +88,7 @@
     killed: set[str] = field(default_factory=set)
     unreachable: set[str] = field(default_factory=set)
     paused: set[str] = field(default_factory=set)
+    silent: set[str] = field(default_factory=set)
     dialled: list[str] = field(default_factory=list)
     lines: list[dict[str, Any]] = field(default_factory=list)
     _tasks: list['asyncio.Task[None]'] = field(default_factory=list)
@@ -137,13 +141,15 @@
         clock = VirtualClock()
         log = LineLog(name, clock, self._write)
         startup = make_startup(1)._replace(name=name)
-        peer_sync = PeerSync(log, clock, startup, self._dial)
+        dial = functools.partial(self._dial, name)
+        peer_sync = PeerSync(log, clock, startup, dial)
         replicas = ReplicaView(
             log, clock, Hub(), compute_departure_bounds(2, 3)
         )
         replicas.replace([make_replica(self.slots)], unanswered=0)
         tasks = Tasks(log, 'reservations')
         controllers = ZoneControllers(
+            log,
             clock,
             UsageTracker(),
             _make_configuration(),
@@ -163,14 +169,16 @@
         self.lines.append(json.loads(line))
         return len(line)
 
-    async def _dial(self, host: str, _: int) -> Any:
+    async def _dial(self, name: str, host: str, _: int) -> Any:
         self.dialled.append(host)
         if host in self.unreachable:
             await asyncio.Event().wait()
         await asyncio.sleep(LINK_SECONDS)
         if host in self.killed:
             raise ConnectionRefusedError(host)
-        near, far = open_pair(lambda: host not in self.paused)
+        near, far = open_pair(
+            lambda: host not in self.paused and name not in self.silent
+        )
         serving = self.nodes[host].peer_sync.server.serve(*far)
         self._tasks.append(asyncio.create_task(serving))
         return near
