Refusals: replicas that stood still are asked before a request is refused

Callers of a service whose replicas had all stood still for a moment got 503, 'layers are missing', for seconds after they went on. Each had been suspected for 4 s, as it sent no report in time, and a request avoids the suspected ones however few are left.

A replica that reports is suspected no longer, and the request takes a path through it. Connections prove nothing here: the kernel of a process that stands still accepts them.

Ruled out: a shorter suspicion, which would send new work to replicas that are lost; paths through suspected replicas as a last resort, which would make a refusal that promises 'not run' into a lost answer.

The fake context of test_places.py gets the check, which finds nothing. The replica stand-in can stand still and go on.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
@@ -21,6 +21,7 @@
 from ryelatch_node.ports import HeaderCodec, RelayStartup, ReplicaCommands
 from ryelatch_node.quarantine import Quarantine
 from ryelatch_node.relay._crash_checks import CrashChecks
+from ryelatch_node.relay._silence_checks import SilenceChecks
 from ryelatch_node.relay._slow_replicas import SlowReplicaChecks
 from ryelatch_node.relay._upstream import Upstreams
 from ryelatch_node.reservations import Reservations
@@ -54,6 +55,7 @@
     usage: UsageTracker = field(default_factory=UsageTracker)
     load: LoadTracker = field(default_factory=LoadTracker)
     crash_checks: CrashChecks = field(init=False)
+    silence_checks: SilenceChecks = field(init=False)
     slow_replicas: SlowReplicaChecks = field(init=False)
     windows: ConcurrencyWindows = field(init=False)
     accounts: AccountTracker = field(default_factory=AccountTracker)
@@ -67,6 +69,9 @@
         self.crash_checks = CrashChecks(
             self.commands, self.replicas, self.links
         )
+        self.silence_checks = SilenceChecks(
+            self.clock, self.commands, self.replicas
+        )
         self.slow_replicas = SlowReplicaChecks(
             self.log, self.clock, self.commands, self.throttle.is_throttled
         )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_places.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_places.py
@@ -88,13 +88,28 @@
 ) -> tuple[Stage, ...]:
     """Choose the path of the next attempt, and reserve room on it.
 
+    If there is none, replicas that were silent are asked whether they go on.
+
     :returns: its stages; empty if there is no path, or no place in time.
     """
+    path = await _choose(context, exchange, request, progress, place)
+    if path or place.retry_after is not None:
+        return path
+    if not await context.silence_checks.find_returned(request.service):
+        return ()
+    return _choose_unreserved(context, exchange, request, progress)
+
+
+async def _choose(
+    context: RelayContext,
+    exchange: Exchange,
+    request: AdmittedRequest,
+    progress: Progress,
+    place: Place,
+) -> tuple[Stage, ...]:
     rank = context.reservations.find_rank(request.service, request.priority)
     if rank is None or place.asked:
-        path = choose_request_path(context, exchange, request, progress)
-        record_path(context, exchange, path)
-        return path
+        return _choose_unreserved(context, exchange, request, progress)
     place.asked = True
     wanted = _make_request(context, exchange, request, rank)
     client = context.reservations.client
@@ -114,6 +129,17 @@
     return await _wait(context, exchange, request, progress, place, wanted)
 
 
+def _choose_unreserved(
+    context: RelayContext,
+    exchange: Exchange,
+    request: AdmittedRequest,
+    progress: Progress,
+) -> tuple[Stage, ...]:
+    path = choose_request_path(context, exchange, request, progress)
+    record_path(context, exchange, path)
+    return path
+
+
 def record_path(
     context: RelayContext, exchange: Exchange, path: tuple[Stage, ...]
 ) -> None:
--- a/tests/node/relay/test_places.py
+++ b/tests/node/relay/test_places.py
@@ -71,6 +71,10 @@
         self.released.append(identity)
 
 
+async def _find_none(_: str) -> bool:
+    return False
+
+
 class _Relay:
     """A relay with replicas in two zones, and paths that are given."""
 
@@ -92,6 +96,7 @@
                     stage.replica for stage in _make_path('zone-a', 'zone-b')
                 ]
             ),
+            silence_checks=SimpleNamespace(find_returned=_find_none),
             reservations=SimpleNamespace(
                 client=client, load=self.load, find_rank=lambda *_: rank
             ),
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -122,6 +122,19 @@
     _stalled: dict[str, str] = field(default_factory=dict)
     stop_listening: Callable[[], Awaitable[None]] | None = None
     _transports: set[asyncio.Transport] = field(default_factory=set)
+    _going: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def __post_init__(self) -> None:
+        """Let it answer from the beginning."""
+        self._going.set()
+
+    def stand_still(self) -> None:
+        """Answer nothing, though connections to it are still accepted."""
+        self._going.clear()
+
+    def go_on(self) -> None:
+        """Go on with all that it was doing."""
+        self._going.set()
 
     def register(self, state: str = 'ready') -> None:
         """Write its entry in the registry."""
@@ -189,6 +202,7 @@
         return {'from': start, 'to': stop, 'version': 1}
 
     async def _report(self, request: web.Request) -> web.Response:
+        await self._going.wait()
         if self.crashed:
             assert request.transport is not None
             request.transport.abort()
@@ -208,6 +222,7 @@
         )
 
     async def _handle_command(self, request: web.Request) -> web.Response:
+        await self._going.wait()
         command = await request.json()
         self.commands.append(command)
         if command['op'] == 'repath':
@@ -224,6 +239,7 @@
         return web.json_response({}, status=202)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
+        await self._going.wait()
         transport = request.transport
         assert transport is not None
         if self.crashed:
@@ -375,6 +391,7 @@
         await response.prepare(request)
         last = int(run.headers.get('Last-Event-Id', '0'))
         for number in range(last + 1, self.events + 1):
+            await self._going.wait()
             await self._stall_if_set(run, number)
             event = f'id: {number}\ndata: token {number}\n\n'.encode()
             if self.break_after and number > self.break_after:
