A connection that failed no longer counts as a replica that was reached

Callers of a node without links got 502 for seconds where the machine was busy: each replica was connected to, the reset came later than the 0.02 s after which a connection counts, and the reach that had been recorded meanwhile cleared the doubt that the failure before had raised. So no examination began.

The test failed before in the last assertion (no doubt after two failures). The latest word of each replica counts now, as it did for failures that a connection takes back. The examination that begins finds out what is true, so a doubt too many costs probes only.

--- a/packages/ryelatch-core/src/ryelatch_core/links/_contacts.py
+++ b/packages/ryelatch-core/src/ryelatch_core/links/_contacts.py
@@ -38,8 +38,13 @@
         self._failed.pop(address, None)
 
     def record_failed(self, address: str, now: float) -> None:
-        """Record a connection that wasn't established, or a silent replica."""
+        """Record a connection that failed, or a silent replica.
+
+        An earlier connection to it proves nothing any more: it may be the one
+        that failed.
+        """
         self._failed[address] = now
+        self._reached.pop(address, None)
 
     def has_failed(self, address: str, since: float) -> bool:
         """Whether a connection to an address has failed since a time."""
--- a/tests/core/links/test_contacts.py
+++ b/tests/core/links/test_contacts.py
@@ -74,3 +74,17 @@
     _fail(contacts, far[:1], 1)
     groups = group_replicas(near + far)
     assert contacts.list_failing(groups, 1.1) == [('m', 'b')]
+
+
+def test_a_connection_that_failed_proves_nothing() -> None:
+    """Connections that are reset a moment late count as reached replicas.
+
+    Each of them removes the doubt that the failure before it has raised, so
+    that lost links are never examined.
+    """
+    contacts = Contacts()
+    replicas = _make(3)
+    for number, replica in enumerate(replicas[:2]):
+        contacts.record_reached(replica.address, 1 + 0.1 * number)
+        contacts.record_failed(replica.address, 1.05 + 0.1 * number)
+    assert contacts.is_doubtful(replicas[1], replicas, 1.15)
