Probes of links count only time in which the own process runs

Cause: a connection that was held for 0.02 s counted as open after a second late hold, whatever had arrived in it; and a hold that was cut off by the probe's timeout counted as a replica that isn't reached. Lateness of the own process was taken for reach in the one case, for loss in the other; a process that was late in three rounds concluded nothing at all.

The timeout and the hold now run in steps of which a pause ends one only, so a reset that arrived in a pause is read before the hold ends, and a process that is always late needs longer but gets a result. A connection that is still held at the end is unknown, not lost. How long it is held is decided in links/; the platform only opens the connection and tells whether it is open.

Changed tests: test_late_process_concludes_nothing asserted that a process that pauses in each probe concludes nothing even if no connection is established in the time that it has after that; that is the fault. Three replace it: such a process reaches replicas that respond, finds links that are lost, and an examination that can't tell concludes nothing and doesn't delay the next one. test_late_process_reads_a_reset is as it was, with the hold passed in.

--- a/packages/ryelatch-core/src/ryelatch_core/links/_probes.py
+++ b/packages/ryelatch-core/src/ryelatch_core/links/_probes.py
@@ -22,7 +22,7 @@
     REACHED = 'reached'
     UNREACHED = 'unreached'
     UNKNOWN = 'unknown'
-    """This process ran too late to tell."""
+    """Connections were still held at the end of the probe."""
 
 
 def choose_probes(
--- a/packages/ryelatch-node/src/ryelatch_node/links/_examination.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_examination.py
@@ -13,7 +13,7 @@
 FIRST_COOLDOWN_SECONDS = 0.4
 """Time after an examination in which no other one begins.
 
-One that concluded nothing, as this process ran late, doesn't count.
+One that concluded nothing about a group doesn't count.
 """
 
 MAX_COOLDOWN_SECONDS = 3.0
--- a/packages/ryelatch-node/src/ryelatch_node/links/_prober.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_prober.py
@@ -9,10 +9,17 @@
 from ryelatch_core.kernel import Clock
 from ryelatch_core.links import LinkGroup, ProbeResult, choose_probes
 from ryelatch_core.membership import NEVER
+from ryelatch_node.links._running_time import run_for
 from ryelatch_node.ports import ReplicaCommands
 
 PROBE_SECONDS = 0.08
-"""Timeout of a probe: a connection takes 2 to 6 ms, and is held for 20."""
+"""Timeout of a probe: a connection takes 2 to 6 ms, and is held for 20.
+
+Here and below, only time in which this process runs counts.
+"""
+
+HOLD_SECONDS = 0.02
+"""Time for which a connection is held; a reset arrives within a round trip."""
 
 SECOND_TRY_SECONDS = 0.03
 """Delay before a second connection is tried in parallel to the first one.
@@ -20,9 +27,6 @@
 A single lost packet then doesn't make a replica look lost.
 """
 
-MAX_LATENESS_SECONDS = 0.03
-"""Lateness of this process beyond which a failed probe proves nothing."""
-
 FRESH_SECONDS = 0.25
 """Time for which a successful probe answers the requests of other nodes.
 
@@ -31,7 +35,7 @@
 """
 
 MAX_ROUNDS = 3
-"""Maximum rounds for one probe, if this process was late in each of them."""
+"""Maximum rounds of a probe, if each ended while connections were held."""
 
 
 @dataclass(eq=False)
@@ -95,32 +99,54 @@
 
     async def _probe_any(self, replicas: list[Replica]) -> ProbeResult:
         for _ in repeat(None, MAX_ROUNDS):
-            started = self.clock.monotonic()
-            reached = await asyncio.gather(*map(self._reaches, replicas))
-            elapsed = self.clock.monotonic() - started
-            if any(reached):
-                return ProbeResult.REACHED
-            if elapsed <= PROBE_SECONDS + MAX_LATENESS_SECONDS:
-                return ProbeResult.UNREACHED
+            result = await self._probe_round(replicas)
+            if result is not ProbeResult.UNKNOWN:
+                return result
         return ProbeResult.UNKNOWN
 
-    async def _reaches(self, replica: Replica) -> bool:
+    async def _probe_round(self, replicas: list[Replica]) -> ProbeResult:
+        results = await asyncio.gather(*map(self._probe_one, replicas))
+        if ProbeResult.REACHED in results:
+            return ProbeResult.REACHED
+        if ProbeResult.UNKNOWN in results:
+            return ProbeResult.UNKNOWN
+        return ProbeResult.UNREACHED
+
+    async def _probe_one(self, replica: Replica) -> ProbeResult:
+        held: set[float] = set()
         tries = [
-            asyncio.create_task(self._connect_after(replica, delay))
+            asyncio.create_task(self._connect_after(replica, delay, held))
             for delay in (0, SECOND_TRY_SECONDS)
         ]
+        succeeding = asyncio.create_task(_find_success(tries))
+        timeout = asyncio.create_task(run_for(PROBE_SECONDS))
         try:
-            async with asyncio.timeout(PROBE_SECONDS):
-                return await _find_success(tries)
-        except TimeoutError:
-            return False
+            await asyncio.wait(
+                (succeeding, timeout), return_when=asyncio.FIRST_COMPLETED
+            )
+            if succeeding.done() and await succeeding:
+                return ProbeResult.REACHED
+            return ProbeResult.UNKNOWN if held else ProbeResult.UNREACHED
         finally:
-            for task in tries:
+            for task in (*tries, succeeding, timeout):
                 task.cancel()
 
-    async def _connect_after(self, replica: Replica, delay: float) -> bool:
+    async def _connect_after(
+        self, replica: Replica, delay: float, held: set[float]
+    ) -> bool:
+        """Open and hold a connection after a delay.
+
+        :param held: contains the delay while the connection is held.
+        """
+
+        async def hold() -> None:
+            held.add(delay)
+            await run_for(HOLD_SECONDS)
+
         await asyncio.sleep(delay)
-        return await self.commands.hold_connection(replica)
+        is_open = await self.commands.hold_connection(replica, hold)
+        held.discard(delay)
+        return is_open
 
 
 async def _find_success(tries: 'list[asyncio.Task[bool]]') -> bool:
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_commands.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_commands.py
@@ -101,8 +101,10 @@
     reach: Callable[[Replica], Awaitable[Reachability]]
     """Open a connection and close it without sending a request."""
 
-    hold_connection: Callable[[Replica], Awaitable[bool]]
-    """Open a connection, and tell whether it is still open a moment later.
+    hold_connection: Callable[
+        [Replica, Callable[[], Awaitable[None]]], Awaitable[bool]
+    ]
+    """Open a connection, and tell whether it is open after a function returns.
 
     A firewall or a lost route may reset connections that were established.
     """
--- a/tests/node/links/test_examination.py
+++ b/tests/node/links/test_examination.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -36,21 +36,28 @@
     reaches: Callable[[Replica], bool],
     witnessed: set[LinkGroup],
     blocked: float = 0,
+    *,
+    held: bool = False,
 ) -> Examiner:
     """Make an examiner.
 
     :param reaches: whether a connection to a replica is established.
     :param witnessed: groups that another node reaches.
     :param blocked: seconds for which each connection blocks the process.
+    :param held: whether established connections are held without an end.
     """
 
-    async def hold_connection(replica: Replica) -> bool:
+    async def hold_connection(
+        replica: Replica, hold: Callable[[], Awaitable[None]]
+    ) -> bool:
         loop = asyncio.get_running_loop()
         assert isinstance(loop, VirtualLoop)
         loop.freeze(blocked)
-        if reaches(replica):
+        if reaches(replica) and not held:
             await asyncio.sleep(0.012)
             return True
+        if held:
+            await hold()
         return await asyncio.Event().wait()
 
     async def ask(groups: frozenset[LinkGroup]) -> dict[LinkGroup, str]:
@@ -75,6 +82,7 @@
     witnessed: set[LinkGroup],
     blocked: float = 0,
     *,
+    held: bool = False,
     again: bool = False,
 ) -> tuple[frozenset[LinkGroup], float]:
     """Examine the links once; returns the lost groups and the seconds.
@@ -83,7 +91,7 @@
     """
 
     async def play() -> None:
-        examiner = _make(reaches, witnessed, blocked)
+        examiner = _make(reaches, witnessed, blocked, held=held)
         started = asyncio.get_running_loop().time()
         assert examiner.begin()
         await examiner.run(started)
@@ -115,9 +123,24 @@
     assert not lost
 
 
-def test_late_process_concludes_nothing() -> None:
+def test_late_process_reaches_its_replicas() -> None:
     """A node without processor time takes its own pause for lost links."""
-    lost, _ = _examine(lambda _: False, set(_GROUPS), blocked=0.05, again=True)
+    lost, _ = _examine(lambda _: True, set(_GROUPS), blocked=0.05)
+    assert not lost
+
+
+def test_late_process_finds_its_lost_links() -> None:
+    """A node that is short of processor time never finds its lost links."""
+    lost, _ = _examine(lambda _: False, set(_GROUPS), blocked=0.05)
+    assert lost == set(_GROUPS)
+
+
+def test_unknown_result_concludes_nothing() -> None:
+    """Connections that are held as a probe ends count as lost links.
+
+    The next examination waits as if this one had concluded something.
+    """
+    lost, _ = _examine(lambda _: True, set(_GROUPS), held=True, again=True)
     assert not lost
 
 
