The late reply of another node still shows that links are lost

Cause: the silence of a witness in that time was taken for its word that it doesn't reach the replicas. The next examination asked anew, and waited as short.

Now a reply counts for 1 s from its request: groups that didn't respond and that nobody had been heard to reach are lost as soon as a node says that it reaches them, unless one of their replicas was reached in between. Zones without power are told apart as before: nobody replies that it reaches them.

--- a/packages/ryelatch-node/src/ryelatch_node/links/_examination.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_examination.py
@@ -1,7 +1,7 @@
 """Finds out whether replicas are lost, or only the links of this node."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import islice
 
 from ryelatch_core.events import catalogue
@@ -33,6 +33,19 @@
 _DIGITS = 3
 
 
+@dataclass(frozen=True)
+class _Unconfirmed:
+    """Groups that didn't respond, and that no other node was heard to reach.
+
+    :param since: when the first connection failed, in monotonic seconds.
+    :param at: when they had not responded, in monotonic seconds.
+    """
+
+    groups: frozenset[LinkGroup]
+    since: float
+    at: float
+
+
 @dataclass(eq=False)
 class Examiner:
     """Probes replicas of all groups, and asks other nodes about the rest."""
@@ -44,6 +57,7 @@
     _settled: asyncio.Event
     _earliest: float = 0
     _cooldown: float = FIRST_COOLDOWN_SECONDS
+    _unconfirmed: _Unconfirmed | None = None
 
     @property
     def settled(self) -> bool:
@@ -83,8 +97,7 @@
                 if result is ProbeResult.UNREACHED
             )
             fresh = unreached - self.state.lost.groups
-            found = await self.witnesses.ask(fresh) if fresh else {}
-            self._conclude(fresh, found, since)
+            await self._confirm(fresh, since)
             if ProbeResult.UNKNOWN not in results.values():
                 now = self.state.clock.monotonic()
                 self._earliest = now + self._cooldown
@@ -92,13 +105,35 @@
             self._settled.set()
             self.state.announce()
 
-    def _conclude(
-        self,
-        unreached: frozenset[LinkGroup],
-        found: dict[LinkGroup, str],
-        since: float,
+    def record_reply(self, name: str, reached: frozenset[LinkGroup]) -> None:
+        """Conclude that groups are lost from the late reply of a node.
+
+        :param name: name of the node.
+        """
+        last = self._unconfirmed
+        if last is None:
+            return
+        lost = {
+            group: name
+            for group in reached & last.groups
+            if not self.contacts.was_reached(
+                self.state.list_group(group), last.at
+            )
+        }
+        if lost:
+            self._unconfirmed = replace(last, groups=last.groups - lost.keys())
+            self._cooldown = FIRST_COOLDOWN_SECONDS
+            self.state.lose(lost, last.since)
+            self.state.announce()
+
+    async def _confirm(
+        self, unreached: frozenset[LinkGroup], since: float
     ) -> None:
+        """Ask other nodes about groups that didn't respond, and conclude."""
+        probed = self.state.clock.monotonic()
+        found = await self.witnesses.ask(unreached) if unreached else {}
         lost = {group: found[group] for group in unreached & found.keys()}
+        self._unconfirmed = _Unconfirmed(unreached - lost.keys(), since, probed)
         self.state.log.record(
             catalogue.LINKS_EXAMINED,
             unreached=sorted(unreached),
@@ -133,4 +168,6 @@
     """Make an examiner without an examination in progress."""
     settled = asyncio.Event()
     settled.set()
-    return Examiner(state, prober, witnesses, contacts, settled)
+    examiner = Examiner(state, prober, witnesses, contacts, settled)
+    witnesses.handle_reply = examiner.record_reply
+    return examiner
--- a/packages/ryelatch-node/src/ryelatch_node/links/_witnesses.py
+++ b/packages/ryelatch-node/src/ryelatch_node/links/_witnesses.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypeAlias
 
 import msgspec
 
@@ -22,6 +23,19 @@
 REPLY_SECONDS = 0.25
 """Longest wait for a batch of nodes; one that has to probe takes 0.16 s."""
 
+LATE_REPLY_SECONDS = 1.0
+"""Time for which the reply of a node still counts.
+
+Nodes that are short of processor time reply after those of the next batch.
+"""
+
+HandleReply: TypeAlias = Callable[[str, frozenset[LinkGroup]], None]
+"""Handles the reply of a node: its name, and the groups that it reaches."""
+
+
+def _ignore_reply(_name: str, _reached: frozenset[LinkGroup]) -> None:
+    """Default handler of replies."""
+
 
 @dataclass(eq=False)
 class Witnesses:
@@ -29,6 +43,8 @@
 
     :param sample: returns random numbers from 0 to 1.
     :param helpers: is told what they reach.
+    :param handle_reply: called with each reply, also after the request for it
+        has returned.
     """
 
     clock: Clock
@@ -36,12 +52,11 @@
     sample: Callable[[], float]
     tasks: Tasks
     helpers: Helpers
+    handle_reply: HandleReply = _ignore_reply
 
     async def ask(self, groups: frozenset[LinkGroup]) -> dict[LinkGroup, str]:
         """Ask in batches until all groups are found to be reached.
 
-        Replies that come later are kept for the choice of helpers.
-
         :returns: for each group that another node reaches, who does.
         """
         startup = self.peer_sync.startup
@@ -78,6 +93,7 @@
         if reply is not None:
             reached = frozenset(LinkGroup(*group) for group in reply.reached)
             self.helpers.record(node, reached, reply.room)
+            self.handle_reply(node.name, reached)
         replies.put_nowait((node.name, reply))
 
     async def _request(
@@ -88,7 +104,7 @@
         :returns: ``None`` if it doesn't reply.
         """
         try:
-            async with asyncio.timeout(2 * REPLY_SECONDS):
+            async with asyncio.timeout(LATE_REPLY_SECONDS):
                 body = await self._exchange(node.address, request)
             return msgspec.msgpack.decode(body, type=ReachReply)
         except REQUEST_ERRORS:
