A node that was just added is known to the others at once

A node that the store refused as it started wrote its entry 20 s later, too.

Once its entry is written, which is now tried every 0.5 s, a node asks up to 64 nodes to get to know it, again every 0.5 s until they do. Each reads the entry from the store and compares the host: anyone may connect, so the word of the new node isn't enough. Nodes that have started less than 5 s ago don't read, as they count soon, and a start of all would cost a read for each pair. A stale list that lacks the new node doesn't drop it.

--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_frames.py
@@ -112,6 +112,24 @@
     knows: bool
 
 
+class JoinRequest(msgspec.Struct, frozen=True, array_like=True, tag='join'):
+    """Asks whether a node knows the sender, whose entry is new.
+
+    :param name: of the sending node.
+    """
+
+    name: str
+
+
+class JoinReply(msgspec.Struct, frozen=True, array_like=True):
+    """Tells a node whether it is known.
+
+    :param known: false if its entry couldn't be read.
+    """
+
+    known: bool
+
+
 class ListRequest(msgspec.Struct, frozen=True, array_like=True, tag='whole'):
     """Requests all objects of a kind."""
 
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_server.py
@@ -16,6 +16,8 @@
 from ryelatch_node.peer_sync._frames import (
     BootstrapMessage,
     BootstrapReply,
+    JoinReply,
+    JoinRequest,
     ListReply,
     ListRequest,
     PermitReply,
@@ -38,16 +40,17 @@
     WatchCache,
 )
 
-_AnyRequest: TypeAlias = (
+_PlainRequest: TypeAlias = (
     WatchRequest
     | PermitRequest
     | BootstrapMessage
+    | JoinRequest
     | ListRequest
-    | SessionRequest
     | ReachRequest
-    | ForwardRequest
 )
 
+_AnyRequest: TypeAlias = _PlainRequest | SessionRequest | ForwardRequest
+
 ServeSession: TypeAlias = Callable[
     [SessionRequest, asyncio.StreamReader, asyncio.StreamWriter],
     Awaitable[None],
@@ -75,6 +78,10 @@
     return BootstrapReply(knows=True)
 
 
+async def _know_nobody(_request: JoinRequest, _host: str) -> JoinReply:
+    return JoinReply(known=False)
+
+
 async def _reject_session(
     request: SessionRequest,
     _reader: asyncio.StreamReader,
@@ -108,6 +115,7 @@
     :param handle_permit_request: grants or denies a permit to a peer.
     :param handle_message: handles the message of a peer that introduces
         itself.
+    :param handle_join: gets to know a peer that was just registered.
     :param serve_session: serves a session of a peer on its connection.
     :param handle_reach_request: tells a peer what this node reaches.
     :param serve_forwarded: serves a request that a peer forwards.
@@ -125,6 +133,9 @@
     handle_message: Callable[[BootstrapMessage], BootstrapReply] = (
         _ignore_message
     )
+    handle_join: Callable[[JoinRequest, str], Awaitable[JoinReply]] = (
+        _know_nobody
+    )
     serve_session: ServeSession = _reject_session
     handle_reach_request: Callable[[ReachRequest], Awaitable[ReachReply]] = (
         _reach_nothing
@@ -173,33 +184,42 @@
         body = await read_body(reader)
         request = msgspec.msgpack.decode(body, type=_AnyRequest)
         match request:
-            case PermitRequest():
-                frame = encode(self.handle_permit_request(request))
-            case BootstrapMessage():
-                frame = encode(self.handle_message(request))
-            case ListRequest():
-                frame = encode(self._make_list_reply(request))
-            case WatchRequest():
-                frame = await self._serve_watch(request)
             case SessionRequest():
                 await self.serve_session(request, reader, writer)
                 raise EOFError
-            case ReachRequest():
-                self._check_sender(writer)
-                frame = encode(await self.handle_reach_request(request))
             case ForwardRequest():
                 self._check_sender(writer)
                 await self.serve_forwarded(request, reader, writer)
-                return
-        writer.write(frame)
-        await writer.drain()
+            case _:
+                writer.write(await self._make_reply(request, writer))
+                await writer.drain()
+
+    async def _make_reply(
+        self, request: _PlainRequest, writer: asyncio.StreamWriter
+    ) -> bytes:
+        """Handle a request that gets one frame in reply."""
+        match request:
+            case PermitRequest():
+                return encode(self.handle_permit_request(request))
+            case BootstrapMessage():
+                return encode(self.handle_message(request))
+            case JoinRequest():
+                host = _get_host(writer)
+                return encode(await self.handle_join(request, host))
+            case ListRequest():
+                return encode(self._make_list_reply(request))
+            case WatchRequest():
+                return await self._serve_watch(request)
+            case ReachRequest():
+                self._check_sender(writer)
+                return encode(await self.handle_reach_request(request))
 
     def _check_sender(self, writer: asyncio.StreamWriter) -> None:
         """Check that a connection comes from the host of a node.
 
         :raises ValueError: if it doesn't.
         """
-        host = writer.get_extra_info('peername')[0]
+        host = _get_host(writer)
         if host not in self.list_hosts():
             raise ValueError(f'{host} is not the host of a node')
 
@@ -248,3 +268,9 @@
         return cache.make_reply(
             request.since, received, now, whole=request.whole
         )
+
+
+def _get_host(writer: asyncio.StreamWriter) -> str:
+    """Return the host that a connection comes from."""
+    host: str = writer.get_extra_info('peername')[0]
+    return host
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
@@ -37,6 +37,7 @@
     SLOW_LINK_MBPS,
     InitialSources,
 )
+from ryelatch_node.peer_sync._joining import Joining
 from ryelatch_node.peer_sync._server import PeerServer
 from ryelatch_node.peer_sync._watch_cache import (
     PeerPartitioned,
@@ -45,6 +46,7 @@
     WatchCache,
 )
 from ryelatch_node.ports import Address, RelayStartup
+from ryelatch_node.tasks import Tasks
 
 REPLY_SECONDS = 0.4
 """Time allowed for a reply beyond the requested wait; enough for a slow VM."""
@@ -71,6 +73,7 @@
     :param bootstrap_client: provides the initial state from a peer if the store
         doesn't.
     :param initial_sources: chooses that peer if the store is only slow.
+    :param joining: makes nodes known that were just registered.
     """
 
     log: LineLog
@@ -84,6 +87,7 @@
     announce_count: Callable[[int], None] = _ignore_count
     bootstrap_client: BootstrapClient = field(init=False)
     initial_sources: InitialSources = field(init=False)
+    joining: Joining = field(init=False)
     _caches: dict[str, WatchCache] = field(
         default_factory=lambda: defaultdict(WatchCache)
     )
@@ -92,6 +96,7 @@
     _listener: asyncio.Server | None = None
     _bootstrap_task: 'asyncio.Task[None] | None' = None
     _sources_task: 'asyncio.Task[None] | None' = None
+    _tasks: Tasks = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the parts that keep state of their own."""
@@ -114,6 +119,15 @@
             lambda: self._nodes,
             lambda: self._is_synced,
         )
+        self.joining = Joining(
+            self.startup.name,
+            self.clock,
+            self.connect_as_node,
+            lambda: self._nodes,
+            self._add_node,
+        )
+        self.server.handle_join = self.joining.handle_request
+        self._tasks = Tasks(self.log, 'joining')
         self._cooldowns = PeerCooldowns(self.clock)
 
     async def start(self) -> None:
@@ -145,8 +159,13 @@
                 keep_running('sources', self.initial_sources.run, self.log)
             )
 
+    def start_joining(self) -> None:
+        """Begin to make this node known, once its entry has been created."""
+        self._tasks.spawn(self.joining.run())
+
     async def stop(self) -> None:
         """Stop all tasks and close all connections."""
+        await self._tasks.stop()
         await cancel_task(self._bootstrap_task)
         await cancel_task(self._sources_task)
         if self._listener is not None:
@@ -157,7 +176,7 @@
 
     def update_nodes(self, nodes: Iterable[NodeEntry]) -> None:
         """Set the list of all nodes, this one included."""
-        self._nodes = tuple(nodes)
+        self._nodes = self.joining.complete(nodes)
         self.initial_sources.nodes_known.set()
 
     def reset(
@@ -321,6 +340,11 @@
             self.update_nodes(nodes)
             self.announce_count(len(nodes))
 
+    def _add_node(self, entry: NodeEntry) -> None:
+        others = (node for node in self._nodes if node.name != entry.name)
+        self.update_nodes((*others, entry))
+        self.announce_count(len(self._nodes))
+
     def _choose_peer(self, *, partitioned: bool) -> NodeEntry | None:
         """Choose the peer that watch requests are sent to.
 
--- a/tests/fleet/cutting.py
+++ b/tests/fleet/cutting.py
@@ -85,7 +85,7 @@
         origin.store.drop('ryelatch-nodes', 'origin')
         linked = [
             await stack.enter_async_context(
-                _run_linked(
+                run_linked_node(
                     origin,
                     f'node-{place}',
                     zone=(zones or {}).get(place, 'zone-a'),
@@ -99,9 +99,13 @@
 
 
 @contextlib.asynccontextmanager
-async def _run_linked(
+async def run_linked_node(
     origin: RunningNode, name: str, **changes: Any
 ) -> AsyncIterator[LinkedNode]:
+    """Run a node with links of its own to the replicas of another one.
+
+    :param changes: start-up settings in which it differs from that one.
+    """
     links = {}
     for replica in origin.replicas.values():
         host, _, own_port = replica.address.rpartition(':')
