An address that can't be connected to names no replica

What callers saw: with an entry whose address has a port above 65,535, requests for which that replica was chosen ended with status 500.

Cause: an address passed with any port of five digits, and the URL of the request is built where only errors of the connection are handled. Port 0, an empty or overlong label of a host name and a line feed after the port passed as well; the pattern's end matches before a line feed.

Ruled out: to handle the error where the URL is built.

--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -1,5 +1,6 @@
 """Registry entries that are invalid or were not written by replicas."""
 
+import asyncio
 import json
 from typing import Any
 
@@ -12,6 +13,7 @@
     ask,
     make_event_stream,
     make_model_replicas,
+    make_non_model_replicas,
     run_node,
     wait_until,
 )
@@ -81,6 +83,13 @@
         {'service': ''},
         {'addr': 'nowhere'},
         {'addr': None},
+        {'addr': '10.0.0.9:0'},
+        {'addr': '10.0.0.9:65536'},
+        {'addr': '10.0.0.9:99999'},
+        {'addr': '10.0.0.9:80\n'},
+        {'addr': '10..9:80'},
+        {'addr': f'{"a" * 64}.example:80'},
+        {'addr': f'{"a." * 150}example:80'},
         {'zone': 7},
         {'slots': 0},
         {'slots': '96'},
@@ -190,6 +199,23 @@
     assert not view.replicas
 
 
+async def test_port_out_of_range_is_no_server_error() -> None:
+    """A request for which such a replica is chosen ends with status 500."""
+    sound, wrong = make_non_model_replicas(2)
+    async with run_node([sound]) as node:
+        wrong.store, wrong.address = node.store, '127.0.0.1:70000'
+        wrong.register()
+        await wait_until(
+            lambda: (
+                node.count('entry-refused') or node.count('replica-listed') == 2
+            )
+        )
+        answers = await asyncio.gather(
+            *(ask(node, '/ping/x', identity=f'r-{nr}') for nr in range(20))
+        )
+        assert {status for status, _, _ in answers} == {200}
+
+
 async def test_others_serve_beside_foreign_entries() -> None:
     """Foreign entries in the list and in changes stop requests."""
     async with run_node(make_model_replicas((0, 4), (4, 8))) as node:
