An overlong number in a header counts as missing

What callers saw: a request with a deadline, a number of tokens, a length hint or a last event of more than 4,300 digits ended with status 500, and one with a deadline of more than 308 digits as well. A number of tokens above 10^12 was worse: it passed, and the controller of the zone took the reservation for a malformed message and broke off the session, with the places of all other requests of that node.

Cause: digits of any number were converted; Python refuses to convert more than 4,300, and a division has to fit a float.

Numbers of up to 18 digits, leading zeros aside, are read; longer ones count as missing, like other invalid fields.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from fleet.running import ask, make_non_model_replicas, run_node
 from ryelatch_node.ports import MAX_PARTS
+from ryelatch_node.reservations._frames import MAX_COUNT
 from ryelatch_platform._headers import read_answer, read_request
 
 
@@ -76,3 +78,49 @@
     text = ','.join(f'{number:x}:1' for number in range(5000)).encode()
     terms = read_request([(b'x-ryelatch-prefix-hash', text)])
     assert len(terms.parts) == MAX_PARTS
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        b'x-ryelatch-deadline-ms',
+        b'x-ryelatch-token-usage',
+        b'x-ryelatch-length-hint',
+        b'last-event-id',
+    ],
+)
+@pytest.mark.parametrize('digits', [400, 5000])
+def test_overlong_number_is_missing(name: bytes, digits: int) -> None:
+    """A number of any length ends the request with an unhandled error."""
+    sent = read_request([(name, b'9' * digits)])
+    assert sent == read_request([])
+
+
+def test_number_with_leading_zeros_is_read() -> None:
+    """The length of a number is taken for its size."""
+    sent = read_request(
+        [(b'x-ryelatch-deadline-ms', b'1500'.rjust(5000, b'0'))]
+    )
+    assert sent.deadline == pytest.approx(1.5)
+
+
+def test_tokens_fit_the_messages_of_nodes() -> None:
+    """One request breaks off the session for all requests of its node.
+
+    The controller of a zone takes a number of tokens above its maximum for a
+    malformed message.
+    """
+    usage = b'9' * 18
+    sent = read_request(
+        [(b'x-ryelatch-token-usage', b'%s,%s' % (usage, usage))]
+    )
+    assert 0 < sent.prompt + sent.answer <= MAX_COUNT
+
+
+async def test_overlong_deadline_is_no_server_error() -> None:
+    """A request with an overlong deadline ends with status 500."""
+    async with run_node(make_non_model_replicas(1)) as node:
+        status, _, _ = await ask(
+            node, '/ping/x', X_Ryelatch_Deadline_Ms='9' * 5000
+        )
+        assert status == 200
