An event that can't be read is an error of its stream

What callers saw: a replica that sent an event with a number of more than 4,300 digits ended the request with an unhandled error in place of another attempt; one that sent an event without end filled the memory of the node, and each piece was searched together with all before it.

Cause: the digits were converted whatever their number, and the buffer of a partial event had no limit.

A number of more than 18 digits and a partial event of more than 1 MiB are errors of the stream, which goes on at another replica. The search for the end of an event begins in the last bytes of what was searched before.

Before the fix test_overlong_number_is_an_error_of_stream[5000] got ValueError, and test_endless_event_is_an_error_of_the_stream no error. test_long_event_passes_in_small_pieces holds before and after: it guards the shorter search.

--- a/packages/ryelatch-core/src/ryelatch_core/streams/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/streams/__init__.py
@@ -1,5 +1,9 @@
 """Event streams: complete events, in order, across several upstreams."""
 
-from ryelatch_core.streams._events import EventSplitter, StreamError
+from ryelatch_core.streams._events import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    StreamError,
+)
 
-__all__ = ['EventSplitter', 'StreamError']
+__all__ = ['MAX_EVENT_BYTES', 'EventSplitter', 'StreamError']
--- a/packages/ryelatch-core/src/ryelatch_core/streams/_events.py
+++ b/packages/ryelatch-core/src/ryelatch_core/streams/_events.py
@@ -3,11 +3,18 @@
 import re
 
 _BOUNDARY = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+_BOUNDARY_BYTES = 4
+"""Length of the longest boundary."""
+
+MAX_EVENT_BYTES = 1_048_576
+"""Longest event; its bytes are kept until it is complete."""
+
+_MAX_DIGITS = 18
 _EVENT_ID = re.compile(rb'^id:[ ]?(\d+)[ ]*\r?$', re.MULTILINE)
 
 
 class StreamError(Exception):
-    """An upstream skipped an event."""
+    """An upstream skipped an event, or sent one that can't be read."""
 
 
 class EventSplitter:
@@ -39,24 +46,30 @@
 
         :returns: the complete events that the client does not have yet, byte
             for byte.
-        :raises StreamError: if an event between two of them is missing.
+        :raises StreamError: if an event between two of them is missing, or
+            one is too long or has a number that is.
         """
+        searched = max(0, len(self._buffer) - _BOUNDARY_BYTES)
         self._buffer += piece
         events: list[bytes] = []
         start = 0
-        for found in _BOUNDARY.finditer(self._buffer):
+        for found in _BOUNDARY.finditer(self._buffer, searched):
             event = self._buffer[start : found.end()]
             start = found.end()
             if self._is_new(event):
                 events.append(event)
         self._buffer = self._buffer[start:]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise StreamError('an event that does not end')
         return b''.join(events)
 
     def _is_new(self, event: bytes) -> bool:
         found = _EVENT_ID.search(event)
         if found is None:
             return True
-        number = int(found.group(1))
+        if len(found[1]) > _MAX_DIGITS:
+            raise StreamError('the number of an event is too long')
+        number = int(found[1])
         if self.last is not None:
             if number <= self.last:
                 return False
--- a/tests/core/streams/test_events.py
+++ b/tests/core/streams/test_events.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ryelatch_core.streams import EventSplitter, StreamError
+from ryelatch_core.streams import MAX_EVENT_BYTES, EventSplitter, StreamError
 
 
 def _write(first: int, end: int) -> bytes:
@@ -56,3 +56,36 @@
 def test_client_that_resumes_gets_what_follows() -> None:
     splitter = EventSplitter(last=3)
     assert splitter.feed(_write(1, 6)) == _write(4, 6)
+
+
+@pytest.mark.parametrize('digits', [19, 5000])
+def test_overlong_number_is_an_error_of_stream(digits: int) -> None:
+    """The number of an event ends the request with an unhandled error."""
+    splitter = EventSplitter()
+    splitter.feed(_write(1, 4))
+    with pytest.raises(StreamError):
+        splitter.feed(b'id: %s\n\n' % (b'9' * digits))
+    assert splitter.last == 3
+
+
+def test_endless_event_is_an_error_of_the_stream() -> None:
+    """An event that never ends fills the memory of the node."""
+    splitter = EventSplitter()
+    for _ in range(16):
+        splitter.feed(b'x' * (MAX_EVENT_BYTES // 16))
+    with pytest.raises(StreamError):
+        splitter.feed(b'x')
+    splitter.discard_partial()
+    assert splitter.feed(_write(1, 4)) == _write(1, 4)
+
+
+def test_long_event_passes_in_small_pieces() -> None:
+    """A boundary that is split between two pieces is missed."""
+    event = b'id: 1\ndata: %s\r\n\r\n' % (b'x' * 100_000)
+    splitter = EventSplitter()
+    passed = [splitter.feed(event[:-50])]
+    passed += [
+        splitter.feed(event[place : place + 1]) for place in range(-50, -1)
+    ]
+    passed.append(splitter.feed(event[-1:]))
+    assert b''.join(passed) == event
