--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -1,5 +1,6 @@
 """Registry entries that are invalid or were not written by replicas."""
 
+import asyncio
 import json
 from typing import Any
 
@@ -12,6 +13,7 @@
     ask,
     make_event_stream,
     make_model_replicas,
+    make_non_model_replicas,
     run_node,
     wait_until,
 )
@@ -21,8 +23,12 @@
 from ryelatch_node.peer_sync import Change, StoreUpdate
 from ryelatch_node.views import ReplicaView
 from ryelatch_platform._list import read_changes
-from ryelatch_platform._objects import Changes, Page, StoredObject
 from ryelatch_platform._registry import ReplicaRegistry
+from ryelatch_platform._responses import (
+    Changes,
+    Page,
+    StoredObject,
+)
 
 _ENTRY = {
     'service': 'model',
@@ -77,6 +83,13 @@
         {'service': ''},
         {'addr': 'nowhere'},
         {'addr': None},
+        {'addr': '10.0.0.9:0'},
+        {'addr': '10.0.0.9:65536'},
+        {'addr': '10.0.0.9:99999'},
+        {'addr': '10.0.0.9:80\n'},
+        {'addr': '10..9:80'},
+        {'addr': f'{"a" * 64}.example:80'},
+        {'addr': f'{"a." * 150}example:80'},
         {'zone': 7},
         {'slots': 0},
         {'slots': '96'},
@@ -170,7 +183,9 @@
     update = StoreUpdate(
         3, 0, tuple(Change(bytes(event.found), False) for event in events)
     )
-    read = [found.metadata.name for found, _ in read_changes(update)]
+    log = LineLog('node-a', BootClock(), len)
+    changes = read_changes(update, log, 'servers')
+    read = [found.metadata.name for found, _ in changes]
     assert 'i-1' in read
 
 
@@ -184,6 +199,23 @@
     assert not view.replicas
 
 
+async def test_port_out_of_range_is_no_server_error() -> None:
+    """A request for which such a replica is chosen ends with status 500."""
+    sound, wrong = make_non_model_replicas(2)
+    async with run_node([sound]) as node:
+        wrong.store, wrong.address = node.store, '127.0.0.1:70000'
+        wrong.register()
+        await wait_until(
+            lambda: (
+                node.count('entry-refused') or node.count('replica-listed') == 2
+            )
+        )
+        answers = await asyncio.gather(
+            *(ask(node, '/ping/x', identity=f'r-{nr}') for nr in range(20))
+        )
+        assert {status for status, _, _ in answers} == {200}
+
+
 async def test_others_serve_beside_foreign_entries() -> None:
     """Foreign entries in the list and in changes stop requests."""
     async with run_node(make_model_replicas((0, 4), (4, 8))) as node:
