A leaving replica finishes its streams, and a refused resumption waits for room

Two causes, both seen in the lines of one stream. A first replica that leaves stops listening and still finishes its streams; its refused connections were taken for its end, and its stream was interrupted. What followed was used up within 30 ms: each resumption was refused at once for want of memory and the next one chose the same path, as all others were full too, until the five sends were spent.

Ruled out: the hedge itself (it was refused and left the run as it was); the lease and the moves (no order between the two lines).

A refused connection now ends a run only at a replica that may still get new work. A stream that the client has in part waits before it is sent again after a refusal, for the time in which a full replica gets no work.

Both tests failed before.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
@@ -165,6 +165,7 @@
         stream.splitter.last,
         rank,
     )
+    progress.refused = False
     async with context.upstreams.send(
         stream.first_replica,
         request.method,
@@ -176,6 +177,7 @@
     ) as answer:
         stream.answered = True
         if answer.terms.not_run:
+            progress.refused = True
             handle_refusal(context, prober, stream, answer)
             return AttemptResult.AGAIN
         if not answer.terms.signed:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -1,6 +1,8 @@
 """Relays requests to a model whose layers are split over replicas."""
 
-from ryelatch_core.fleet import Stage
+import asyncio
+
+from ryelatch_core.fleet import FULL_SECONDS, Stage
 from ryelatch_core.quarantine import CRASH_THRESHOLD
 from ryelatch_node.relay._attempt import Relaying, attempt_path
 from ryelatch_node.relay._context import RelayContext
@@ -78,6 +80,9 @@
     """
     context, request = relaying.context, relaying.request
     exchange, progress = relaying.exchange, relaying.progress
+    if exchange.started and progress.refused:
+        # The client waits for its next event, and all other paths may be full.
+        await asyncio.sleep(FULL_SECONDS)
     obstacle = await _find_obstacle(context, exchange, request, progress)
     path: tuple[Stage, ...] = ()
     if not obstacle:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -36,6 +36,7 @@
 
     :param last_event: number of the last event that the client has.
     :param runs: the runs in progress.
+    :param refused: whether the last attempt was refused, for want of room.
     :param paid: whether a retry was spent for an attempt that wasn't made.
     :param excluded: first replicas whose runs failed or were interrupted, which
         other attempts avoid where they can.
@@ -47,6 +48,7 @@
 
     last_event: int | None = None
     runs: HedgedRuns = field(default_factory=HedgedRuns)
+    refused: bool = False
     paid: bool = False
     excluded: set[str] = field(default_factory=set)
     may_have_run: bool = False
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -310,16 +310,17 @@
     async def _interrupt_if_ended(self, stream: LiveStream) -> None:
         """Interrupt a stream whose first replica is known to have ended.
 
-        A later incarnation has its place, or its address refuses connections.
-        Neither silence nor a missing registry entry shows that.
+        A later incarnation has its place, or its address refuses connections
+        though it didn't leave. A replica that leaves accepts no connections any
+        more and still finishes its streams.
         """
-        replica = stream.first_replica
+        view, replica = self.context.replicas, stream.first_replica
         now = self.context.clock.monotonic()
-        replaced = self.context.replicas.incarnations.list_crashed(now)
-        if (
-            replica.name in replaced
-            or await self.context.crash_checks.has_crashed(replica)
-        ):
+        if replica.name in view.incarnations.list_crashed(now):
+            stream.interrupt(FIRST_REPLICA_LOST)
+            return
+        crashed = await self.context.crash_checks.has_crashed(replica)
+        if crashed and view.is_available(replica):
             stream.interrupt(FIRST_REPLICA_LOST)
 
     def _hedge(self, stream: LiveStream, reason: str) -> None:
--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -36,7 +36,7 @@
         open_request(node, '/plan/x') as response,
     ):
         await response.content.readuntil(b'token 2\n\n')
-        await wait_until(lambda: node.count('stream-resumed'))
+        await wait_until(lambda: len(_list_runs(node)) == 2)
         yield node, response
 
 
@@ -136,3 +136,41 @@
         first.resume()
         await response.read()
         assert not view.list_suspects()
+
+
+async def test_leaving_replica_finishes_its_streams() -> None:
+    """A stream is cut off at a replica that leaves and stopped listening."""
+    replicas = _make_replicas(1)
+    replicas[0].stall_after = _SENT_EVENTS
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        first = node.replicas['m-0']
+        received = await response.content.readuntil(b'token 2\n\n')
+        first.register('draining')
+        await wait_until(lambda: node.count('replica-leaving'))
+        assert first.stop_listening is not None
+        await first.stop_listening()
+        await wait_until(lambda: node.count('replica-suspected'))
+        await asyncio.sleep(0.3)
+        first.resume()
+        assert received + await response.read() == make_event_stream(5)
+
+
+async def test_refused_resumption_waits_for_room() -> None:
+    """A stream uses up all its attempts within a moment at a full replica."""
+    replicas = _make_replicas(2)
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        received = await response.content.readuntil(b'token 1\n\n')
+        first = _find_first(node)
+        other = next(each for each in replicas if each is not first)
+        other.refuse = 503
+        await first.crash()
+        await wait_until(lambda: other.refusals)
+        await asyncio.sleep(0.1)
+        other.refuse = 0
+        assert received + await response.read() == make_event_stream(5)
