--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -1,7 +1,6 @@
 """Nodes as real processes, with signals and settings files."""
 
 import asyncio
-import json
 import os
 import random
 import signal
@@ -12,89 +11,24 @@
 from pathlib import Path
 
 import pytest
-from aiohttp import ClientError, ClientSession, web
+from aiohttp import ClientError, ClientSession
 
+from fleet.node_processes import (
+    NodeProcess,
+    start_node,
+    wait_ready,
+    write_settings,
+)
 from fleet.running import (
-    KEY,
     make_configuration,
     make_event_stream,
     make_model_replicas,
     make_non_model_replicas,
+    serve_app,
 )
 from standins.objects import ObjectStore
 from standins.replica import ReplicaStandIn
 
-_GRACE = 8
-_SETTINGS = """
-nodeName = "{name}"
-zone = "zone-a"
-[listen]
-frontend = "{host}:8227"
-readiness = "{host}:8220"
-[bounds]
-graceS = {grace}
-[platform]
-addr = "{store}"
-"""
-
-
-@dataclass
-class NodeProcess:
-    """The process of a running node.
-
-    :param host: the node's own loopback address, so that nodes share no port.
-    """
-
-    name: str
-    host: str
-    process: asyncio.subprocess.Process
-
-    async def stop(self, number: signal.Signals) -> list[dict[str, object]]:
-        """Send a signal and wait until the process terminates.
-
-        :returns: the log lines that the process wrote.
-        """
-        self.process.send_signal(number)
-        output, _ = await self.process.communicate()
-        return [json.loads(line) for line in output.splitlines()]
-
-
-async def _serve(app: web.Application) -> tuple[web.AppRunner, str]:
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-    await runner.setup()
-    await web.TCPSite(runner, '127.0.0.1', 0).start()
-    return runner, f'127.0.0.1:{runner.addresses[0][1]}'
-
-
-async def _start_node(name: str, store: str, folder: Path) -> NodeProcess:
-    host = f'127.{random.randint(1, 250)}.{random.randint(0, 250)}.7'
-    path = folder / f'{name}.toml'
-    path.write_text(
-        _SETTINGS.format(name=name, host=host, store=store, grace=_GRACE)
-    )
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        '-m',
-        'ryelatch_platform',
-        stdout=asyncio.subprocess.PIPE,
-        env={**os.environ, 'RYELATCH_NODE_FILE': str(path)},
-    )
-    return NodeProcess(name, host, process)
-
-
-async def _wait_ready(http: ClientSession, node: NodeProcess) -> None:
-    async with asyncio.timeout(30):
-        while not await _is_ready(http, node):
-            await asyncio.sleep(0.05)
-
-
-async def _is_ready(http: ClientSession, node: NodeProcess) -> bool:
-    try:
-        async with http.get(f'http://{node.host}:8220/readyz') as response:
-            return response.status == 200
-    except ClientError:
-        return False
-
 
 @dataclass
 class RunningProcesses:
@@ -106,14 +40,7 @@
 
     def open(self, number: int, path: str, identity: str) -> object:
         """Send a request to a node."""
-        headers = {
-            'Host': 'city.example',
-            'Api-Key': KEY,
-            'X-Ryelatch-Request-Id': identity,
-            'X-Ryelatch-Token-Usage': '100,40',
-        }
-        url = f'http://{self.nodes[number].host}:8227{path}'
-        return self.http.post(url, headers=headers, data=b'question')
+        return self.nodes[number].open(self.http, path, identity)
 
 
 @asynccontextmanager
@@ -122,7 +49,8 @@
     store = ObjectStore()
     store.put('config', 'main', make_configuration())
     runners = []
-    runner, address = await _serve(store.make_app())
+    runner, port = await serve_app(store.make_app())
+    address = f'127.0.0.1:{port}'
     runners.append(runner)
     replicas = [
         *make_model_replicas((0, 8), (0, 8)),
@@ -131,17 +59,18 @@
     for replica in replicas:
         replica.store = store
         replica.pause = 0.2
-        runner, replica.address = await _serve(replica.make_app())
+        runner, port = await serve_app(replica.make_app())
+        replica.address = f'127.0.0.1:{port}'
         runners.append(runner)
         replica.register()
     nodes = [
-        await _start_node(f'node-{number}', address, folder)
+        await start_node(f'node-{number}', address, folder)
         for number in range(2)
     ]
     async with ClientSession() as http:
         try:
             for node in nodes:
-                await _wait_ready(http, node)
+                await wait_ready(http, node)
             yield RunningProcesses(nodes, replicas, http)
         finally:
             for node in nodes:
@@ -241,10 +170,7 @@
     takes half a second; clients retry only once, so their requests are lost.
     """
     host = f'127.{random.randint(1, 250)}.{random.randint(0, 250)}.7'
-    path = tmp_path / 'node.toml'
-    path.write_text(
-        _SETTINGS.format(name='node', host=host, store='127.0.0.1:1', grace=1)
-    )
+    path = write_settings(tmp_path, 'node', host, '127.0.0.1:1', grace=1)
     script = (
         'import runpy, socket, sys\n'
         'class Finder:\n'
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -1,5 +1,6 @@
 """Stand-in for a replica: requests, event streams, reports and commands."""
 
+import argparse
 import asyncio
 import contextlib
 import enum
@@ -11,6 +12,7 @@
 from multidict import CIMultiDict
 
 from standins.objects import ObjectStore
+from standins.server import serve
 
 
 def _read_clock() -> float:
@@ -416,3 +418,29 @@
     with contextlib.suppress(OSError):
         sock.setsockopt(1, 13, b'\x01\0\0\0\0\0\0\0')
     transport.abort()
+
+
+def main() -> None:
+    """Run a replica in a process of its own; the caller registers it."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--name', required=True)
+    parser.add_argument('--service', required=True)
+    parser.add_argument('--accelerator', default='')
+    parser.add_argument('--layers', type=int, nargs=2)
+    parser.add_argument('--events', type=int, default=5)
+    parser.add_argument('--pause', type=float, default=0.01)
+    options = parser.parse_args()
+    replica = ReplicaStandIn(
+        options.name,
+        options.service,
+        accelerator=options.accelerator,
+        layers=tuple(options.layers) if options.layers else None,
+        events=options.events,
+        pause=options.pause,
+    )
+    asyncio.run(serve(replica.make_app(), options.port))
+
+
+if __name__ == '__main__':
+    main()
