Soak: check that streams at sound replicas are finished

The soak took a stream that was cut off for right if what came of it was a prefix, whatever had cut it, so it could not see streams that a node gives up though their replica goes on.

A stream that isn't whole now needs an excuse, from what the soak itself did and when: each replica that ran it crashed, left the registry, spoiled that very run, or lost a link (also the other replicas of the path, after moves too); or the client's link was harmed, its node was killed, its deadline passed, or the client left while a replica stood still until shortly before. A run that another one replaced is excused only if that one had an event before it ended. A 502 counts like a cut. Besides, at most three streams may run on more sound replicas than their route allows.

For the times, links, nodes, clients and replicas record what befell them, and a replica stand-in can stand still like a stopped process and go on.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -2,16 +2,23 @@
 
 import asyncio
 import itertools
+import math
+import random
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import (
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+    ServerTimeoutError,
+)
 
 from fleet.running import KEY
 from soak.world import SPARE_KEY, Node, World
 
 CLIENT_COUNT = 8
-_DEADLINE_MS = 4000
+_DEADLINE_SECONDS = 4.0
 _PAUSE_SECONDS = (0.0, 0.1)
 _SHARED_PARTS = 3
 _KINDS = ('plan', 'plan', 'ping', 'book')
@@ -25,6 +32,11 @@
     :param sent: when it was sent, in seconds of the event loop's clock.
     :param status: 0 if no answer came.
     :param complete: whether the answer ended without an error.
+    :param node: name of the node to which it was sent.
+    :param ended: when the answer ended; infinity before.
+    :param progress: when the last part of the answer arrived.
+    :param deadline: when its client gave up at the latest.
+    :param left: whether the client gave up for want of progress.
     :param signature: of the replica that answered; empty if none signed.
     """
 
@@ -36,14 +48,28 @@
     complete: bool = False
     signature: str = ''
     body: bytes = b''
+    node: str = ''
+    ended: float = math.inf
+    progress: float = 0
+    deadline: float = math.inf
+    left: bool = False
 
 
 @dataclass(eq=False)
 class Clients:
-    """All clients, and all their attempts."""
+    """All clients, and all their attempts.
+
+    :param deadline: seconds for which they wait for a complete answer.
+    :param patience: seconds for which they wait for the next part of it.
+    :param random_source: their own, so that the faults of a seed don't depend
+        on how fast they are; by default, the one of the faults.
+    """
 
     world: World
     attempts: list[Attempt] = field(default_factory=list)
+    deadline: float = _DEADLINE_SECONDS
+    patience: float | None = None
+    random_source: random.Random | None = None
     _numbers: Iterator[int] = field(default_factory=itertools.count)
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -75,18 +101,25 @@
         """
         loop = asyncio.get_running_loop()
         number = next(self._numbers)
-        attempt = Attempt(f'r-{number}', kind, key, loop.time())
+        attempt = Attempt(
+            f'r-{number}',
+            kind,
+            key,
+            loop.time(),
+            node=node.name,
+            deadline=loop.time() + self.deadline,
+        )
         self.attempts.append(attempt)
         headers = {
             'Host': 'city.example',
             'X-Ryelatch-Request-Id': attempt.identity,
-            'X-Ryelatch-Deadline-Ms': str(_DEADLINE_MS),
+            'X-Ryelatch-Deadline-Ms': str(round(self.deadline * 1000)),
             'X-Ryelatch-Token-Usage': '100,40',
             'X-Ryelatch-Prefix-Hash': _list_parts(number, part),
             'Api-Key': key,
         }
         url = f'http://{node.front_link.address}/{kind}/x'
-        timeout = ClientTimeout(total=_DEADLINE_MS / 1000)
+        timeout = ClientTimeout(total=self.deadline, sock_read=self.patience)
         try:
             async with http.post(
                 url, headers=headers, data=body, timeout=timeout
@@ -97,13 +130,17 @@
                 )
                 async for chunk in response.content.iter_any():
                     attempt.body += chunk
+                    attempt.progress = loop.time()
                 attempt.complete = True
+        except ServerTimeoutError:
+            attempt.left = True
         except (ClientError, OSError, TimeoutError):
             attempt.complete = False
+        attempt.ended = loop.time()
         return attempt
 
     async def _run_client(self, stop: asyncio.Event) -> None:
-        random_source = self.world.random_source
+        random_source = self.random_source or self.world.random_source
         async with ClientSession() as http:
             while not stop.is_set():
                 await self._send_random(
@@ -112,7 +149,7 @@
                 await asyncio.sleep(random_source.uniform(*_PAUSE_SECONDS))
 
     async def _send_random(self, http: ClientSession, key: str) -> Attempt:
-        random_source = self.world.random_source
+        random_source = self.random_source or self.world.random_source
         node = random_source.choice(self.world.nodes)
         kind = random_source.choice(_KINDS)
         return await self.send(http, node, kind, key)
--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -104,5 +104,4 @@
         )
         await self.world.add_replica(new)
         await asyncio.sleep(_EXPIRY_SECONDS)
-        if old in self.world.list_registered():
-            self.world.store.drop('servers', old.name)
+        self.world.drop(old)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -36,6 +36,7 @@
     """Kill a node's process, and restart it."""
     node = world.random_source.choice(world.nodes)
     node.expected_exits += 1
+    node.killed.append(asyncio.get_running_loop().time())
     node.send(signal.SIGKILL)
     await asyncio.sleep(world.random_source.uniform(0.1, 1.5))
     node.restart_if_exited()
@@ -154,8 +155,7 @@
         layers=old.layers,
     )
     await world.add_replica(new)
-    if old in world.list_registered():
-        world.store.drop('servers', old.name)
+    world.drop(old)
     await asyncio.sleep(_sample_duration(world))
     world.links[old.name].switch(LinkMode.RESET)
 
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import enum
+import math
 import socket
 import struct
 from dataclasses import dataclass, field
@@ -35,6 +36,10 @@
     """Open connections work, new ones are refused."""
 
 
+_HARMLESS = frozenset((LinkMode.OPEN, LinkMode.DELAYED))
+"""Modes in which all connections work, if slowly."""
+
+
 _ZERO_LINGER = struct.pack('ii', 1, 0)
 
 
@@ -66,11 +71,19 @@
 
 @dataclass(eq=False)
 class Link:
-    """Listener on loopback that forwards connections to a target."""
+    """Listener on loopback that forwards connections to a target.
+
+    :param harms: when it was harmed, as start and end in seconds of the event
+        loop's clock; the end is infinity while it is.
+    :param cut_ports: its own ports of connections to the target that lost
+        bytes.
+    """
 
     target: tuple[str, int]
     mode: LinkMode = LinkMode.OPEN
     port: int = 0
+    harms: list[tuple[float, float]] = field(default_factory=list)
+    cut_ports: set[int] = field(default_factory=set)
     _listener: socket.socket | None = None
     _reserved: socket.socket | None = None
     _fillers: list[socket.socket] = field(default_factory=list)
@@ -103,6 +116,7 @@
 
     def switch(self, mode: LinkMode) -> None:
         """Change the mode; ``RESET`` also resets all open connections."""
+        self._record_harm(mode)
         # Connections that lost bytes while the link was dark stay cut.
         if mode is not self.mode and LinkMode.DARK in {mode, self.mode}:
             self._set_dark(dark=mode is LinkMode.DARK)
@@ -116,9 +130,18 @@
 
     def reset(self) -> None:
         """Reset all open connections."""
+        now = asyncio.get_running_loop().time()
+        self.harms.insert(0, (now, now))
         for writer in tuple(self._writers):
             _abort(writer)
 
+    def _record_harm(self, mode: LinkMode) -> None:
+        now = asyncio.get_running_loop().time()
+        if self.mode not in _HARMLESS:
+            self.harms[-1] = (self.harms[-1][0], now)
+        if mode not in _HARMLESS:
+            self.harms.append((now, math.inf))
+
     def _listen(self) -> None:
         if self._listener is None:
             self._listener = _bind(self.port)
@@ -183,12 +206,13 @@
         except OSError:
             _abort(writer)
             return
+        port = target_writer.get_extra_info('sockname')[1]
         writers = {writer, target_writer}
         self._writers |= writers
         try:
             await asyncio.gather(
-                self._forward(reader, target_writer, to_client=False),
-                self._forward(target_reader, writer, to_client=True),
+                self._forward(reader, target_writer, port, to_client=False),
+                self._forward(target_reader, writer, port, to_client=True),
             )
         finally:
             for endpoint in writers:
@@ -199,6 +223,7 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        port: int,
         *,
         to_client: bool,
     ) -> None:
@@ -215,6 +240,7 @@
                 # delivers later bytes without the lost ones.
                 cut = cut or dropped
                 if cut:
+                    self.cut_ports.add(port)
                     continue
                 writer.write(chunk)
                 await writer.drain()
--- /dev/null
+++ b/tests/soak/streams.py
@@ -0,0 +1,197 @@
+"""Checks that streams in progress at sound replicas are finished.
+
+A stream that wasn't finished needs an excuse: something that the soak did, at
+its time, to each replica that ran it or on the way to its client.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Mapping
+
+from soak.clients import Attempt, Clients
+from soak.links import Link
+from soak.world import World
+from standins.replica import ReplicaStandIn, Run
+
+CATCH_UP_SECONDS = 0.5
+"""Time in which clients get an event of a replica that goes on."""
+
+MAX_OVERRUN_REQUESTS = 3
+"""Streams that may run on more sound replicas than their route allows."""
+
+_MAX_ATTEMPTS = 2
+"""Of the route of streams."""
+
+_OK = 200
+
+_Runs = Mapping[str, list[tuple[ReplicaStandIn, Run]]]
+
+
+def check_streams(world: World, clients: Clients) -> Iterator[str]:
+    """A stream that runs at a sound replica is finished."""
+    runs = _group_runs(world)
+    for attempt in clients.attempts:
+        if attempt.kind != 'plan' or _is_whole(attempt):
+            continue
+        sound = _list_sound(world, attempt, runs[attempt.identity])
+        if sound and not _is_excused_on_the_way(world, attempt, runs):
+            yield f'unfinished, at {", ".join(sound)}: {attempt}'
+
+
+def check_attempts(world: World, clients: Clients) -> Iterator[str]:
+    """Few streams run on more replicas than their route allows.
+
+    Replicas that didn't finish them don't count, if the soak is the cause.
+    """
+    runs = _group_runs(world)
+    ran = {
+        attempt.identity: _list_begun(world, attempt, runs[attempt.identity])
+        for attempt in clients.attempts
+        if attempt.kind == 'plan'
+    }
+    overrun = {
+        identity: names
+        for identity, names in ran.items()
+        if len(names) > _MAX_ATTEMPTS
+    }
+    if len(overrun) > MAX_OVERRUN_REQUESTS:
+        yield f'ran on more than {_MAX_ATTEMPTS} replicas: {overrun}'
+
+
+def _group_runs(world: World) -> _Runs:
+    grouped = defaultdict(list)
+    for replica in world.replicas:
+        for run in replica.runs:
+            grouped[run.identity].append((replica, run))
+    return grouped
+
+
+def _is_whole(attempt: Attempt) -> bool:
+    return attempt.status == _OK and attempt.complete
+
+
+def _list_sound(
+    world: World,
+    attempt: Attempt,
+    runs: list[tuple[ReplicaStandIn, Run]],
+) -> list[str]:
+    """List the replicas whose runs of an attempt have no excuse."""
+    return [
+        replica.name
+        for replica, run in runs
+        if not _has_failed(world, attempt, replica, run)
+        and not _is_superseded(run, [other for _, other in runs])
+    ]
+
+
+def _list_begun(
+    world: World,
+    attempt: Attempt,
+    runs: list[tuple[ReplicaStandIn, Run]],
+) -> list[str]:
+    """List the replicas that began to stream and could have finished."""
+    return [
+        replica.name
+        for replica, run in runs
+        if run.first_event and not _has_failed(world, attempt, replica, run)
+    ]
+
+
+def _has_failed(
+    world: World, attempt: Attempt, replica: ReplicaStandIn, run: Run
+) -> bool:
+    """Whether the soak kept a run from finishing."""
+    cut = any(
+        run.port in link.cut_ports for link in _list_links(world, replica.name)
+    )
+    return (
+        bool(run.fault)
+        or cut
+        or any(
+            _is_lost(world, stage, run, attempt)
+            for stage in _list_path(world, replica, run)
+        )
+    )
+
+
+def _is_superseded(run: Run, runs: Iterable[Run]) -> bool:
+    """Whether another run had an event before this one ended."""
+    return any(
+        other is not run and 0 < other.first_event <= run.ended
+        for other in runs
+        if other.at > run.at
+    )
+
+
+def _is_lost(
+    world: World, replica: ReplicaStandIn, run: Run, attempt: Attempt
+) -> bool:
+    """Whether a replica, its entry or its link was lost during a run."""
+    lost_at = min(
+        replica.crashed_at,
+        world.dropped_at.get(replica.name, attempt.ended),
+    )
+    return lost_at < attempt.ended or any(
+        _is_harmed(link, run.at, attempt.ended)
+        for link in _list_links(world, replica.name)
+    )
+
+
+def _list_path(
+    world: World, first: ReplicaStandIn, run: Run
+) -> list[ReplicaStandIn]:
+    """List the replicas through which a run passed, after moves as well."""
+    paths = [run.headers.get('X-Ryelatch-Hop-Count', '')] + [
+        command['path']
+        for command in first.commands
+        if command.get('id') == run.identity
+    ]
+    addresses = {
+        stage.partition('=')[0] for path in paths for stage in path.split(',')
+    }
+    return [
+        replica
+        for replica in world.replicas
+        if replica is first
+        or not addresses.isdisjoint(
+            link.address for link in _list_links(world, replica.name)
+        )
+    ]
+
+
+def _list_links(world: World, name: str) -> list[Link]:
+    own = (node.replica_links.get(name) for node in world.nodes)
+    return [link for link in (world.links.get(name), *own) if link is not None]
+
+
+def _is_harmed(link: Link, start: float, end: float) -> bool:
+    return any(
+        harmed <= end and repaired >= start for harmed, repaired in link.harms
+    )
+
+
+def _is_excused_on_the_way(world: World, attempt: Attempt, runs: _Runs) -> bool:
+    """Whether its client left, or its node was lost to the client."""
+    if attempt.ended >= attempt.deadline:
+        return True
+    # A node without links to replicas forwards requests to any other one.
+    killed = any(
+        attempt.sent <= at <= attempt.ended
+        for node in world.nodes
+        if world.cutting or node.name == attempt.node
+        for at in node.killed
+    )
+    harmed = any(
+        _is_harmed(node.front_link, attempt.sent, attempt.ended)
+        for node in world.nodes
+        if node.name == attempt.node
+    )
+    return killed or harmed or (attempt.left and _was_silent(attempt, runs))
+
+
+def _was_silent(attempt: Attempt, runs: _Runs) -> bool:
+    """Whether a replica stood still until shortly before the client left."""
+    return any(
+        start < attempt.ended and end > attempt.ended - CATCH_UP_SECONDS
+        for replica, _ in runs[attempt.identity]
+        for start, end in replica.frozen
+    )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -67,6 +67,8 @@
     :param started_at: monotonic seconds.
     :param replica_links: links of its own to the replicas, by their names, in
         soaks that cut nodes off from all replicas.
+    :param killed: when the soak killed it, in seconds of the event loop's
+        clock.
     """
 
     name: str
@@ -80,6 +82,7 @@
     started_at: float = 0
     replica_links: dict[str, Link] = field(default_factory=dict)
     process: subprocess.Popen[bytes] | None = None
+    killed: list[float] = field(default_factory=list)
 
     def start(self) -> None:
         """Start the process as the platform does."""
@@ -141,6 +144,7 @@
     :param revoked_at: when ``SPARE_KEY`` was revoked.
     :param leaving_since: when replicas announced that they leave, by name.
     :param added_replicas: number of all so far.
+    :param dropped_at: when entries of replicas were deleted, by name.
     :param recovered_at: when the faults were over; 0 before.
     :param cutting: whether each node has links of its own to the replicas.
     :param limited_replica: the overloaded replica with a limit, and since when.
@@ -157,6 +161,7 @@
     leaving_since: dict[str, float] = field(default_factory=dict)
     added_replicas: int = 0
     recovered_at: float = 0
+    dropped_at: dict[str, float] = field(default_factory=dict)
     limited_replica: tuple[str, float] | None = None
     crashing_keys: set[str] = field(default_factory=set)
     cutting: bool = False
@@ -188,6 +193,12 @@
             if self.store.get('servers', replica.name) is not None
         ]
 
+    def drop(self, replica: ReplicaStandIn) -> None:
+        """Delete the entry of a replica, if it has one."""
+        if self.store.get('servers', replica.name) is not None:
+            self.store.drop('servers', replica.name)
+            self.dropped_at[replica.name] = asyncio.get_running_loop().time()
+
     def configure(self, keys: list[str]) -> None:
         """Write the next version of the configuration, with these API keys."""
         self.version += self.random_source.randint(1, 3)
--- /dev/null
+++ b/tests/soak_tests/test_pausing.py
@@ -0,0 +1,53 @@
+"""Tests that a replica that stood still goes on with everything."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+from aiohttp import ClientSession
+
+from fleet.running import make_event_stream, serve_app
+from standins.replica import ReplicaStandIn
+
+_STREAM = {'X-Ryelatch-Hop-Count': 'x=0-8', 'X-Ryelatch-Request-Id': 'r-1'}
+_SHORT_SECONDS = 0.1
+
+
+@contextlib.asynccontextmanager
+async def _serve(replica: ReplicaStandIn) -> AsyncIterator[ClientSession]:
+    runner, port = await serve_app(replica.make_app())
+    async with ClientSession(f'http://127.0.0.1:{port}') as http:
+        yield http
+    await runner.cleanup()
+
+
+@pytest.mark.parametrize('splits', [False, True])
+async def test_frozen_replica_finishes_its_stream(splits: bool) -> None:
+    """A pause loses a part of a stream, or lets events through."""
+    replica = ReplicaStandIn('m-0', 'model', pause=0.01)
+    async with (
+        _serve(replica) as http,
+        http.post('/plan/x', headers=_STREAM) as response,
+    ):
+        begun = await response.content.readuntil(b'token 1\n\n')
+        replica.freeze(splits=splits)
+        rest = asyncio.create_task(response.content.read())
+        await asyncio.sleep(_SHORT_SECONDS)
+        assert not rest.done()
+        replica.thaw()
+        assert begun + await rest == make_event_stream(5)
+    assert replica.frozen[0][0] < replica.frozen[0][1]
+
+
+@pytest.mark.parametrize('path', ['/report', '/ping/x', '/plan/x'])
+async def test_frozen_replica_answers_afterwards(path: str) -> None:
+    """A paused replica answers requests, or drops those that arrive."""
+    replica = ReplicaStandIn('m-0', 'model')
+    async with _serve(replica) as http:
+        replica.freeze()
+        answer = asyncio.create_task(http.get(path, headers=_STREAM))
+        await asyncio.sleep(_SHORT_SECONDS)
+        assert not answer.done()
+        replica.thaw()
+        assert (await answer).status == 200
--- /dev/null
+++ b/tests/soak_tests/test_streams.py
@@ -0,0 +1,258 @@
+"""Tests that unfinished streams are found, and what excuses them."""
+
+import math
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from multidict import CIMultiDict
+
+from fleet.running import KEY, make_event_stream
+from soak.clients import Attempt, Clients
+from soak.links import Link
+from soak.streams import (
+    CATCH_UP_SECONDS,
+    MAX_OVERRUN_REQUESTS,
+    check_attempts,
+    check_streams,
+)
+from soak.world import Node, World
+from standins.objects import ObjectStore
+from standins.replica import ReplicaStandIn, Run
+
+_SENT = 10.0
+_ENDED = 12.0
+_DURING = 11.0
+_DEADLINE = 14.0
+
+_Change = Callable[[World, Attempt], object]
+
+
+def _make_run(identity: str, at: float, **changes: float | str) -> Run:
+    run = Run(identity, CIMultiDict(), '/plan/x', b'', at=at, ended=_ENDED)
+    run.first_event = at + 0.1
+    for name, value in changes.items():
+        setattr(run, name, value)
+    return run
+
+
+def _make_attempt(identity: str = 'r-1') -> Attempt:
+    """Make a stream that was cut off after two events."""
+    return Attempt(
+        identity,
+        'plan',
+        KEY,
+        _SENT,
+        200,
+        body=make_event_stream(2),
+        node='node-0',
+        ended=_ENDED,
+        deadline=_DEADLINE,
+    )
+
+
+def _make_world() -> World:
+    """Make a world of two nodes and three replicas without any faults."""
+    world = World(random.Random(1), ObjectStore())
+    for number in range(3):
+        replica = ReplicaStandIn(f'm-{number}', 'model')
+        world.replicas.append(replica)
+        world.links[replica.name] = Link(('127.0.0.1', 1), port=8000 + number)
+    for number in range(2):
+        links = Link(('127.0.0.1', 1)), Link(('127.0.0.1', 1))
+        world.nodes.append(Node(f'node-{number}', '', Path(), *links, Path()))
+    return world
+
+
+def _cut_off(change: _Change) -> list[str]:
+    """Cut off a stream at a replica, after a change to the world."""
+    world, attempt = _make_world(), _make_attempt()
+    world.replicas[0].runs.append(_make_run('r-1', _SENT))
+    change(world, attempt)
+    return list(check_streams(world, Clients(world, [attempt])))
+
+
+def _pass_through(world: World, number: int) -> None:
+    """Let the run of a stream pass through another replica."""
+    address = world.links[world.replicas[number].name].address
+    path = f'127.0.0.1:8000=0-4,{address}=4-8'
+    world.replicas[0].runs[0].headers['X-Ryelatch-Hop-Count'] = path
+
+
+def _change_nothing(world: World, attempt: Attempt) -> None:
+    """Leave the world without faults."""
+
+
+def _freeze_before(world: World, attempt: Attempt) -> None:
+    world.replicas[0].frozen.append((_SENT + 0.5, _ENDED))
+
+
+def _crash_after(world: World, attempt: Attempt) -> None:
+    world.replicas[0].crashed_at = _ENDED + 0.1
+
+
+def _crash_other(world: World, attempt: Attempt) -> None:
+    world.replicas[1].crashed_at = _DURING
+
+
+def _harm_other(world: World, attempt: Attempt) -> None:
+    world.links['m-1'].harms.append((_DURING, math.inf))
+
+
+def _harm_before(world: World, attempt: Attempt) -> None:
+    world.links['m-0'].harms.append((_SENT - 2, _SENT - 1))
+
+
+def _kill_other(world: World, attempt: Attempt) -> None:
+    world.nodes[1].killed.append(_DURING)
+
+
+def _kill_before(world: World, attempt: Attempt) -> None:
+    world.nodes[0].killed.append(_SENT - 1)
+
+
+def _leave_long_after(world: World, attempt: Attempt) -> None:
+    attempt.left = True
+    end = _ENDED - CATCH_UP_SECONDS - 0.1
+    world.replicas[0].frozen.append((_SENT, end))
+
+
+def _lose_answer(world: World, attempt: Attempt) -> None:
+    attempt.status, attempt.complete = 502, True
+
+
+def _resume_without_events(world: World, attempt: Attempt) -> None:
+    second = _make_run('r-1', _DURING, first_event=0, fault='hung')
+    world.replicas[1].runs.append(second)
+
+
+def _resume_too_late(world: World, attempt: Attempt) -> None:
+    world.replicas[0].runs[0].ended = _DURING
+    second = _make_run('r-1', _DURING + 0.1, fault='broken off')
+    world.replicas[1].runs.append(second)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        _change_nothing,
+        _freeze_before,
+        _crash_after,
+        _crash_other,
+        _harm_other,
+        _harm_before,
+        _kill_other,
+        _kill_before,
+        _leave_long_after,
+        _lose_answer,
+        _resume_without_events,
+        _resume_too_late,
+    ],
+)
+def test_unfinished_stream_is_found(change: _Change) -> None:
+    """A stream that a sound replica would have finished counts as right."""
+    assert _cut_off(change)
+
+
+def _finish(world: World, attempt: Attempt) -> None:
+    attempt.complete = True
+
+
+def _break_off(world: World, attempt: Attempt) -> None:
+    world.replicas[0].runs[0].fault = 'broken off'
+
+
+def _crash(world: World, attempt: Attempt) -> None:
+    world.replicas[0].crashed_at = _DURING
+
+
+def _crash_stage(world: World, attempt: Attempt) -> None:
+    _pass_through(world, 1)
+    _crash_other(world, attempt)
+
+
+def _harm(world: World, attempt: Attempt) -> None:
+    world.links['m-0'].harms.append((_DURING, math.inf))
+
+
+def _harm_after_move(world: World, attempt: Attempt) -> None:
+    path = f'127.0.0.1:8000=0-4,{world.links["m-1"].address}=4-8'
+    world.replicas[0].commands.append({'id': 'r-1', 'path': path})
+    _harm_other(world, attempt)
+
+
+def _cut_before(world: World, attempt: Attempt) -> None:
+    world.replicas[0].runs[0].port = 5
+    world.links['m-0'].cut_ports.add(5)
+
+
+def _drop(world: World, attempt: Attempt) -> None:
+    world.dropped_at['m-0'] = _DURING
+
+
+def _kill(world: World, attempt: Attempt) -> None:
+    world.nodes[0].killed.append(_DURING)
+
+
+def _harm_front(world: World, attempt: Attempt) -> None:
+    world.nodes[0].front_link.harms.append((_DURING, _DURING))
+
+
+def _pass_deadline(world: World, attempt: Attempt) -> None:
+    attempt.ended = _DEADLINE
+
+
+def _leave_paused(world: World, attempt: Attempt) -> None:
+    attempt.left = True
+    _freeze_before(world, attempt)
+
+
+def _resume_and_crash(world: World, attempt: Attempt) -> None:
+    world.replicas[1].runs.append(_make_run('r-1', _DURING))
+    world.replicas[1].crashed_at = _ENDED - 0.1
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        _finish,
+        _break_off,
+        _crash,
+        _crash_stage,
+        _harm,
+        _harm_after_move,
+        _cut_before,
+        _drop,
+        _kill,
+        _harm_front,
+        _pass_deadline,
+        _leave_paused,
+        _resume_and_crash,
+    ],
+)
+def test_stream_lost_by_the_soak_is_excused(change: _Change) -> None:
+    """A stream that no node could have finished counts as a fault."""
+    assert not _cut_off(change)
+
+
+@pytest.mark.parametrize(
+    ('count', 'fault', 'found'),
+    [
+        (MAX_OVERRUN_REQUESTS + 1, '', True),
+        (MAX_OVERRUN_REQUESTS, '', False),
+        (MAX_OVERRUN_REQUESTS + 1, 'broken off', False),
+    ],
+)
+def test_streams_with_too_many_runs_are_found(
+    count: int, fault: str, found: bool
+) -> None:
+    """Runs that were broken off don't count as attempts."""
+    world = _make_world()
+    attempts = [_make_attempt(f'r-{number}') for number in range(count)]
+    for attempt in attempts:
+        for replica in world.replicas:
+            replica.runs.append(_make_run(attempt.identity, _SENT))
+        world.replicas[0].runs[-1].fault = fault
+    clients = Clients(world, attempts)
+    assert bool(list(check_attempts(world, clients))) is found
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import enum
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -14,6 +15,8 @@
 from standins.objects import ObjectStore
 from standins.server import serve
 
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
 
 def _read_clock() -> float:
     return asyncio.get_running_loop().time()
@@ -23,8 +26,14 @@
 class Run:
     """A request that the replica received.
 
+    Times are seconds of the event loop's clock.
+
     :param cancelled: whether the connection was closed before the answer.
-    :param at: when it was received, in seconds of the event loop's clock.
+    :param at: when it was received.
+    :param port: of the connection's other end.
+    :param fault: why the replica does not finish it; empty for a sound run.
+    :param first_event: when its first event was sent; 0 if none was.
+    :param ended: when it ended; infinity while it runs.
     """
 
     identity: str
@@ -33,6 +42,10 @@
     body: bytes
     cancelled: bool = False
     at: float = field(default_factory=_read_clock)
+    port: int = 0
+    fault: str = ''
+    first_event: float = 0
+    ended: float = math.inf
 
 
 class Unframed(enum.Enum):
@@ -77,6 +90,9 @@
         stream's answer was sent; its address refuses connections from then on.
     :param crash_on_part: hash of a part of the prompts that crash it likewise.
     :param crashed: whether it has crashed.
+    :param crashed_at: when, in seconds of the event loop's clock.
+    :param frozen: the times at which it stood still, the last one until
+        infinity while it does.
     :param extra_headers: additional headers of all its answers.
     :param refusals: times of its refusals, by the event loop's clock.
     :param reports: number of reports that nodes requested.
@@ -110,6 +126,8 @@
     crash_on: bytes = b''
     crash_on_part: str = ''
     crashed: bool = False
+    crashed_at: float = math.inf
+    frozen: list[tuple[float, float]] = field(default_factory=list)
     extra_headers: dict[str, str] = field(default_factory=dict)
     refusals: list[float] = field(default_factory=list)
     reports: int = 0
@@ -123,6 +141,8 @@
     _moved: asyncio.Event = field(default_factory=asyncio.Event)
     _stalled: dict[str, str] = field(default_factory=dict)
     stop_listening: Callable[[], Awaitable[None]] | None = None
+    _thawed: asyncio.Event | None = None
+    _splits: bool = False
     _transports: set[asyncio.Transport] = field(default_factory=set)
 
     def register(self, state: str = 'ready') -> None:
@@ -153,11 +173,35 @@
     async def crash(self) -> None:
         """Crash like a process: stop listening and reset all connections."""
         self.crashed = True
+        self.crashed_at = _read_clock()
         assert self.stop_listening is not None
         await self.stop_listening()
         for transport in tuple(self._transports):
             transport.abort()
 
+    @property
+    def is_frozen(self) -> bool:
+        """Whether it stands still."""
+        return self._thawed is not None
+
+    def freeze(self, *, splits: bool = False) -> None:
+        """Stand still like a stopped process, which loses nothing.
+
+        What arrives is accepted; nothing is answered before ``thaw``.
+
+        :param splits: whether streams stop inside their next event.
+        """
+        self._thawed = asyncio.Event()
+        self._splits = splits
+        self.frozen.append((_read_clock(), math.inf))
+
+    def thaw(self) -> None:
+        """Go on with everything where it stopped."""
+        if self._thawed is not None:
+            self._thawed.set()
+            self._thawed = None
+            self.frozen[-1] = (self.frozen[-1][0], _read_clock())
+
     def resume(self) -> None:
         """Let stalled streams continue."""
         self._stalled.clear()
@@ -165,7 +209,7 @@
 
     def make_app(self) -> web.Application:
         """Make the HTTP application of the replica."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._hold_answer])
         app.router.add_get('/report', self._report)
         app.router.add_post('/order', self._handle_command)
         app.router.add_route('*', '/{path:.*}', self._serve)
@@ -184,6 +228,18 @@
         self.fence = 0
         self.resume()
 
+    async def _wait_thawed(self) -> None:
+        while self._thawed is not None:
+            await self._thawed.wait()
+
+    @web.middleware
+    async def _hold_answer(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        response = await handler(request)
+        await self._wait_thawed()
+        return response
+
     def _encode_layers(self) -> dict[str, int] | None:
         if self.layers is None:
             return None
@@ -271,6 +327,7 @@
             request.headers.copy(),
             request.path_qs,
             await request.read(),
+            port=_get_peer_port(request),
         )
         self.runs.append(run)
         try:
@@ -278,12 +335,17 @@
         except asyncio.CancelledError:
             run.cancelled = True
             raise
+        finally:
+            run.ended = _read_clock()
 
     async def _run(self, request: web.Request, run: Run) -> web.StreamResponse:
+        await self._wait_thawed()
         if self.hang:
+            run.fault = 'hung'
             await asyncio.Event().wait()
         if self._crashes_on(run):
             return await self._crash_during(request, run)
+        run.fault = self._name_fault()
         headers = self._make_signed_headers(
             'other' if self.other_identity else run.identity
         )
@@ -302,6 +364,16 @@
             body=f'answer of {self.name}'.encode(), headers=headers
         )
 
+    def _name_fault(self) -> str:
+        """Name the fault by which it spoils the next run, if any."""
+        if self.failures or self.fail:
+            return 'failed'
+        if self.other_identity:
+            return 'other identity'
+        if self.unframed_part or self.unframed not in {None, Unframed.WHOLE}:
+            return 'cut off without a length'
+        return ''
+
     def _crashes_on(self, run: Run) -> bool:
         if self.crash_on and run.body == self.crash_on:
             return True
@@ -362,6 +434,7 @@
         if ending is Unframed.INSIDE:
             pieces[-1] = pieces[-1][:-1]
         for piece in pieces:
+            await self._wait_thawed()
             transport.write(piece)
             await asyncio.sleep(self.pause)
 
@@ -381,18 +454,32 @@
             event = f'id: {number}\ndata: token {number}\n\n'.encode()
             if self.break_after and number > self.break_after:
                 self.break_after = 0
+                run.fault = 'broken off'
                 await response.write(event[:9])
                 assert request.transport is not None
                 request.transport.abort()
                 return response
-            await response.write(event)
+            await self._write_event(response, event)
+            run.first_event = run.first_event or _read_clock()
             await asyncio.sleep(self.pause)
+        await self._wait_thawed()
         await response.write_eof()
         return response
 
+    async def _write_event(
+        self, response: web.StreamResponse, event: bytes
+    ) -> None:
+        if self.is_frozen and self._splits:
+            middle = len(event) // 2
+            await response.write(event[:middle])
+            event = event[middle:]
+        await self._wait_thawed()
+        await response.write(event)
+
     async def _stall_if_set(self, run: Run, number: int) -> None:
         if self.stall_after and self.stalls and number > self.stall_after:
             self.stalls -= 1
+            run.fault = 'stalled'
             self._stalled[run.identity] = self.stalled_address
             await self._moved.wait()
 
@@ -407,6 +494,12 @@
         }
 
 
+def _get_peer_port(request: web.Request) -> int:
+    assert request.transport is not None
+    peer = request.transport.get_extra_info('peername')
+    return int(peer[1]) if peer else 0
+
+
 def _make_unframed_head(headers: dict[str, str]) -> bytes:
     lines = ''.join(f'{name}: {text}\r\n' for name, text in headers.items())
     return f'HTTP/1.1 200 OK\r\n{lines}\r\n'.encode()
