Soak of replicas that stand still beside planned work

The soak's faults silenced one link for good, or the next stream of one replica; none stopped a whole replica and let it go on, so a silence that ends never met the nodes' bounds.

Nothing is lost. Pauses overlap each other and changed limits, SIGHUP, SIGTERM and replacements, and nothing else happens, so that nearly no stream has an excuse. Clients have a source of random numbers of their own there, so that the faults of a seed don't depend on how fast they are.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -37,6 +37,11 @@
         action='store_true',
         help='with nodes that are cut off from all replicas',
     )
+    parser.add_argument(
+        '--pausing',
+        action='store_true',
+        help='with replicas that stand still beside planned work only',
+    )
     return parser.parse_args()
 
 
@@ -57,6 +62,7 @@
                 crashing_part=options.crashing_part,
                 asking=options.asking,
                 cutting=options.cutting,
+                pausing=options.pausing,
             )
         )
         failed += bool(outcome.violations)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -203,17 +203,24 @@
         link.switch(LinkMode.OPEN)
 
 
-async def inject_faults(world: World, seconds: float) -> list[str]:
+def list_faults(world: World) -> tuple[Fault, ...]:
+    """List all faults, each as often as its weight."""
+    return FAULTS + (cut_nodes,) * _CUTS if world.cutting else FAULTS
+
+
+async def inject_faults(
+    world: World, seconds: float, faults: tuple[Fault, ...]
+) -> list[str]:
     """Inject faults at random times, and wait until all have ended.
 
     :param seconds: time during which faults start.
+    :param faults: from which each is drawn.
     :returns: the faults' names, in order.
     """
     loop = asyncio.get_running_loop()
     deadline = loop.time() + seconds
     tasks: list[asyncio.Task[None]] = []
     names: list[str] = []
-    faults = FAULTS + (cut_nodes,) * _CUTS if world.cutting else FAULTS
     while loop.time() < deadline:
         fault = world.random_source.choice(faults)
         names.append(fault.__name__)
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -32,12 +32,17 @@
     DARK = 'dark'
     """Open connections carry nothing, and new ones are never established."""
 
+    HELD = 'held'
+    """Nothing passes, as with ``DARK``, but nothing is lost either."""
+
     REFUSING = 'refusing'
     """Open connections work, new ones are refused."""
 
 
-_HARMLESS = frozenset((LinkMode.OPEN, LinkMode.DELAYED))
-"""Modes in which all connections work, if slowly."""
+_HARMLESS = frozenset((LinkMode.OPEN, LinkMode.DELAYED, LinkMode.HELD))
+"""Modes in which no connection is lost."""
+
+_UNREACHABLE = frozenset((LinkMode.DARK, LinkMode.HELD))
 
 
 _ZERO_LINGER = struct.pack('ii', 1, 0)
@@ -84,6 +89,7 @@
     port: int = 0
     harms: list[tuple[float, float]] = field(default_factory=list)
     cut_ports: set[int] = field(default_factory=set)
+    _released: asyncio.Event = field(default_factory=asyncio.Event)
     _listener: socket.socket | None = None
     _reserved: socket.socket | None = None
     _fillers: list[socket.socket] = field(default_factory=list)
@@ -118,13 +124,16 @@
         """Change the mode; ``RESET`` also resets all open connections."""
         self._record_harm(mode)
         # Connections that lost bytes while the link was dark stay cut.
-        if mode is not self.mode and LinkMode.DARK in {mode, self.mode}:
-            self._set_dark(dark=mode is LinkMode.DARK)
+        if mode is not self.mode and _UNREACHABLE & {mode, self.mode}:
+            self._set_dark(dark=mode in _UNREACHABLE)
         if mode is LinkMode.REFUSING:
             self._refuse()
         elif self.mode is LinkMode.REFUSING:
             self._listen()
         self.mode = mode
+        if mode is not LinkMode.HELD:
+            self._released.set()
+            self._released = asyncio.Event()
         if mode is LinkMode.RESET:
             self.reset()
 
@@ -232,6 +241,8 @@
             while chunk := await reader.read(_CHUNK_BYTES):
                 if self.mode is LinkMode.DELAYED:
                     await asyncio.sleep(_DELAY_SECONDS)
+                while self.mode is LinkMode.HELD:
+                    await self._released.wait()
                 dropped = self.mode in {LinkMode.SILENT, LinkMode.DARK}
                 dropped = dropped or (
                     to_client and self.mode is LinkMode.ONE_WAY
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -10,7 +10,12 @@
 from soak.checks import list_violations
 from soak.clients import Clients
 from soak.crashing import CrashingClient
-from soak.faults import inject_faults
+from soak.faults import inject_faults, list_faults
+from soak.pausing import (
+    CLIENT_DEADLINE_SECONDS,
+    CLIENT_PATIENCE_SECONDS,
+    PAUSING_FAULTS,
+)
 from soak.throttling import ThrottledReplicas
 from soak.world import World, run_world
 
@@ -46,6 +51,7 @@
     crashing_part: bool = False,
     asking: bool = False,
     cutting: bool = False,
+    pausing: bool = False,
 ) -> Outcome:
     """Run one seed.
 
@@ -55,9 +61,17 @@
     :param crashing_part: whether it sends different ones with such a part.
     :param asking: whether replicas announce limits and ask for backoff.
     :param cutting: whether nodes are cut off from all replicas.
+    :param pausing: whether replicas stand still beside planned work, and
+        nothing else happens.
     """
-    async with run_world(seed, folder, cutting=cutting) as world:
+    async with run_world(
+        seed, folder, cutting=cutting, pausing=pausing
+    ) as world:
         clients = Clients(world)
+        if pausing:
+            clients.deadline = CLIENT_DEADLINE_SECONDS
+            clients.patience = CLIENT_PATIENCE_SECONDS
+            clients.random_source = random.Random(seed)
         stop_clients = asyncio.Event()
         crashing_client = CrashingClient(
             world, clients, random.Random(seed), crashing_part
@@ -70,7 +84,9 @@
             throttled.start()
         sending = asyncio.create_task(clients.run(stop_clients))
         revoking = asyncio.create_task(_revoke_key(world, seconds / 3))
-        faults = await inject_faults(world, seconds)
+        faults = await inject_faults(
+            world, seconds, PAUSING_FAULTS if pausing else list_faults(world)
+        )
         await revoking
         await throttled.stop()
         await _wait_recovered(world)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -42,6 +42,8 @@
 """API key that is revoked during a run."""
 
 _READY_SECONDS = 30
+_EVENT_SECONDS = 0.05
+_SLOW_EVENT_SECONDS = 0.1
 _SETTINGS = """
 nodeName = "{name}"
 zone = "zone-a"
@@ -147,6 +149,7 @@
     :param dropped_at: when entries of replicas were deleted, by name.
     :param recovered_at: when the faults were over; 0 before.
     :param cutting: whether each node has links of its own to the replicas.
+    :param pausing: whether streams last longer, as replicas stand still.
     :param limited_replica: the overloaded replica with a limit, and since when.
     """
 
@@ -165,6 +168,7 @@
     limited_replica: tuple[str, float] | None = None
     crashing_keys: set[str] = field(default_factory=set)
     cutting: bool = False
+    pausing: bool = False
 
     async def add_replica(self, replica: ReplicaStandIn) -> ReplicaStandIn:
         """Start a replica behind a link, and register it by a unique name."""
@@ -172,7 +176,7 @@
         replica.name = f'{replica.name}-{self.added_replicas}'
         replica.store = self.store
         replica.events = STREAM_EVENTS
-        replica.pause = 0.05
+        replica.pause = _SLOW_EVENT_SECONDS if self.pausing else _EVENT_SECONDS
         link = await self._open_link(replica.make_app())
         self.links[replica.name] = link
         replica.stop_listening = link.close
@@ -199,17 +203,28 @@
             self.store.drop('servers', replica.name)
             self.dropped_at[replica.name] = asyncio.get_running_loop().time()
 
-    def configure(self, keys: list[str]) -> None:
-        """Write the next version of the configuration, with these API keys."""
+    def configure(
+        self,
+        keys: list[str],
+        *,
+        idle_ms: int = 5000,
+        timeout_ms: int = 10_000,
+    ) -> None:
+        """Write the next version of the configuration, with these API keys.
+
+        :param idle_ms: limit of idle connections in milliseconds.
+        :param timeout_ms: limit of streams in milliseconds.
+        """
         self.version += self.random_source.randint(1, 3)
         accounts = [
             {'name': key.removesuffix('-key'), 'apiKeys': [key]} for key in keys
         ]
-        self.store.put(
-            'config',
-            'main',
-            make_configuration(version=self.version, tenants=accounts),
+        configuration = make_configuration(
+            version=self.version, tenants=accounts
         )
+        configuration['limits']['idleTimeoutMs'] = idle_ms
+        configuration['routes'][-1]['timeoutMs'] = timeout_ms
+        self.store.put('config', 'main', configuration)
 
     async def add_node(self, name: str, folder: Path) -> None:
         """Start a node with links of its own to the store and the clients."""
@@ -309,13 +324,20 @@
 
 @asynccontextmanager
 async def run_world(
-    seed: int, folder: Path, *, cutting: bool = False
+    seed: int,
+    folder: Path,
+    *,
+    cutting: bool = False,
+    pausing: bool = False,
 ) -> AsyncIterator[World]:
     """Start a world, and stop all of it at the end.
 
     :param cutting: whether each node has links of its own to the replicas.
+    :param pausing: whether streams last longer, as replicas stand still.
     """
-    world = World(random.Random(seed), ObjectStore(), cutting=cutting)
+    world = World(
+        random.Random(seed), ObjectStore(), cutting=cutting, pausing=pausing
+    )
     world.configure([KEY, SPARE_KEY])
     try:
         await _populate(world, folder)
--- a/tests/soak_tests/test_pausing.py
+++ b/tests/soak_tests/test_pausing.py
@@ -8,6 +8,7 @@
 from aiohttp import ClientSession
 
 from fleet.running import make_event_stream, serve_app
+from soak.links import Link, LinkMode
 from standins.replica import ReplicaStandIn
 
 _STREAM = {'X-Ryelatch-Hop-Count': 'x=0-8', 'X-Ryelatch-Request-Id': 'r-1'}
@@ -51,3 +52,27 @@
         assert not answer.done()
         replica.thaw()
         assert (await answer).status == 200
+
+
+async def test_held_link_loses_nothing() -> None:
+    """A stream or a new connection is lost while a link is held."""
+    replica = ReplicaStandIn('m-0', 'model', pause=0.01)
+    runner, port = await serve_app(replica.make_app())
+    link = Link(('127.0.0.1', port))
+    await link.start()
+    async with ClientSession(f'http://{link.address}') as http:
+        async with http.post('/plan/x', headers=_STREAM) as response:
+            begun = await response.content.readuntil(b'token 1\n\n')
+            link.switch(LinkMode.HELD)
+            report = asyncio.create_task(http.get('/report'))
+            rest = asyncio.create_task(response.content.read())
+            await asyncio.sleep(_SHORT_SECONDS)
+            assert not rest.done()
+            assert not report.done()
+            link.switch(LinkMode.OPEN)
+            assert begun + await rest == make_event_stream(5)
+        assert (await report).status == 200
+    assert not link.harms
+    assert not link.cut_ports
+    await link.stop()
+    await runner.cleanup()
--- a/tests/soak_tests/test_soak.py
+++ b/tests/soak_tests/test_soak.py
@@ -13,6 +13,7 @@
     CRASHING_REGRESSIONS,
     CRASHING_SEED,
     CUTTING_SEED,
+    PAUSING_SEED,
     REGRESSIONS,
 )
 
@@ -75,3 +76,14 @@
     outcome = await run_seed(CUTTING_SEED, CI_SECONDS, tmp_path, cutting=True)
     assert 'cut_nodes' in outcome.faults
     assert not outcome.violations
+
+
+async def test_streams_of_paused_replicas_are_finished(tmp_path: Path) -> None:
+    """Streams are cut off as sound replicas stand still and go on.
+
+    One, some or all replicas of a service do, while the configuration changes,
+    nodes stop or are told of changed settings, and replicas are replaced.
+    """
+    outcome = await run_seed(PAUSING_SEED, CI_SECONDS, tmp_path, pausing=True)
+    assert outcome.faults
+    assert not outcome.violations
