--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -36,6 +36,7 @@
     """Kill a node's process, and restart it."""
     node = world.random_source.choice(world.nodes)
     node.expected_exits += 1
+    node.killed.append(asyncio.get_running_loop().time())
     node.send(signal.SIGKILL)
     await asyncio.sleep(world.random_source.uniform(0.1, 1.5))
     node.restart_if_exited()
@@ -154,8 +155,7 @@
         layers=old.layers,
     )
     await world.add_replica(new)
-    if old in world.list_registered():
-        world.store.drop('servers', old.name)
+    world.drop(old)
     await asyncio.sleep(_sample_duration(world))
     world.links[old.name].switch(LinkMode.RESET)
 
@@ -203,17 +203,24 @@
         link.switch(LinkMode.OPEN)
 
 
-async def inject_faults(world: World, seconds: float) -> list[str]:
+def list_faults(world: World) -> tuple[Fault, ...]:
+    """List all faults, each as often as its weight."""
+    return FAULTS + (cut_nodes,) * _CUTS if world.cutting else FAULTS
+
+
+async def inject_faults(
+    world: World, seconds: float, faults: tuple[Fault, ...]
+) -> list[str]:
     """Inject faults at random times, and wait until all have ended.
 
     :param seconds: time during which faults start.
+    :param faults: from which each is drawn.
     :returns: the faults' names, in order.
     """
     loop = asyncio.get_running_loop()
     deadline = loop.time() + seconds
     tasks: list[asyncio.Task[None]] = []
     names: list[str] = []
-    faults = FAULTS + (cut_nodes,) * _CUTS if world.cutting else FAULTS
     while loop.time() < deadline:
         fault = world.random_source.choice(faults)
         names.append(fault.__name__)
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import enum
+import math
 import socket
 import struct
 from dataclasses import dataclass, field
@@ -31,10 +32,19 @@
     DARK = 'dark'
     """Open connections carry nothing, and new ones are never established."""
 
+    HELD = 'held'
+    """Nothing passes, as with ``DARK``, but nothing is lost either."""
+
     REFUSING = 'refusing'
     """Open connections work, new ones are refused."""
 
 
+_HARMLESS = frozenset((LinkMode.OPEN, LinkMode.DELAYED, LinkMode.HELD))
+"""Modes in which no connection is lost."""
+
+_UNREACHABLE = frozenset((LinkMode.DARK, LinkMode.HELD))
+
+
 _ZERO_LINGER = struct.pack('ii', 1, 0)
 
 
@@ -66,11 +76,20 @@
 
 @dataclass(eq=False)
 class Link:
-    """Listener on loopback that forwards connections to a target."""
+    """Listener on loopback that forwards connections to a target.
+
+    :param harms: when it was harmed, as start and end in seconds of the event
+        loop's clock; the end is infinity while it is.
+    :param cut_ports: its own ports of connections to the target that lost
+        bytes.
+    """
 
     target: tuple[str, int]
     mode: LinkMode = LinkMode.OPEN
     port: int = 0
+    harms: list[tuple[float, float]] = field(default_factory=list)
+    cut_ports: set[int] = field(default_factory=set)
+    _released: asyncio.Event = field(default_factory=asyncio.Event)
     _listener: socket.socket | None = None
     _reserved: socket.socket | None = None
     _fillers: list[socket.socket] = field(default_factory=list)
@@ -103,22 +122,35 @@
 
     def switch(self, mode: LinkMode) -> None:
         """Change the mode; ``RESET`` also resets all open connections."""
+        self._record_harm(mode)
         # Connections that lost bytes while the link was dark stay cut.
-        if mode is not self.mode and LinkMode.DARK in {mode, self.mode}:
-            self._set_dark(dark=mode is LinkMode.DARK)
+        if mode is not self.mode and _UNREACHABLE & {mode, self.mode}:
+            self._set_dark(dark=mode in _UNREACHABLE)
         if mode is LinkMode.REFUSING:
             self._refuse()
         elif self.mode is LinkMode.REFUSING:
             self._listen()
         self.mode = mode
+        if mode is not LinkMode.HELD:
+            self._released.set()
+            self._released = asyncio.Event()
         if mode is LinkMode.RESET:
             self.reset()
 
     def reset(self) -> None:
         """Reset all open connections."""
+        now = asyncio.get_running_loop().time()
+        self.harms.insert(0, (now, now))
         for writer in tuple(self._writers):
             _abort(writer)
 
+    def _record_harm(self, mode: LinkMode) -> None:
+        now = asyncio.get_running_loop().time()
+        if self.mode not in _HARMLESS:
+            self.harms[-1] = (self.harms[-1][0], now)
+        if mode not in _HARMLESS:
+            self.harms.append((now, math.inf))
+
     def _listen(self) -> None:
         if self._listener is None:
             self._listener = _bind(self.port)
@@ -183,12 +215,13 @@
         except OSError:
             _abort(writer)
             return
+        port = target_writer.get_extra_info('sockname')[1]
         writers = {writer, target_writer}
         self._writers |= writers
         try:
             await asyncio.gather(
-                self._forward(reader, target_writer, to_client=False),
-                self._forward(target_reader, writer, to_client=True),
+                self._forward(reader, target_writer, port, to_client=False),
+                self._forward(target_reader, writer, port, to_client=True),
             )
         finally:
             for endpoint in writers:
@@ -199,6 +232,7 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        port: int,
         *,
         to_client: bool,
     ) -> None:
@@ -207,6 +241,8 @@
             while chunk := await reader.read(_CHUNK_BYTES):
                 if self.mode is LinkMode.DELAYED:
                     await asyncio.sleep(_DELAY_SECONDS)
+                while self.mode is LinkMode.HELD:
+                    await self._released.wait()
                 dropped = self.mode in {LinkMode.SILENT, LinkMode.DARK}
                 dropped = dropped or (
                     to_client and self.mode is LinkMode.ONE_WAY
@@ -215,6 +251,7 @@
                 # delivers later bytes without the lost ones.
                 cut = cut or dropped
                 if cut:
+                    self.cut_ports.add(port)
                     continue
                 writer.write(chunk)
                 await writer.drain()
