An error of a hedge leaves the run beside it

Callers saw a stream cut off though its replica was only silent and went on: the hedge beside it was answered with 404 by another replica. Such an answer claimed the stream, which interrupts all other runs, and was then found to be of no use, as the client had a part of the answer already.

Now a run that fails while the client has a part of the answer ends alone if another run is in progress, and only the last one breaks the stream. An answer that hasn't started is passed on as before. Server errors ended only their own run already.

Before: test_error_of_a_hedge_leaves_the_run failed, with a response that ends after two events.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
@@ -209,10 +209,13 @@
         progress.excluded.add(stream.first_replica.name)
         progress.failure_answer = (answer, body)
         return AttemptResult.AGAIN
-    if not progress.runs.claim(stream):
-        return AttemptResult.AGAIN
     if stream.exchange.started:
+        progress.excluded.add(stream.first_replica.name)
+        if progress.runs.has_other(stream):
+            return AttemptResult.AGAIN
         raise AnswerBroken
+    if not progress.runs.claim(stream):
+        return AttemptResult.AGAIN
     await stream.exchange.answer(answer.status, answer.headers, body)
     return AttemptResult.DONE
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_hedges.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_hedges.py
@@ -48,6 +48,10 @@
                 other.interrupt(OVERTAKEN)
         return True
 
+    def has_other(self, run: LiveStream) -> bool:
+        """Whether a run beside this one is in progress."""
+        return bool(self.runs - {run})
+
     def list_first_replicas(self) -> set[str]:
         """List the names of the first replicas of the runs in progress."""
         return {run.first_replica.name for run in self.runs}
--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -95,6 +95,21 @@
         assert _list_runs(node) == [first.name]
 
 
+async def test_error_of_a_hedge_leaves_the_run() -> None:
+    """A stream is cut off as its hedge is answered with an error."""
+    async with run_node(_make_replicas(2)) as node:
+        async with open_request(node, '/plan/x') as response:
+            await wait_until(lambda: node.count('exchange-sent'))
+            first = _find_first(node)
+            for replica in node.replicas.values():
+                replica.fail = 0 if replica is first else 404
+                replica.stall_after = _SENT_EVENTS
+            await wait_until(lambda: node.count('exchange-failed'))
+            first.resume()
+            assert await response.read() == make_event_stream(5)
+        assert len(_list_runs(node)) == 2
+
+
 async def test_lost_run_waits_for_its_hedge() -> None:
     """A stream ends as its first run breaks while a hedge is in progress."""
     async with _hedge_stream(_make_replicas(2)) as (node, response):
