A run that went on gets no hedge

A second run was begun, and a retry spent, beside a run that had gone on: whether it had was asked only since the hedge's task began, a turn of the event loop after the run was found silent. An event in that turn went unnoticed.

The number of claims is now taken as the hedge is started. The other checks were ruled out: there is no await between the last of them and the send.

Before: test_run_that_went_on_has_no_hedge failed, with two runs for one.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_hedging.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_hedging.py
@@ -23,25 +23,28 @@
         pause=round_seconds(context.now() - silent.progress),
         events=silent.delivered,
     )
-    runs.start(_hedge(relaying, silent))
+    runs.start(_hedge(relaying, silent, runs.claims))
 
 
-async def _hedge(relaying: Relaying, silent: LiveStream) -> AttemptResult:
+async def _hedge(
+    relaying: Relaying, silent: LiveStream, claims: int
+) -> AttemptResult:
     try:
-        return await _run_elsewhere(relaying)
+        return await _run_elsewhere(relaying, claims)
     finally:
         silent.hedged = False
 
 
-async def _run_elsewhere(relaying: Relaying) -> AttemptResult:
+async def _run_elsewhere(relaying: Relaying, claims: int) -> AttemptResult:
     """Run a request at a first replica that has no run of it in progress.
 
     Nothing is sent if a run has gone on meanwhile, or if there is no such path
     or no retry left.
+
+    :param claims: how often a run had claimed the answer when one was silent.
     """
     context, progress = relaying.context, relaying.progress
     exchange, request = relaying.exchange, relaying.request
-    claims = progress.runs.claims
     progress.excluded |= progress.runs.list_first_replicas()
     path = choose_request_path(context, exchange, request, progress)
     if not path or path[0].replica.name in progress.excluded:
--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -110,6 +110,24 @@
         assert len(_list_runs(node)) == 2
 
 
+async def test_run_that_went_on_has_no_hedge() -> None:
+    """A second run begins beside one that went on just after it was silent."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.pause = 0.1
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        await response.content.readuntil(b'token 1\n\n')
+        stream = next(iter(node.app.find('streams', StreamWatch).streams))
+        relaying = stream.start_hedge.args[0]
+        stream.hedge('silent', 0)
+        assert relaying.progress.runs.claim(stream)
+        assert make_event_stream(5).endswith(await response.read())
+        assert len(_list_runs(node)) == 1
+
+
 async def test_lost_run_waits_for_its_hedge() -> None:
     """A stream ends as its first run breaks while a hedge is in progress."""
     async with _hedge_stream(_make_replicas(2)) as (node, response):
