A client that reads slowly is no silence of its replica

A client that didn't read for over a second lacked an event of its stream. While an event waited until the client read, none followed it, and the watch took that for silence of the replica: it started another run, whose first event interrupted the run that was waiting to write. The server waits before it writes, so that event was sent by neither run, though it counted as delivered.

Now a run that writes is neither hedged nor interrupted, and its silence counts from when it has written. No run can be beside it: it has claimed the answer, which interrupts all others and keeps back a hedge that waits.

The fake stream of test_lag.py gets the new field.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
@@ -227,24 +227,19 @@
     progress: Progress,
 ) -> AttemptResult:
     splitter = stream.splitter
-    exchange = stream.exchange
     async for chunk in answer.iterate():
         events = splitter.feed(chunk)
         if not events:
             continue
         _claim(stream, progress)
         record_progress(context, stream)
-        if not exchange.started:
-            await exchange.start(answer.status, strip_length(answer.headers))
-        await exchange.write(events)
+        await _pass_on(context, stream, answer, events)
     if splitter.has_partial:
         raise SendError(SendErrorKind.LOST, 'ended in the middle of an event')
     if not (answer.framed or stream.delivered):
         raise SendError(SendErrorKind.LOST, 'ended before the first event')
     _claim(stream, progress)
-    if not exchange.started:
-        await exchange.start(answer.status, strip_length(answer.headers))
-    await exchange.write(b'', more=False)
+    await _pass_on(context, stream, answer, b'', more=False)
     context.replicas.clear_suspicion(stream.first_replica)
     if answer.framed:
         # A replica that crashes between two events ends any other stream too.
@@ -253,6 +248,30 @@
     return AttemptResult.DONE
 
 
+async def _pass_on(
+    context: RelayContext,
+    stream: LiveStream,
+    answer: Answer,
+    piece: bytes,
+    *,
+    more: bool = True,
+) -> None:
+    """Send a piece of an answer, and its headers if it is the first.
+
+    While the client reads slowly, the replica isn't silent, and no other run
+    can continue after a piece that may not have been sent.
+    """
+    exchange = stream.exchange
+    stream.writing = True
+    try:
+        if not exchange.started:
+            await exchange.start(answer.status, strip_length(answer.headers))
+        await exchange.write(piece, more=more)
+    finally:
+        stream.writing = False
+        stream.progress = context.clock.monotonic()
+
+
 def _claim(stream: LiveStream, progress: Progress) -> None:
     """Let a run go on alone with what it has received.
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
@@ -30,8 +30,8 @@
     All times are in monotonic seconds.
 
     :param sent: when this attempt was sent to the first replica.
-    :param progress: when the last event arrived, or the stream was sent or
-        moved if that was later.
+    :param progress: when the last event was passed on, or the stream was sent
+        or moved if that was later.
     :param tokens: tokens whose KV cache is accounted for on the path.
     :param scope: the timeout around the reading of the answer; it is
         rescheduled to now to interrupt the stream.
@@ -45,6 +45,8 @@
     :param cleared: whether the request has run long enough not to be the
         cause of a crash of its replicas.
     :param moving: whether a move to another path is in progress.
+    :param writing: whether the client is sent what has arrived; it may have
+        to read first.
     :param finished: whether the reading of the answer has finished.
     :param delay_reported: whether the controller of its zone was told that
         its first event is late.
@@ -72,6 +74,7 @@
     begun: bool = False
     cleared: bool = False
     moving: bool = False
+    writing: bool = False
     finished: bool = False
     delay_reported: bool = False
     stall_recorded: bool = False
@@ -115,12 +118,13 @@
     def interrupt(self, reason: str) -> None:
         """Stop reading the answer, so that another attempt can resume it.
 
-        Does nothing if the stream was interrupted before, or if its reading
-        has finished, for example while a command to move it was in flight.
+        Does nothing if the stream was interrupted before, if its reading has
+        finished, for example while a command to move it was in flight, or if
+        the client is being sent what has arrived.
 
         :param reason: logged as the reason of the failed attempt.
         """
-        if not self.reason and not self.finished:
+        if not (self.reason or self.finished or self.writing):
             self.reason = reason
             self.scope.reschedule(asyncio.get_running_loop().time())
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -151,7 +151,7 @@
         lost = self.context.replicas.list_unreachable()
         self._reserved = 0
         for stream in tuple(self.streams):
-            if not stream.moving and not stream.reason:
+            if not (stream.moving or stream.reason or stream.writing):
                 self._check_stream(stream, now, lost)
 
     def _check_stream(
@@ -335,7 +335,9 @@
         """
         request = stream.request
         now = self.context.clock.monotonic()
-        if stream.hedged or stream.reason or now < stream.next_hedge:
+        if stream.hedged or stream.reason or stream.writing:
+            return False
+        if now < stream.next_hedge:
             return False
         if self.context.budget.left - self._reserved < 1:
             return False
--- a/tests/node/relay/test_lag.py
+++ b/tests/node/relay/test_lag.py
@@ -86,6 +86,7 @@
         first_event=None,
         delivered=0,
         moving=False,
+        writing=False,
         reason='',
         stall_recorded=True,
         progress=clock.monotonic(),
--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
+from starlette.types import Message
 
 from fleet.running import (
     RunningNode,
@@ -14,7 +15,7 @@
     run_node,
     wait_until,
 )
-from ryelatch_node.relay._watch import StreamWatch
+from ryelatch_node.relay._watch import HEDGE_SECONDS, StreamWatch
 from standins.replica import ReplicaStandIn
 
 _SENT_EVENTS = 2
@@ -110,6 +111,31 @@
         assert len(_list_runs(node)) == 2
 
 
+async def test_client_that_reads_slowly_is_no_silence() -> None:
+    """A stream lacks the event that waited for its client to read."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.pause = 0.1
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        received = await response.content.readuntil(b'token 1\n\n')
+        streams = node.app.find('streams', StreamWatch).streams
+        exchange = next(iter(streams)).exchange
+        send, reads = exchange.send, asyncio.Event()
+
+        async def send_once_read(message: Message) -> None:
+            await reads.wait()
+            await send(message)
+
+        exchange.send = send_once_read
+        await asyncio.sleep(2 * HEDGE_SECONDS)
+        reads.set()
+        assert received + await response.read() == make_event_stream(5)
+        assert not node.count('stream-hedged')
+
+
 async def test_run_that_went_on_has_no_hedge() -> None:
     """A second run begins beside one that went on just after it was silent."""
     replicas = _make_replicas(2)
