--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
+from starlette.types import Message
 
 from fleet.running import (
     RunningNode,
@@ -14,7 +15,7 @@
     run_node,
     wait_until,
 )
-from ryelatch_node.relay._watch import StreamWatch
+from ryelatch_node.relay._watch import HEDGE_SECONDS, StreamWatch
 from standins.replica import ReplicaStandIn
 
 _SENT_EVENTS = 2
@@ -95,6 +96,64 @@
         assert _list_runs(node) == [first.name]
 
 
+async def test_error_of_a_hedge_leaves_the_run() -> None:
+    """A stream is cut off as its hedge is answered with an error."""
+    async with run_node(_make_replicas(2)) as node:
+        async with open_request(node, '/plan/x') as response:
+            await wait_until(lambda: node.count('exchange-sent'))
+            first = _find_first(node)
+            for replica in node.replicas.values():
+                replica.fail = 0 if replica is first else 404
+                replica.stall_after = _SENT_EVENTS
+            await wait_until(lambda: node.count('exchange-failed'))
+            first.resume()
+            assert await response.read() == make_event_stream(5)
+        assert len(_list_runs(node)) == 2
+
+
+async def test_client_that_reads_slowly_is_no_silence() -> None:
+    """A stream lacks the event that waited for its client to read."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.pause = 0.1
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        received = await response.content.readuntil(b'token 1\n\n')
+        streams = node.app.find('streams', StreamWatch).streams
+        exchange = next(iter(streams)).exchange
+        send, reads = exchange.send, asyncio.Event()
+
+        async def send_once_read(message: Message) -> None:
+            await reads.wait()
+            await send(message)
+
+        exchange.send = send_once_read
+        await asyncio.sleep(2 * HEDGE_SECONDS)
+        reads.set()
+        assert received + await response.read() == make_event_stream(5)
+        assert not node.count('stream-hedged')
+
+
+async def test_run_that_went_on_has_no_hedge() -> None:
+    """A second run begins beside one that went on just after it was silent."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.pause = 0.1
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        await response.content.readuntil(b'token 1\n\n')
+        stream = next(iter(node.app.find('streams', StreamWatch).streams))
+        relaying = stream.start_hedge.args[0]
+        stream.hedge('silent', 0)
+        assert relaying.progress.runs.claim(stream)
+        assert make_event_stream(5).endswith(await response.read())
+        assert len(_list_runs(node)) == 1
+
+
 async def test_lost_run_waits_for_its_hedge() -> None:
     """A stream ends as its first run breaks while a hedge is in progress."""
     async with _hedge_stream(_make_replicas(2)) as (node, response):
