Events before a gap in a stream are not lost

What callers saw: where a replica skipped an event, the complete events that had arrived in the same piece as the gap were missing in the stream that the next replica continued.

Cause: the splitter counted them as delivered while it read the piece, and returned none of them when it met the gap. The next attempt resumes after the last event that counts.

Ruled out: to return them first and to raise for the next piece; the stream may have no next piece, and would then end as complete.

The number goes back to what it was before the piece. Before the fix both cases of test_events_before_a_wrong_one_are_not_lost found 5 in place of 3.

--- a/packages/ryelatch-core/src/ryelatch_core/streams/_events.py
+++ b/packages/ryelatch-core/src/ryelatch_core/streams/_events.py
@@ -47,8 +47,17 @@
         :returns: the complete events that the client does not have yet, byte
             for byte.
         :raises StreamError: if an event between two of them is missing, or
-            one is too long or has a number that is.
+            one is too long or has a number that is. No event of these bytes
+            counts as one that the client has, as none is returned.
         """
+        delivered = self.last
+        try:
+            return b''.join(self._split(piece))
+        except StreamError:
+            self.last = delivered
+            raise
+
+    def _split(self, piece: bytes) -> list[bytes]:
         searched = max(0, len(self._buffer) - _BOUNDARY_BYTES)
         self._buffer += piece
         events: list[bytes] = []
@@ -61,7 +70,7 @@
         self._buffer = self._buffer[start:]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise StreamError('an event that does not end')
-        return b''.join(events)
+        return events
 
     def _is_new(self, event: bytes) -> bool:
         found = _EVENT_ID.search(event)
--- a/tests/core/streams/test_events.py
+++ b/tests/core/streams/test_events.py
@@ -89,3 +89,21 @@
     ]
     passed.append(splitter.feed(event[-1:]))
     assert b''.join(passed) == event
+
+
+@pytest.mark.parametrize(
+    'wrong', [_write(7, 8), b'id: %s\n\n' % (b'9' * 19)], ids=['gap', 'number']
+)
+def test_events_before_a_wrong_one_are_not_lost(wrong: bytes) -> None:
+    """A client misses the events that arrived together with a wrong one.
+
+    They are not passed on, but the next replica continues after them.
+    """
+    splitter = EventSplitter()
+    passed = splitter.feed(_write(1, 4))
+    with pytest.raises(StreamError):
+        splitter.feed(_write(4, 6) + wrong)
+    splitter.discard_partial()
+    assert splitter.last == 3
+    passed += splitter.feed(_write(splitter.last + 1, 9))
+    assert passed == _write(1, 9)
