A lease that can't be decoded is replaced

With an object in place of the lease that no node can decode, or with an object of another name beside it before the first lease, no node took the lease, and layers that a crash took were not placed again. Where the answer to a write held such an object, the error ended the round that places layers.

Cause: an object that couldn't be decoded was refused and the state before it kept, as for the configuration; without one, a node never has its turn. And a list with any object counted as one with the lease.

Such an object now counts as one without a holder, which the next holder replaces at its revision; it is logged by its name as before. The fencing number that a node takes is one above all that it has seen: an object without a number must not let it begin anew, as replicas refuse commands with a number below the last one. Renewals keep the number that they have.

--- a/packages/ryelatch-node/src/ryelatch_node/placement/_lease.py
+++ b/packages/ryelatch-node/src/ryelatch_node/placement/_lease.py
@@ -77,6 +77,7 @@
     _renewed: float = float('-inf')
     _cooldown_until: float = 0
     _fenced: bool = False
+    _highest_fence: int = 0
 
     @property
     def held(self) -> bool:
@@ -96,7 +97,7 @@
         if self._record is None or record.revision > self._record.revision:
             if self._record is not None:
                 self._record_since = self.clock.monotonic()
-            self._record = record
+            self._keep(record)
 
     def mark_fenced(self) -> None:
         """Record that another node has used a higher fencing number."""
@@ -133,6 +134,15 @@
         renewed = self.held and now - self._renewed <= RENEWAL_SECONDS
         return renewed or await self._claim(record)
 
+    def _keep(self, record: LeaseRecord) -> None:
+        """Keep a record, and the highest fencing number of all of them.
+
+        An object without a lease may follow on one; the number grows still.
+        """
+        self._record = record
+        if record.lease is not None:
+            self._highest_fence = max(self._highest_fence, record.lease.fence)
+
     def _compute_turn(self, record: LeaseRecord, need_since: float) -> float:
         """Compute when this node may take the lease from its holder.
 
@@ -149,21 +159,23 @@
 
     async def _claim(self, record: LeaseRecord) -> bool:
         """Take or renew the lease with a conditional write."""
-        renewing = self.held
-        fence = record.lease.fence if record.lease else 0
-        lease = Lease(self.holder, fence if renewing else fence + 1)
+        held = self.fence
+        renewing = held is not None
+        lease = Lease(
+            self.holder, self._highest_fence + 1 if held is None else held
+        )
         sent = self.clock.monotonic()
         written = await self.store.write(lease, record.revision)
         if written is None or written.lease != lease:
             self.log.record(catalogue.LEASE_LOST, fence=lease.fence)
             self._record_since = sent
-            self._record = written or record
+            self._keep(written or record)
             self._cooldown_until = sent + CLAIM_COOLDOWN_SECONDS
             return False
         if not renewing:
             self.log.record(catalogue.LEASE_TAKEN, fence=lease.fence)
         self._fenced = False
-        self._record = written
+        self._keep(written)
         self._record_since = sent
         self._renewed = sent
         return True
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_leases.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_leases.py
@@ -10,7 +10,8 @@
 class LeaseRecord:
     """A lease as the store holds it.
 
-    :param lease: nothing if it was never held.
+    :param lease: nothing if it was never held, or if what the store holds is no
+        lease.
     :param revision: revision of the record. Of several writes that require
         the same revision, only one succeeds.
     :param after: revision that this record replaced.
