One part of a report that can't be decoded hides no other

A report with one stalled request of another form counted as none at all, so streams that wait for a lost replica weren't moved. Nesting in a report or in a refusal ended the round that reads reports, or the move. A number of commands out of range, no memory or a negative pace were taken over.

Cause: the body was decoded as a whole, and only one kind of error was expected.

Stalled requests are decoded one by one; those that can't be are left out, counted and logged (report-unreadable). Unknown fields needn't be valid. Where a known field is invalid, there is no report, as before, and upstream-down is logged: the fields of one report hold only together.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -317,6 +317,13 @@
     'Check the software of the replica.',
     Level.WARNING,
 )
+REPORT_UNREADABLE = EventKind(
+    1439,
+    'report-unreadable',
+    'Requests in the report of a replica are invalid, and were left out.',
+    'Check the software of the replica.',
+    Level.WARNING,
+)
 OUTAGE_LONGER = EventKind(
     1433,
     'outage-longer',
