Claims: a silent store ends no wait for an outcome

The caller of a keyed request whose key another request holds was told 'unknown', the answer is lost, as soon as the store left one watch of the record without an answer. The holder goes on meanwhile, and records its outcome a moment later.

Now such a watch is sent again, half a second after, until the service's timeout, as a watch without a change was already. A record that the store doesn't have ends the wait at once, as before. What 'unknown' promises stays: at the end of the time it is said.

Before: test_silent_store_ends_no_wait_for_an_outcome failed for one and two unanswered watches, with ClaimError.LOST for the recorded answer.

--- a/packages/ryelatch-node/src/ryelatch_node/non_model/_claims.py
+++ b/packages/ryelatch-node/src/ryelatch_node/non_model/_claims.py
@@ -232,8 +232,10 @@
     ) -> Entry | None:
         """Wait until the holder of a claim changes its record.
 
+        A store that is silent is asked again: the holder goes on meanwhile.
+
         :returns: the changed entry; ``None`` if the deadline passes or the
-            watch fails, because the store is unavailable or has no such record.
+            store has no such record.
         """
         time_left = deadline - self._app.clock.monotonic()
         while time_left > 0:
@@ -242,7 +244,10 @@
             )
             if watched.is_ok():
                 return watched.unwrap()
-            if watched.unwrap_err() is not StoreError.UNCHANGED:
+            failure = watched.unwrap_err()
+            if failure is StoreError.UNAVAILABLE:
+                await asyncio.sleep(_RETRY_SECONDS)
+            elif failure is not StoreError.UNCHANGED:
                 return None
             time_left = deadline - self._app.clock.monotonic()
         return None
