--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -339,7 +339,7 @@
     Level.WARNING,
 )
 REPORT_UNREADABLE = EventKind(
-    1439,
+    1440,
     'report-unreadable',
     'Requests in the report of a replica are invalid, and were left out.',
     'Check the software of the replica.',
--- a/packages/ryelatch-core/src/ryelatch_core/events/_explanation.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_explanation.py
@@ -168,6 +168,7 @@
         _determine_cause(_list_client_lines(request_lines), state_changes)
         + _describe_missing_entry(request_lines)
         + _describe_forwarding(request_lines)
+        + _describe_hedges(request_lines)
     )
     return Explanation(request_lines, state_changes, cause)
 
@@ -215,7 +216,10 @@
         reason = reasons[-1].partition(',')[0]
         return _add_last_change(_CAUSES.get(reason, reasons[-1]), state_changes)
     failures = [
-        line for line in request_lines if line.name == 'exchange-failed'
+        line
+        for line in request_lines
+        if line.name == 'exchange-failed'
+        and line.detail.get('outcome') != 'in progress'
     ]
     last = request_lines[-1].name
     if last == 'exchange-left':
@@ -226,6 +230,9 @@
         peer = detail.get('peer')
         subject = f'node {peer}' if peer else f'replica {detail.get("replica")}'
         message = f'{subject} failed the attempt: {fault}'
+        obstacle = request_lines[-1].detail.get('obstacle')
+        if obstacle:
+            message += f'; what prevented the next one: {obstacle}'
         return _add_last_change(message, state_changes)
     if last == 'exchange-ended':
         return 'it was answered'
@@ -266,6 +273,27 @@
     )
 
 
+def _describe_hedges(request_lines: tuple[Line, ...]) -> str:
+    """Describe for which silence a request ran beside itself, and what won.
+
+    :returns: an empty string if it did not.
+    """
+    hedges = [line for line in request_lines if line.name == 'stream-hedged']
+    if not hedges:
+        return ''
+    silent = ', '.join(
+        f'{line.detail.get("replica")} ({line.detail.get("reason")})'
+        for line in hedges
+    )
+    overtaken = ', '.join(
+        str(line.detail.get('replica'))
+        for line in request_lines
+        if line.name == 'run-overtaken'
+    )
+    ended = f'; overtaken: {overtaken}' if overtaken else ''
+    return f'; another run was started beside the one at {silent}{ended}'
+
+
 def _describe_missing_entry(request_lines: tuple[Line, ...]) -> str:
     """Describe how long a chosen replica had been missing from the store.
 
--- a/tests/core/events/test_explanation.py
+++ b/tests/core/events/test_explanation.py
@@ -185,3 +185,31 @@
     explanation = explain_request(read_lines(lines), 'f')
     assert explanation is not None
     assert 'node edge-2 failed the attempt: EOFError' in explanation.cause
+
+
+def test_silent_run_and_its_hedge_are_told() -> None:
+    """An operator can't tell which run of a stream delivered, and why two."""
+    lines = (
+        _write(1, 'exchange-sent', request='c', replica='r-1'),
+        _write(2, 'stream-hedged', request='c', replica='r-1', reason='silent'),
+        _write(2.1, 'stream-resumed', request='c', replica='r-2'),
+        _write(2.2, 'run-overtaken', request='c', replica='r-2', events=0),
+        _write(3, 'exchange-ended', request='c', status=200),
+    )
+    explanation = explain_request(read_lines(lines), 'c')
+    assert explanation is not None
+    assert explanation.cause == (
+        'it was answered; another run was started beside the one at r-1 '
+        '(silent); overtaken: r-2'
+    )
+
+
+def test_obstacle_to_the_next_attempt_is_told() -> None:
+    """An operator can't tell why a stream that broke was not resumed."""
+    lines = (
+        _write(1, 'exchange-failed', request='d', replica='r-1', reason='x'),
+        _write(2, 'exchange-broken', request='d', obstacle='retry budget'),
+    )
+    explanation = explain_request(read_lines(lines), 'd')
+    assert explanation is not None
+    assert 'what prevented the next one: retry budget' in explanation.cause
