--- a/packages/ryelatch-core/src/ryelatch_core/events/_explanation.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_explanation.py
@@ -232,7 +232,7 @@
         message = f'{subject} failed the attempt: {fault}'
         obstacle = request_lines[-1].detail.get('obstacle')
         if obstacle:
-            message += f'; what prevented the next one: {obstacle}'
+            message = f'{message}; what prevented the next one: {obstacle}'
         return _add_last_change(message, state_changes)
     if last == 'exchange-ended':
         return 'it was answered'
