Soak: check that runs end with their streams

Where a second run is begun beside a silent one, the one that is no longer needed has to end within half a second, at its replica too; nothing in the soak asked for that.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,7 +8,7 @@
 from ryelatch_core.quarantine import make_part_key
 from soak.clients import Attempt, Clients
 from soak.crashing import CRASHING_KINDS, compute_digest
-from soak.streams import check_attempts, check_streams
+from soak.streams import check_abandoned, check_attempts, check_streams
 from soak.throttling import (
     LIMIT_NOTICE_SECONDS,
     LIMIT_PER_SECOND,
@@ -190,6 +190,7 @@
     check_answers,
     check_streams,
     check_attempts,
+    check_abandoned,
     check_runs,
     check_senders,
     check_revoked,
--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -18,6 +18,11 @@
 MAX_OVERRUN_REQUESTS = 3
 """Streams that may run on more sound replicas than their route allows."""
 
+MAX_ABANDONED_RUNS = 3
+"""Runs that may go on long after the client has its answer or has left."""
+
+ABANDONED_SECONDS = 0.5
+
 _MAX_ATTEMPTS = 2
 """Of the route of streams."""
 
@@ -57,6 +62,34 @@
         yield f'ran on more than {_MAX_ATTEMPTS} replicas: {overrun}'
 
 
+def check_abandoned(world: World, clients: Clients) -> Iterator[str]:
+    """Few replicas work on streams whose client has left or is served.
+
+    In other soaks, nodes that are paused or cut off can't end them.
+    """
+    if not world.pausing:
+        return
+    runs = _group_runs(world)
+    abandoned = [
+        f'{attempt.identity} at {replica.name}'
+        for attempt in clients.attempts
+        for replica, run in runs[attempt.identity]
+        if run.ended > attempt.ended + ABANDONED_SECONDS
+        and not _was_still(replica, attempt.ended)
+        and not _has_failed(world, attempt, replica, run)
+    ]
+    if len(abandoned) > MAX_ABANDONED_RUNS:
+        yield f'went on after their clients were done: {abandoned}'
+
+
+def _was_still(replica: ReplicaStandIn, at: float) -> bool:
+    """Whether a replica stood still when it should have ended a run."""
+    return any(
+        start <= at + ABANDONED_SECONDS and at <= end
+        for start, end in replica.standstills
+    )
+
+
 def _group_runs(world: World) -> _Runs:
     grouped = defaultdict(list)
     for replica in world.replicas:
--- a/tests/soak_tests/test_streams.py
+++ b/tests/soak_tests/test_streams.py
@@ -12,8 +12,11 @@
 from soak.clients import Attempt, Clients
 from soak.links import Link
 from soak.streams import (
+    ABANDONED_SECONDS,
     CATCH_UP_SECONDS,
+    MAX_ABANDONED_RUNS,
     MAX_OVERRUN_REQUESTS,
+    check_abandoned,
     check_attempts,
     check_streams,
 )
@@ -256,3 +259,31 @@
         world.replicas[0].runs[-1].fault = fault
     clients = Clients(world, attempts)
     assert bool(list(check_attempts(world, clients))) is found
+
+
+@pytest.mark.parametrize(
+    ('count', 'late', 'paused', 'found'),
+    [
+        (MAX_ABANDONED_RUNS + 1, 0.1, False, True),
+        (MAX_ABANDONED_RUNS + 1, math.inf, False, True),
+        (MAX_ABANDONED_RUNS, 0.1, False, False),
+        (MAX_ABANDONED_RUNS + 1, -0.1, False, False),
+        (MAX_ABANDONED_RUNS + 1, 0.1, True, False),
+    ],
+)
+def test_abandoned_runs_are_found(
+    count: int, late: float, paused: bool, found: bool
+) -> None:
+    """Replicas go on with runs that nobody waits for."""
+    world = _make_world()
+    world.pausing = True
+    attempts = [_make_attempt(f'r-{number}') for number in range(count)]
+    for attempt in attempts:
+        attempt.complete = True
+        run = _make_run(attempt.identity, _SENT)
+        run.ended = _ENDED + ABANDONED_SECONDS + late
+        world.replicas[0].runs.append(run)
+    if paused:
+        world.replicas[0].standstills.append((_DURING, _ENDED + 0.1))
+    clients = Clients(world, attempts)
+    assert bool(list(check_abandoned(world, clients))) is found
