A part is judged beside whole requests with fewer crashes, too

Cause: a part is refused only if it is wrong to run it whichever of the keys that explain its crashes is the cause; parts with fewer crashes than three counted there, as their reports may be late, and whole requests didn't. So with two of the cause's crashes known the part was refused for all who have it.

Now keys of both kinds count from two crashes on, as a part's crashes need to be explained but for one. Keys with fewer can't explain three crashes and are left out, which they weren't. A part that is the cause is refused a crash or two later if one of its requests met all of its crashes but one; the second test holds that four crashes are enough then.

Before: test_late_report_of_a_request_refuses_no_part failed.

--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_causes.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_causes.py
@@ -31,6 +31,9 @@
 MAX_COINCIDENCES = 1
 """Crashes that a cause need not explain, as replicas also crash by chance."""
 
+_MIN_EXPLAINED = CRASH_THRESHOLD - MAX_COINCIDENCES
+"""Least crashes of a key that explains the crashes of a part alone."""
+
 SETTLE_SECONDS = 1.0
 """Delay before requests are refused by a key that may not be the cause.
 
@@ -134,11 +137,7 @@
     :param begun: replicas at whose crash any request had just begun to run.
     """
     ranked = sorted(candidates, key=_rank)
-    parts = [
-        Candidate(key, state, now, refused=False)
-        for key, state in suspects.items()
-        if is_part(key)
-    ]
+    known = [*ranked, *_list_unlikelier(ranked, suspects, now)]
     rivals = [state for key, state in suspects.items() if not is_part(key)]
     explained: frozenset[str] = frozenset()
     for candidate in ranked:
@@ -152,7 +151,26 @@
             explained |= candidate.incarnations
         elif not is_part(candidate.key):
             rivals.append(candidate.state)
-        yield _make_cause(candidate, [*ranked, *parts], settled=settled)
+        yield _make_cause(candidate, known, settled=settled)
+
+
+def _list_unlikelier(
+    ranked: list[Candidate], suspects: Mapping[str, CrashState], now: float
+) -> list[Candidate]:
+    """List the keys that may explain a part's crashes with fewer of them.
+
+    :param ranked: the keys with enough crashes for a refusal.
+    """
+    if not any(is_part(candidate.key) for candidate in ranked):
+        return []
+    return sorted(
+        (
+            Candidate(key, state, now, refused=False)
+            for key, state in suspects.items()
+            if state.crash_bound >= _MIN_EXPLAINED
+        ),
+        key=_rank,
+    )
 
 
 def list_begun(states: Iterable[CrashState]) -> frozenset[str]:
@@ -185,7 +203,7 @@
     A part is judged beside all keys that explain its crashes as well, alone or
     together: what is refused must be wrong whichever of them is the cause.
 
-    :param known: all causes in question, and parts with fewer crashes. Some of
+    :param known: all causes in question, and keys with fewer crashes. Some of
         theirs may not have been reported yet.
     """
     required = frozenset((candidate.key,))
--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_crash_state.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_crash_state.py
@@ -29,3 +29,12 @@
     def crashes(self) -> Crashes:
         """All known crashes."""
         return self.local.merge(self.shared)
+
+    @property
+    def crash_bound(self) -> int:
+        """Upper bound of the number of crashes, which costs less than it."""
+        bound = len(self.local.begun) + len(self.local.waiting)
+        if self.stored:
+            shared = self.stored.crashes
+            bound += len(shared.begun) + len(shared.waiting)
+        return bound
--- a/tests/core/quarantine/test_parts.py
+++ b/tests/core/quarantine/test_parts.py
@@ -183,6 +183,36 @@
     assert _refuses(tracker, _ask(_DEAD, other))
 
 
+def test_late_report_of_a_request_refuses_no_part() -> None:
+    """A sound part met three crashes, and the request that is the cause two.
+
+    Its report of the third is late, and the nodes have just started, so the
+    part has run nowhere.
+    """
+    tracker = _make()
+    cause = _ask(_FIRST)
+    for number in range(3):
+        _crash(tracker, f'r-{number}', cause if number else _ask(_FIRST))
+    assert not _refuses(tracker, _ask(_FIRST))
+    assert not _refuses(tracker, _ask(_FIRST, _key('a1')))
+    assert _refuses(tracker, cause)
+    _crash(tracker, 'r-0', cause)
+    assert _refuses(tracker, cause)
+    assert not _refuses(tracker, _ask(_FIRST))
+
+
+def test_part_is_found_beside_a_retried_request() -> None:
+    """A part crashes replicas on as one of its requests met two of them."""
+    tracker = _make()
+    retried = _ask(_FIRST, _DEAD)
+    tracker.record_run(_ask(_FIRST), _NOW - 1)
+    for number in range(4):
+        request = retried if number < 2 else _ask(_FIRST, _DEAD)
+        _crash(tracker, f'r-{number}', request)
+    assert _refuses(tracker, _ask(_FIRST, _DEAD))
+    assert not _refuses(tracker, _ask(_FIRST))
+
+
 def test_run_moves_the_blame_to_the_cause() -> None:
     """A common part is refused alone, and its run lets the cause in too.
 
