Lost links: a stream with a hedge counts all its runs before it leaves

A stream was cut off at a replica over lost links while a hedge of it was in progress, though with both its route's attempts were used up, so that no node could go on with it. Only its own run was counted where the others had no event yet.

Now all runs in progress count, as they do before another hedge.

Before: test_stream_with_a_hedge_stays_on_lost_links failed. The fake exchange gets the count of runs without an event.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_lost_links.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_lost_links.py
@@ -27,7 +27,7 @@
     :param pause: seconds since its last event.
     :param reserved: retries that other streams are about to spend.
     """
-    ran = stream.exchange.ran + int(not stream.begun)
+    ran = stream.exchange.ran + stream.exchange.unbegun
     return (
         pause > LEAVE_SECONDS
         and stream.request.repeatable
--- a/tests/node/relay/test_lost_links.py
+++ b/tests/node/relay/test_lost_links.py
@@ -70,11 +70,11 @@
     )
 
 
-def _make_stream() -> Any:
+def _make_stream(unbegun: int = 0) -> Any:
     return SimpleNamespace(
         begun=True,
         first_replica=_make_replica(_LOST_ZONE),
-        exchange=SimpleNamespace(ran=1),
+        exchange=SimpleNamespace(ran=1, unbegun=unbegun),
         request=SimpleNamespace(
             service=_SERVICE,
             repeatable=True,
@@ -109,3 +109,14 @@
         assert leaves_lost_links(context, stream, pause, 0) == leaves
 
     run(play())
+
+
+def test_stream_with_a_hedge_stays_on_lost_links() -> None:
+    """A stream is cut off while its hedge is the last run its route allows."""
+
+    async def play() -> None:
+        context = _make_context([_LOST_ZONE], helps=True)
+        stream = _make_stream(unbegun=1)
+        assert not leaves_lost_links(context, stream, 2 * LEAVE_SECONDS, 0)
+
+    run(play())
