A nested frame or an unusable address is a failed request to a peer

A frame with nested extra fields raised an error that no caller expected: it ended the task that watches, and left a session with the controller of a zone open that nobody read any more. The address of a node with a port out of range did the same to the tasks that contact nodes.

Cause: decoding raises RecursionError there, and opening a connection OverflowError; neither is among the errors of a failed request.

Both now count as a failed request, which is logged where it was before; an address that is none counts as a node that can't be reached.

--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_connection.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_connection.py
@@ -21,8 +21,17 @@
 With ``local_addr``, a host and port, the connection comes from there.
 """
 
-REQUEST_ERRORS = (OSError, EOFError, ValueError, msgspec.MsgspecError)
-"""Exceptions that a failed request raises; timeouts are among them."""
+REQUEST_ERRORS = (
+    OSError,
+    EOFError,
+    ValueError,
+    RecursionError,
+    msgspec.MsgspecError,
+)
+"""Exceptions that a failed request raises; timeouts are among them.
+
+Decoding a frame that is nested too deeply raises ``RecursionError``.
+"""
 
 
 @dataclass(eq=False)
@@ -62,9 +71,12 @@
     """Connect to a peer.
 
     :param address: ``host:port`` of the peer.
-    :raises OSError: if it can't be reached in time.
+    :raises OSError: if it can't be reached in time, or is no address.
     """
     host, _, port = address.rpartition(':')
-    async with asyncio.timeout(CONNECT_SECONDS):
-        reader, writer = await dial(host, int(port))
+    try:
+        async with asyncio.timeout(CONNECT_SECONDS):
+            reader, writer = await dial(host, int(port))
+    except (ValueError, OverflowError) as error:
+        raise OSError(f'no address: {error}') from error
     return PeerConnection(address, reader, writer)
--- a/tests/node/peer_sync/test_malformed_frames.py
+++ b/tests/node/peer_sync/test_malformed_frames.py
@@ -15,7 +15,7 @@
 from ryelatch_core.events import LineLog
 from ryelatch_core.kernel import BootClock
 from ryelatch_core.membership import NodeEntry
-from ryelatch_node.peer_sync import PeerSync
+from ryelatch_node.peer_sync import PeerSync, connect_to_peer
 from ryelatch_node.peer_sync._frames import (
     WatchReply,
     WatchRequest,
@@ -107,3 +107,44 @@
     assert len(written) == 1000
     assert not first.covered
     assert not peer_sync._caches
+
+
+_DEEP = b'\x00'.rjust(5000, b'\x91')
+
+
+async def test_nested_reply_is_logged_peer_abandoned() -> None:
+    """A reply with nested extra fields ends the watch with another error."""
+    reply = b'\x98\xc3\x07\x00\x00\xc4\x00\xc0\xc2%s' % _DEEP
+    framed = len(reply).to_bytes(4) + reply
+    peer_sync = _make_news(framed)
+    assert await _ask(peer_sync) is None
+    assert peer_sync.log.counts['watcher-left'] == 1
+
+
+async def test_nested_request_ends_only_its_connection() -> None:
+    """The connection of a peer ends with an error that nobody handles."""
+    request = b'\x96\xa5watch\xa1x\x00\x00\xc2%s' % _DEEP
+    reader = asyncio.StreamReader()
+    reader.feed_data(len(request).to_bytes(4) + request)
+    reader.feed_eof()
+    written: list[bytes] = []
+    server = _make_news(b'').server
+    await server.serve(reader, _Writer(written))  # type: ignore[arg-type]
+    assert not written
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        '',
+        '127.0.0.1',
+        '127.0.0.1:',
+        '127.0.0.1:x',
+        '127.0.0.1:70000',
+        f'{"a" * 64}.b:1',
+    ],
+)
+async def test_unusable_address_is_an_unreachable_peer(address: str) -> None:
+    """A node with an unusable address ends the tasks that contact nodes."""
+    with pytest.raises(OSError, match='no address'):
+        await connect_to_peer(asyncio.open_connection, address)
