A key revoked just after the store came back stayed accepted for good

Callers with a key that had been taken away were served for as long as anyone looked. The store had been away for a second and come back from a copy four seconds old, with the header Store-Era risen by one. Numbers of revisions are given out again then: the configuration without the key got the number up to which nodes watched already, so no watch returned it, the history was not "gone" either, and each empty answer confirmed the old configuration.

Cause: the client never read Store-Era, and watches, lists, caches for peers, lease and crash records compared bare numbers. Ruled out: the version check of the view, which was never reached, and 410, which the store rightly did not send.

Now a revision is a StoreRevision of an era and a number. It can't be compared with a number, is ordered by era first, and history leads on only within an era (can_follow). A rise ends waiting watches, and every kind is listed anew; answers without a readable era, or of an earlier one, cost a line and are not used once an era is known. Frames between nodes carry the era; a peer without it is not used by a node that has one. A conditional write names its era and is not sent in a later one.

test_key_revoked_at_a_return_is_refused failed before with all three nodes accepting the key 5 s after the return. Tests that passed bare numbers pass revisions now; nothing that they check changed, except that an answer now needs the era to be used.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -479,6 +479,22 @@
     'The store dropped the history that a watch needs; the objects are '
     'listed anew.',
 )
+ERA_CHANGED = EventKind(
+    1616,
+    'era-changed',
+    'The store has come back from an older copy: it names a new era, and gives '
+    'revisions out again. All objects are listed anew.',
+    'Check that what operators wrote in the last seconds is there again.',
+    Level.WARNING,
+)
+ERA_REFUSED = EventKind(
+    1617,
+    'era-refused',
+    'A response of the store names no era, or an earlier one than is known; it '
+    'is not used if an era is known.',
+    'Nothing if it happens once; otherwise check what responds as the store.',
+    Level.WARNING,
+)
 
 PEER_UP = EventKind(1701, 'peer-up', 'A connection to a peer node was opened.')
 PEER_DOWN = EventKind(
--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_crashes.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_crashes.py
@@ -4,6 +4,8 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
+from ryelatch_core.eras import StoreRevision
+
 MAX_INCARNATIONS = 16
 """Incarnations kept for a key in each phase; three suffice to refuse."""
 
@@ -89,7 +91,7 @@
 
     key: str
     crashes: Crashes
-    revision: int
+    revision: StoreRevision
 
 
 def _truncate(names: frozenset[str]) -> frozenset[str]:
--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
@@ -359,7 +359,8 @@
             return StoreWrite(key, None, stored.revision) if stored else None
         if now < state.due or state.shared.covers(state.local):
             return None
-        return StoreWrite(key, state.crashes, stored.revision if stored else 0)
+        revision = stored.revision if stored else None
+        return StoreWrite(key, state.crashes, revision)
 
     def _has_expired(self, key: str, state: CrashState, now: float) -> bool:
         lifetime = SUSPECT_SECONDS
--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_writes.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_writes.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.quarantine._crashes import Crashes
 from ryelatch_core.quarantine._fingerprint import is_part
 
@@ -12,13 +13,13 @@
 
     :param key: of a whole request or of a part of prompts; names the object.
     :param crashes: crashes to write; ``None`` deletes the object.
-    :param revision: revision that the object must have; 0 if it must not
-        exist.
+    :param revision: revision that the object must have; ``None`` if it must
+        not exist, as no object is deleted then.
     """
 
     key: str
     crashes: Crashes | None
-    revision: int
+    revision: StoreRevision | None
 
 
 def rank_write(write: StoreWrite) -> tuple[int, bool]:
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_bootstrap_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_bootstrap_client.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.events import LineLog, catalogue
 from ryelatch_core.kernel import Clock
 from ryelatch_core.membership import NodeEntry
@@ -93,7 +94,8 @@
         unanswered = (
             None if reply.unanswered is None else sent - reply.unanswered
         )
-        return StoreUpdate(reply.at, sent - reply.age, changes, unanswered)
+        at = StoreRevision(reply.era, reply.at)
+        return StoreUpdate(at, sent - reply.age, changes, unanswered)
 
     async def _exchange(
         self,
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_frames.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ryelatch_core.eras import FIRST_ERA, MAX_ERA
 from ryelatch_core.membership import NodeEntry
 
 MAX_FRAME_BYTES = 4_194_304
@@ -26,6 +27,9 @@
 """Revision of the store; -1 if none is known."""
 
 
+Era = Annotated[int, msgspec.Meta(ge=FIRST_ERA, le=MAX_ERA)]
+"""Era of the store that a revision beside it belongs to."""
+
 RequestRate = Annotated[float, msgspec.Meta(ge=0)]
 """Requests per second."""
 
@@ -51,12 +55,14 @@
     :param wait: seconds after which to reply even if nothing has changed.
     :param whole: whether to include large changes, as the requester can't
         read them from the store.
+    :param era: era of ``since``.
     """
 
     kind: str
     since: int
     wait: float
     whole: bool = False
+    era: Era = FIRST_ERA
 
 
 class PermitRequest(msgspec.Struct, frozen=True, array_like=True, tag='permit'):
@@ -139,6 +145,7 @@
     :param age: seconds since they were last confirmed as current.
     :param packed: the objects, see :func:`pack`.
     :param unanswered: as in :class:`WatchReply`.
+    :param era: era of ``at``.
     """
 
     known: bool
@@ -146,6 +153,7 @@
     age: Duration = 0
     packed: bytes = b''
     unanswered: Duration | None = None
+    era: Era = FIRST_ERA
 
 
 class WatchReply(msgspec.Struct, frozen=True, array_like=True):
@@ -160,6 +168,7 @@
     :param unanswered: seconds since the replying node sent the last call that
         the store left unanswered; ``None`` if there was none.
     :param out: whether the store is unavailable to the replying node.
+    :param era: era of ``at``.
     """
 
     covered: bool
@@ -169,6 +178,7 @@
     packed: bytes = b''
     unanswered: Duration | None = None
     out: bool = False
+    era: Era = FIRST_ERA
 
 
 def pack(changes: tuple[Change, ...]) -> bytes:
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_health_request.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_health_request.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.kernel import Clock
 from ryelatch_core.membership import NEVER
 from ryelatch_node.peer_sync._connection import (
@@ -26,7 +27,7 @@
     clock: Clock,
     address: str,
     object_kind: str,
-    since: int,
+    since: StoreRevision,
 ) -> StoreHealth | None:
     """Ask a peer for the store's availability, as the peer observes it.
 
@@ -37,7 +38,9 @@
     :returns: ``None`` if the peer doesn't reply.
     """
     # As ``whole`` is set, the peer doesn't take this node for a follower.
-    request = WatchRequest(object_kind, since, wait=0, whole=True)
+    request = WatchRequest(
+        object_kind, since.number, wait=0, whole=True, era=since.era
+    )
     try:
         async with (
             asyncio.timeout(REPLY_SECONDS),
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_server.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.events import UsageTracker
 from ryelatch_core.kernel import Clock, cancel_task
 from ryelatch_core.membership import NEVER
@@ -243,8 +244,7 @@
         if cache is None:
             return WatchReply(covered=False, age=UNKNOWN_AGE_SECONDS)
         wait_seconds = min(MAX_WAIT_SECONDS, max(0, request.wait))
-        await cache.wait(request.since, received, wait_seconds)
+        since = StoreRevision(request.era, request.since)
+        await cache.wait(since, received, wait_seconds)
         now = self.clock.monotonic()
-        return cache.make_reply(
-            request.since, received, now, whole=request.whole
-        )
+        return cache.make_reply(since, received, now, whole=request.whole)
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.events import LineLog, UsageTracker, catalogue, keep_running
 from ryelatch_core.kernel import App, Clock, Service, cancel_task
 from ryelatch_core.membership import (
@@ -193,7 +194,7 @@
     async def request_changes(
         self,
         object_kind: str,
-        since: int,
+        since: StoreRevision,
         wait_seconds: float,
         *,
         max_age: float,
@@ -215,7 +216,9 @@
         if peer is None:
             return None
         sent = self.clock.monotonic()
-        request = WatchRequest(object_kind, since, wait_seconds, partitioned)
+        request = WatchRequest(
+            object_kind, since.number, wait_seconds, partitioned, since.era
+        )
         try:
             async with asyncio.timeout(
                 wait_seconds + CONNECT_SECONDS + REPLY_SECONDS
@@ -236,10 +239,11 @@
             None if reply.unanswered is None else replied - reply.unanswered
         )
         if reply.age <= max_age:
-            if not reply.covered:
+            at = StoreRevision(reply.era, reply.at)
+            if not reply.covered or not at.can_follow(since):
                 return None
             return StoreUpdate(
-                reply.at, replied - reply.age, changes, unanswered, reply.out
+                at, replied - reply.age, changes, unanswered, reply.out
             )
         reason = 'blind' if reply.out else 'behind'
         self._abandon(object_kind, peer, reason, answered=True)
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_watch_cache.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_watch_cache.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from ryelatch_core.eras import UNKNOWN_REVISION, StoreRevision
 from ryelatch_core.membership import NEVER
 from ryelatch_node.peer_sync._frames import (
     MAX_FRAME_BYTES,
@@ -29,7 +30,7 @@
 _MAX_LIST_BYTES = MAX_FRAME_BYTES // 2
 """Limit on all objects of a kind when compressed, so that they fit a frame."""
 
-_LIST_KEY = -2
+_LIST_KEY = None
 """Key of all packed objects in a dictionary that is keyed by revision."""
 
 UNKNOWN_AGE_SECONDS = 1e9
@@ -49,7 +50,7 @@
     :param out: whether the store is unavailable to that peer.
     """
 
-    at: int
+    at: StoreRevision
     confirmed_at: float
     changes: tuple[Change, ...] = ()
     unanswered: float | None = None
@@ -88,19 +89,19 @@
 class WatchCache:
     """All objects of one kind, and its recent changes.
 
-    :param start: revision after which all changes are kept; -1 before the
-        first list.
+    :param start: revision after which all changes are kept; unknown before
+        the first list.
     :param at: revision of the latest update.
     :param confirmed_at: monotonic seconds at which that revision was last
         confirmed as current.
     """
 
-    start: int = -1
-    at: int = -1
+    start: StoreRevision = UNKNOWN_REVISION
+    at: StoreRevision = UNKNOWN_REVISION
     confirmed_at: float = float('-inf')
     _objects: dict[str, bytes] = field(default_factory=dict)
     _updates: deque[StoreUpdate] = field(default_factory=deque)
-    _packed: dict[int, bytes] = field(default_factory=dict)
+    _packed: dict[StoreRevision | None, bytes] = field(default_factory=dict)
     _recorded: asyncio.Event = field(default_factory=asyncio.Event)
 
     def reset(self, update: StoreUpdate, objects: Mapping[str, bytes]) -> None:
@@ -145,26 +146,34 @@
                 )
             )
         packed = self._packed[_LIST_KEY]
-        if self.at < 0 or len(packed) > _MAX_LIST_BYTES:
+        if self.at == UNKNOWN_REVISION or len(packed) > _MAX_LIST_BYTES:
             return ListReply(known=False)
         age = min(now - self.confirmed_at, UNKNOWN_AGE_SECONDS)
-        return ListReply(known=True, at=self.at, age=age, packed=packed)
+        return ListReply(
+            known=True,
+            at=self.at.number,
+            age=age,
+            packed=packed,
+            era=self.at.era,
+        )
 
-    def has_update(self, since: int, received: float) -> bool:
+    def has_update(self, since: StoreRevision, received: float) -> bool:
         """Whether the reply to a watch request can be sent now.
 
-        It can be sent if there are changes, or if the state was confirmed as
-        current after the request arrived.
+        It can be sent if there are changes, if the state was confirmed as
+        current after the request arrived, or if it is of another era.
 
         :param since: revision that the requester has.
         :param received: when the request arrived, in monotonic seconds.
         """
-        return self.at >= since and (
+        if self.at.era != since.era:
+            return True
+        return self.at.can_follow(since) and (
             self.confirmed_at > received or bool(self._list_updates(since))
         )
 
     async def wait(
-        self, since: int, received: float, timeout_seconds: float
+        self, since: StoreRevision, received: float, timeout_seconds: float
     ) -> None:
         """Wait until there is an update for a request, or until a timeout.
 
@@ -181,7 +190,7 @@
 
     def make_reply(
         self,
-        since: int,
+        since: StoreRevision,
         received: float,
         now: float,
         *,
@@ -199,9 +208,16 @@
         if len(packed) > MAX_PACKED_BYTES and not whole:
             covered, packed = False, b''
         age = min(now - self.confirmed_at, UNKNOWN_AGE_SECONDS)
-        return WatchReply(covered, self.at, now - received, age, packed)
+        return WatchReply(
+            covered,
+            self.at.number,
+            now - received,
+            age,
+            packed,
+            era=self.at.era,
+        )
 
-    def _pack_since(self, since: int) -> bytes:
+    def _pack_since(self, since: StoreRevision) -> bytes:
         """Pack the changes since a revision.
 
         The result is kept, as most requesters have the same revision.
@@ -216,11 +232,15 @@
             )
         return self._packed[since]
 
-    def _covers(self, since: int) -> bool:
+    def _covers(self, since: StoreRevision) -> bool:
         """Whether all changes since a revision are kept."""
-        return self.start >= 0 and self.start <= since <= self.at
+        return (
+            self.start != UNKNOWN_REVISION
+            and since.can_follow(self.start)
+            and self.at.can_follow(since)
+        )
 
-    def _list_updates(self, since: int) -> list[StoreUpdate]:
+    def _list_updates(self, since: StoreRevision) -> list[StoreUpdate]:
         return [update for update in self._updates if update.at > since]
 
     def _advance(self, update: StoreUpdate) -> None:
--- a/packages/ryelatch-node/src/ryelatch_node/placement/_lease.py
+++ b/packages/ryelatch-node/src/ryelatch_node/placement/_lease.py
@@ -153,7 +153,7 @@
         fence = record.lease.fence if record.lease else 0
         lease = Lease(self.holder, fence if renewing else fence + 1)
         sent = self.clock.monotonic()
-        written = await self.store.write(lease, record.revision)
+        written = await self.store.write(lease, record.expected)
         if written is None or written.lease != lease:
             self.log.record(catalogue.LEASE_LOST, fence=lease.fence)
             self._record_since = sent
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_leases.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_leases.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.membership import Lease
 
 
@@ -10,15 +11,22 @@
 class LeaseRecord:
     """A lease as the store holds it.
 
-    :param lease: nothing if it was never held.
+    :param lease: nothing if there is no record.
     :param revision: revision of the record. Of several writes that require
-        the same revision, only one succeeds.
-    :param after: revision that this record replaced.
+        the same revision, only one succeeds. Without a record, it is one at
+        which the store had none.
+    :param after: revision that this record replaced; nothing if there was no
+        record.
     """
 
     lease: Lease | None
-    revision: int
-    after: int = 0
+    revision: StoreRevision
+    after: StoreRevision | None = None
+
+    @property
+    def expected(self) -> StoreRevision | None:
+        """Revision that a write in its place requires; nothing to create."""
+        return None if self.lease is None else self.revision
 
 
 @dataclass(frozen=True)
@@ -29,7 +37,9 @@
     the component that watches the store.
     """
 
-    write: Callable[[Lease, int], Awaitable[LeaseRecord | None]]
+    write: Callable[
+        [Lease, StoreRevision | None], Awaitable[LeaseRecord | None]
+    ]
     """Write a lease if the record still has a revision.
 
     Results in the record then stored, which may be another node's; nothing if
--- a/tests/core/quarantine/test_parts.py
+++ b/tests/core/quarantine/test_parts.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.quarantine import (
     Crashes,
     CrashTracker,
@@ -27,6 +28,7 @@
 _DEAD = make_part_key('model', 'fdead')
 _FIRST = make_part_key('model', 'f1')
 _numbers = itertools.count()
+_STORED_AT = StoreRevision(1, 5)
 
 
 def _make() -> CrashTracker:
@@ -107,7 +109,9 @@
     """
     here, elsewhere = _make(), _make()
     elsewhere.record_run(_ask(_FIRST), _NOW - 1)
-    stored = StoredCrashes(_FIRST, Crashes(frozenset(('r-1', 'r-2', 'r-3'))), 5)
+    stored = StoredCrashes(
+        _FIRST, Crashes(frozenset(('r-1', 'r-2', 'r-3'))), _STORED_AT
+    )
     for tracker in (here, elsewhere):
         tracker.put(stored, _NOW)
     assert _refuses(here, _ask(_FIRST))
@@ -159,7 +163,7 @@
     """All replicas crash at a start, and a common part is refused for good."""
     tracker = _make()
     crashes = Crashes(frozenset(('r-1', 'r-2', 'r-3')))
-    tracker.put(StoredCrashes(_FIRST, crashes, 5), _NOW)
+    tracker.put(StoredCrashes(_FIRST, crashes, _STORED_AT), _NOW)
     later = _NOW + TRIAL_DELAYS_SECONDS[0]
     request = _ask(_FIRST, _key('a1'))
     assert _refuses(tracker, request, later)
@@ -281,7 +285,7 @@
     tracker = _make()
     tracker.set_informed(informed=False, now=_NOW - 1)
     crashes = Crashes(frozenset(('r-1', 'r-2', 'r-3')))
-    tracker.put(StoredCrashes(_DEAD, crashes, 5), _NOW)
+    tracker.put(StoredCrashes(_DEAD, crashes, _STORED_AT), _NOW)
     assert tracker.is_unsettled(_ask(_DEAD), _NOW)
     assert _refuses(tracker, _ask(_DEAD))
 
--- a/tests/core/quarantine/test_tracker.py
+++ b/tests/core/quarantine/test_tracker.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.quarantine import (
     Crashes,
     CrashTracker,
@@ -58,8 +59,20 @@
         )
 
 
-def _store(digest: str, *begun: str, revision: int = 5) -> StoredCrashes:
-    return StoredCrashes(digest, Crashes(frozenset(begun)), revision)
+def _at(number: int, era: int = 1) -> StoreRevision:
+    return StoreRevision(era, number)
+
+
+def _follow(write: StoreWrite, writes: int = 1) -> StoreRevision:
+    """Return the revision after a write, or after some more."""
+    assert write.revision is not None
+    return _at(write.revision.number + writes)
+
+
+def _store(
+    digest: str, *begun: str, revision: int = 5, era: int = 1
+) -> StoredCrashes:
+    return StoredCrashes(digest, Crashes(frozenset(begun)), _at(revision, era))
 
 
 def _refuses(tracker: CrashTracker, digest: str, now: float = _NOW) -> bool:
@@ -171,7 +184,7 @@
     tracker = _make()
     tracker.put(_store('a', 'r-1', 'r-2', revision=7), _NOW)
     tracker.record_run(Fingerprint('a'), _NOW)
-    assert tracker.list_due_writes(_NOW) == [StoreWrite('a', None, 7)]
+    assert tracker.list_due_writes(_NOW) == [StoreWrite('a', None, _at(7))]
 
 
 def test_first_end_is_told_after_a_while() -> None:
@@ -179,7 +192,7 @@
     tracker = _make(jitter=0.5)
     _crash(tracker, 'a', 'r-1')
     assert not tracker.list_due_writes(_NOW + REPORT_DELAY_SECONDS / 2)
-    write = StoreWrite('a', Crashes(frozenset(('r-1',))), 0)
+    write = StoreWrite('a', Crashes(frozenset(('r-1',))), None)
     assert tracker.list_due_writes(_NOW + REPORT_DELAY_SECONDS) == [write]
     tracker.record_run(Fingerprint('a'), _NOW)
     assert not tracker.list_due_writes(_NOW + REPORT_DELAY_SECONDS)
@@ -190,7 +203,7 @@
     tracker = _make()
     tracker.put(_store('a', 'r-1', revision=7), _NOW)
     _crash(tracker, 'a', 'r-2')
-    write = StoreWrite('a', Crashes(frozenset(('r-1', 'r-2'))), 7)
+    write = StoreWrite('a', Crashes(frozenset(('r-1', 'r-2'))), _at(7))
     assert tracker.list_due_writes(_NOW) == [write]
     tracker.put(_store('a', 'r-1', 'r-2', revision=8), _NOW)
     assert not tracker.list_due_writes(_NOW)
@@ -218,7 +231,7 @@
     tracker.replace((), _NOW)
     assert _refuses(tracker, 'a')
     assert not tracker.list_due_writes(_NOW)
-    lost = StoreWrite('a', Crashes(frozenset(('r-1', 'r-2', 'r-3'))), 0)
+    lost = StoreWrite('a', Crashes(frozenset(('r-1', 'r-2', 'r-3'))), None)
     assert tracker.list_due_writes(_NOW + REWRITE_SPREAD_SECONDS) == [lost]
     tracker.put(_store('a', 'r-1', 'r-2', 'r-3', revision=2), _NOW)
     assert not tracker.list_due_writes(_NOW + REWRITE_SPREAD_SECONDS)
@@ -240,6 +253,16 @@
     assert _refuses(tracker, 'a')
 
 
+def test_number_given_out_again_is_not_ignored() -> None:
+    """A record is ignored as its number was used before, in another era."""
+    tracker = _make()
+    tracker.put(_store('a', 'r-1', revision=9), _NOW)
+    tracker.put(_store('a', 'r-1', 'r-2', 'r-3', revision=8, era=2), _NOW)
+    assert _refuses(tracker, 'a')
+    tracker.put(_store('a', 'r-1', revision=10), _NOW)
+    assert _refuses(tracker, 'a')
+
+
 @pytest.mark.parametrize(
     ('names', 'lifetime'),
     [
@@ -254,7 +277,7 @@
     tracker.put(_store('a', *names, revision=7), _NOW)
     assert not tracker.list_due_writes(_NOW + lifetime - 1)
     assert tracker.list_due_writes(_NOW + lifetime + 1) == [
-        StoreWrite('a', None, 7)
+        StoreWrite('a', None, _at(7))
     ]
 
 
@@ -263,7 +286,7 @@
     write = tracker.find_trial(Fingerprint(key), now)
     assert write is not None
     assert write.crashes is not None
-    tracker.put(StoredCrashes(key, write.crashes, write.revision + 1), now)
+    tracker.put(StoredCrashes(key, write.crashes, _follow(write)), now)
     return write
 
 
@@ -280,7 +303,7 @@
     tracker.record_run(Fingerprint('a'), later)
     assert not _refuses(tracker, 'a', later)
     assert tracker.list_due_writes(later) == [
-        StoreWrite('a', None, claimed.revision + 1)
+        StoreWrite('a', None, _follow(claimed))
     ]
     tracker.remove('a', later)
     _crash(tracker, 'a', 'r-4', now=later + CLEARED_SECONDS)
@@ -301,10 +324,10 @@
         late = nodes[1].find_trial(Fingerprint('a'), now)
         assert late is not None
         assert late.revision == write.revision
-        nodes[1].put(StoredCrashes('a', write.crashes, write.revision + 1), now)
+        nodes[1].put(StoredCrashes('a', write.crashes, _follow(write)), now)
         crashed = write.crashes.add(f't-{number}', RequestPhase.BEGUN)
         for tracker in nodes:
-            tracker.put(StoredCrashes('a', crashed, write.revision + 2), now)
+            tracker.put(StoredCrashes('a', crashed, _follow(write, 2)), now)
             assert tracker.find_trial(Fingerprint('a'), now + 1) is None
     for tracker in nodes:
         later = now + RETENTION_SECONDS - 1
@@ -351,7 +374,7 @@
     tracker.put(_store('a', 'r-1', revision=7), _NOW)
     assert not tracker.list_due_writes(_NOW + SUSPECT_SECONDS + 1)
     later = _NOW + SUSPECT_SECONDS + CLEANUP_DELAY_SECONDS + 1
-    assert tracker.list_due_writes(later) == [StoreWrite('a', None, 7)]
+    assert tracker.list_due_writes(later) == [StoreWrite('a', None, _at(7))]
 
 
 def test_suspects_are_bounded_and_refusals_kept() -> None:
--- a/tests/fleet/placing.py
+++ b/tests/fleet/placing.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from fleet.running import make_configuration
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.events import LineLog
 from ryelatch_core.fleet import LayerRange, Replica
 from ryelatch_core.kernel import BootClock, Hub
@@ -42,7 +43,7 @@
     load_seconds: float = 0.5
     result: CommandResult = CommandResult.BEGUN
     record: LeaseRecord = dataclasses.field(
-        default_factory=lambda: LeaseRecord(None, 0)
+        default_factory=lambda: LeaseRecord(None, StoreRevision(1, 0))
     )
     commands: list[tuple[str, str, int]] = dataclasses.field(
         default_factory=list
@@ -52,16 +53,21 @@
     )
     lose_writes: bool = False
 
-    async def write(self, lease: Lease, revision: int) -> LeaseRecord | None:
+    async def write(
+        self, lease: Lease, revision: StoreRevision | None
+    ) -> LeaseRecord | None:
         """Write the lease if its revision matches, and notify all nodes.
 
         :returns: the stored lease; ``None`` if the write is lost.
         """
         if self.lose_writes:
             return None
-        if revision != self.record.revision:
+        if revision != self.record.expected:
             return self.record
-        self.record = LeaseRecord(lease, revision + 1, revision)
+        at = self.record.revision
+        self.record = LeaseRecord(
+            lease, StoreRevision(at.era, at.number + 1), revision
+        )
         for controller in self.controllers:
             controller.lease.apply_record(self.record)
         return self.record
--- a/tests/node/peer_sync/test_bootstrap_client.py
+++ b/tests/node/peer_sync/test_bootstrap_client.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.events import LineLog
 from ryelatch_core.membership import NodeEntry
 from ryelatch_node.peer_sync._bootstrap_client import BootstrapClient
@@ -80,12 +81,12 @@
 
 async def test_objects_are_dated_as_the_peer_knew_them() -> None:
     packed = pack((Change(b'{}', deleted=False),))
-    reply = ListReply(known=True, at=7, age=_AGE, packed=packed)
+    reply = ListReply(known=True, at=7, age=_AGE, packed=packed, era=1)
     case = _Case(encode(reply))
     case.bootstrap_client.handle_message(BootstrapMessage('b', _NODES))
     update = await case.bootstrap_client.request_list('servers')
     assert update is not None
-    assert update.at == 7
+    assert update.at == StoreRevision(1, 7)
     assert asyncio.get_running_loop().time() - update.confirmed_at >= _AGE
 
 
--- a/tests/node/peer_sync/test_malformed_frames.py
+++ b/tests/node/peer_sync/test_malformed_frames.py
@@ -12,6 +12,7 @@
 import pytest
 
 from fleet.running import make_startup
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.events import LineLog
 from ryelatch_core.kernel import BootClock
 from ryelatch_core.membership import NodeEntry
@@ -60,24 +61,24 @@
 
 async def _ask(peer_sync: PeerSync) -> Any:
     return await peer_sync.request_changes(
-        'servers', 5, 0.1, max_age=2, partitioned=False
+        'servers', StoreRevision(1, 5), 0.1, max_age=2, partitioned=False
     )
 
 
 async def test_sound_reply_is_heard() -> None:
-    update = await _ask(_make_news(encode(WatchReply(True, 7, 0, 0.5))))
-    assert update.at == 7
+    update = await _ask(_make_news(encode(WatchReply(True, 7, 0, 0.5, era=1))))
+    assert update.at == StoreRevision(1, 7)
 
 
 @pytest.mark.parametrize(
     'reply',
     [
-        WatchReply(True, 7, 0, -60),
-        WatchReply(True, 7, -60, 0.5),
-        WatchReply(True, 7, 0, float('nan')),
-        WatchReply(True, 7, 0, 0.5, b'', -60),
-        WatchReply(True, -7, 0, 0.5),
-        WatchReply(True, 7, 0, 0.5, b'no changes'),
+        WatchReply(True, 7, 0, -60, era=1),
+        WatchReply(True, 7, -60, 0.5, era=1),
+        WatchReply(True, 7, 0, float('nan'), era=1),
+        WatchReply(True, 7, 0, 0.5, b'', -60, era=1),
+        WatchReply(True, -7, 0, 0.5, era=1),
+        WatchReply(True, 7, 0, 0.5, b'no changes', era=1),
         WatchRequest('servers', 7, 0),
     ],
 )
--- a/tests/node/placement/test_placement.py
+++ b/tests/node/placement/test_placement.py
@@ -7,6 +7,7 @@
 
 from fleet.placing import FakePlatform, make_replica, run_nodes
 from fleet.running import wait_until
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.fleet import LayerRange
 from ryelatch_core.membership import NEVER, Lease
 from ryelatch_node.ports import (
@@ -44,7 +45,9 @@
     Another node takes the lease under a higher fencing number within about
     a second, and sends the commands.
     """
-    platform = FakePlatform(record=LeaseRecord(Lease('gone', 7), 3))
+    platform = FakePlatform(
+        record=LeaseRecord(Lease('gone', 7), StoreRevision(1, 3))
+    )
     async with run_nodes(platform, 2):
         platform.list_replicas(
             [
@@ -120,10 +123,14 @@
         write = platform.write
 
         async def write_and_lose(
-            lease: Lease, revision: int
+            lease: Lease, revision: StoreRevision | None
         ) -> LeaseRecord | None:
             written = await write(lease, revision)
-            other = LeaseRecord(Lease('other', 9), revision + 2, revision + 1)
+            assert written is not None
+            at = written.revision
+            other = LeaseRecord(
+                Lease('other', 9), StoreRevision(at.era, at.number + 1), at
+            )
             asyncio.get_running_loop().call_soon(
                 controller.lease.apply_record, other
             )
--- a/tests/node/placement/test_turns.py
+++ b/tests/node/placement/test_turns.py
@@ -6,6 +6,7 @@
 
 from fleet.placing import FakePlatform, make_replica, run_nodes
 from fleet.running import wait_until
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.fleet import LayerRange
 from ryelatch_core.membership import Lease
 from ryelatch_node.placement._lease import (
@@ -33,7 +34,9 @@
         return ()
 
     monkeypatch.setattr('ryelatch_node.placement._service.plan_moves', count)
-    platform = FakePlatform(record=LeaseRecord(Lease('node-0', 1), 1))
+    platform = FakePlatform(
+        record=LeaseRecord(Lease('node-0', 1), StoreRevision(1, 1))
+    )
     async with run_nodes(platform, 12):
         for number in range(10):
             platform.list_replicas(
@@ -74,7 +77,9 @@
 
     No layer is missing, so the takeover is slow, but they are put to use.
     """
-    platform = FakePlatform(record=LeaseRecord(Lease('gone', 7), 3))
+    platform = FakePlatform(
+        record=LeaseRecord(Lease('gone', 7), StoreRevision(1, 3))
+    )
     async with run_nodes(platform, 1):
         platform.controllers[0].lease.base_jitter = 0
         platform.list_replicas(
--- /dev/null
+++ b/tests/platform/test_eras.py
@@ -0,0 +1,184 @@
+"""Nodes while the store comes back from an older copy, in a new era."""
+
+import asyncio
+
+import pytest
+
+from fleet.running import make_configuration
+from virtual.loop import run
+from virtual.store import Trouble
+from virtual.world import World
+
+_NAMES = ('node-a', 'node-b', 'node-c')
+_AWAY_SECONDS = 1.0
+_COPY_SECONDS = 4.0
+_AGAIN_SECONDS = 0.6
+_REVOKE_SECONDS = 5.0
+_TAKEN, _KEPT = 'taken-key', 'kept-key'
+
+
+def _configure(world: World, version: int, *keys: str) -> None:
+    accounts = [{'name': 'ward-1', 'apiKeys': list(keys)}]
+    world.store.put(
+        'config', 'main', make_configuration(version, tenants=accounts)
+    )
+
+
+def _accepts(world: World, name: str, key: str) -> bool:
+    view = world.nodes[name].configuration
+    assert view.table is not None
+    return view.allows_keys() and view.table.find_account(key) is not None
+
+
+async def _restore(world: World, age: float = _COPY_SECONDS) -> None:
+    world.store.go_away()
+    await asyncio.sleep(_AWAY_SECONDS)
+    world.store.restore(age, _AGAIN_SECONDS)
+
+
+def test_key_revoked_at_a_return_is_refused() -> None:
+    """A revoked key is accepted for good after the store lost its last writes.
+
+    The new configuration gets the revision up to which nodes watch already.
+    """
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        _configure(world, 7, _TAKEN, _KEPT)
+        await asyncio.sleep(_COPY_SECONDS)
+        world.register('b-new')
+        await asyncio.sleep(2)
+        await _restore(world)
+        _configure(world, 8, _KEPT)
+        await asyncio.sleep(_REVOKE_SECONDS)
+        assert not any(_accepts(world, name, _TAKEN) for name in _NAMES)
+        assert all(_accepts(world, name, _KEPT) for name in _NAMES)
+        await world.stop()
+
+    run(play())
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [
+        {},
+        {'Store-Era': ''},
+        {'Store-Era': 'two'},
+        {'Store-Era': '-2'},
+        {'Store-Era': '2.0'},
+        {'Store-Era': '٢'},
+        {'Store-Era': '9' * 40},
+        {'Store-Era': '0'},
+    ],
+)
+def test_response_without_an_era_confirms_nothing(
+    headers: dict[str, str],
+) -> None:
+    """A revoked key is accepted by a response of which the era is unknown."""
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        _configure(world, 7, _TAKEN, _KEPT)
+        await asyncio.sleep(_COPY_SECONDS)
+        world.register('b-new')
+        await asyncio.sleep(2)
+        world.store.headers['node-a'] = headers
+        await _restore(world)
+        _configure(world, 8, _KEPT)
+        await asyncio.sleep(_REVOKE_SECONDS)
+        assert not any(_accepts(world, name, _TAKEN) for name in _NAMES)
+        assert world.nodes['node-a'].count('era-refused') == 1
+        del world.store.headers['node-a']
+        await asyncio.sleep(_REVOKE_SECONDS)
+        assert all(_accepts(world, name, _KEPT) for name in _NAMES)
+        await world.stop()
+
+    run(play())
+
+
+def test_response_of_an_earlier_era_is_dropped() -> None:
+    """A late response of the era before is taken for the store's state."""
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        await _restore(world)
+        await asyncio.sleep(_REVOKE_SECONDS)
+        world.store.headers['node-a'] = {'Store-Era': '1'}
+        version = world.nodes['node-a'].configuration.version
+        _configure(world, 8, _KEPT)
+        await asyncio.sleep(_REVOKE_SECONDS)
+        assert world.nodes['node-a'].configuration.version == version
+        assert not world.nodes['node-a'].configuration.allows_keys()
+        assert world.nodes['node-a'].count('era-refused') == 1
+        await world.stop()
+
+    run(play())
+
+
+def test_store_that_names_no_era_is_followed() -> None:
+    """A node that never heard of an era takes each response for unusable."""
+
+    async def play() -> None:
+        world = World()
+        world.store.headers['node-a'] = {}
+        await world.start(_NAMES)
+        _configure(world, 8, _KEPT)
+        await asyncio.sleep(_REVOKE_SECONDS)
+        assert _accepts(world, 'node-a', _KEPT)
+        assert world.nodes['node-a'].count('era-refused') == 1
+        await world.stop()
+
+    run(play())
+
+
+@pytest.mark.parametrize('apart', [0.5, 3, 9])
+def test_second_return_is_noticed_too(apart: float) -> None:
+    """Nodes miss that the store came back from a copy a second time."""
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        _configure(world, 7, _TAKEN, _KEPT)
+        await asyncio.sleep(_COPY_SECONDS)
+        await _restore(world)
+        await asyncio.sleep(apart)
+        world.register('b-new')
+        await _restore(world)
+        _configure(world, 8, _KEPT)
+        await asyncio.sleep(_REVOKE_SECONDS)
+        assert not any(_accepts(world, name, _TAKEN) for name in _NAMES)
+        assert all(_accepts(world, name, _KEPT) for name in _NAMES)
+        for node in world.nodes.values():
+            assert node.view.listed
+            assert node.offers('b-new')
+            assert node.store.eras.current == 3
+        await world.stop()
+
+    run(play())
+
+
+def test_return_is_noticed_after_a_cut() -> None:
+    """A node meets the new era at a revision beyond the one that it has."""
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        _configure(world, 7, _TAKEN, _KEPT)
+        await asyncio.sleep(_COPY_SECONDS)
+        world.store.troubles['node-a'] = Trouble.SILENT
+        await _restore(world)
+        _configure(world, 8, _KEPT)
+        for number in range(9):
+            world.register(f'new-{number}')
+        await asyncio.sleep(20)
+        del world.store.troubles['node-a']
+        await asyncio.sleep(_REVOKE_SECONDS)
+        assert not any(_accepts(world, name, _TAKEN) for name in _NAMES)
+        assert all(_accepts(world, name, _KEPT) for name in _NAMES)
+        assert world.nodes['node-a'].offers('new-8')
+        await world.stop()
+
+    run(play())
--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -15,6 +15,7 @@
     run_node,
     wait_until,
 )
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.events import LineLog
 from ryelatch_core.kernel import BootClock, Hub
 from ryelatch_core.membership import NEVER, compute_departure_bounds
@@ -168,7 +169,9 @@
     ).encode()
     events = msgspec.json.decode(raw, type=Changes).events
     update = StoreUpdate(
-        3, 0, tuple(Change(bytes(event.found), False) for event in events)
+        StoreRevision(1, 3),
+        0,
+        tuple(Change(bytes(event.found), False) for event in events),
     )
     read = [found.metadata.name for found, _ in read_changes(update)]
     assert 'i-1' in read
--- a/tests/standins/objects.py
+++ b/tests/standins/objects.py
@@ -3,16 +3,20 @@
 import asyncio
 import contextlib
 import json
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, TypeAlias
 
 from aiohttp import web
 
+from standins.journal import Entry, Journal
+
 Present: TypeAlias = Callable[[str, dict[str, Any]], dict[str, Any]]
 """Changes a stored object, by its kind, for the callers of one application."""
 
 _PRESENT = web.AppKey('present', object)
 
+ERA_HEADER = 'Store-Era'
+
 
 def _present_unchanged(_: str, stored: dict[str, Any]) -> dict[str, Any]:
     return stored
@@ -25,8 +29,9 @@
 class ObjectStore:
     """Objects by kind and name under one revision counter, with faults.
 
-    :param mode: ``ok``, ``busy`` (each call gets 503) or ``silent`` (none gets
-        an answer).
+    :param mode: ``ok``, ``busy`` (each call gets 503), ``silent`` (none gets
+        an answer) or ``away`` (each connection is reset).
+    :param era: era that all answers name.
     :param lose_answers: number of next writes that take effect without answer.
     :param hide_changes: whether watches report no changes.
     :param calls: method and path of each call.
@@ -38,30 +43,35 @@
         self.hide_changes = False
         self.calls: list[str] = []
         self.revision = 0
+        self.era = 1
+        self._journal = Journal()
+        self._transports: set[asyncio.BaseTransport] = set()
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._history: list[tuple[int, str, dict[str, Any]]] = []
         self._history_start = 0
         self._changed = asyncio.Event()
 
-    def put(self, kind: str, name: str, spec: Any) -> int:
+    def put(
+        self, kind: str, name: str, spec: Any, *, by_node: bool = False
+    ) -> int:
         """Write an object, as operators and replicas do.
 
+        :param by_node: whether a node writes it; this is not written again
+            after the store has come back from a copy.
         :returns: its revision.
         """
         self.revision += 1
-        stored = {
-            'metadata': {'name': name, 'revision': self.revision},
-            'spec': spec,
-            'status': None,
-        }
+        self._journal.add(self.revision, kind, name, spec, by_node=by_node)
+        stored = _make_stored(name, self.revision, spec)
         self._objects.setdefault(kind, {})[name] = stored
         self._record(kind, {'object': stored, 'deleted': False})
         return self.revision
 
-    def drop(self, kind: str, name: str) -> None:
+    def drop(self, kind: str, name: str, *, by_node: bool = False) -> None:
         """Delete an object."""
         stored = self._objects[kind].pop(name)
         self.revision += 1
+        self._journal.add(self.revision, kind, name, None, by_node=by_node)
         self._record(kind, {'object': stored, 'deleted': True})
 
     def get(self, kind: str, name: str) -> dict[str, Any] | None:
@@ -74,6 +84,36 @@
         self._history_start = self.revision
         self._notify_watchers()
 
+    def go_away(self) -> None:
+        """Reset all connections, and new ones as well."""
+        self.mode = 'away'
+        for transport in tuple(self._transports):
+            transport.abort()  # type: ignore[attr-defined]
+
+    def restore(self, age: float, again: float) -> None:
+        """Come back from a copy, in a new era.
+
+        :param age: seconds by which the copy is older than now.
+        :param again: seconds until operators and replicas write what is lost.
+        """
+        loop = asyncio.get_running_loop()
+        kept, lost = self._journal.cut(loop.time() - age)
+        self.revision = max((entry.revision for entry in kept), default=0)
+        self._objects.clear()
+        for entry in kept:
+            self._objects.setdefault(entry.kind, {}).pop(entry.name, None)
+            if entry.spec is not None:
+                self._objects[entry.kind][entry.name] = _make_stored(
+                    entry.name, entry.revision, entry.spec
+                )
+        self._history = [
+            change for change in self._history if change[0] <= self.revision
+        ]
+        self._history_start = min(self._history_start, self.revision)
+        self.era += 1
+        self.mode = 'ok'
+        loop.call_later(again, self._write_again, lost)
+
     def make_app(
         self, present: Present = _present_unchanged
     ) -> web.Application:
@@ -81,7 +121,7 @@
 
         :param present: changes the objects that lists and watches return.
         """
-        app = web.Application()
+        app = web.Application(middlewares=[self._guard])
         app[_PRESENT] = present
         app.router.add_get('/objects/{kind}', self._list)
         app.router.add_post('/objects/{kind}', self._create)
@@ -90,6 +130,33 @@
         app.router.add_delete('/objects/{kind}/{name}', self._delete)
         return app
 
+    def _write_again(self, lost: list[Entry]) -> None:
+        for entry in lost:
+            if entry.spec is not None:
+                self.put(entry.kind, entry.name, entry.spec)
+            elif self.get(entry.kind, entry.name) is not None:
+                self.drop(entry.kind, entry.name)
+
+    @web.middleware
+    async def _guard(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        """Name the era in each answer, and reset connections while away."""
+        transport = request.transport
+        assert transport is not None
+        if self.mode == 'away':
+            transport.abort()
+            return web.Response()
+        self._transports.add(transport)
+        try:
+            response = await handler(request)
+        finally:
+            self._transports.discard(transport)
+        response.headers.setdefault(ERA_HEADER, str(self.era))
+        return response
+
     def _record(self, kind: str, event: dict[str, Any]) -> None:
         self._history.append((self.revision, kind, event))
         self._notify_watchers()
@@ -138,7 +205,8 @@
         deadline = loop.time() + int(request.query['waitMs']) / 1000
         present = _get_present(request)
         while True:
-            if since < self._history_start and not self.hide_changes:
+            known = self._history_start <= since <= self.revision
+            if not known and not self.hide_changes:
                 return web.json_response({'at': self.revision}, status=410)
             events = [
                 {**event, 'object': present(kind, event['object'])}
@@ -200,7 +268,7 @@
         )
         if int(expected_revision) != current['metadata']['revision']:
             return web.json_response(current, status=409)
-        self.drop(kind, name)
+        self.drop(kind, name, by_node=True)
         return web.json_response(current)
 
     async def _write(
@@ -213,9 +281,17 @@
         fault_response = await self._apply_fault(request)
         if fault_response is not None:
             return fault_response
-        self.put(kind, name, body['spec'])
+        self.put(kind, name, body['spec'], by_node=True)
         if self.lose_answers:
             self.lose_answers -= 1
             assert request.transport is not None
             request.transport.abort()
         return web.json_response(self.get(kind, name))
+
+
+def _make_stored(name: str, revision: int, spec: Any) -> dict[str, Any]:
+    return {
+        'metadata': {'name': name, 'revision': revision},
+        'spec': spec,
+        'status': None,
+    }
--- a/tests/virtual/store.py
+++ b/tests/virtual/store.py
@@ -11,6 +11,8 @@
 
 import aiohttp
 
+from standins.journal import Entry, Journal
+
 ANSWER_SECONDS = 0.004
 """Time that the store usually takes to respond."""
 
@@ -47,6 +49,7 @@
 class _Answer:
     status: int
     _body: bytes
+    headers: dict[str, str] = field(default_factory=dict)
 
     async def read(self) -> bytes:
         """Read the whole body."""
@@ -61,6 +64,10 @@
     :param delay: seconds that each response takes.
     :param list_delays: seconds that a list takes beyond that, by client.
     :param calls: time, client and path of each call.
+    :param era: era that all responses name.
+    :param headers: headers of the responses, by client, in place of the one
+        that names the era.
+    :param away: whether no call gets through.
     """
 
     troubles: dict[str, Trouble] = field(default_factory=dict)
@@ -68,17 +75,28 @@
     list_delays: dict[str, float] = field(default_factory=dict)
     calls: list[tuple[float, str, str]] = field(default_factory=list)
     revision: int = 1
+    era: int = 1
+    headers: dict[str, dict[str, str]] = field(default_factory=dict)
+    away: bool = False
     _objects: dict[str, dict[str, dict[str, Any]]] = field(default_factory=dict)
     _history: list[tuple[int, str, dict[str, Any]]] = field(
         default_factory=list
     )
     _kept_since: int = 0
+    _journal: Journal = field(default_factory=Journal)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
     _cut: asyncio.Event = field(default_factory=asyncio.Event)
 
-    def put(self, kind: str, name: str, spec: Any) -> None:
-        """Create or replace an object."""
+    def put(
+        self, kind: str, name: str, spec: Any, *, by_node: bool = False
+    ) -> None:
+        """Create or replace an object.
+
+        :param by_node: whether a node writes it. What operators and replicas
+            wrote is written again after a restoration.
+        """
         self.revision += 1
+        self._journal.add(self.revision, kind, name, spec, by_node=by_node)
         found = {
             'metadata': {'name': name, 'revision': self.revision},
             'spec': spec,
@@ -86,11 +104,12 @@
         self._objects.setdefault(kind, {})[name] = found
         self._record(kind, {'object': found, 'deleted': False})
 
-    def drop(self, kind: str, name: str) -> None:
+    def drop(self, kind: str, name: str, *, by_node: bool = False) -> None:
         """Delete an object, if it exists."""
-        found = self._objects[kind].pop(name, None)
+        found = self._objects.get(kind, {}).pop(name, None)
         if found is not None:
             self.revision += 1
+            self._journal.add(self.revision, kind, name, None, by_node=by_node)
             self._record(kind, {'object': found, 'deleted': True})
 
     def forget_history(self) -> None:
@@ -104,6 +123,39 @@
         self._cut, old = asyncio.Event(), self._cut
         old.set()
 
+    def go_away(self) -> None:
+        """Close all connections, and let no call through."""
+        self.away = True
+        self.cut_watches()
+
+    def restore(self, age: float, again: float) -> None:
+        """Come back from a copy, in a new era.
+
+        :param age: seconds by which the copy is older than now.
+        :param again: seconds until operators and replicas write what is lost.
+        """
+        loop = asyncio.get_running_loop()
+        kept, lost = self._journal.cut(loop.time() - age)
+        self.revision = max((entry.revision for entry in kept), default=1)
+        self._objects.clear()
+        for entry in kept:
+            self._objects.setdefault(entry.kind, {}).pop(entry.name, None)
+            if entry.spec is not None:
+                self._objects[entry.kind][entry.name] = {
+                    'metadata': {
+                        'name': entry.name,
+                        'revision': entry.revision,
+                    },
+                    'spec': entry.spec,
+                }
+        self._history = [
+            change for change in self._history if change[0] <= self.revision
+        ]
+        self._kept_since = min(self._kept_since, self.revision)
+        self.era += 1
+        self.away = False
+        loop.call_later(again, self._write_again, lost)
+
     def open_session(self, caller: str) -> 'VirtualSession':
         """Create a stand-in for the connection pool of a client."""
         return VirtualSession(self, caller)
@@ -120,10 +172,26 @@
         Watches that already wait when the store stops responding get their
         response in the end. Calls made during the fault get none.
         """
+        answer = await self._answer(caller, path, method, body)
+        answer.headers = self.headers.get(caller, {'Store-Era': str(self.era)})
+        return answer
+
+    def _write_again(self, lost: list[Entry]) -> None:
+        for entry in lost:
+            if entry.spec is None:
+                self.drop(entry.kind, entry.name)
+            else:
+                self.put(entry.kind, entry.name, entry.spec)
+
+    async def _answer(
+        self, caller: str, path: str, method: str, body: bytes | None
+    ) -> _Answer:
         now = asyncio.get_running_loop().time()
         self.calls.append((now, caller, path))
         trouble = self.troubles.get(caller, Trouble.NONE)
         await asyncio.sleep(self.delay)
+        if self.away:
+            raise aiohttp.ServerDisconnectedError
         if trouble is Trouble.SILENT:
             await asyncio.Event().wait()
         if trouble is Trouble.BUSY:
@@ -166,9 +234,9 @@
         ):
             return _Answer(_CONFLICT, json.dumps(current).encode())
         if method == 'DELETE':
-            self.drop(kind, name)
+            self.drop(kind, name, by_node=True)
             return _write()
-        self.put(kind, name, spec)
+        self.put(kind, name, spec, by_node=True)
         return self._read(kind, name)
 
     def _list(self, kind: str) -> _Answer:
@@ -189,7 +257,7 @@
             if cut.is_set():
                 raise aiohttp.ServerDisconnectedError
             withheld = caller in self.troubles
-            if since < self._kept_since and not withheld:
+            if not self._kept_since <= since <= self.revision and not withheld:
                 return _Answer(_GONE, b'{}')
             events = [
                 event
