A lost revocation was undone while the store had not got it back

Callers with a revoked key were served again at a node that had been cut off when the key was taken away: the store came back from a copy older than the revocation, the node read it before the operator had written again, and the older configuration confirmed the one that the node had. The same where the store had lost two versions, of which a node had only the first.

Cause: any answer without a newer version confirmed the configuration. In the gap between the return of the store and the operator's write that is not so. Ruled out: the version check, which held; it is the age that was renewed.

After a return, nothing confirms the configuration for as long as writes may still be missing (2 s from when the node noticed), unless a revocation since the last confirmation would still be in force in time; and nothing confirms it while the store shows an older version than is in force. Watches that can't confirm anything are not sent more often.

Red before: test_revocation_that_was_lost_is_not_undone[1.8] and test_older_state_of_the_store_confirms_nothing, both with the key accepted later than 5 s after its revocation. test_keys_stay_accepted_over_a_return holds the other side: nodes in touch refuse nobody.

--- a/packages/ryelatch-node/src/ryelatch_node/views/_configuration.py
+++ b/packages/ryelatch-node/src/ryelatch_node/views/_configuration.py
@@ -2,6 +2,7 @@
 
 from ryelatch_core.events import LineLog, catalogue
 from ryelatch_core.kernel import Clock
+from ryelatch_core.membership import STORE_OVERDUE_SECONDS
 from ryelatch_core.routing import (
     Configuration,
     Confirmation,
@@ -10,6 +11,12 @@
 )
 from ryelatch_node.views._freshness import UNKNOWN_AGE_SECONDS
 
+REWRITE_SECONDS = 2.0
+"""Time in which operators and replicas write again what the store has lost.
+
+It counts from when a node notices that the store is back.
+"""
+
 
 class ConfigurationView:
     """The configuration that this node handles requests by.
@@ -24,6 +31,10 @@
         self._clock = clock
         self._confirmation = Confirmation(bound)
         self._fresh = True
+        # Version that the store last returned.
+        self._stored_version = 0
+        # Monotonic seconds before which nothing confirms the configuration.
+        self._unsettled_until = float('-inf')
 
     def set_bound(self, bound: float) -> None:
         """Set for how many seconds keys are accepted without confirmation."""
@@ -47,8 +58,30 @@
 
     @property
     def left(self) -> float:
-        """Seconds until keys are refused unless a confirmation arrives."""
-        return self._confirmation.left(self._clock.monotonic())
+        """Seconds until keys are refused unless a confirmation arrives.
+
+        If none counts yet, that is later than keys are refused: calls that
+        can't confirm the configuration needn't be more frequent.
+        """
+        now = self._clock.monotonic()
+        if self._is_store_behind:
+            return self._confirmation.max_age
+        left = self._confirmation.left(now)
+        if now >= self._unsettled_until:
+            return left
+        return max(left, self._unsettled_until - now + STORE_OVERDUE_SECONDS)
+
+    def begin_era(self) -> None:
+        """Allow for versions that the store has lost.
+
+        It came back from an older copy. If a key was revoked since this node
+        last confirmed the configuration, it must be refused from one bound
+        after that confirmation. What the store returns may lack the revocation
+        until it is written again, so it confirms nothing if that may be later.
+        """
+        settled = self._clock.monotonic() + REWRITE_SECONDS
+        if self._confirmation.confirmed + self._confirmation.bound < settled:
+            self._unsettled_until = settled
 
     def offer(self, configuration: Configuration, sent: float) -> None:
         """Apply a version read from the store unless it is older.
@@ -60,7 +93,8 @@
         :param sent: when the call that returned this version was sent, in
             monotonic seconds.
         """
-        if configuration.version < self.version:
+        self._stored_version = configuration.version
+        if self._is_store_behind:
             self._log.record(
                 catalogue.CONFIGURATION_REFUSED,
                 version=configuration.version,
@@ -80,9 +114,12 @@
     def confirm(self, sent: float) -> None:
         """Record that a call sent at this time returned nothing newer.
 
+        It confirms nothing while the store may lack the newest version.
+
         :param sent: monotonic seconds.
         """
-        self._confirmation.confirm(sent)
+        if not self._is_store_behind and sent >= self._unsettled_until:
+            self._confirmation.confirm(sent)
         self.allows_keys()
 
     def allows_keys(self) -> bool:
@@ -100,3 +137,8 @@
 
     def _round_age(self) -> float:
         return round(self.age, 3)
+
+    @property
+    def _is_store_behind(self) -> bool:
+        """Whether the store returned an older version than is in force."""
+        return self._stored_version < self.version
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -14,6 +14,7 @@
 _COPY_SECONDS = 4.0
 _AGAIN_SECONDS = 0.6
 _REVOKE_SECONDS = 5.0
+_CHECK_SECONDS = 0.05
 _TAKEN, _KEPT = 'taken-key', 'kept-key'
 
 
@@ -182,3 +183,88 @@
         await world.stop()
 
     run(play())
+
+
+async def _expect_refused(world: World, key: str, seconds: float) -> None:
+    """Check for a time that no node accepts a key."""
+    for _ in range(round(seconds / _CHECK_SECONDS)):
+        assert not any(_accepts(world, name, key) for name in world.nodes)
+        await asyncio.sleep(_CHECK_SECONDS)
+
+
+@pytest.mark.parametrize('again', [0.6, 1.8])
+def test_revocation_that_was_lost_is_not_undone(again: float) -> None:
+    """A key is accepted as the copy of the store still has it.
+
+    The node was cut off when the key was revoked. The store then came back
+    from an older copy, and the node read it before the operator wrote again.
+    """
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        _configure(world, 7, _TAKEN, _KEPT)
+        await asyncio.sleep(_COPY_SECONDS)
+        world.store.troubles['node-a'] = Trouble.SILENT
+        _configure(world, 8, _KEPT)
+        await asyncio.sleep(_REVOKE_SECONDS / 2)
+        world.store.go_away()
+        await asyncio.sleep(_AWAY_SECONDS)
+        world.store.restore(_COPY_SECONDS, again)
+        del world.store.troubles['node-a']
+        await asyncio.sleep(_REVOKE_SECONDS / 2 - _AWAY_SECONDS)
+        await _expect_refused(world, _TAKEN, _REVOKE_SECONDS)
+        assert all(_accepts(world, name, _KEPT) for name in _NAMES)
+        await world.stop()
+
+    run(play())
+
+
+def test_older_state_of_the_store_confirms_nothing() -> None:
+    """A node takes the store's older configuration for a confirmation.
+
+    The store lost two versions, of which the node has only the first.
+    """
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        _configure(world, 7, _TAKEN, _KEPT)
+        await asyncio.sleep(_COPY_SECONDS)
+        _configure(world, 8, _TAKEN, _KEPT)
+        await asyncio.sleep(1)
+        world.store.troubles['node-a'] = Trouble.SILENT
+        _configure(world, 9, _KEPT)
+        await asyncio.sleep(1)
+        world.store.go_away()
+        await asyncio.sleep(_AWAY_SECONDS)
+        world.store.restore(_COPY_SECONDS, 2 * _REVOKE_SECONDS)
+        del world.store.troubles['node-a']
+        calls = len(world.store.calls)
+        await asyncio.sleep(_REVOKE_SECONDS - _AWAY_SECONDS - 1)
+        await _expect_refused(world, _TAKEN, 2 * _REVOKE_SECONDS)
+        assert all(_accepts(world, name, _KEPT) for name in _NAMES)
+        # A watch each 0.8 s and 2.2 s at three nodes for 13 s, and lists.
+        assert len(world.store.calls) - calls < 120
+        await world.stop()
+
+    run(play())
+
+
+def test_keys_stay_accepted_over_a_return() -> None:
+    """Nodes in touch refuse all keys as the store comes back from a copy."""
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        _configure(world, 7, _KEPT)
+        await asyncio.sleep(2 * _COPY_SECONDS)
+        world.store.go_away()
+        await asyncio.sleep(0.2)
+        world.store.restore(_COPY_SECONDS, _AGAIN_SECONDS)
+        for _ in range(round(2 * _REVOKE_SECONDS / _CHECK_SECONDS)):
+            assert all(_accepts(world, name, _KEPT) for name in _NAMES)
+            await asyncio.sleep(_CHECK_SECONDS)
+        await world.stop()
+
+    run(play())
