Replicas that had left got requests as the store came back from a copy

Callers' requests went to replicas that had announced to leave, or whose entries had been deleted, and new replicas got none for a while. The store had come back from a copy in which the former were ready and the latter unknown.

Cause: the first list of the new era was taken for the present. Ruled out: the bounds on departures, which hold for what the store has accepted and this node has seen; the entry simply said ready again.

When an era ends, a node keeps in mind what it has seen leaving or gone (30 s back). Such an incarnation isn't used unless its entry is written again.

Red before: test_replica_that_left_is_not_used_again in both forms, test_replica_that_the_copy_lacks_stays_in_use. test_replica_that_the_copy_lost_is_dropped and test_replica_that_registers_again_is_used bound how long either is kept.

--- a/packages/ryelatch-node/src/ryelatch_node/views/_leaving.py
+++ b/packages/ryelatch-node/src/ryelatch_node/views/_leaving.py
@@ -1,23 +1,37 @@
-"""Replicas that reported in a response that they are leaving."""
+"""Replicas that are leaving or gone, though an entry may say otherwise."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
 from ryelatch_core.fleet import Replica
+from ryelatch_core.kernel import Clock
 
 MAX_LEAVING = 4096
 """Number of incarnations kept; exceeds the replicas of one kind in a fleet."""
 
 
+COPY_AGE_SECONDS = 30.0
+"""Age beyond which the store is not expected to come back from a copy."""
+
+
 @dataclass(eq=False)
 class LeavingIncarnations:
-    """Names of incarnations that reported leaving, the oldest report first.
+    """Names of incarnations that are leaving, the oldest report first.
 
     A report is valid until that incarnation terminates. The registry entry may
     still say ready, be written once more, or expire and come back during an
     outage of the store.
+
+    When the store comes back from an older copy, the entries of replicas that
+    have left since are back as well. They aren't used unless they are written
+    again.
     """
 
+    clock: Clock
     _reported: dict[str, None] = field(default_factory=dict)
+    # When each incarnation was dropped, in monotonic seconds.
+    _dropped: dict[str, float] = field(default_factory=dict)
+    _listed_by_copy: frozenset[str] = frozenset()
 
     def add(self, name: str) -> bool:
         """Record that an incarnation reported leaving.
@@ -32,7 +46,36 @@
         return True
 
     def mark(self, replica: Replica) -> Replica:
-        """Return the replica, marked as leaving if it reported so."""
-        if replica.leaving or replica.name not in self._reported:
+        """Return the replica, marked as leaving if it is."""
+        leaving = (
+            replica.name in self._reported
+            or replica.name in self._listed_by_copy
+        )
+        if replica.leaving or not leaving:
             return replica
         return replace(replica, leaving=True)
+
+    def record_drop(self, name: str) -> None:
+        """Record that an incarnation is gone."""
+        self._dropped = {
+            **self._list_dropped(),
+            name: self.clock.monotonic(),
+        }
+
+    def begin_era(self, replicas: Iterable[Replica]) -> None:
+        """Keep out what has left, as a copy of the store may list it as ready.
+
+        :param replicas: as listed before.
+        """
+        for replica in replicas:
+            if replica.leaving:
+                self.add(replica.name)
+        self._listed_by_copy = frozenset(self._list_dropped())
+
+    def record_entry(self, name: str) -> None:
+        """Record that the entry of an incarnation was written just now."""
+        self._listed_by_copy -= {name}
+
+    def _list_dropped(self) -> dict[str, float]:
+        since = self.clock.monotonic() - COPY_AGE_SECONDS
+        return {name: at for name, at in self._dropped.items() if at >= since}
--- a/packages/ryelatch-node/src/ryelatch_node/views/_replicas.py
+++ b/packages/ryelatch-node/src/ryelatch_node/views/_replicas.py
@@ -57,7 +57,7 @@
         self._missing = MissingEntries()
         self._incarnations = Incarnations()
         self._overrides = ReportOverrides()
-        self._reported_leaving = LeavingIncarnations()
+        self.leaving = LeavingIncarnations(clock)
         self._leaving_since: dict[str, float] = {}
         self.cut = CutReplicas(self.replicas)
 
@@ -97,6 +97,7 @@
 
     def put(self, replica: Replica) -> None:
         """Apply an entry that is new or has changed."""
+        self.leaving.record_entry(replica.name)
         self._put(replica, listed=True)
         self._notify()
 
@@ -167,7 +168,7 @@
 
         An entry that still says ready doesn't revoke the report.
         """
-        if not self._reported_leaving.add(replica.name):
+        if not self.leaving.add(replica.name):
             return
         known = self.replicas.get(replica.name)
         if known is not None:
@@ -307,7 +308,7 @@
             does not: a replica that is leaving still answers report requests
             until it terminates.
         """
-        replica = self._reported_leaving.mark(replica)
+        replica = self.leaving.mark(replica)
         related = self._index.list_related(replica)
         self._incarnations.record_appearance(replica)
         if self._incarnations.is_outdated(
@@ -376,6 +377,7 @@
         self._overrides.remove(name)
         self._leaving_since.pop(name, None)
         if self._index.pop(name) is not None:
+            self.leaving.record_drop(name)
             self._log.record(
                 catalogue.REPLICA_GONE,
                 replica=name,
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -7,7 +7,7 @@
 from fleet.running import make_configuration
 from virtual.loop import run
 from virtual.store import Trouble
-from virtual.world import World
+from virtual.world import World, make_entry
 
 _NAMES = ('node-a', 'node-b', 'node-c')
 _AWAY_SECONDS = 1.0
@@ -220,7 +220,7 @@
     run(play())
 
 
-def test_older_state_of_the_store_confirms_nothing() -> None:
+def test_older_version_confirms_nothing() -> None:
     """A node takes the store's older configuration for a confirmation.
 
     The store lost two versions, of which the node has only the first.
@@ -268,3 +268,85 @@
         await world.stop()
 
     run(play())
+
+
+def test_replica_that_the_copy_lacks_stays_in_use() -> None:
+    """A replica that registered just before gets no requests for a while."""
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        await asyncio.sleep(_COPY_SECONDS)
+        world.register('b-new')
+        await asyncio.sleep(2)
+        world.store.restore(_COPY_SECONDS, 1.5)
+        for _ in range(round(5 / _CHECK_SECONDS)):
+            assert all(node.offers('b-new') for node in world.nodes.values())
+            await asyncio.sleep(_CHECK_SECONDS)
+        await world.stop()
+
+    run(play())
+
+
+def test_replica_that_the_copy_lost_is_dropped() -> None:
+    """A replica whose entry is not written again stays in use."""
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        await asyncio.sleep(_COPY_SECONDS)
+        world.store.put('servers', 'b-new', make_entry('b-new'), by_node=True)
+        await asyncio.sleep(2)
+        assert all(node.offers('b-new') for node in world.nodes.values())
+        world.store.restore(_COPY_SECONDS, 1.5)
+        await asyncio.sleep(5)
+        assert not any(node.offers('b-new') for node in world.nodes.values())
+        await world.stop()
+
+    run(play())
+
+
+@pytest.mark.parametrize('gone', [False, True])
+def test_replica_that_left_is_not_used_again(gone: bool) -> None:
+    """A replica gets requests as the copy of the store has it as ready.
+
+    It has announced that it leaves, or its entry was deleted.
+    """
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        await asyncio.sleep(_COPY_SECONDS)
+        if gone:
+            world.deregister('b-1')
+        else:
+            world.register('b-1', state='draining')
+        await asyncio.sleep(1)
+        world.store.restore(_COPY_SECONDS, 1.5)
+        for _ in range(round(5 / _CHECK_SECONDS)):
+            offering = [node.offers('b-1') for node in world.nodes.values()]
+            assert not any(offering)
+            await asyncio.sleep(_CHECK_SECONDS)
+        assert all(node.offers('b-2') for node in world.nodes.values())
+        await world.stop()
+
+    run(play())
+
+
+def test_replica_that_registers_again_is_used() -> None:
+    """An entry had lapsed, and its replica is kept out although it is back."""
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        await asyncio.sleep(_COPY_SECONDS)
+        world.store.drop('servers', 'b-1', by_node=True)
+        await asyncio.sleep(1)
+        world.store.restore(_COPY_SECONDS, 1.5)
+        await asyncio.sleep(1)
+        world.register('b-1')
+        await asyncio.sleep(1)
+        assert all(node.offers('b-1') for node in world.nodes.values())
+        await world.stop()
+
+    run(play())
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -151,17 +151,7 @@
 
     def register(self, name: str, state: str = 'ready') -> None:
         """Write the entry of a replica into the registry."""
-        spec = {
-            'service': NON_MODEL_SERVICE,
-            'addr': f'10.0.0.{1 + crc32(name.encode()) % 200}:8000',
-            'zone': 'zone-a',
-            'version': '1',
-            'slots': 6,
-            'state': state,
-            'coldRemainingMs': 0,
-            'seq': 1,
-        }
-        self.store.put('servers', name, spec)
+        self.store.put('servers', name, make_entry(name, state))
 
     def deregister(self, name: str) -> None:
         """Delete the entry of a replica that has left."""
@@ -231,3 +221,17 @@
             return near
 
         return dial
+
+
+def make_entry(name: str, state: str = 'ready') -> dict[str, Any]:
+    """Make the content of a replica's entry in the registry."""
+    return {
+        'service': NON_MODEL_SERVICE,
+        'addr': f'10.0.0.{1 + crc32(name.encode()) % 200}:8000',
+        'zone': 'zone-a',
+        'version': '1',
+        'slots': 6,
+        'state': state,
+        'coldRemainingMs': 0,
+        'seq': 1,
+    }
