A lease whose object was gone could never be taken again

No layers were placed any more once the object of the lease was missing in the store, as after a return from an older copy: each claim replaced an object that isn't there, got 404, and kept the record that it knew. Operators saw lease-lost about once a second at each node in turn.

Cause: a missing object was taken for an unknown outcome. Ruled out: a lost write, which could still take effect; a replacement of what doesn't exist can't. A creation without an answer stays unknown, as before.

A record that arrives while a claim is under way isn't replaced by an older one.

--- a/packages/ryelatch-node/src/ryelatch_node/placement/_lease.py
+++ b/packages/ryelatch-node/src/ryelatch_node/placement/_lease.py
@@ -77,6 +77,8 @@
     _renewed: float = float('-inf')
     _cooldown_until: float = 0
     _fenced: bool = False
+    # The highest fencing number in any record that this node has seen.
+    _highest_fence: int = 0
 
     @property
     def held(self) -> bool:
@@ -96,7 +98,7 @@
         if self._record is None or record.revision > self._record.revision:
             if self._record is not None:
                 self._record_since = self.clock.monotonic()
-            self._record = record
+            self._set_record(record)
 
     def mark_fenced(self) -> None:
         """Record that another node has used a higher fencing number."""
@@ -149,21 +151,29 @@
 
     async def _claim(self, record: LeaseRecord) -> bool:
         """Take or renew the lease with a conditional write."""
-        renewing = self.held
-        fence = record.lease.fence if record.lease else 0
-        lease = Lease(self.holder, fence if renewing else fence + 1)
+        held = self.fence
+        fence = self._highest_fence + 1 if held is None else held
+        lease = Lease(self.holder, fence)
         sent = self.clock.monotonic()
         written = await self.store.write(lease, record.expected)
         if written is None or written.lease != lease:
             self.log.record(catalogue.LEASE_LOST, fence=lease.fence)
             self._record_since = sent
-            self._record = written or record
+            self._set_record(written or record)
             self._cooldown_until = sent + CLAIM_COOLDOWN_SECONDS
             return False
-        if not renewing:
+        if held is None:
             self.log.record(catalogue.LEASE_TAKEN, fence=lease.fence)
         self._fenced = False
-        self._record = written
+        self._set_record(written)
         self._record_since = sent
         self._renewed = sent
-        return True
+        return self.held
+
+    def _set_record(self, record: LeaseRecord) -> None:
+        """Set the record, unless a newer one has arrived meanwhile."""
+        known = self._record
+        if known is None or record.revision >= known.revision:
+            self._record = record
+        if record.lease is not None:
+            self._highest_fence = max(self._highest_fence, record.lease.fence)
