Two holders of the lease could use one fencing number after a return

Replicas could take an order of a former holder for one of the present: the store came back from a copy without the last lease, and the next holder got the same fencing number, as numbers were counted on from the stored record. Besides, the record of the copy was taken for a renewal, so a lost holder was not replaced for six seconds more.

Cause: the number was taken from the store alone, whose word ended with the era. Ruled out: what a node remembers. It helps only a node that has seen the number.

Numbers of an era now begin above all of the eras before. A holder's number of an earlier era is no longer used: it takes the lease again, at once, under a new one. A record in a new era is no renewal. In the first era nothing changes.

Red before: test_number_is_not_given_out_twice (1 > 1 was asserted), test_holder_renews_under_a_new_number, test_lost_renewals_delay_no_takeover. Eras above a thousand million are refused, so that all numbers are exact.

--- a/packages/ryelatch-core/src/ryelatch_core/eras/_revision.py
+++ b/packages/ryelatch-core/src/ryelatch_core/eras/_revision.py
@@ -5,10 +5,11 @@
 FIRST_ERA = 0
 """Era of a store that hasn't named one yet."""
 
-_EXACT_BITS = 53
+MAX_ERA = 1_000_000_000
+"""Largest era; they rise by one at a time.
 
-MAX_ERA = 2**_EXACT_BITS
-"""Largest exact integer in JSON; eras rise by one at a time."""
+With as many fencing numbers in each as a lease may use, all are exact in JSON.
+"""
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/packages/ryelatch-node/src/ryelatch_node/placement/_lease.py
+++ b/packages/ryelatch-node/src/ryelatch_node/placement/_lease.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.events import LineLog, catalogue
 from ryelatch_core.kernel import Clock
 from ryelatch_core.membership import Lease
@@ -56,6 +57,14 @@
 """Time without another claim after a failed one; calls have a cost."""
 
 
+FENCES_PER_ERA = 1_000_000
+"""Fencing numbers of each era of the store.
+
+A store that came back from an older copy doesn't know the last numbers that it
+has handed out, so those of a new era begin above all of the era before.
+"""
+
+
 @dataclass(eq=False)
 class LeaseManager:
     """Takes and renews the placement lease, from this node's view of it.
@@ -88,15 +97,17 @@
     @property
     def fence(self) -> int | None:
         """Fencing number of this node; nothing if it is not the holder."""
-        lease = self._record.lease if self._record else None
-        if lease is None or lease.holder != self.holder or self._fenced:
+        record = self._record
+        if record is None or record.lease is None or not self._is_named:
             return None
-        return lease.fence
+        fence = record.lease.fence
+        return fence if fence > _find_floor(record.revision) else None
 
     def apply_record(self, record: LeaseRecord) -> None:
         """Apply a lease record read from the store, unless it is outdated."""
         if self._record is None or record.revision > self._record.revision:
-            if self._record is not None:
+            known = self._record
+            if known is not None and record.revision.era == known.revision.era:
                 self._record_since = self.clock.monotonic()
             self._set_record(record)
 
@@ -120,7 +131,7 @@
         record = self._record
         if record is None or now < self._cooldown_until:
             return False
-        return self.held or now >= self._compute_turn(record, need_since)
+        return self._is_named or now >= self._compute_turn(record, need_since)
 
     async def acquire(self, now: float, need_since: float) -> bool:
         """Take the lease, or renew it, for work that is due now.
@@ -152,8 +163,8 @@
     async def _claim(self, record: LeaseRecord) -> bool:
         """Take or renew the lease with a conditional write."""
         held = self.fence
-        fence = self._highest_fence + 1 if held is None else held
-        lease = Lease(self.holder, fence)
+        highest = max(self._highest_fence, _find_floor(record.revision))
+        lease = Lease(self.holder, highest + 1 if held is None else held)
         sent = self.clock.monotonic()
         written = await self.store.write(lease, record.expected)
         if written is None or written.lease != lease:
@@ -170,6 +181,20 @@
         self._renewed = sent
         return self.held
 
+    @property
+    def _is_named(self) -> bool:
+        """Whether the record names this node, and no other was seen since.
+
+        In a new era it names the former holder, which may take the lease again
+        at once.
+        """
+        lease = self._record.lease if self._record else None
+        return (
+            lease is not None
+            and lease.holder == self.holder
+            and not self._fenced
+        )
+
     def _set_record(self, record: LeaseRecord) -> None:
         """Set the record, unless a newer one has arrived meanwhile."""
         known = self._record
@@ -177,3 +202,8 @@
             self._record = record
         if record.lease is not None:
             self._highest_fence = max(self._highest_fence, record.lease.fence)
+
+
+def _find_floor(revision: StoreRevision) -> int:
+    """Find the number that all fencing numbers of an era exceed."""
+    return max(0, revision.era - 1) * FENCES_PER_ERA
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -70,6 +70,7 @@
         {'Store-Era': '2.0'},
         {'Store-Era': '٢'},
         {'Store-Era': '9' * 40},
+        {'Store-Era': '9' * 10},
         {'Store-Era': '0'},
     ],
 )
--- a/tests/platform/test_lease_eras.py
+++ b/tests/platform/test_lease_eras.py
@@ -117,6 +117,74 @@
     _play(check)
 
 
+def test_number_is_not_given_out_twice() -> None:
+    """Two nodes send commands under the same fencing number.
+
+    The lease of the first one was lost with the copy, and the second one had
+    not heard of it.
+    """
+
+    async def check(store: VirtualStore, nodes: list[_Node]) -> None:
+        await asyncio.sleep(5)
+        late = _Node('node-c', store)
+        assert await nodes[0].acquire()
+        first = nodes[0].manager.fence
+        assert first is not None
+        store.restore(4, 0.6)
+        await late.start()
+        await asyncio.sleep(1)
+        assert await late.acquire()
+        second = late.manager.fence
+        assert second is not None
+        assert second > first
+        await asyncio.sleep(1)
+        assert not nodes[0].manager.held
+        await late.stop()
+
+    _play(check)
+
+
+def test_holder_renews_under_a_new_number() -> None:
+    """A holder goes on under a number of the era before.
+
+    The number may have been given to another node in the seconds that the
+    store has lost.
+    """
+
+    async def check(store: VirtualStore, nodes: list[_Node]) -> None:
+        assert await nodes[0].acquire()
+        first = nodes[0].manager.fence
+        assert first is not None
+        await asyncio.sleep(5)
+        store.restore(4, 0.6)
+        # Any call shows the new era; the watch of leases waits for long.
+        await nodes[0].client.list_page('config')
+        await asyncio.sleep(0.5)
+        assert not nodes[0].manager.held
+        assert await nodes[0].acquire()
+        second = nodes[0].manager.fence
+        assert second is not None
+        assert second > first
+
+    _play(check)
+
+
+def test_lost_renewals_delay_no_takeover() -> None:
+    """A new era is taken for a renewal, and a lost holder is not replaced."""
+
+    async def check(store: VirtualStore, nodes: list[_Node]) -> None:
+        assert await nodes[0].acquire()
+        await nodes[0].stop()
+        await asyncio.sleep(5)
+        store.restore(4, 0.6)
+        await nodes[1].client.list_page('config')
+        await asyncio.sleep(0.5)
+        now = asyncio.get_running_loop().time()
+        assert await nodes[1].manager.acquire(now, now - 1)
+
+    _play(check)
+
+
 def test_record_of_the_era_before_is_ignored() -> None:
     """A late record of the era before replaces that of the new one."""
 
