A node that reached only its peers refused all keys after a return

Callers with valid keys were refused for as long as a node was cut off from the store, if the store came back from an older copy meanwhile: its peers had moved to the new era, so they could not bring it up to date from the revision that it had, and a full list was only asked of the store.

Cause: lists after the first came from the store alone. Ruled out: the peers' replies, which did carry the new era.

A reply of a peer now tells a node of a new era, and what the node had is listed anew from the peer that watches for it, or from any while the store is out. A peer that is still in the era before is left for a while, with a line. Where only history is lost, the store is asked as before.

Red before: test_return_is_noticed_through_peers_alone, with and without watchers. test_followers_notice_the_return and test_peer_of_the_era_before_is_left passed before as well.

--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_bootstrap_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_bootstrap_client.py
@@ -37,6 +37,8 @@
 
     :param is_synced: whether this node has the state it needs to serve.
     :param accept_nodes: called with the list of nodes that a peer sent.
+    :param accept_era: called with the era of a peer's list; returns whether it
+        is the latest.
     :param peer_available: set while there is a peer to list objects from.
     """
 
@@ -45,6 +47,7 @@
     dial: Dial
     is_synced: Callable[[], bool]
     accept_nodes: Callable[[tuple[NodeEntry, ...]], None]
+    accept_era: Callable[[int], bool] = lambda _: True
     peer_available: asyncio.Event = field(default_factory=asyncio.Event)
     _source: NodeEntry | None = None
 
@@ -76,9 +79,19 @@
             peer has no complete list. After a failure, the next bootstrap
             message or offer selects the peer for further requests.
         """
-        peer = self._source
-        if peer is None:
+        if self._source is None:
             return None
+        return await self.request_list_from(self._source, object_kind)
+
+    async def request_list_from(
+        self, peer: NodeEntry, object_kind: str
+    ) -> StoreUpdate | None:
+        """Request all objects of a kind from a peer.
+
+        :param object_kind: kind of object in the store.
+        :returns: ``None`` if the request fails, or if the peer has no complete
+            list of the latest era.
+        """
         sent = self.clock.monotonic()
         try:
             async with asyncio.timeout(CONNECT_SECONDS + LIST_SECONDS):
@@ -91,6 +104,9 @@
         if not reply.known:
             self._abandon(peer, object_kind, 'unknown')
             return None
+        if not self.accept_era(reply.era):
+            self._abandon(peer, object_kind, 'era')
+            return None
         unanswered = (
             None if reply.unanswered is None else sent - reply.unanswered
         )
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
@@ -55,6 +55,11 @@
     """Default callback, which ignores the number of nodes."""
 
 
+def _accept_any_era(era: int) -> bool:
+    """Default callback, for nodes that don't follow the store."""
+    return True
+
+
 @dataclass(eq=False)
 class PeerSync:
     """Exchanges the changes of the store's objects with peers.
@@ -68,6 +73,8 @@
 
     :param server: serves the requests of peers.
     :param required_kinds: kinds of object that this node requires to serve.
+    :param accept_era: called with the era that a peer's reply is of; returns
+        whether it is the latest.
     :param announce_count: called with the number of nodes that a peer listed.
     :param bootstrap_client: provides the initial state from a peer if the store
         doesn't.
@@ -82,6 +89,7 @@
     address: Address = field(init=False)
     server: PeerServer = field(init=False)
     required_kinds: frozenset[str] = frozenset()
+    accept_era: Callable[[int], bool] = _accept_any_era
     announce_count: Callable[[int], None] = _ignore_count
     bootstrap_client: BootstrapClient = field(init=False)
     initial_sources: InitialSources = field(init=False)
@@ -103,6 +111,7 @@
             self.dial,
             lambda: self._is_synced,
             self._accept_nodes,
+            lambda era: self.accept_era(era),
         )
         self.server.handle_message = self.bootstrap_client.handle_message
         self.server.list_hosts = self._list_hosts
@@ -238,6 +247,9 @@
         unanswered = (
             None if reply.unanswered is None else replied - reply.unanswered
         )
+        if not self.accept_era(reply.era):
+            self._abandon(object_kind, peer, 'era', answered=True)
+            return None
         if reply.age <= max_age:
             at = StoreRevision(reply.era, reply.at)
             if not reply.covered or not at.can_follow(since):
@@ -249,6 +261,20 @@
         self._abandon(object_kind, peer, reason, answered=True)
         return None if unanswered is None else PeerPartitioned(unanswered)
 
+    async def request_list(
+        self, object_kind: str, *, partitioned: bool
+    ) -> StoreUpdate | None:
+        """Request all objects of a kind from a peer.
+
+        :param partitioned: whether this node is partitioned from the store.
+        :returns: ``None`` if no peer is available, or it has no list of the
+            latest era.
+        """
+        peer = self._choose_peer(partitioned=partitioned)
+        if peer is None:
+            return None
+        return await self.bootstrap_client.request_list_from(peer, object_kind)
+
     async def request_health(self, object_kind: str) -> StoreHealth | None:
         """Ask the peer that watches for this node how the store is to it.
 
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -351,3 +351,92 @@
         await world.stop()
 
     run(play())
+
+
+@pytest.fixture
+def _shared(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let few nodes watch the store for the others."""
+    monkeypatch.setattr(
+        'ryelatch_core.membership._watchers.MIN_SHARING_NODES', 1
+    )
+
+
+@pytest.mark.usefixtures('_shared')
+def test_followers_notice_the_return() -> None:
+    """Nodes that watch through a peer go on with revisions that are lost."""
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        _configure(world, 7, _TAKEN, _KEPT)
+        await asyncio.sleep(_COPY_SECONDS)
+        world.register('b-new')
+        await asyncio.sleep(2)
+        await _restore(world)
+        _configure(world, 8, _KEPT)
+        await asyncio.sleep(_REVOKE_SECONDS)
+        assert not any(_accepts(world, name, _TAKEN) for name in _NAMES)
+        assert all(_accepts(world, name, _KEPT) for name in _NAMES)
+        assert all(node.offers('b-new') for node in world.nodes.values())
+        await world.stop()
+
+    run(play())
+
+
+@pytest.mark.parametrize('shared', [False, True])
+def test_return_is_noticed_through_peers_alone(
+    shared: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A node that reaches only its peers refuses all keys after a return."""
+    if shared:
+        monkeypatch.setattr(
+            'ryelatch_core.membership._watchers.MIN_SHARING_NODES', 1
+        )
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        _configure(world, 7, _TAKEN, _KEPT)
+        await asyncio.sleep(_COPY_SECONDS)
+        world.register('b-new')
+        world.store.troubles['node-c'] = Trouble.SILENT
+        await asyncio.sleep(2)
+        await _restore(world)
+        _configure(world, 8, _KEPT)
+        await asyncio.sleep(_REVOKE_SECONDS)
+        assert not any(_accepts(world, name, _TAKEN) for name in _NAMES)
+        await asyncio.sleep(_REVOKE_SECONDS)
+        assert all(_accepts(world, name, _KEPT) for name in _NAMES)
+        assert world.nodes['node-c'].store.eras.current == 2
+        world.register('b-newer')
+        await asyncio.sleep(3)
+        assert world.nodes['node-c'].offers('b-newer')
+        await world.stop()
+
+    run(play())
+
+
+@pytest.mark.usefixtures('_shared')
+def test_peer_of_the_era_before_is_left() -> None:
+    """A node uses what a peer has from before the store came back.
+
+    The peer is cut off from the store, and hasn't noticed.
+    """
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        _configure(world, 7, _TAKEN, _KEPT)
+        await asyncio.sleep(_COPY_SECONDS)
+        # The first node has the fastest link, and watches for the others.
+        world.store.troubles['node-a'] = Trouble.SILENT
+        world.unreachable.add('node-a')
+        await _restore(world)
+        _configure(world, 8, _KEPT)
+        await asyncio.sleep(_REVOKE_SECONDS)
+        world.unreachable.clear()
+        await _expect_refused(world, _TAKEN, _REVOKE_SECONDS)
+        assert all(_accepts(world, name, _KEPT) for name in _NAMES[1:])
+        await world.stop()
+
+    run(play())
