--- a/tests/virtual/store.py
+++ b/tests/virtual/store.py
@@ -112,6 +112,10 @@
             self._journal.add(self.revision, kind, name, None, by_node=by_node)
             self._record(kind, {'object': found, 'deleted': True})
 
+    def get(self, kind: str, name: str) -> dict[str, Any] | None:
+        """Return an object with its metadata, or None."""
+        return self._objects.get(kind, {}).get(name)
+
     def forget_history(self) -> None:
         """Drop the history; older watches get an error that says so."""
         self._history.clear()
