--- a/tests/standins/journal.py
+++ b/tests/standins/journal.py
@@ -52,6 +52,22 @@
             entry for entry in lost if not entry.by_node
         ]
 
+    def list_unreplaced(self, lost: list[Entry]) -> list[Entry]:
+        """List the lost writes of objects that weren't written since.
+
+        :param lost: writes that :meth:`cut` returned.
+        """
+        # What is left is older than all of them, or is from after the return.
+        earliest = min((entry.at for entry in lost), default=0)
+        written = {
+            (entry.kind, entry.name)
+            for entry in self._entries
+            if entry.at >= earliest and not entry.by_node
+        }
+        return [
+            entry for entry in lost if (entry.kind, entry.name) not in written
+        ]
+
 
 def _get_time(entry: Entry) -> float:
     return entry.at
--- a/tests/standins/objects.py
+++ b/tests/standins/objects.py
@@ -131,7 +131,7 @@
         return app
 
     def _write_again(self, lost: list[Entry]) -> None:
-        for entry in lost:
+        for entry in self._journal.list_unreplaced(lost):
             if entry.spec is not None:
                 self.put(entry.kind, entry.name, entry.spec)
             elif self.get(entry.kind, entry.name) is not None:
--- a/tests/virtual/store.py
+++ b/tests/virtual/store.py
@@ -116,6 +116,10 @@
         """Return an object with its metadata, or None."""
         return self._objects.get(kind, {}).get(name)
 
+    def list_names(self, kind: str) -> list[str]:
+        """List the names of the objects of a kind."""
+        return list(self._objects.get(kind, {}))
+
     def forget_history(self) -> None:
         """Drop the history; older watches get an error that says so."""
         self._history.clear()
@@ -181,7 +185,7 @@
         return answer
 
     def _write_again(self, lost: list[Entry]) -> None:
-        for entry in lost:
+        for entry in self._journal.list_unreplaced(lost):
             if entry.spec is None:
                 self.drop(entry.kind, entry.name)
             else:
