--- a/packages/ryelatch-node/src/ryelatch_node/ports/_leases.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_leases.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.membership import Lease
 
 
@@ -10,16 +11,27 @@
 class LeaseRecord:
     """A lease as the store holds it.
 
-    :param lease: nothing if it was never held, or if what the store holds is no
-        lease.
+    :param lease: nothing if there is no record, or if what the store holds is
+        no lease.
     :param revision: revision of the record. Of several writes that require
-        the same revision, only one succeeds.
-    :param after: revision that this record replaced.
+        the same revision, only one succeeds. Without a record, it is one at
+        which the store had none.
+    :param after: revision that this record replaced; nothing if there was no
+        record.
+    :param is_invalid: whether the store holds an object that is no lease. A
+        write replaces it.
     """
 
     lease: Lease | None
-    revision: int
-    after: int = 0
+    revision: StoreRevision
+    after: StoreRevision | None = None
+    is_invalid: bool = False
+
+    @property
+    def expected(self) -> StoreRevision | None:
+        """Revision that a write in its place requires; nothing to create."""
+        is_missing = self.lease is None and not self.is_invalid
+        return None if is_missing else self.revision
 
 
 @dataclass(frozen=True)
@@ -30,7 +42,9 @@
     the component that watches the store.
     """
 
-    write: Callable[[Lease, int], Awaitable[LeaseRecord | None]]
+    write: Callable[
+        [Lease, StoreRevision | None], Awaitable[LeaseRecord | None]
+    ]
     """Write a lease if the record still has a revision.
 
     Results in the record then stored, which may be another node's; nothing if
--- a/tests/platform/test_list.py
+++ b/tests/platform/test_list.py
@@ -53,5 +53,7 @@
         ).unwrap()
         listed = {found.metadata.name for found in listing.objects}
         assert listed == set(names)
-        changes = (await client.watch('servers', listing.at, 0)).unwrap()
+        changes = (
+            (await client.watch('servers', listing.at, 0)).unwrap().content
+        )
         assert [event.deleted for event in changes.events] == [True]
--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -17,6 +17,7 @@
     run_node,
     wait_until,
 )
+from ryelatch_core.eras import StoreRevision
 from ryelatch_core.events import LineLog
 from ryelatch_core.kernel import BootClock, Hub
 from ryelatch_core.membership import NEVER, compute_departure_bounds
@@ -181,7 +182,9 @@
     ).encode()
     events = msgspec.json.decode(raw, type=Changes).events
     update = StoreUpdate(
-        3, 0, tuple(Change(bytes(event.found), False) for event in events)
+        StoreRevision(1, 3),
+        0,
+        tuple(Change(bytes(event.found), False) for event in events),
     )
     log = LineLog('node-a', BootClock(), len)
     changes = read_changes(update, log, 'servers')
