--- a/tests/platform/test_unreadable_objects.py
+++ b/tests/platform/test_unreadable_objects.py
@@ -18,6 +18,7 @@
     serve_app,
     wait_until,
 )
+from ryelatch_core.eras import FIRST_ERA, StoreRevision
 from ryelatch_core.events import LineLog
 from ryelatch_node.ports import Address
 from ryelatch_platform._store import StoreClient
@@ -34,6 +35,7 @@
     'no number': b'{"owner":007}',
     'brackets in a string': rb'{"owner":"]}\"]}%s"}' % _HALF_PAIR,
 }
+_REVISION = StoreRevision(FIRST_ERA, 5)
 _SOUND = b'{"metadata":{"name":"i-1","revision":7},"spec":{"slots":1}}'
 
 
@@ -76,7 +78,7 @@
     entries.insert(place, _make_object('x-1', spec))
     body = b'{"entries":[%s],"hasMore":false,"at":9}' % b','.join(entries)
     async with _connect(body) as client:
-        page = (await client.list_page('servers')).unwrap()
+        page = (await client.list_page('servers')).unwrap().content
         assert page.at == 9
         read = {found.metadata.name: found for found in page.read()}
         assert read.keys() == {'i-1', 'x-1'}
@@ -97,7 +99,7 @@
     )
     body = b'{"events":[%s],"at":9}' % b','.join(events)
     async with _connect(body) as client:
-        changes = (await client.watch('servers', 5, 0)).unwrap()
+        changes = (await client.watch('servers', _REVISION, 0)).unwrap().content
         assert changes.at == 9
         found = [
             (bytes(event.found), event.deleted) for event in changes.events
@@ -112,8 +114,8 @@
     """A call for one object counts as unanswered, and begins an outage."""
     calls: list[Callable[[StoreClient], Any]] = [
         lambda client: client.get('servers/x-1'),
-        lambda client: client.write('servers', 'x-1', {}, 1),
-        lambda client: client.delete('servers', 'x-1', 1),
+        lambda client: client.write('servers', 'x-1', {}, _REVISION),
+        lambda client: client.delete('servers', 'x-1', _REVISION),
     ]
     async with _connect(_make_object('x-1', spec)) as client:
         results = await asyncio.gather(*(call(client) for call in calls))
