Runs that only this node lost don't count as attempts

Callers of a node whose connections to replicas are reset got broken streams: two resets within 10 ms used up the two attempts of the route, before the links were in doubt, so nothing was forwarded.

At the limit of its attempts a request now asks the links whether this node alone was cut off from those replicas, and leaves such runs out.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -4,12 +4,14 @@
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any, TypeAlias
 
 from starlette.types import Message, Send
 
 from ryelatch_core.admission import Priority
 from ryelatch_core.events import EventKind, LineLog, catalogue
+from ryelatch_core.fleet import Replica
 from ryelatch_core.kernel import Clock
 from ryelatch_core.quarantine import Fingerprint
 from ryelatch_core.routing import RetryPolicy, Route
@@ -94,6 +96,7 @@
     :param on_trial: whether it is the fleet's trial of what is refused.
     :param unbegun: runs in progress of which no event has arrived yet.
     :param ran: runs that count against the attempts its route allows.
+    :param cut: first replicas of such runs whose connections alone were lost.
     :param status: HTTP status of the answer; 0 before it started.
     :param pause: longest time between two pieces of the answer, in seconds.
     :param detail: more fields for the log line of the request's end.
@@ -115,6 +118,7 @@
     ran: int = 0
     unbegun: int = 0
     _doubtful: set['asyncio.Task[Reachability]'] = field(default_factory=set)
+    cut: list[Replica] = field(default_factory=list)
     status: int = 0
     pause: float = 0
     _written: float | None = None
@@ -130,19 +134,30 @@
         """Write a log line about this request."""
         self.log.record(kind, request=self.identity, **detail)
 
-    def doubt_run(self, check: 'asyncio.Task[Reachability]') -> None:
+    def doubt_run(
+        self, replica: Replica, check: 'asyncio.Task[Reachability]'
+    ) -> None:
         """Count a run until a check finds that its replica has ended.
 
         :param check: connects to the replica.
         """
         self._doubtful.add(check)
-        check.add_done_callback(self._settle_run)
+        check.add_done_callback(partial(self._settle_run, replica))
 
     async def settle_runs(self) -> None:
-        """Wait until it is known which lost runs count."""
+        """Wait until it is known which runs were lost with their replicas."""
         if self._doubtful:
             await asyncio.wait(self._doubtful)
 
+    def excuse_runs(self, is_lost: Callable[[Replica], bool]) -> None:
+        """Count no runs at replicas from which this node alone was cut off.
+
+        :param is_lost: whether it is cut off from a replica.
+        """
+        counted = [replica for replica in self.cut if not is_lost(replica)]
+        self.ran -= len(self.cut) - len(counted)
+        self.cut = counted
+
     async def start(self, status: int, headers: Headers) -> None:
         """Send the headers of the answer."""
         kept = [
@@ -217,11 +232,16 @@
         body = json.dumps({'error': reason}).encode()
         await self.answer(status, headers, body)
 
-    def _settle_run(self, check: 'asyncio.Task[Reachability]') -> None:
+    def _settle_run(
+        self, replica: Replica, check: 'asyncio.Task[Reachability]'
+    ) -> None:
         self._doubtful.discard(check)
         if check.cancelled() or check.exception() is not None:
             return
-        self.ran -= check.result() is Reachability.REFUSED
+        if check.result() is Reachability.REFUSED:
+            self.ran -= 1
+        else:
+            self.cut.append(replica)
 
     async def _send_message(self, message: Message) -> None:
         if self.client_gone:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -139,7 +139,7 @@
     """
     if exchange.sends:
         if exchange.ran >= request.route.max_attempts:
-            await exchange.settle_runs()
+            await _settle_runs(context, exchange, request)
         spent = _find_spent_limit(exchange, request, progress)
         if spent:
             return spent
@@ -151,6 +151,21 @@
     return ''
 
 
+async def _settle_runs(
+    context: RelayContext, exchange: Exchange, request: AdmittedRequest
+) -> None:
+    """Wait until it is known which lost runs count as attempts.
+
+    Those at replicas that ended don't, nor do those that only this node lost.
+    """
+    await exchange.settle_runs()
+    if not exchange.cut:
+        return
+    context.links.record_silent_path(exchange.cut)
+    if await context.links.has_lost(request.service):
+        exchange.excuse_runs(context.links.is_lost)
+
+
 def _became_refused(context: RelayContext, request: AdmittedRequest) -> bool:
     """Whether a request was refused while it waited for a path."""
     refused = context.quarantine.find_refused(request.fingerprint)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -229,4 +229,5 @@
     if stream.reason == FIRST_REPLICA_LOST:
         exchange.ran -= 1
     elif not stream.reason:
-        exchange.doubt_run(context.crash_checks.start(stream.first_replica))
+        replica = stream.first_replica
+        exchange.doubt_run(replica, context.crash_checks.start(replica))
