A stream whose attempts are used up goes on at a replica that ran it

The attempts of a route are counted by replica: a further run at a replica that ran it before, and is still there, adds none. At the limit the next path is kept to these first replicas.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_choice.py
@@ -60,6 +60,9 @@
         for replica in context.replicas.list_service(request.service)
         if granted_zone is None or replica.zone == granted_zone
     ]
+    if progress.kept_to:
+        names = frozenset(replica.name for replica in offered)
+        query = replace(query, closed=query.closed | names - progress.kept_to)
     # A first replica that failed or stalled this request would most likely do
     # so again, and so would replicas that fail many requests.
     failing = context.failures.list_failing(context.clock.monotonic())
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -149,6 +149,13 @@
         if self._doubtful:
             await asyncio.wait(self._doubtful)
 
+    def list_cut(self) -> frozenset[str]:
+        """List the replicas that may run it again after a lost connection.
+
+        The attempts that a route allows are counted by replica.
+        """
+        return frozenset(replica.name for replica in self.cut)
+
     def excuse_runs(self, is_lost: Callable[[Replica], bool]) -> None:
         """Count no runs at replicas from which this node alone was cut off.
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -36,6 +36,8 @@
 
     :param last_event: number of the last event that the client has.
     :param runs: the runs in progress.
+    :param kept_to: names of the only first replicas that may run it, as they
+        ran it before; empty if any may.
     :param refused: whether the last attempt was refused, for want of room.
     :param paid: whether a retry was spent for an attempt that wasn't made.
     :param excluded: first replicas whose runs failed or were interrupted, which
@@ -48,6 +50,7 @@
 
     last_event: int | None = None
     runs: HedgedRuns = field(default_factory=HedgedRuns)
+    kept_to: frozenset[str] = frozenset()
     refused: bool = False
     paid: bool = False
     excluded: set[str] = field(default_factory=set)
