An attempt to connect that is being aborted may be aborted again

The examination of links crashed (task-crashed) when links to a replica were lost twice within one turn of the loop: the timeout around a connection attempt was rescheduled while it was expiring. The test raised the same error before.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -66,7 +66,8 @@
         """Let the connection attempts to an address fail at once."""
         now = self._loop.time()
         for scope in self._connecting.get(address, ()):
-            scope.reschedule(now)
+            if not scope.expired():
+                scope.reschedule(now)
 
     async def _create_connection(
         self, req: Any, traces: Any, timeout: Any
