--- a/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/reservations/_client.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 from collections import defaultdict
-from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 from ryelatch_core.admission import ReservationRequest, rank_controllers
@@ -34,21 +33,23 @@
     RefusalReply,
     Release,
     Reserve,
-    Restore,
     Shortage,
     make_terms,
 )
 from ryelatch_node.reservations._heartbeats import HEARTBEAT_SECONDS
+from ryelatch_node.reservations._held_places import (
+    HeldPlace,
+    awaits_reply,
+    holds_places,
+)
 from ryelatch_node.reservations._load import FleetLoad
+from ryelatch_node.reservations._pending_replies import (
+    REPLY_SECONDS,
+    PendingReply,
+    make_pending_reply,
+)
 from ryelatch_node.tasks import Tasks
 
-REPLY_SECONDS = 0.15
-"""Longest wait for a connection, a reply, or beyond the time for a place.
-
-Within a region a reply takes a millisecond. Without one, the request is served
-as if there were no controllers.
-"""
-
 MAX_CONTROLLERS = 3
 """Nodes of a zone that may control it, in order of preference.
 
@@ -57,41 +58,6 @@
 """
 
 
-_READING_STEPS = 2
-"""Steps of the loop in which data that has arrived is read and handled."""
-
-
-@dataclass(eq=False)
-class _Held:
-    """A place that this node asks for or holds.
-
-    :param number: of the request at this node.
-    :param path: names of the replicas; empty until it was sent on a path.
-    :param channel: the way to the controller that knows of it, if any.
-    """
-
-    number: int
-    key: ZoneKey
-    request: ReservationRequest
-    path: tuple[str, ...] = ()
-    channel: Channel | None = None
-
-
-@dataclass(eq=False)
-class _Pending:
-    """A question that waits for its reply.
-
-    :param reply: ``None`` if the controller was lost.
-    :param until: end of the wait if no reply comes, in seconds of the loop.
-    :param expires: when a place is of no use any more, in monotonic seconds.
-    """
-
-    reply: 'asyncio.Future[AnyReply | None]'
-    until: float
-    expires: float
-    queued: bool = False
-
-
 @dataclass(eq=False)
 class ReservationClient:
     """Asks the controllers of zones for places.
@@ -111,8 +77,8 @@
     load: FleetLoad
     tasks: Tasks
     _numbers: 'itertools.count[int]' = field(default_factory=itertools.count)
-    _held: dict[str, _Held] = field(default_factory=dict)
-    _pending: dict[int, _Pending] = field(default_factory=dict)
+    _held: dict[str, HeldPlace] = field(default_factory=dict)
+    _pending: dict[int, PendingReply] = field(default_factory=dict)
     _channels: dict[ZoneKey, Channel] = field(default_factory=dict)
     _locks: dict[ZoneKey, asyncio.Lock] = field(
         default_factory=lambda: defaultdict(asyncio.Lock)
@@ -196,7 +162,7 @@
         if channel is not None and held.channel is channel:
             channel.send(Place(held.number, path))
         elif channel is not None:
-            _restore(held, channel, self.clock.monotonic())
+            held.restore(channel, self.clock.monotonic())
 
     def record_delay(
         self, identity: str, seconds: float, *, begun: bool
@@ -221,28 +187,23 @@
         """Report that a replica refused a request for lack of memory."""
         self._tell(key, Shortage(replica))
 
-    def _hold(self, key: ZoneKey, request: ReservationRequest) -> _Held:
+    def _hold(self, key: ZoneKey, request: ReservationRequest) -> HeldPlace:
         """Begin to ask for a place, in place of an earlier one."""
         self.release(request.identity)
-        held = _Held(next(self._numbers), key, request)
+        held = HeldPlace(next(self._numbers), key, request)
         self._held[request.identity] = held
         return held
 
-    async def _ask(self, held: _Held, frame: AnyFrame) -> AnyReply | None:
+    async def _ask(self, held: HeldPlace, frame: AnyFrame) -> AnyReply | None:
         channel = await self._open_channel(held.key)
         if channel is None:
             return None
-        loop = asyncio.get_running_loop()
-        pending = _Pending(
-            loop.create_future(),
-            loop.time() + REPLY_SECONDS,
-            held.request.start_by,
-        )
+        pending = make_pending_reply(held.request.start_by)
         self._pending[held.number] = pending
         held.channel = channel
         try:
             channel.send(frame)
-            await _wait_for_reply(pending)
+            await pending.wait()
         finally:
             self._pending.pop(held.number, None)
         if not pending.reply.done():
@@ -264,9 +225,7 @@
             # The request ended meanwhile, and its place was released.
             return
         if isinstance(message, QueueReply):
-            left = max(0, pending.expires - self.clock.monotonic())
-            now = asyncio.get_running_loop().time()
-            pending.until = now + left + REPLY_SECONDS
+            pending.extend(self.clock.monotonic())
         else:
             pending.reply.set_result(message)
 
@@ -312,7 +271,7 @@
         if earlier is None or channel is earlier:
             return
         try:
-            while _awaits(earlier, self._held.values(), self._pending):
+            while awaits_reply(earlier, self._held.values(), self._pending):
                 await asyncio.sleep(REPLY_SECONDS)
         finally:
             await earlier.close()
@@ -335,7 +294,7 @@
             key,
             lambda reply: self._receive(key, reply),
             lambda: self._handle_end(key, node.address),
-            lambda: _holds_places(self._held.values(), key),
+            lambda: holds_places(self._held.values(), key),
         )
 
     def _list_controllers(self, key: ZoneKey) -> list[NodeEntry]:
@@ -356,7 +315,7 @@
         """Report the requests in progress to a new controller."""
         for held in self._held.values():
             if held.key == key and held.path:
-                _restore(held, channel, self.clock.monotonic())
+                held.restore(channel, self.clock.monotonic())
 
     def _tell(self, key: ZoneKey, frame: AnyFrame) -> None:
         """Send a message without a reply; lost if there is no channel."""
@@ -379,7 +338,7 @@
         A node that was silent has lost them at a controller that goes on.
         """
         await asyncio.sleep(HEARTBEAT_SECONDS)
-        if _holds_places(self._held.values(), key):
+        if holds_places(self._held.values(), key):
             await self._open_channel(key)
 
     def _abandon(self, key: ZoneKey, channel: Channel, reason: str) -> None:
@@ -408,49 +367,6 @@
         )
 
 
-def _restore(held: _Held, channel: Channel, now: float) -> None:
-    """Report a request in progress over a channel.
-
-    :param now: monotonic seconds.
-    """
-    held.channel = channel
-    channel.send(Restore(held.number, make_terms(held.request, now), held.path))
-
-
-def _holds_places(held: Iterable[_Held], key: ZoneKey) -> bool:
-    return any(place.key == key for place in held)
-
-
-async def _wait_for_reply(pending: _Pending) -> None:
-    """Wait until a reply has come, or its time is over.
-
-    A reply that came while this process had no processor time is read first,
-    as the controller isn't to blame for that.
-    """
-    loop = asyncio.get_running_loop()
-    while not pending.reply.done():
-        left = max(0, pending.until - loop.time())
-        await asyncio.wait({pending.reply}, timeout=left)
-        if pending.reply.done():
-            return
-        for _ in range(_READING_STEPS):
-            await asyncio.sleep(0)
-        if loop.time() >= pending.until:
-            return
-
-
-def _awaits(
-    channel: Channel, held: Iterable[_Held], pending: Container[int]
-) -> bool:
-    """Whether requests wait for a reply over a channel.
-
-    :param pending: numbers of the requests that wait for any reply.
-    """
-    return any(
-        place.channel is channel and place.number in pending for place in held
-    )
-
-
 def _get_address(node: NodeEntry, own_name: str) -> str:
     """Return the address that a channel to a node has.
 
--- a/tests/node/reservations/test_reservations.py
+++ b/tests/node/reservations/test_reservations.py
@@ -10,7 +10,6 @@
 from ryelatch_node.peer_sync import SessionRequest, encode
 from ryelatch_node.peer_sync._backoffs import BACKOFF_SECONDS
 from ryelatch_node.reservations import BusyReply, GrantReply, RefusalReply
-from ryelatch_node.reservations._client import REPLY_SECONDS
 from ryelatch_node.reservations._frames import (
     Begin,
     Enqueue,
@@ -19,6 +18,7 @@
     Restore,
     make_terms,
 )
+from ryelatch_node.reservations._pending_replies import REPLY_SECONDS
 from virtual.links import LINK_SECONDS
 from virtual.loop import VirtualLoop, run
 from virtual.reservations import KEY, PATH, ReservingFleet, make_request
