A stream that has ended gets no hedge

A command to move a stream takes up to 0.8 s. If its client left meanwhile, or had its whole answer, and the command was refused, the watch started a hedge for the stream: LiveStream.interrupt looks at `finished`, hedge did not. The hedge began after HedgedRuns.stop, so nothing ended it: a replica ran the request again after its client was gone, with a retry and a window, and a stream that had moved on to its next attempt ran twice beside itself.

Evidence: test_stream_that_ended_has_no_hedge, both cases, saw two runs (`[m-0, m-1]`) and a `stream-hedged` line before; with the check none. _may_hedge and LiveStream.hedge run in one step, so a stream can't end between.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -338,7 +338,8 @@
         now = self.context.clock.monotonic()
         if stream.hedged or stream.reason or stream.writing:
             return False
-        if now < stream.next_hedge:
+        # It may have ended while a command to move it was in flight.
+        if stream.finished or now < stream.next_hedge:
             return False
         if self.context.budget.left - self._reserved < 1:
             return False
--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -3,8 +3,11 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any
 
 import aiohttp
+import pytest
 from starlette.types import Message
 
 from fleet.running import (
@@ -15,12 +18,25 @@
     run_node,
     wait_until,
 )
+from ryelatch_node.ports import CommandResult
 from ryelatch_node.relay._watch import HEDGE_SECONDS, StreamWatch
 from standins.replica import ReplicaStandIn
 
 _SENT_EVENTS = 2
 
 
+@dataclass(eq=False)
+class _HeldMigrator:
+    """Moves streams with a command that takes long, and is refused."""
+
+    released: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def move(self, *_: Any, **_options: Any) -> CommandResult:
+        """Wait for the reply to the command."""
+        await self.released.wait()
+        return CommandResult.REFUSED
+
+
 def _make_replicas(count: int) -> list[ReplicaStandIn]:
     return make_model_replicas(*((0, 8) for _ in range(count)))
 
@@ -233,3 +249,31 @@
         await asyncio.sleep(0.1)
         other.refuse = 0
         assert received + await response.read() == make_event_stream(5)
+
+
+@pytest.mark.parametrize('leaves', [True, False], ids=['leaves', 'answered'])
+async def test_stream_that_ended_has_no_hedge(
+    leaves: bool,
+) -> None:
+    """A stream is sent again after its client has left or has its answer."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.pause = 0.1
+    async with run_node(replicas) as node:
+        watch = node.app.find('streams', StreamWatch)
+        migrator = _HeldMigrator()
+        watch._migrator = migrator  # type: ignore[assignment]
+        async with open_request(node, '/plan/x') as response:
+            await response.content.readuntil(b'token 1\n\n')
+            stream = next(iter(watch.streams))
+            moving = asyncio.create_task(
+                watch._move_off_unreachable(stream, 0.5)
+            )
+            if not leaves:
+                await response.read()
+        await wait_until(lambda: not watch.streams)
+        migrator.released.set()
+        await moving
+        await asyncio.sleep(0.1)
+        assert len(_list_runs(node)) == 1
+        assert not node.count('stream-hedged')
