A client that reads an error slowly is no silent replica

While an error of a replica was sent to a slow client, its stream was not marked as being written: 1.3 s later it counted as silent, and a hedge wrote its events behind the error's headers. With a route of three attempts the client got neither; with two the run counted twice for a moment, which hid it. The watch could also interrupt the run between the headers and the body.

Evidence: test_error_that_is_read_slowly_is_no_silence got a 500 of the HTTP server instead of the replica's 404 before. Errors are now sent under the same mark as events.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
@@ -1,7 +1,8 @@
 """One run of a request along a path of replicas."""
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from functools import partial
 
@@ -218,7 +219,8 @@
         raise AnswerBroken
     if not progress.runs.claim(stream):
         return AttemptResult.AGAIN
-    await stream.exchange.answer(answer.status, answer.headers, body)
+    with _write(context, stream):
+        await stream.exchange.answer(answer.status, answer.headers, body)
     return AttemptResult.DONE
 
 
@@ -258,17 +260,24 @@
     *,
     more: bool = True,
 ) -> None:
-    """Send a piece of an answer, and its headers if it is the first.
+    """Send a piece of an answer, and its headers if it is the first."""
+    exchange = stream.exchange
+    with _write(context, stream):
+        if not exchange.started:
+            await exchange.start(answer.status, strip_length(answer.headers))
+        await exchange.write(piece, more=more)
+
+
+@contextlib.contextmanager
+def _write(context: RelayContext, stream: LiveStream) -> Iterator[None]:
+    """Mark a stream while what has arrived is sent to the client.
 
     While the client reads slowly, the replica isn't silent, and no other run
     can continue after a piece that may not have been sent.
     """
-    exchange = stream.exchange
     stream.writing = True
     try:
-        if not exchange.started:
-            await exchange.start(answer.status, strip_length(answer.headers))
-        await exchange.write(piece, more=more)
+        yield
     finally:
         stream.writing = False
         stream.progress = context.clock.monotonic()
--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -12,6 +12,8 @@
 
 from fleet.running import (
     RunningNode,
+    ask,
+    make_configuration,
     make_event_stream,
     make_model_replicas,
     open_request,
@@ -277,3 +279,32 @@
         await asyncio.sleep(0.1)
         assert len(_list_runs(node)) == 1
         assert not node.count('stream-hedged')
+
+
+async def test_error_that_is_read_slowly_is_no_silence() -> None:
+    """Events of a second run follow an error that the client reads slowly."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.stand_still()
+    configuration = make_configuration()
+    configuration['routes'][2]['maxAttempts'] = 3
+    async with run_node(replicas, configuration) as node:
+        asking = asyncio.create_task(ask(node, '/plan/x'))
+        await wait_until(lambda: node.count('exchange-sent'))
+        watch = node.app.find('streams', StreamWatch)
+        exchange = next(iter(watch.streams)).exchange
+        send, reads = exchange.send, asyncio.Event()
+
+        async def send_once_read(message: Message) -> None:
+            await reads.wait()
+            await send(message)
+
+        exchange.send = send_once_read
+        _find_first(node).fail = 404
+        for replica in replicas:
+            replica.go_on()
+        await asyncio.sleep(2 * HEDGE_SECONDS)
+        reads.set()
+        status, body, _ = await asking
+        assert (status, body) == (404, b'no')
+        assert not node.count('stream-hedged')
