--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -3,24 +3,43 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any
 
 import aiohttp
+import pytest
 from starlette.types import Message
 
 from fleet.running import (
     RunningNode,
+    ask,
+    make_configuration,
     make_event_stream,
     make_model_replicas,
     open_request,
     run_node,
     wait_until,
 )
+from ryelatch_node.ports import CommandResult
+from ryelatch_node.relay._hedges import MAX_SENDS
 from ryelatch_node.relay._watch import HEDGE_SECONDS, StreamWatch
 from standins.replica import ReplicaStandIn
 
 _SENT_EVENTS = 2
 
 
+@dataclass(eq=False)
+class _HeldMigrator:
+    """Moves streams with a command that takes long, and is refused."""
+
+    released: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def move(self, *_: Any, **_options: Any) -> CommandResult:
+        """Wait for the reply to the command."""
+        await self.released.wait()
+        return CommandResult.REFUSED
+
+
 def _make_replicas(count: int) -> list[ReplicaStandIn]:
     return make_model_replicas(*((0, 8) for _ in range(count)))
 
@@ -233,3 +252,81 @@
         await asyncio.sleep(0.1)
         other.refuse = 0
         assert received + await response.read() == make_event_stream(5)
+
+
+@pytest.mark.parametrize('leaves', [True, False], ids=['leaves', 'answered'])
+async def test_stream_that_ended_has_no_hedge(
+    leaves: bool,
+) -> None:
+    """A stream is sent again after its client has left or has its answer."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.pause = 0.1
+    async with run_node(replicas) as node:
+        watch = node.app.find('streams', StreamWatch)
+        migrator = _HeldMigrator()
+        watch._migrator = migrator  # type: ignore[assignment]
+        async with open_request(node, '/plan/x') as response:
+            await response.content.readuntil(b'token 1\n\n')
+            stream = next(iter(watch.streams))
+            moving = asyncio.create_task(
+                watch._move_off_unreachable(stream, 0.5)
+            )
+            if not leaves:
+                await response.read()
+        await wait_until(lambda: not watch.streams)
+        migrator.released.set()
+        await moving
+        await asyncio.sleep(0.1)
+        assert len(_list_runs(node)) == 1
+        assert not node.count('stream-hedged')
+
+
+async def test_error_that_is_read_slowly_is_no_silence() -> None:
+    """Events of a second run follow an error that the client reads slowly."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.stand_still()
+    configuration = make_configuration()
+    configuration['routes'][2]['maxAttempts'] = 3
+    async with run_node(replicas, configuration) as node:
+        asking = asyncio.create_task(ask(node, '/plan/x'))
+        await wait_until(lambda: node.count('exchange-sent'))
+        watch = node.app.find('streams', StreamWatch)
+        exchange = next(iter(watch.streams)).exchange
+        send, reads = exchange.send, asyncio.Event()
+
+        async def send_once_read(message: Message) -> None:
+            await reads.wait()
+            await send(message)
+
+        exchange.send = send_once_read
+        _find_first(node).fail = 404
+        for replica in replicas:
+            replica.go_on()
+        await asyncio.sleep(2 * HEDGE_SECONDS)
+        reads.set()
+        status, body, _ = await asking
+        assert (status, body) == (404, b'no')
+        assert not node.count('stream-hedged')
+
+
+async def test_last_attempt_is_no_hedge() -> None:
+    """Refused hedges use up the attempts of a run that is lost after them."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.stall_after = _SENT_EVENTS
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        received = await response.content.readuntil(b'token 2\n\n')
+        first = _find_first(node)
+        other = next(each for each in replicas if each is not first)
+        other.refuse, other.stall_after = 503, 0
+        watch = node.app.find('streams', StreamWatch)
+        next(iter(watch.streams)).exchange.sends = MAX_SENDS - 1
+        await asyncio.sleep(HEDGE_SECONDS + 0.2)
+        other.refuse = 0
+        await first.crash()
+        assert received + await response.read() == make_event_stream(5)
