A place returns to the path of the run that goes on

A request with a place had it moved to the path of a hedge, and it stayed there when the first run went on or the hedge was refused, so a controller counted room at a replica that ran nothing and none at the one that did.

test_place_returns_to_a_run_that_went_on and test_place_returns_from_a_hedge_that_failed failed before: nothing was reported for the run that went on. With the condition taken away, test_place_stays_with_a_hedge_that_delivers fails.

The path is reported again as the hedge ends, unless the run beside it was overtaken or has ended.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_hedging.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_hedging.py
@@ -33,6 +33,8 @@
         return await _run_elsewhere(relaying, claims)
     finally:
         silent.hedged = False
+        if not (silent.reason or silent.finished):
+            record_path(relaying.context, relaying.exchange, silent.path)
 
 
 async def _run_elsewhere(relaying: Relaying, claims: int) -> AttemptResult:
--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -71,6 +71,18 @@
     return node.replicas[node.find('stream-resumed')['path'][0][0]]
 
 
+def _record_places(node: RunningNode) -> list[tuple[str, ...]]:
+    """Record the paths that are reported for places from now on."""
+    placed: list[tuple[str, ...]] = []
+    client = node.app.find('streams', StreamWatch).context.reservations.client
+
+    def place(_identity: str, _zone: str, path: tuple[str, ...]) -> None:
+        placed.append(path)
+
+    client.place = place  # type: ignore[method-assign]
+    return placed
+
+
 async def test_silent_run_goes_on_beside_its_hedge() -> None:
     """A stream is cut off at a replica that goes on a moment later."""
     async with _hedge_stream(_make_replicas(2)) as (node, response):
@@ -96,6 +108,42 @@
         assert node.find('run-overtaken')['replica'] == first.name
 
 
+async def test_place_returns_to_a_run_that_went_on() -> None:
+    """A place stays on the path of a hedge that was overtaken."""
+    async with _hedge_stream(_make_replicas(2)) as (node, response):
+        placed = _record_places(node)
+        _find_first(node).resume()
+        await response.read()
+        assert placed == [(_find_first(node).name,)]
+
+
+async def test_place_stays_with_a_hedge_that_delivers() -> None:
+    """A place returns to the path of a run that was overtaken."""
+    async with _hedge_stream(_make_replicas(2)) as (node, response):
+        placed = _record_places(node)
+        _find_second(node).resume()
+        await response.read()
+        assert not placed
+
+
+async def test_place_returns_from_a_hedge_that_failed() -> None:
+    """A place counts at a replica that has refused the hedge."""
+    replicas = _make_replicas(2)
+    async with run_node(replicas) as node:
+        placed = _record_places(node)
+        async with open_request(node, '/plan/x') as response:
+            await wait_until(lambda: node.count('exchange-sent'))
+            first = _find_first(node)
+            for replica in node.replicas.values():
+                replica.refuse = 0 if replica is first else 503
+                replica.stall_after = _SENT_EVENTS
+            await wait_until(lambda: len(placed) > 2)
+            second = next(name for name in node.replicas if name != first.name)
+            assert placed[:3] == [(first.name,), (second,), (first.name,)]
+            first.resume()
+            await response.read()
+
+
 async def test_refused_hedge_leaves_the_run() -> None:
     """A stream ends with a hedge that finds no room."""
     replicas = _make_replicas(2)
