The soak tells a late machine from a silent product

Cause: the process of a node, or the soak's own, in which all replicas, the store and the clients run, waited for a processor.

Each node and the soak itself are read every 0.05 s. An unfinished stream whose client left is excused only if what its node, or the soak, had of a processor in that silence is less than the 1.8 s that the design allows nodes; a run that goes on, only if the wait explains what is beyond 0.5 s. Only the wait that certainly lies in that time counts, and the longer of the two, not their sum. A wait of 0.2 s, one of another node, one before the silence, and one beside a stream that was cut off rather than left excuse nothing (test_unfinished_stream_is_found). A node that is busy itself does not wait, so its own slowness is still found. No bound of the checks was changed.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -22,6 +22,8 @@
     make_model_replicas,
     make_non_model_replicas,
 )
+from ryelatch_core.kernel import cancel_task
+from soak.lateness import Lateness
 from soak.links import Link
 from standins.objects import ObjectStore, Present
 from standins.replica import ReplicaStandIn
@@ -150,6 +152,7 @@
     :param recovered_at: when the faults were over; 0 before.
     :param cutting: whether each node has links of its own to the replicas.
     :param pausing: whether streams last longer, as replicas stand still.
+    :param lateness: waits of its processes for a processor.
     :param limited_replica: the overloaded replica with a limit, and since when.
     """
 
@@ -169,6 +172,11 @@
     crashing_keys: set[str] = field(default_factory=set)
     cutting: bool = False
     pausing: bool = False
+    lateness: Lateness = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the record of waits for a processor."""
+        self.lateness = Lateness(self._list_processes)
 
     async def add_replica(self, replica: ReplicaStandIn) -> ReplicaStandIn:
         """Start a replica behind a link, and register it by a unique name."""
@@ -280,6 +288,13 @@
         for runner in self.runners:
             await runner.cleanup()
 
+    def _list_processes(self) -> dict[str, int]:
+        return {
+            node.name: node.process.pid
+            for node in self.nodes
+            if node.process is not None
+        }
+
     async def _link_replica(self, node: Node, name: str) -> None:
         """Open the link of a node to a replica, if nodes have their own."""
         if self.cutting:
@@ -339,10 +354,12 @@
         random.Random(seed), ObjectStore(), cutting=cutting, pausing=pausing
     )
     world.configure([KEY, SPARE_KEY])
+    sampling = asyncio.create_task(world.lateness.run())
     try:
         await _populate(world, folder)
         yield world
     finally:
+        await cancel_task(sampling)
         await world.stop()
 
 
--- a/tests/soak_tests/test_streams.py
+++ b/tests/soak_tests/test_streams.py
@@ -1,6 +1,7 @@
 """Tests that unfinished streams are found, and what excuses them."""
 
 import math
+import os
 import random
 from collections.abc import Callable
 from pathlib import Path
@@ -10,12 +11,14 @@
 
 from fleet.running import KEY, make_event_stream
 from soak.clients import Attempt, Clients
+from soak.lateness import SOAK
 from soak.links import Link
 from soak.streams import (
     ABANDONED_SECONDS,
     CATCH_UP_SECONDS,
     MAX_ABANDONED_RUNS,
     MAX_OVERRUN_REQUESTS,
+    RESCUE_SECONDS,
     check_abandoned,
     check_attempts,
     check_streams,
@@ -136,10 +139,52 @@
     world.replicas[1].runs.append(second)
 
 
+def _delay(
+    world: World, name: str, start: float, end: float, waited: float
+) -> None:
+    """Let a process wait for a processor for a part of a time."""
+    waits = iter((0, waited))
+    pid = os.getpid() if name == SOAK else 0
+    lateness = world.lateness
+    lateness.list_processes = lambda: {} if name == SOAK else {name: pid}
+    lateness.read = lambda read: next(waits) if read == pid else None
+    lateness.sample(start)
+    lateness.sample(end)
+
+
+def _delay_little(world: World, attempt: Attempt) -> None:
+    attempt.left = True
+    _delay(world, 'node-0', _SENT, _ENDED, _ENDED - _SENT - RESCUE_SECONDS)
+
+
+def _delay_other(world: World, attempt: Attempt) -> None:
+    attempt.left = True
+    _delay(world, 'node-1', _SENT, _ENDED, 1)
+
+
+def _delay_before(world: World, attempt: Attempt) -> None:
+    attempt.left = True
+    _delay(world, 'node-0', _SENT - 1, _SENT, 1)
+
+
+def _delay_cut_off(world: World, attempt: Attempt) -> None:
+    _delay(world, 'node-0', _SENT, _ENDED, 1)
+
+
+def _delay_perhaps_before(world: World, attempt: Attempt) -> None:
+    attempt.left = True
+    _delay(world, 'node-0', _SENT - 1, _ENDED, 1)
+
+
 @pytest.mark.parametrize(
     'change',
     [
         _change_nothing,
+        _delay_little,
+        _delay_other,
+        _delay_before,
+        _delay_cut_off,
+        _delay_perhaps_before,
         _pause_before,
         _crash_after,
         _crash_other,
@@ -158,6 +203,16 @@
     assert _cut_off(change)
 
 
+def _delay_node(world: World, attempt: Attempt) -> None:
+    attempt.left = True
+    _delay(world, 'node-0', _SENT, _ENDED, 0.3)
+
+
+def _delay_soak(world: World, attempt: Attempt) -> None:
+    attempt.left = True
+    _delay(world, SOAK, _SENT, _ENDED, 0.3)
+
+
 def _finish(world: World, attempt: Attempt) -> None:
     attempt.complete = True
 
@@ -231,6 +286,8 @@
         _harm_front,
         _pass_deadline,
         _leave_paused,
+        _delay_node,
+        _delay_soak,
         _resume_and_crash,
     ],
 )
@@ -287,3 +344,24 @@
         world.replicas[0].standstills.append((_DURING, _ENDED + 0.1))
     clients = Clients(world, attempts)
     assert bool(list(check_abandoned(world, clients))) is found
+
+
+@pytest.mark.parametrize(
+    ('waited', 'found'), [(0.6, True), (0.7, True), (0.9, False)]
+)
+def test_runs_are_ended_in_time_by_a_late_node(
+    waited: float, found: bool
+) -> None:
+    """A node that waits for a processor may go on with runs for ever."""
+    world = _make_world()
+    world.pausing = True
+    names = [f'r-{number}' for number in range(MAX_ABANDONED_RUNS + 1)]
+    attempts = [_make_attempt(name) for name in names]
+    run_end = _ENDED + ABANDONED_SECONDS + 0.8
+    for name in names:
+        run = _make_run(name, _SENT)
+        run.ended = run_end
+        world.replicas[0].runs.append(run)
+    _delay(world, 'node-0', _ENDED, run_end, waited)
+    clients = Clients(world, attempts)
+    assert bool(list(check_abandoned(world, clients))) is found
