Settings that changed during the start were never applied

Callers saw old bounds, such as the one on revoked keys, for as long as a process lived, if the file changed and SIGHUP came while it loaded its libraries: the signal is ignored then, and the file's time was first taken after that, so the check of every five seconds saw no change.

--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -163,6 +163,45 @@
     assert output == b'SIG_IGN\n'
 
 
+_CHANGE_DURING_START = """
+import os, pathlib, runpy, signal, sys
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "ryelatch_platform._main":
+            path = pathlib.Path(os.environ["RYELATCH_NODE_FILE"])
+            changed = path.read_text().replace("graceS = 8", "graceS = 2")
+            path.write_text(changed)
+            os.kill(os.getpid(), signal.SIGHUP)
+sys.meta_path.insert(0, Finder())
+runpy.run_module("ryelatch_platform", run_name="__main__")
+"""
+
+
+async def test_settings_changed_during_the_start_apply(tmp_path: Path) -> None:
+    """Settings that change after a start has read them are never applied."""
+    store = ObjectStore()
+    store.put('config', 'main', make_configuration())
+    runner, port = await serve_app(store.make_app())
+    host = f'127.{random.randint(1, 250)}.{random.randint(0, 250)}.7'
+    path = write_settings(tmp_path, 'node', host, f'127.0.0.1:{port}')
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-c',
+        _CHANGE_DURING_START,
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, 'RYELATCH_NODE_FILE': str(path)},
+    )
+    node = NodeProcess('node', host, process)
+    async with ClientSession() as http:
+        await wait_ready(http, node)
+    lines = await node.stop(signal.SIGTERM)
+    await runner.cleanup()
+    reloaded = [
+        line['changed'] for line in lines if line['name'] == 'settings-reloaded'
+    ]
+    assert reloaded == [True]
+
+
 async def test_clients_wait_while_libraries_load(tmp_path: Path) -> None:
     """Clients are refused connections while nodes load their libraries.
 
