A stream that has ended gets no hedge

Callers saw 503 `layers are missing`, which says that nothing ran, and a replica ran the request afterwards. The watch of streams begins to move a stream off a lost replica; while its command is in transit (0.8 s at most), the first replica refuses the request or can't be connected to, no path is left, and the client is refused. When the move then ends without a result, the watch started another run beside the stream that had ended: nothing knew of it, its events went to an answer that was complete (`Unexpected ASGI message`), and it spent a retry. The hedges of a request are ended with it, but this one was started later.

The test plays it with a real node: a refusal that is held up, and a move that is answered only after it. Before, the replica that appeared meanwhile ran the request (`assert not ['m-3']`). All other hedges are started in the same step of the loop in which the stream is found in progress, and those are waited for before a refusal.

The stand-in for a stream in test_lag.py got the attribute `finished`.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -332,11 +332,13 @@
     def _may_hedge(self, stream: LiveStream) -> bool:
         """Whether another run may be started beside a stream.
 
-        The runs in progress count, also before their first events.
+        The runs in progress count, also before their first events. A stream may
+        have ended while a command to move it was in transit, and its client may
+        have been told that nothing ran.
         """
         request = stream.request
         now = self.context.clock.monotonic()
-        if stream.hedged or stream.reason or stream.writing:
+        if stream.finished or stream.hedged or stream.reason or stream.writing:
             return False
         if now < stream.next_hedge:
             return False
--- a/tests/node/relay/test_lag.py
+++ b/tests/node/relay/test_lag.py
@@ -87,6 +87,7 @@
         delivered=0,
         moving=False,
         writing=False,
+        finished=False,
         reason='',
         stall_recorded=True,
         progress=clock.monotonic(),
--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
+from dataclasses import replace
+from typing import Any
 
 import aiohttp
 from starlette.types import Message
@@ -15,6 +17,7 @@
     run_node,
     wait_until,
 )
+from ryelatch_node.ports import CommandResult, MoveResult
 from ryelatch_node.relay._watch import HEDGE_SECONDS, StreamWatch
 from standins.replica import ReplicaStandIn
 
@@ -154,6 +157,46 @@
         assert len(_list_runs(node)) == 1
 
 
+async def test_refused_request_has_no_hedge() -> None:
+    """A request runs after it was refused, as its move is answered only then.
+
+    Its replica refused it while the command to move it was in transit.
+    """
+    replicas = make_model_replicas((0, 4), (4, 8), (4, 8), (0, 8))
+    refusing, whole = replicas[0], replicas.pop()
+    async with run_node(replicas) as node:
+        context = node.app.find('streams', StreamWatch).context
+        commanded, answered = asyncio.Event(), asyncio.Event()
+
+        async def move(*_: Any) -> MoveResult:
+            commanded.set()
+            await answered.wait()
+            return MoveResult(CommandResult.UNANSWERED)
+
+        async def ask() -> int:
+            async with open_request(node, '/plan/x') as response:
+                return response.status
+
+        context.commands = replace(context.commands, move=move)
+        refusing.refuse = 503
+        refusing.stand_still()
+        asking = asyncio.create_task(ask())
+        await wait_until(lambda: node.count('exchange-sent'))
+        later = node.find('exchange-sent')['path'][1][0]
+        lost = context.replicas.replicas[later]
+        context.replicas.suspect(lost, 'lost', full=False)
+        await commanded.wait()
+        refusing.go_on()
+        assert await asking == 503
+        await node.add(whole)
+        await wait_until(lambda: whole.name in context.replicas.replicas)
+        answered.set()
+        await wait_until(lambda: node.count('stream-moved'))
+        await asyncio.sleep(0.1)
+        runs = _list_runs(node)
+        assert not runs
+
+
 async def test_lost_run_waits_for_its_hedge() -> None:
     """A stream ends as its first run breaks while a hedge is in progress."""
     async with _hedge_stream(_make_replicas(2)) as (node, response):
