--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -331,13 +331,16 @@
             stream.hedge(reason, self.context.clock.monotonic())
 
     def _may_hedge(self, stream: LiveStream) -> bool:
-        """Whether another run may be started beside a stream."""
+        """Whether another run may be started beside a stream.
+
+        It may have ended while a command to move it was in transit, and its
+        client may have been told that nothing ran.
+        """
         request = stream.request
         now = self.context.clock.monotonic()
-        if stream.hedged or stream.reason or stream.writing:
+        if stream.finished or stream.hedged or stream.reason or stream.writing:
             return False
-        # It may have ended while a command to move it was in flight.
-        if stream.finished or now < stream.next_hedge:
+        if now < stream.next_hedge:
             return False
         if self.context.budget.left - self._reserved < 1:
             return False
