--- a/tests/fleet/running.py
+++ b/tests/fleet/running.py
@@ -9,9 +9,11 @@
 import json
 from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from aiohttp import ClientSession, web
+from aiohttp.web_protocol import RequestHandler
 
 from ryelatch_core.events import LineLog
 from ryelatch_core.kernel import App, BootClock
@@ -71,6 +73,8 @@
         replica.store = self.store
         runner, port = await serve_app(replica.make_app())
         replica.stop_listening = next(iter(runner.sites)).stop
+        assert runner.server is not None
+        replica.list_connections = partial(_list_connections, runner.server)
         self.runners.append(runner)
         replica.address = f'127.0.0.1:{port}'
         self.replicas[replica.name] = replica
@@ -78,6 +82,10 @@
         return replica
 
 
+def _list_connections(server: web.Server) -> list[RequestHandler]:
+    return list(server.connections)
+
+
 async def wait_until(
     check: Callable[[], Any],
     seconds: float = 10,
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -10,11 +10,14 @@
 from typing import Any
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 
 from standins.objects import ObjectStore
 from standins.server import serve
 
+_LEAVING_CHECK_SECONDS = 0.02
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -103,6 +106,10 @@
     :param sequence: number of commands that changed its layers.
     :param fence: fencing number of the last of them.
     :param stop_listening: makes its address refuse connections.
+    :param list_connections: lists the open connections to it.
+    :param load_seconds: time that it takes to load layers.
+    :param reading_seconds: time for which a stream stands still after a move,
+        while its new path reads the tokens.
     """
 
     name: str
@@ -141,6 +148,11 @@
     _moved: asyncio.Event = field(default_factory=asyncio.Event)
     _stalled: dict[str, str] = field(default_factory=dict)
     stop_listening: Callable[[], Awaitable[None]] | None = None
+    list_connections: Callable[[], list[RequestHandler]] | None = None
+    load_seconds: float = 0
+    reading_seconds: float = 0
+    _reading_until: dict[str, float] = field(default_factory=dict)
+    _loads: set['asyncio.Task[None]'] = field(default_factory=set)
     _released: asyncio.Event | None = None
     _splits: bool = False
     _transports: set[asyncio.Transport] = field(default_factory=set)
@@ -170,6 +182,27 @@
         """Number of requests that it is running."""
         return 0 if self.crashed else len(self._transports)
 
+    async def leave(self, listens: float, stays: float) -> None:
+        """Report leaving, finish all streams, and end.
+
+        :param listens: seconds after which it accepts no connection any more
+            and closes idle ones.
+        :param stays: seconds after that for which it stays at least, as streams
+            of other first replicas run through it.
+        """
+        self.register('draining')
+        await asyncio.sleep(listens)
+        assert self.stop_listening is not None
+        assert self.list_connections is not None
+        await self.stop_listening()
+        for connection in self.list_connections():
+            connection.close()
+        await asyncio.sleep(stays)
+        while self.streams:
+            await asyncio.sleep(_LEAVING_CHECK_SECONDS)
+        assert self.store is not None
+        self.store.drop('servers', self.name)
+
     async def crash(self) -> None:
         """Crash like a process: stop listening and reset all connections."""
         self.crashed = True
@@ -273,6 +306,8 @@
         command = await request.json()
         self.commands.append(command)
         if command['op'] == 'repath':
+            until = _read_clock() + self.reading_seconds
+            self._reading_until[command['id']] = until
             self.resume()
             return web.json_response({}, status=202)
         if command.get('fencingToken', 0) < self.fence:
@@ -281,10 +316,23 @@
             return web.json_response({}, status=409)
         self.fence = command.get('fencingToken', 0)
         self.sequence += 1
-        self.layers = (command['from'], command['to'])
-        self.register()
+        held = command['from'], command['to']
+        if self.load_seconds:
+            load = asyncio.create_task(self._load(held))
+            self._loads.add(load)
+            load.add_done_callback(self._loads.discard)
+        else:
+            self._hold(held)
         return web.json_response({}, status=202)
 
+    async def _load(self, layers: tuple[int, int]) -> None:
+        await asyncio.sleep(self.load_seconds)
+        self._hold(layers)
+
+    def _hold(self, layers: tuple[int, int]) -> None:
+        self.layers = layers
+        self.register()
+
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         transport = request.transport
         assert transport is not None
@@ -455,6 +503,7 @@
         last = int(run.headers.get('Last-Event-Id', '0'))
         for number in range(last + 1, self.events + 1):
             await self._stall_if_set(run, number)
+            await self._read_after_move(run)
             event = f'id: {number}\ndata: token {number}\n\n'.encode()
             if self.break_after and number > self.break_after:
                 self.break_after = 0
@@ -487,6 +536,10 @@
             self._stalled[run.identity] = self.stalled_address
             await self._moved.wait()
 
+    async def _read_after_move(self, run: Run) -> None:
+        until = self._reading_until.pop(run.identity, 0)
+        await asyncio.sleep(max(0, until - _read_clock()))
+
     def _make_headers(self, identity: str) -> dict[str, str]:
         return {'X-Ryelatch-Request-Id': identity, **self.extra_headers}
 
