--- a/packages/ryelatch-node/src/ryelatch_node/relay/_hedges.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_hedges.py
@@ -16,7 +16,6 @@
 from ryelatch_node.relay._exchange import AdmittedRequest, Exchange
 from ryelatch_node.relay._stream import OVERTAKEN, LiveStream
 
-
 MAX_SENDS = 5
 """Maximum attempts for one request, whatever their results.
 
--- a/tests/platform/test_lost_streams.py
+++ b/tests/platform/test_lost_streams.py
@@ -226,7 +226,7 @@
 
 
 async def test_runs_with_unusable_answers_count() -> None:
-    """A stream runs at more replicas than its route allows after bad answers."""
+    """A stream runs at more replicas than its route allows, at bad ones."""
     replicas = make_model_replicas((0, 8), (0, 8), (0, 8))
     for replica in replicas:
         replica.other_identity = True
