Runs with unusable answers count as attempts

A replica whose answer was unsigned, encoded, for another request, or skipped an event before its first one may have run the request, but only runs that were lost with their connections counted. A stream got up to MAX_SENDS runs, each at another replica, whatever maxAttempts its route had (BUDGET). Requests without a model count such runs already.

Evidence: test_runs_with_unusable_answers_count saw three replicas of two allowed before.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -190,8 +190,10 @@
         return
     if stream.reason:
         progress.excluded.add(stream.first_replica.name)
+    if kind is not SendErrorKind.UNSENT:
+        stream.exchange.ran += not stream.begun
     if kind is SendErrorKind.LOST:
-        _count_run(context, stream)
+        _doubt_run(context, stream)
     stream.exchange.record(
         catalogue.EXCHANGE_FAILED,
         replica=stream.first_replica.name,
@@ -221,14 +223,13 @@
     )
 
 
-def _count_run(context: RelayContext, stream: LiveStream) -> None:
-    """Count a lost attempt as a run of its request, unless its replica ended.
+def _doubt_run(context: RelayContext, stream: LiveStream) -> None:
+    """Leave a lost run out of the attempts, if its replica has ended.
 
-    It may have begun though no event arrived. Its connection alone doesn't
-    show that the replica ended: a connection to a sound replica may be reset.
+    Its connection alone doesn't show that the replica ended: a connection to
+    a sound replica may be reset.
     """
     exchange = stream.exchange
-    exchange.ran += not stream.begun
     if stream.reason == FIRST_REPLICA_LOST:
         exchange.ran -= 1
     elif not stream.reason:
--- a/tests/platform/test_lost_streams.py
+++ b/tests/platform/test_lost_streams.py
@@ -225,6 +225,17 @@
     assert sum(bool(replica.runs) for replica in replicas) == 2
 
 
+async def test_runs_with_unusable_answers_count() -> None:
+    """A stream runs at too many replicas after answers that can't be used."""
+    replicas = make_model_replicas((0, 8), (0, 8), (0, 8))
+    for replica in replicas:
+        replica.other_identity = True
+    async with run_node(replicas) as node:
+        status, _, _ = await ask(node, '/plan/x')
+    assert status == 502
+    assert sum(bool(replica.runs) for replica in replicas) == 2
+
+
 @pytest.mark.usefixtures('_harmless')
 async def test_ended_replicas_leave_the_attempts() -> None:
     """A stream is given up after two crashes beside a sound replica."""
