Refusals leave a request its second run

How often a request without a model was sent decided whether a silent replica was given company, so a request that one replica had refused at once (not run), or that reached none, waited at a silent second one to its deadline: 504, with a sound replica, an attempt and a retry left. The attempts that ran decide now, as they do in _may_send.

Evidence: test_refusals_leave_the_second_run ended with TimeoutError at the deadline before; test_runs_that_are_kept_count still sees two runs of two.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
@@ -140,7 +140,9 @@
 
     :returns: monotonic seconds; infinite if no other attempt is allowed.
     """
-    if not request.repeatable or exchange.sends >= request.route.max_attempts:
+    # The present run counts once it is overdue.
+    ran = exchange.ran + 1
+    if not request.repeatable or ran >= request.route.max_attempts:
         return math.inf
     now = context.clock.monotonic()
     return now + (request.deadline - now) * ATTEMPT_FRACTION
--- a/tests/node/relay/test_silent_replicas.py
+++ b/tests/node/relay/test_silent_replicas.py
@@ -110,6 +110,24 @@
     run(play())
 
 
+def test_refusals_leave_the_second_run() -> None:
+    """A request waits for a silent replica as another one has refused it."""
+
+    async def play() -> None:
+        relay = PlainRelay(
+            [
+                PlainReplica('b-0', status=503, refuses=True),
+                PlainReplica('b-1', 10),
+                PlainReplica('b-2'),
+            ]
+        )
+        relay.load.requests.update({'b-1': 1, 'b-2': 2})
+        await _relay(relay)
+        assert (relay.status, relay.body) == (200, b'b-2')
+
+    run(play())
+
+
 def test_own_pause_is_no_silent_replica() -> None:
     """A node that had no processor time gives up a run whose answer came."""
 
