Throttled replicas are asked for no report before a refusal

The check of silent replicas before a refusal asked all of them, also those that limit their requests or are in backoff; the other two parts that ask for reports on the side (Prober, SlowReplicaChecks) leave these out.

Evidence: test_throttled_replica_is_not_asked saw both replicas asked before.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
@@ -70,7 +70,10 @@
             self.commands, self.replicas, self.links
         )
         self.silence_checks = SilenceChecks(
-            self.clock, self.commands, self.replicas
+            self.clock,
+            self.commands,
+            self.replicas,
+            self.throttle.is_throttled,
         )
         self.slow_replicas = SlowReplicaChecks(
             self.log, self.clock, self.commands, self.throttle.is_throttled
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_silence_checks.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_silence_checks.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import islice
 
@@ -30,11 +31,14 @@
     """Requests reports of the unreachable replicas of a service.
 
     All requests that find no path at the same time share one check.
+
+    :param is_throttled: whether a replica, by its name, limits its requests.
     """
 
     clock: Clock
     commands: ReplicaCommands
     replicas: ReplicaView
+    is_throttled: Callable[[str], bool] = lambda _: False
     _started: dict[str, float] = field(default_factory=dict)
     _running: dict[str, 'asyncio.Task[bool]'] = field(default_factory=dict)
 
@@ -57,6 +61,7 @@
             replica
             for replica in self.replicas.list_service(service)
             if replica.name in unreachable
+            and not self.is_throttled(replica.name)
         ]
         if not silent:
             return None
--- a/tests/node/relay/test_silence_checks.py
+++ b/tests/node/relay/test_silence_checks.py
@@ -103,3 +103,17 @@
         assert await second
 
     run(play())
+
+
+def test_throttled_replica_is_not_asked() -> None:
+    """A replica that limits its requests gets more of them, for reports."""
+
+    async def play() -> None:
+        replicas = [_make_replica(f'm-{place}') for place in range(2)]
+        checks, asked = _make_checks(replicas, set())
+        checks.is_throttled = lambda name: name == 'm-0'
+        assert await _ask(checks, 1) == [True]
+        assert asked == ['m-1']
+        assert checks.replicas.list_suspects() == {'m-0'}
+
+    run(play())
