The last attempt is left for runs that are lost

A silent run gets a hedge every 0.3 s, and one that is refused counts as a send. After four of them the request had no send left: its run went on, but when it was lost later the stream was cut off ("sends") though one run of two had been made and another replica was free. A hedge that is refused has to change nothing for the run, so hedges leave the last of all attempts.

Evidence: test_last_attempt_is_no_hedge got ClientPayloadError in the middle of the stream before.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_hedges.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_hedges.py
@@ -13,8 +13,16 @@
 from typing import Any
 
 from ryelatch_node.relay._errors import AnswerBroken, ClientGone
+from ryelatch_node.relay._exchange import AdmittedRequest, Exchange
 from ryelatch_node.relay._stream import OVERTAKEN, LiveStream
 
+MAX_SENDS = 5
+"""Maximum attempts for one request, whatever their results.
+
+An attempt takes up to one second, and clients give up after two seconds
+without an event, so more attempts help only where replicas refuse at once.
+"""
+
 
 class AttemptResult(enum.Enum):
     """Whether an attempt completed the request or another one may follow."""
@@ -23,6 +31,17 @@
     AGAIN = 'again'
 
 
+def has_run_left(exchange: Exchange, request: AdmittedRequest) -> bool:
+    """Whether a request may have another run beside those in progress.
+
+    They count, also before their first events. The last of all attempts is
+    kept for when they are lost.
+    """
+    ran = exchange.ran + exchange.unbegun
+    few = exchange.sends < MAX_SENDS - 1
+    return few and ran < request.route.max_attempts
+
+
 @dataclass(eq=False)
 class HedgedRuns:
     """The runs of one request that are in progress.
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -13,7 +13,7 @@
     ForwardAttempts,
     refuse_forwarded,
 )
-from ryelatch_node.relay._hedges import AttemptResult
+from ryelatch_node.relay._hedges import MAX_SENDS, AttemptResult
 from ryelatch_node.relay._hedging import start_hedge
 from ryelatch_node.relay._permits import acquire_permit
 from ryelatch_node.relay._places import (
@@ -26,13 +26,6 @@
 from ryelatch_node.relay._verdicts import is_allowed, wait_for_verdict
 from ryelatch_node.relay._watch import StreamWatch
 
-MAX_SENDS = 5
-"""Maximum attempts for one request, whatever their results.
-
-An attempt takes up to one second, and clients give up after two seconds
-without an event, so more attempts help only where replicas refuse at once.
-"""
-
 _BAD_GATEWAY = 502
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -17,6 +17,7 @@
 from ryelatch_node.ports import CommandResult
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._exchange import round_seconds
+from ryelatch_node.relay._hedges import has_run_left
 from ryelatch_node.relay._lost_links import LINKS_LOST, leaves_lost_links
 from ryelatch_node.relay._migration_planner import MigrationPlanner
 from ryelatch_node.relay._path_checks import PathChecks
@@ -330,10 +331,7 @@
             stream.hedge(reason, self.context.clock.monotonic())
 
     def _may_hedge(self, stream: LiveStream) -> bool:
-        """Whether another run may be started beside a stream.
-
-        The runs in progress count, also before their first events.
-        """
+        """Whether another run may be started beside a stream."""
         request = stream.request
         now = self.context.clock.monotonic()
         if stream.hedged or stream.reason or stream.writing:
@@ -343,8 +341,7 @@
             return False
         if self.context.budget.left - self._reserved < 1:
             return False
-        ran = stream.exchange.ran + stream.exchange.unbegun
-        if not request.repeatable or ran >= request.route.max_attempts:
+        if not (request.repeatable and has_run_left(stream.exchange, request)):
             return False
         if stream.delivered and stream.splitter.last is None:
             # Without event IDs a new run would repeat what was delivered.
--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -21,6 +21,7 @@
     wait_until,
 )
 from ryelatch_node.ports import CommandResult
+from ryelatch_node.relay._hedges import MAX_SENDS
 from ryelatch_node.relay._watch import HEDGE_SECONDS, StreamWatch
 from standins.replica import ReplicaStandIn
 
@@ -308,3 +309,24 @@
         status, body, _ = await asking
         assert (status, body) == (404, b'no')
         assert not node.count('stream-hedged')
+
+
+async def test_last_attempt_is_no_hedge() -> None:
+    """Refused hedges use up the attempts of a run that is lost after them."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.stall_after = _SENT_EVENTS
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        received = await response.content.readuntil(b'token 2\n\n')
+        first = _find_first(node)
+        other = next(each for each in replicas if each is not first)
+        other.refuse, other.stall_after = 503, 0
+        watch = node.app.find('streams', StreamWatch)
+        next(iter(watch.streams)).exchange.sends = MAX_SENDS - 1
+        await asyncio.sleep(HEDGE_SECONDS + 0.2)
+        other.refuse = 0
+        await first.crash()
+        assert received + await response.read() == make_event_stream(5)
