A hedge is decided again after its permit

A permit for a replica that limits its requests takes up to 0.2 s. Until a hedge has it, it counts nowhere: not in `unbegun`, so a run whose own hedge had ended could start another beside it, one replica more than the route allows; and a crash reported meanwhile made the request a suspect, which gets no hedge. Attempts, suspicion and budget are now looked at in the step that begins it.

Evidence: test_hedge_is_decided_again_after_its_permit, both cases, saw two runs before.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_hedging.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_hedging.py
@@ -4,7 +4,7 @@
 from ryelatch_node.relay._attempt import Relaying, attempt_path
 from ryelatch_node.relay._choice import choose_request_path
 from ryelatch_node.relay._exchange import round_seconds
-from ryelatch_node.relay._hedges import AttemptResult
+from ryelatch_node.relay._hedges import AttemptResult, has_run_left
 from ryelatch_node.relay._permits import acquire_permit
 from ryelatch_node.relay._places import record_path
 from ryelatch_node.relay._stream import LiveStream
@@ -38,8 +38,8 @@
 async def _run_elsewhere(relaying: Relaying, claims: int) -> AttemptResult:
     """Run a request at a first replica that has no run of it in progress.
 
-    Nothing is sent if a run has gone on meanwhile, or if there is no such path
-    or no retry left.
+    Nothing is sent if a run has gone on meanwhile, if there is no such path, or
+    if the request may have no further run any more.
 
     :param claims: how often a run had claimed the answer when one was silent.
     """
@@ -51,7 +51,19 @@
         return AttemptResult.AGAIN
     if not await acquire_permit(context, exchange, path[0].replica):
         return AttemptResult.AGAIN
-    if progress.runs.claims != claims or not context.budget.spend():
+    if progress.runs.claims != claims or not _may_run(relaying):
         return AttemptResult.AGAIN
     record_path(context, exchange, path)
     return await attempt_path(relaying, path)
+
+
+def _may_run(relaying: Relaying) -> bool:
+    """Spend a retry, if a request may still have another run.
+
+    While its permit was acquired, others may have begun or have been lost.
+    """
+    context, request = relaying.context, relaying.request
+    if context.quarantine.find_suspect(request.fingerprint):
+        return False
+    left = has_run_left(relaying.exchange, request)
+    return left and context.budget.spend()
--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -20,8 +20,11 @@
     run_node,
     wait_until,
 )
+from ryelatch_core.quarantine import RequestPhase
 from ryelatch_node.ports import CommandResult
+from ryelatch_node.relay import _hedging
 from ryelatch_node.relay._hedges import MAX_SENDS
+from ryelatch_node.relay._stream import LiveStream
 from ryelatch_node.relay._watch import HEDGE_SECONDS, StreamWatch
 from standins.replica import ReplicaStandIn
 
@@ -330,3 +333,53 @@
         other.refuse = 0
         await first.crash()
         assert received + await response.read() == make_event_stream(5)
+
+
+@dataclass(eq=False)
+class _HeldPermits:
+    """Grants the permit of a hedge once it is released."""
+
+    asked: asyncio.Event = field(default_factory=asyncio.Event)
+    released: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def acquire(self, *_: Any) -> bool:
+        """Wait for the permit."""
+        self.asked.set()
+        await self.released.wait()
+        return True
+
+
+def _count_other_run(stream: LiveStream, _: StreamWatch) -> None:
+    stream.exchange.ran += 1
+
+
+def _suspect_request(stream: LiveStream, watch: StreamWatch) -> None:
+    watch.context.quarantine.record_crash(
+        stream.request.fingerprint, 'm-9', RequestPhase.BEGUN, 'r-2'
+    )
+
+
+@pytest.mark.parametrize('change', [_count_other_run, _suspect_request])
+async def test_hedge_is_decided_again_after_its_permit(
+    monkeypatch: pytest.MonkeyPatch,
+    change: Callable[[LiveStream, StreamWatch], None],
+) -> None:
+    """A hedge is one run too many, or begins what may crash its replica."""
+    permits = _HeldPermits()
+    monkeypatch.setattr(_hedging, 'acquire_permit', permits.acquire)
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.stall_after = _SENT_EVENTS
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        received = await response.content.readuntil(b'token 2\n\n')
+        await permits.asked.wait()
+        watch = node.app.find('streams', StreamWatch)
+        change(next(iter(watch.streams)), watch)
+        permits.released.set()
+        await asyncio.sleep(0.1)
+        _find_first(node).resume()
+        assert received + await response.read() == make_event_stream(5)
+        assert len(_list_runs(node)) == 1
