--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_link_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_link_frames.py
@@ -67,12 +67,15 @@
 
     :param retry_after: seconds after which the client should retry, if any.
     :param reaches: whether the node reaches the replicas of the service.
+    :param ran: runs that count against the attempts its route allows, with
+        those before it was forwarded.
     """
 
     status: int
     reason: str
     retry_after: Duration | None = None
     reaches: bool = True
+    ran: int = 0
 
 
 class ForwardStart(msgspec.Struct, frozen=True, array_like=True, tag='start'):
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
@@ -87,11 +87,14 @@
             await self.write(ForwardPiece(message['body'], last))
 
     async def refuse(
-        self, status: int, reason: str, retry_after: float | None
+        self, status: int, reason: str, retry_after: float | None, ran: int = 0
     ) -> None:
-        """Send that this node ends the request with an error."""
+        """Send that this node ends the request with an error.
+
+        :param ran: runs that count against the attempts its route allows.
+        """
         await self.write(
-            ForwardRefused(status, reason, retry_after, self.reaches())
+            ForwardRefused(status, reason, retry_after, self.reaches(), ran)
         )
 
     async def write(self, reply: ForwardReply) -> None:
@@ -180,13 +183,19 @@
                 request.status, request.reason, request.retry_after
             )
             return
+
+        async def refuse(
+            status: int, reason: str, retry_after: float | None
+        ) -> None:
+            await connection.refuse(status, reason, retry_after, exchange.ran)
+
         exchange = Exchange(
             request.terms.identity,
             connection.send,
             self.context.log,
             self.context.clock,
             ran=forwarded.ran,
-            reject=connection.refuse,
+            reject=refuse,
         )
         exchange.detail['origin'] = forwarded.origin
         exchange.record(
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -110,6 +110,18 @@
         assert received == make_event_stream(_EVENTS)
 
 
+async def test_runs_at_a_helper_count_as_attempts() -> None:
+    """A request runs as often as its route allows at each of two helpers."""
+    replicas = [*_make_replicas(), *make_model_replicas((0, 8), (0, 8))]
+    for number, replica in enumerate(replicas):
+        replica.name = f'r-{number}'
+        replica.other_identity = True
+    async with _run_cut(replicas) as nodes:
+        status, _, _ = await ask(nodes[0].node, '/plan/x', identity='counted')
+        assert status == 502
+        assert _find_runs(replicas, 'counted') == 2
+
+
 async def test_unsafe_request_runs_once() -> None:
     """A booking is sent again, or said not to have run, as a helper is lost."""
     replicas = _make_replicas()
