A kept connection whose end has arrived gets no request

A replica that crashes closes its kept connections at once, but a busy node reads that later, and until then sent requests over them. Such a request has not run, yet it was lost with its connection: it counted as waiting under the crash (three of them refuse its content for a minute), as a run of its route's attempts until the address was checked, and as possibly run, so that nothing else than a 502 could follow. A connection on which anything has arrived since its last answer is left now, and the request goes over a new one; at a crashed replica that is refused, so nothing was sent and nothing is recorded.

One poll a request, without waiting. An end that is still under way is not seen.

--- a/packages/ryelatch-node/src/ryelatch_node/connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import select
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -29,3 +30,17 @@
     connector._factory = functools.partial(  # type: ignore[assignment]
         _StrictHandler, loop=asyncio.get_running_loop()
     )
+
+
+def has_arrived(handler: ResponseHandler) -> bool:
+    """Whether anything that was not read yet has arrived on a connection.
+
+    On one without a request that is its end, or an answer that nobody waits
+    for. A busy process finds out only after it has sent the next request.
+    """
+    transport = handler.transport
+    if transport is None:
+        return True
+    poll = select.poll()
+    poll.register(transport.get_extra_info('socket'), select.POLLIN)
+    return bool(poll.poll(0))
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -13,7 +13,7 @@
 
 from ryelatch_core.fleet import Replica
 from ryelatch_core.membership import CONNECT_TIMEOUT_SECONDS
-from ryelatch_node.connections import report_resets
+from ryelatch_node.connections import has_arrived, report_resets
 from ryelatch_node.ports import AnswerMetadata, HeaderCodec, Headers
 from ryelatch_node.relay._errors import SendError, SendErrorKind
 
@@ -69,6 +69,14 @@
             if not scope.expired():
                 scope.reschedule(now)
 
+    async def _get(self, key: Any, traces: Any) -> Any:
+        """Choose a kept connection, but none whose end has arrived."""
+        for handler, _ in self._conns.get(key, ()):
+            if handler.is_connected() and not has_arrived(handler):
+                break
+            handler.close()
+        return await super()._get(key, traces)
+
     async def _create_connection(
         self, req: Any, traces: Any, timeout: Any
     ) -> ResponseHandler:
