Soak: nothing runs that was refused as not run, of any kind

`check_runs` looked only at bookings; a stream or a plain request that was answered 408, 421, 429 or 503 without a signature, and that a replica ran all the same, was found by `check_streams` at best, which excuses what was harmed on its way. A refusal that says `not run` has to be true for each request. The check of bookings is as it was.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -59,13 +59,11 @@
 
 
 def check_runs(world: World, clients: Clients) -> Iterator[str]:
-    """Bookings run at most once, and not at all after a ``not run`` refusal."""
+    """Bookings run at most once, and nothing does that was refused unrun."""
     counts = Counter(run.identity for _, run in _list_runs(world))
     for attempt in clients.attempts:
         ran = counts[attempt.identity]
-        if attempt.kind != 'book':
-            continue
-        if ran > 1:
+        if ran > 1 and attempt.kind == 'book':
             yield f'ran {ran} times: {attempt}'
         if ran and attempt.status in _NOT_RUN and not attempt.signature:
             yield f'said not to have run: {attempt}'
--- a/tests/soak_tests/test_checks.py
+++ b/tests/soak_tests/test_checks.py
@@ -74,6 +74,8 @@
     [
         ('book', _run_again, 'ran 2 times'),
         ('book', _refuse, 'said not to have run'),
+        ('ping', _refuse, 'said not to have run'),
+        ('plan', _refuse, 'said not to have run'),
         ('book', _rename, 'for other'),
         ('book', _forget, 'nobody asked'),
         ('ping', _cut, 'wrong answer'),
