A stream on lost links goes on until another run delivers

Now the watch starts a hedge beside it, at a path over other links or, without one, at another node. The forwarded run takes part in the runs of its request: the first whose event arrives claims the answer, the other is interrupted, which closes its connection. Each has its own splitter, from the last event that the client has. Streams without event ids, or suspected of crashes, stay. All of this is as for the hedges of silent replicas.

No existing test was changed.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
@@ -38,6 +38,11 @@
 _GATEWAY_TIMEOUT = 504
 _UNAVAILABLE = 503
 
+
+def _is_alone() -> bool:
+    return False
+
+
 PassOn = Callable[[ForwardedAnswer], Awaitable[bool]]
 """Passes an answer on to the client; returns whether the request is done."""
 
@@ -51,6 +56,8 @@
     :param last_event: number of the last event that the client has received.
     :param tried: names of the nodes that did not serve it.
     :param refusal: of the last node that refused it.
+    :param serving: name of the node that has it now; empty if none has.
+    :param is_beside: whether a run of this node is in progress meanwhile.
     """
 
     may_have_run: bool
@@ -58,6 +65,8 @@
     last_event: int | None = None
     tried: set[str] = field(default_factory=set)
     refusal: ForwardRefused | None = None
+    serving: str = ''
+    is_beside: Callable[[], bool] = _is_alone
 
 
 async def forward(
@@ -130,7 +139,8 @@
 
     A request that may have run is a retry for the replicas, wherever it goes.
     """
-    if request.origin or exchange.ran >= request.route.max_attempts:
+    ran = exchange.ran + exchange.unbegun
+    if request.origin or ran >= request.route.max_attempts:
         return False
     if attempts.may_have_run and not request.repeatable:
         return False
@@ -138,7 +148,8 @@
         return False
     if not await context.links.has_lost(request.service):
         return False
-    paid = attempts.paid or not attempts.may_have_run
+    is_retry = attempts.may_have_run or attempts.is_beside()
+    paid = attempts.paid or not is_retry
     attempts.paid = False
     return paid or context.budget.spend()
 
@@ -156,7 +167,8 @@
     if len(attempts.tried) >= MAX_HELPERS or context.budget.left < 1:
         return False
     # The run at the present node counts once it is left.
-    if exchange.ran + 1 >= request.route.max_attempts:
+    ran = exchange.ran + exchange.unbegun + 1
+    if ran >= request.route.max_attempts:
         return False
     others = context.links.helpers.choose(request.service, attempts.tried)
     return others is not None
@@ -178,6 +190,7 @@
     frame = _make_frame(context, exchange, request, attempts)
     _log_forward(context, exchange, request, helper, frame)
     exchange.detail['forwarded_to'] = helper.node.name
+    done = False
     try:
         async with context.forwarding.send(
             helper,
@@ -187,12 +200,14 @@
                 _may_leave, context, exchange, request, attempts
             ),
         ) as answer:
+            attempts.serving = helper.node.name
             head = await answer.read_head()
             if isinstance(head, ForwardRefused):
-                return await _handle_refusal(
+                done = await _handle_refusal(
                     context, exchange, request, attempts, helper, head
                 )
-            return await pass_on(answer)
+            else:
+                done = await pass_on(answer)
     except HelperLost as error:
         _record_loss(context, exchange, attempts, helper, error)
     except StreamError as error:
@@ -203,7 +218,9 @@
             helper,
             HelperLost(str(error), sent=True),
         )
-    return False
+    # After an interruption it still names the node.
+    attempts.serving = ''
+    return done
 
 
 async def _handle_refusal(
@@ -234,7 +251,7 @@
         attempts.may_have_run = True
         if request.repeatable or exchange.started:
             return False
-    if exchange.started:
+    if exchange.started or attempts.is_beside():
         return False
     await exchange.refuse(
         refusal.status, refusal.reason, retry_after=refusal.retry_after
@@ -281,7 +298,7 @@
         version=request.version,
         elapsed=max(0, context.now() - request.arrived),
         last_event=attempts.last_event,
-        ran=exchange.ran,
+        ran=exchange.ran + exchange.unbegun,
     )
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_hedges.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_hedges.py
@@ -10,7 +10,7 @@
 import enum
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 from ryelatch_node.relay._errors import AnswerBroken, ClientGone
 from ryelatch_node.relay._stream import OVERTAKEN, LiveStream
@@ -23,6 +23,18 @@
     AGAIN = 'again'
 
 
+class Run(Protocol):
+    """A run of a request, at a replica or at a node that serves it.
+
+    :param reason: why it was interrupted; empty if it was not.
+    """
+
+    reason: str
+
+    def interrupt(self, reason: str) -> None:
+        """Stop reading its answer."""
+
+
 @dataclass(eq=False)
 class HedgedRuns:
     """The runs of one request that are in progress.
@@ -31,11 +43,11 @@
     :param claims: how often a run has claimed the answer.
     """
 
-    runs: set[LiveStream] = field(default_factory=set)
+    runs: set[Run] = field(default_factory=set)
     claims: int = 0
     _hedges: set['asyncio.Task[AttemptResult]'] = field(default_factory=set)
 
-    def claim(self, run: LiveStream) -> bool:
+    def claim(self, run: Run) -> bool:
         """Let a run deliver what has arrived, and interrupt all others.
 
         :returns: whether it may; otherwise another run was first.
@@ -48,13 +60,17 @@
                 other.interrupt(OVERTAKEN)
         return True
 
-    def has_other(self, run: LiveStream) -> bool:
+    def has_other(self, run: Run) -> bool:
         """Whether a run beside this one is in progress."""
         return bool(self.runs - {run})
 
     def list_first_replicas(self) -> set[str]:
         """List the names of the first replicas of the runs in progress."""
-        return {run.first_replica.name for run in self.runs}
+        return {
+            run.first_replica.name
+            for run in self.runs
+            if isinstance(run, LiveStream)
+        }
 
     def start(self, hedge: Coroutine[Any, Any, AttemptResult]) -> None:
         """Start a hedge beside the runs in progress."""
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_hedging.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_hedging.py
@@ -4,6 +4,8 @@
 from ryelatch_node.relay._attempt import Relaying, attempt_path
 from ryelatch_node.relay._choice import choose_request_path
 from ryelatch_node.relay._exchange import round_seconds
+from ryelatch_node.relay._forwarded_stream import forward_stream
+from ryelatch_node.relay._forwarding import ForwardAttempts
 from ryelatch_node.relay._hedges import AttemptResult
 from ryelatch_node.relay._permits import acquire_permit
 from ryelatch_node.relay._places import record_path
@@ -38,8 +40,8 @@
 async def _run_elsewhere(relaying: Relaying, claims: int) -> AttemptResult:
     """Run a request at a first replica that has no run of it in progress.
 
-    Nothing is sent if a run has gone on meanwhile, or if there is no such path
-    or no retry left.
+    Without such a path it goes to another node if links are lost. Nothing is
+    sent if a run has gone on meanwhile, or if no retry is left.
 
     :param claims: how often a run had claimed the answer when one was silent.
     """
@@ -48,10 +50,24 @@
     progress.excluded |= progress.runs.list_first_replicas()
     path = choose_request_path(context, exchange, request, progress)
     if not path or path[0].replica.name in progress.excluded:
-        return AttemptResult.AGAIN
+        return await _forward(relaying, claims)
     if not await acquire_permit(context, exchange, path[0].replica):
         return AttemptResult.AGAIN
     if progress.runs.claims != claims or not context.budget.spend():
         return AttemptResult.AGAIN
     record_path(context, exchange, path)
     return await attempt_path(relaying, path)
+
+
+async def _forward(relaying: Relaying, claims: int) -> AttemptResult:
+    """Forward a request beside its run in progress, if links are lost."""
+    if relaying.progress.runs.claims != claims:
+        return AttemptResult.AGAIN
+    done = await forward_stream(
+        relaying.context,
+        relaying.exchange,
+        relaying.request,
+        relaying.progress,
+        ForwardAttempts(relaying.progress.may_have_run),
+    )
+    return AttemptResult.DONE if done else AttemptResult.AGAIN
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_lost_links.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_lost_links.py
@@ -6,10 +6,10 @@
 from ryelatch_node.relay._stream import LiveStream
 
 LINKS_LOST = 'links lost'
-"""Reason of an interruption because the links of this node are lost."""
+"""Reason of another run because the links of this node are lost."""
 
 LEAVE_SECONDS = 0.2
-"""Pause after which a stream leaves its connection.
+"""Pause after which a stream gets another run beside its connection.
 
 Where only new connections are refused, streams on open ones go on, with pauses
 that are shorter than that.
@@ -19,10 +19,10 @@
 def leaves_lost_links(
     context: RelayContext, stream: LiveStream, pause: float, reserved: int
 ) -> bool:
-    """Whether a stream that came over lost links is to be resumed elsewhere.
+    """Whether a stream that came over lost links gets a run elsewhere.
 
     Its replicas can't be asked what it waits for, and may go on a moment later,
-    so it stays where there is nothing else.
+    so it stays meanwhile. The first run that delivers goes on.
 
     :param pause: seconds since its last event.
     :param reserved: retries that other streams are about to spend.
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -164,8 +164,7 @@
         self._report_delay(stream, pause)
         if self.context.links.is_lost(stream.first_replica):
             if leaves_lost_links(self.context, stream, pause, self._reserved):
-                self._reserved += 1
-                stream.interrupt(LINKS_LOST)
+                self._add_run(stream, LINKS_LOST)
             return
         silence_limit = _compute_silence_limit(stream)
         if lost and pause > silence_limit and stream.uses(lost):
@@ -324,12 +323,21 @@
             stream.interrupt(FIRST_REPLICA_LOST)
 
     def _hedge(self, stream: LiveStream, reason: str) -> None:
-        """Start another run beside a stream, if it may have one."""
+        """Start another run beside a stream, if it may have one here."""
         if self._may_hedge(stream):
+            self._add_run(stream, reason)
+
+    def _add_run(self, stream: LiveStream, reason: str) -> None:
+        """Start another run beside a stream, if it may have one."""
+        if self._may_add_run(stream):
             self._reserved += 1
             stream.hedge(reason, self.context.clock.monotonic())
 
     def _may_hedge(self, stream: LiveStream) -> bool:
+        """Whether another run may be started here beside a stream."""
+        return self._may_add_run(stream) and self._has_path(stream)
+
+    def _may_add_run(self, stream: LiveStream) -> bool:
         """Whether another run may be started beside a stream.
 
         The runs in progress count, also before their first events. A stream may
@@ -350,9 +358,8 @@
         if stream.delivered and stream.splitter.last is None:
             # Without event IDs a new run would repeat what was delivered.
             return False
-        if self.context.quarantine.find_suspect(request.fingerprint):
-            return False
-        return self._has_path(stream)
+        suspect = self.context.quarantine.find_suspect(request.fingerprint)
+        return suspect is None
 
     def _has_path(self, stream: LiveStream) -> bool:
         """Whether any zone has a path for a run at another first replica."""
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections.abc import AsyncIterator
 
+import aiohttp
 import msgspec
 import pytest
 
@@ -33,6 +34,7 @@
 from standins.replica import ReplicaStandIn
 
 _EVENTS = 20
+_LONG_EVENTS = 100
 _DEADLINE_SECONDS = 5
 
 
@@ -110,6 +112,79 @@
         assert received == make_event_stream(_EVENTS)
 
 
+@contextlib.asynccontextmanager
+async def _stall_on_lost_links(
+    refuse: int = 0,
+) -> AsyncIterator[tuple[LinkedNode, aiohttp.ClientResponse, ReplicaStandIn]]:
+    """Let a stream fall silent on an open connection over lost links.
+
+    :param refuse: status with which replicas refuse all new runs.
+    :returns: its node, its answer and its first replica.
+    """
+    replicas = _make_replicas(pause=0.1)
+    for replica in replicas:
+        replica.events = _LONG_EVENTS
+    async with (
+        run_linked_nodes(replicas, 3) as nodes,
+        open_request(nodes[0].node, '/plan/x', identity='kept') as response,
+    ):
+        await response.content.readuntil(b'token 1\n\n')
+        nodes[0].cut(LinkMode.REFUSING)
+        await discover_cut(nodes[0], 'first')
+        first = next(replica for replica in replicas if replica.runs)
+        first.stall_after = 1
+        for replica in replicas:
+            replica.pause = 0
+            replica.refuse = refuse
+        yield nodes[0], response, first
+
+
+async def test_stream_stays_where_a_helper_refuses() -> None:
+    """A stream is cut off at its only replica before a helper can run it."""
+    async with _stall_on_lost_links(refuse=503) as (linked, response, first):
+        await wait_until(
+            lambda: any(
+                line['name'] == 'exchange-failed' and line['request'] == 'kept'
+                for line in linked.node.lines
+            )
+        )
+        first.resume()
+        rest = await response.read()
+        assert make_event_stream(_LONG_EVENTS).endswith(rest)
+        ended = [run.cancelled for run in first.runs if run.identity == 'kept']
+        assert ended == [False]
+
+
+async def test_stream_leaves_lost_links_for_a_helper() -> None:
+    """A stream waits on lost links, or its run there goes on without need."""
+    async with _stall_on_lost_links() as (linked, response, first):
+        rest = await response.read()
+        assert make_event_stream(_LONG_EVENTS).endswith(rest)
+        kept = first.runs[0]
+        await wait_until(lambda: kept.cancelled, seconds=0.5)
+        lines = linked.node.lines
+        overtaken = [line for line in lines if line['name'] == 'run-overtaken']
+        assert [line['replica'] for line in overtaken] == [first.name]
+
+
+async def test_stream_that_goes_on_ends_its_helper() -> None:
+    """Two runs deliver one stream, or one goes on after it is complete."""
+    async with _stall_on_lost_links() as (linked, response, first):
+        first.refuse = 503
+        other = next(
+            replica
+            for replica in linked.node.replicas.values()
+            if replica.accelerator and replica is not first
+        )
+        other.stall_after = 1
+        await wait_until(lambda: other.runs)
+        first.resume()
+        rest = await response.read()
+        assert make_event_stream(_LONG_EVENTS).endswith(rest)
+        await wait_until(lambda: other.runs[0].cancelled, seconds=0.5)
+        assert linked.node.find('run-overtaken')['peer']
+
+
 async def test_unsafe_request_runs_once() -> None:
     """A booking is sent again, or said not to have run, as a helper is lost."""
     replicas = _make_replicas()
