--- a/tests/node/relay/test_lag.py
+++ b/tests/node/relay/test_lag.py
@@ -99,7 +99,7 @@
             terms=SimpleNamespace(identity='r-1'),
             route=SimpleNamespace(gap=0, max_attempts=2),
         ),
-        exchange=SimpleNamespace(ran=1, unbegun=0),
+        exchange=SimpleNamespace(ran=1, unbegun=0, sends=1),
         hedged=False,
         next_hedge=0,
         uses=lambda names: _HEAD.name in names,
--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -3,14 +3,17 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import aiohttp
+import pytest
 from starlette.types import Message
 
 from fleet.running import (
     RunningNode,
+    ask,
+    make_configuration,
     make_event_stream,
     make_model_replicas,
     open_request,
@@ -18,12 +21,25 @@
     wait_until,
 )
 from ryelatch_node.ports import CommandResult, MoveResult
+from ryelatch_node.relay._hedges import MAX_SENDS
 from ryelatch_node.relay._watch import HEDGE_SECONDS, StreamWatch
 from standins.replica import ReplicaStandIn
 
 _SENT_EVENTS = 2
 
 
+@dataclass(eq=False)
+class _HeldMigrator:
+    """Moves streams with a command that takes long, and is refused."""
+
+    released: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def move(self, *_: Any, **_options: Any) -> CommandResult:
+        """Wait for the reply to the command."""
+        await self.released.wait()
+        return CommandResult.REFUSED
+
+
 def _make_replicas(count: int) -> list[ReplicaStandIn]:
     return make_model_replicas(*((0, 8) for _ in range(count)))
 
@@ -58,6 +74,18 @@
     return node.replicas[node.find('stream-resumed')['path'][0][0]]
 
 
+def _record_places(node: RunningNode) -> list[tuple[str, ...]]:
+    """Record the paths that are reported for places from now on."""
+    placed: list[tuple[str, ...]] = []
+    client = node.app.find('streams', StreamWatch).context.reservations.client
+
+    def place(_identity: str, _zone: str, path: tuple[str, ...]) -> None:
+        placed.append(path)
+
+    client.place = place  # type: ignore[method-assign]
+    return placed
+
+
 async def test_silent_run_goes_on_beside_its_hedge() -> None:
     """A stream is cut off at a replica that goes on a moment later."""
     async with _hedge_stream(_make_replicas(2)) as (node, response):
@@ -83,6 +111,42 @@
         assert node.find('run-overtaken')['replica'] == first.name
 
 
+async def test_place_returns_to_a_run_that_went_on() -> None:
+    """A place stays on the path of a hedge that was overtaken."""
+    async with _hedge_stream(_make_replicas(2)) as (node, response):
+        placed = _record_places(node)
+        _find_first(node).resume()
+        await response.read()
+        assert placed == [(_find_first(node).name,)]
+
+
+async def test_place_stays_with_a_hedge_that_delivers() -> None:
+    """A place returns to the path of a run that was overtaken."""
+    async with _hedge_stream(_make_replicas(2)) as (node, response):
+        placed = _record_places(node)
+        _find_second(node).resume()
+        await response.read()
+        assert not placed
+
+
+async def test_place_returns_from_a_hedge_that_failed() -> None:
+    """A place counts at a replica that has refused the hedge."""
+    replicas = _make_replicas(2)
+    async with run_node(replicas) as node:
+        placed = _record_places(node)
+        async with open_request(node, '/plan/x') as response:
+            await wait_until(lambda: node.count('exchange-sent'))
+            first = _find_first(node)
+            for replica in node.replicas.values():
+                replica.refuse = 0 if replica is first else 503
+                replica.stall_after = _SENT_EVENTS
+            await wait_until(lambda: len(placed) > 2)
+            second = next(name for name in node.replicas if name != first.name)
+            assert placed[:3] == [(first.name,), (second,), (first.name,)]
+            first.resume()
+            await response.read()
+
+
 async def test_refused_hedge_leaves_the_run() -> None:
     """A stream ends with a hedge that finds no room."""
     replicas = _make_replicas(2)
@@ -276,3 +340,81 @@
         await asyncio.sleep(0.1)
         other.refuse = 0
         assert received + await response.read() == make_event_stream(5)
+
+
+@pytest.mark.parametrize('leaves', [True, False], ids=['leaves', 'answered'])
+async def test_stream_that_ended_has_no_hedge(
+    leaves: bool,
+) -> None:
+    """A stream is sent again after its client has left or has its answer."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.pause = 0.1
+    async with run_node(replicas) as node:
+        watch = node.app.find('streams', StreamWatch)
+        migrator = _HeldMigrator()
+        watch._migrator = migrator  # type: ignore[assignment]
+        async with open_request(node, '/plan/x') as response:
+            await response.content.readuntil(b'token 1\n\n')
+            stream = next(iter(watch.streams))
+            moving = asyncio.create_task(
+                watch._move_off_unreachable(stream, 0.5)
+            )
+            if not leaves:
+                await response.read()
+        await wait_until(lambda: not watch.streams)
+        migrator.released.set()
+        await moving
+        await asyncio.sleep(0.1)
+        assert len(_list_runs(node)) == 1
+        assert not node.count('stream-hedged')
+
+
+async def test_error_that_is_read_slowly_is_no_silence() -> None:
+    """Events of a second run follow an error that the client reads slowly."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.stand_still()
+    configuration = make_configuration()
+    configuration['routes'][2]['maxAttempts'] = 3
+    async with run_node(replicas, configuration) as node:
+        asking = asyncio.create_task(ask(node, '/plan/x'))
+        await wait_until(lambda: node.count('exchange-sent'))
+        watch = node.app.find('streams', StreamWatch)
+        exchange = next(iter(watch.streams)).exchange
+        send, reads = exchange.send, asyncio.Event()
+
+        async def send_once_read(message: Message) -> None:
+            await reads.wait()
+            await send(message)
+
+        exchange.send = send_once_read
+        _find_first(node).fail = 404
+        for replica in replicas:
+            replica.go_on()
+        await asyncio.sleep(2 * HEDGE_SECONDS)
+        reads.set()
+        status, body, _ = await asking
+        assert (status, body) == (404, b'no')
+        assert not node.count('stream-hedged')
+
+
+async def test_last_attempt_is_no_hedge() -> None:
+    """Refused hedges use up the attempts of a run that is lost after them."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.stall_after = _SENT_EVENTS
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        received = await response.content.readuntil(b'token 2\n\n')
+        first = _find_first(node)
+        other = next(each for each in replicas if each is not first)
+        other.refuse, other.stall_after = 503, 0
+        watch = node.app.find('streams', StreamWatch)
+        next(iter(watch.streams)).exchange.sends = MAX_SENDS - 1
+        await asyncio.sleep(HEDGE_SECONDS + 0.2)
+        other.refuse = 0
+        await first.crash()
+        assert received + await response.read() == make_event_stream(5)
