--- a/packages/ryelatch-node/src/ryelatch_node/relay/_hedging.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_hedging.py
@@ -4,6 +4,8 @@
 from ryelatch_node.relay._attempt import Relaying, attempt_path
 from ryelatch_node.relay._choice import choose_request_path
 from ryelatch_node.relay._exchange import round_seconds
+from ryelatch_node.relay._forwarded_stream import forward_stream
+from ryelatch_node.relay._forwarding import ForwardAttempts
 from ryelatch_node.relay._hedges import AttemptResult, has_run_left
 from ryelatch_node.relay._permits import acquire_permit
 from ryelatch_node.relay._places import record_path
@@ -40,8 +42,9 @@
 async def _run_elsewhere(relaying: Relaying, claims: int) -> AttemptResult:
     """Run a request at a first replica that has no run of it in progress.
 
-    Nothing is sent if a run has gone on meanwhile, if there is no such path, or
-    if the request may have no further run any more.
+    Without such a path it goes to another node if links are lost. Nothing is
+    sent if a run has gone on meanwhile, or if the request may have no further
+    run any more.
 
     :param claims: how often a run had claimed the answer when one was silent.
     """
@@ -50,7 +53,7 @@
     progress.excluded |= progress.runs.list_first_replicas()
     path = choose_request_path(context, exchange, request, progress)
     if not path or path[0].replica.name in progress.excluded:
-        return AttemptResult.AGAIN
+        return await _forward(relaying, claims)
     if not await acquire_permit(context, exchange, path[0].replica):
         return AttemptResult.AGAIN
     if progress.runs.claims != claims or not _may_run(relaying):
@@ -69,3 +72,17 @@
         return False
     left = has_run_left(relaying.exchange, request)
     return left and context.budget.spend()
+
+
+async def _forward(relaying: Relaying, claims: int) -> AttemptResult:
+    """Forward a request beside its run in progress, if links are lost."""
+    if relaying.progress.runs.claims != claims:
+        return AttemptResult.AGAIN
+    done = await forward_stream(
+        relaying.context,
+        relaying.exchange,
+        relaying.request,
+        relaying.progress,
+        ForwardAttempts(relaying.progress.may_have_run),
+    )
+    return AttemptResult.DONE if done else AttemptResult.AGAIN
