A stream that went on is not sent again for want of a report

A first replica that sends no report within 0.4 s had all its streams sent again beside the runs in progress, also those whose events came meanwhile: a replica that stood still for half a second cost a retry and an attempt for each stream, and an attempt that is spent is missed at the next loss. The watch looked at who runs the stream, not at whether it is silent.

test_stream_that_went_on_needs_no_report failed for streams that went on during the wait; one that is silent again is still sent again. Those whose pause is shorter are found in a later pass, as their first replica is suspected by then.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -257,8 +257,11 @@
                 )
 
     def _hedge_streams_on(self, replica: Replica) -> None:
+        """Hedge the streams of a first replica that are silent yet."""
+        now = self.context.clock.monotonic()
         for stream in tuple(self.streams):
-            if stream.first_replica.name == replica.name:
+            silent = now - stream.progress > _compute_silence_limit(stream)
+            if silent and stream.first_replica.name == replica.name:
                 self._hedge(stream, 'no report')
 
     async def _move_off_unreachable(
--- a/tests/node/relay/test_lag.py
+++ b/tests/node/relay/test_lag.py
@@ -158,6 +158,39 @@
     run(play())
 
 
+@pytest.mark.parametrize(
+    ('until', 'hedged'), [(0.53, True), (0.75, False), (2, False)]
+)
+def test_stream_that_went_on_needs_no_report(
+    until: float, hedged: bool
+) -> None:
+    """A stream whose events come is sent again, as a report doesn't come.
+
+    Its events begin again after the report was asked for.
+
+    :param until: when it is silent again.
+    """
+
+    async def play() -> None:
+        watch, reasons = _make_watch(answers_after=100)
+        watch.context.budget = RetryBudget(reserve=1)
+        watch._has_path = lambda _: True  # type: ignore[method-assign]
+        stream = next(iter(watch.streams))
+        began = watch.context.clock.monotonic()
+        await watch.start()
+        await asyncio.sleep(0.5)
+        while watch.context.clock.monotonic() < began + min(until, 0.95):
+            stream.progress = watch.context.clock.monotonic()
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.95 - min(until, 0.95))
+        await watch.stop()
+        assert watch.context.replicas.list_suspects() == {_HEAD.name}
+        assert bool(reasons) is hedged
+        assert not hedged or reasons[0] == 'no report'
+
+    run(play())
+
+
 class _LostLinks(SoundLinks):
     """Links that are lost."""
 
