Tests of what a wrong guess leaves behind, and of silences that come again

Nothing failed: what a hedge that was overtaken may leave behind (windows, load, account, attempts, suspicion, crash checks, quarantine) had no test in either direction, nor had a stream that falls silent again and again, or a service that stands still for 0.3, 1, 1.3 and 2 s with one replica and with three.

--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+import math
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -241,6 +242,108 @@
         assert not streams.context.windows.requests
 
 
+@contextlib.asynccontextmanager
+async def _stand_still() -> AsyncIterator[
+    tuple[RunningNode, aiohttp.ClientResponse]
+]:
+    """Let all replicas stand still until a stream is at two of them."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.pause = 0.1
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        await response.content.readuntil(b'token 2\n\n')
+        for replica in replicas:
+            replica.stand_still()
+        await wait_until(lambda: len(_list_runs(node)) == 2)
+        yield node, response
+
+
+@pytest.mark.parametrize('goes_on', [_find_first, _find_second])
+async def test_overtaken_run_leaves_nothing_behind(
+    goes_on: Callable[[RunningNode], ReplicaStandIn],
+) -> None:
+    """A wrong guess costs more than the retry and the attempt of a run."""
+    async with _stand_still() as (node, response):
+        watch = node.app.find('streams', StreamWatch)
+        context, streams = watch.context, watch.streams
+        exchange = next(iter(streams)).exchange
+        assert set(context.windows.requests) == set(node.replicas)
+        await wait_until(lambda: node.count('stream-stalled') == 2)
+        assert context.replicas.list_suspects()
+        goes_on(node).go_on()
+        received = await response.content.readuntil(b'token 3\n\n')
+        assert goes_on(node).name not in context.replicas.list_suspects()
+        received += await response.read()
+        assert make_event_stream(5).endswith(received)
+        assert (exchange.ran, exchange.unbegun, exchange.sends) == (2, 0, 2)
+        await wait_until(lambda: not streams)
+        assert not context.windows.requests
+        assert not any(context.load.requests.values())
+        assert not any(context.load.tokens.values())
+        assert not context.accounts._requests
+        assert not exchange.cut
+        assert not context.crash_checks.pending
+        assert not context.quarantine.count_suspects()
+        limits = map(context.windows.read_limit, node.replicas)
+        assert set(limits) == {math.inf}
+        assert node.count('run-overtaken') == 1
+        assert not node.count('exchange-failed')
+
+
+@pytest.mark.parametrize('goes_on', [_find_first, _find_second])
+async def test_stream_is_silent_again_and_again(
+    goes_on: Callable[[RunningNode], ReplicaStandIn],
+) -> None:
+    """A stream is cut off in a later silence, or both of its runs deliver."""
+    async with _stand_still() as (node, response):
+        replica, received = goes_on(node), b''
+        other = next(
+            each for each in node.replicas.values() if each is not replica
+        )
+
+        def is_overtaken() -> bool:
+            return other.runs[0].cancelled
+
+        for number in (3, 4):
+            replica.go_on()
+            event = f'token {number}\n\n'.encode()
+            received += await response.content.readuntil(event)
+            replica.stand_still()
+            await wait_until(is_overtaken)
+            other.go_on()
+            await asyncio.sleep(1.5)
+        replica.go_on()
+        received += await response.read()
+        assert make_event_stream(5).endswith(received)
+        assert len(_list_runs(node)) == 2
+
+
+@pytest.mark.parametrize('count', [1, 3])
+@pytest.mark.parametrize('seconds', [0.3, 1, 1.3, 2])
+async def test_silence_of_a_service_is_survived(
+    seconds: float, count: int
+) -> None:
+    """A stream is cut off as all replicas stand still for some time."""
+    replicas = _make_replicas(count)
+    for replica in replicas:
+        replica.pause = 0.1
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        received = await response.content.readuntil(b'token 2\n\n')
+        for replica in replicas:
+            replica.stand_still(splits=True)
+        await asyncio.sleep(seconds)
+        for replica in replicas:
+            replica.go_on()
+        assert received + await response.read() == make_event_stream(5)
+        assert len(_list_runs(node)) <= 2
+
+
 async def test_silence_of_all_replicas_is_survived() -> None:
     """All replicas fall silent in turn, and a third run would be too many."""
     async with _hedge_stream(_make_replicas(3)) as (node, response):
