A node that missed a revocation asks its peers before it trusts a copy

Callers with a revoked key were served by a node that started after the store had come back from an older copy and before the operator wrote again: the node had nothing to compare the older configuration with. The same held for a node that was cut off when the key was revoked, if the operator wrote again later than two seconds after the return. Ruled out: keys held back after each start (readiness two seconds later, every time); a mark in the store (calls, and lost with the copy). Seen red before: test_node_that_starts_asks_its_peers (both cases), test_late_revocation_is_not_undone.

--- a/packages/ryelatch-core/src/ryelatch_core/eras/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/eras/__init__.py
@@ -3,8 +3,15 @@
 from ryelatch_core.eras._revision import (
     FIRST_ERA,
     MAX_ERA,
+    REWRITE_SECONDS,
     UNKNOWN_REVISION,
     StoreRevision,
 )
 
-__all__ = ['FIRST_ERA', 'MAX_ERA', 'UNKNOWN_REVISION', 'StoreRevision']
+__all__ = [
+    'FIRST_ERA',
+    'MAX_ERA',
+    'REWRITE_SECONDS',
+    'UNKNOWN_REVISION',
+    'StoreRevision',
+]
--- a/packages/ryelatch-core/src/ryelatch_core/eras/_revision.py
+++ b/packages/ryelatch-core/src/ryelatch_core/eras/_revision.py
@@ -11,6 +11,12 @@
 With as many fencing numbers in each as a lease may use, all are exact in JSON.
 """
 
+REWRITE_SECONDS = 2.0
+"""Time in which operators and replicas write again what the store has lost.
+
+It counts from when a node notices that the store is back.
+"""
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class StoreRevision:
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/__init__.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/__init__.py
@@ -13,6 +13,8 @@
     PermitReply,
     PermitRequest,
     SessionRequest,
+    StandingReply,
+    StandingRequest,
     encode,
     read_body,
 )
@@ -27,6 +29,11 @@
     ReachRequest,
 )
 from ryelatch_node.peer_sync._service import PeerSync, setup
+from ryelatch_node.peer_sync._standing_client import (
+    UNKNOWN_STANDING,
+    Standing,
+    combine_replies,
+)
 from ryelatch_node.peer_sync._watch_cache import (
     PeerPartitioned,
     StoreHealth,
@@ -35,6 +42,7 @@
 
 __all__ = [
     'REQUEST_ERRORS',
+    'UNKNOWN_STANDING',
     'Change',
     'Duration',
     'ForwardAlive',
@@ -53,8 +61,12 @@
     'ReachReply',
     'ReachRequest',
     'SessionRequest',
+    'Standing',
+    'StandingReply',
+    'StandingRequest',
     'StoreHealth',
     'StoreUpdate',
+    'combine_replies',
     'connect_to_peer',
     'encode',
     'read_body',
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_connection.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_connection.py
@@ -1,7 +1,8 @@
 """A connection to a peer, for one request at a time."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -80,3 +81,18 @@
     except (ValueError, OverflowError) as error:
         raise OSError(f'no address: {error}') from error
     return PeerConnection(address, reader, writer)
+
+
+@contextlib.asynccontextmanager
+async def open_to_peer(
+    dial: Dial, address: str
+) -> AsyncIterator[PeerConnection]:
+    """Connect to a peer for one request.
+
+    :param address: ``host:port`` of the peer.
+    """
+    connection = await connect_to_peer(dial, address)
+    try:
+        yield connection
+    finally:
+        connection.drop()
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_frames.py
@@ -30,6 +30,9 @@
 Era = Annotated[int, msgspec.Meta(ge=FIRST_ERA, le=MAX_ERA)]
 """Era of the store that a revision beside it belongs to."""
 
+Version = Annotated[int, msgspec.Meta(ge=0)]
+"""Version of the configuration."""
+
 RequestRate = Annotated[float, msgspec.Meta(ge=0)]
 """Requests per second."""
 
@@ -142,6 +145,30 @@
     kind: str
 
 
+class StandingRequest(
+    msgspec.Struct, frozen=True, array_like=True, tag='standing'
+):
+    """Asks for the newest version of an object that a node has seen.
+
+    :param kind: kind of the object.
+    """
+
+    kind: str
+
+
+class StandingReply(msgspec.Struct, frozen=True, array_like=True):
+    """Tells how far the store may be behind what a node has seen.
+
+    :param era: latest era of the store that the node knows.
+    :param unsettled: seconds for which the store may lack the newest version.
+    :param version: newest version that the node has seen; 0 if there is none.
+    """
+
+    era: Era = FIRST_ERA
+    unsettled: Duration = 0
+    version: Version = 0
+
+
 class SessionRequest(
     msgspec.Struct, frozen=True, array_like=True, tag='session'
 ):
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_health_request.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_health_request.py
@@ -1,8 +1,6 @@
 """Asks a peer how long the store has been unavailable to it."""
 
 import asyncio
-import contextlib
-from collections.abc import AsyncIterator
 
 import msgspec
 
@@ -12,8 +10,7 @@
 from ryelatch_node.peer_sync._connection import (
     REQUEST_ERRORS,
     Dial,
-    PeerConnection,
-    connect_to_peer,
+    open_to_peer,
 )
 from ryelatch_node.peer_sync._frames import WatchReply, WatchRequest
 from ryelatch_node.peer_sync._watch_cache import StoreHealth
@@ -44,7 +41,7 @@
     try:
         async with (
             asyncio.timeout(REPLY_SECONDS),
-            _connect(dial, address) as connection,
+            open_to_peer(dial, address) as connection,
         ):
             body = await connection.send_request(request)
         reply = msgspec.msgpack.decode(body, type=WatchReply)
@@ -53,13 +50,3 @@
     if reply.unanswered is None:
         return StoreHealth(NEVER, reply.out)
     return StoreHealth(clock.monotonic() - reply.unanswered, reply.out)
-
-
-@contextlib.asynccontextmanager
-async def _connect(dial: Dial, address: str) -> AsyncIterator[PeerConnection]:
-    """Connect to a peer for one request."""
-    connection = await connect_to_peer(dial, address)
-    try:
-        yield connection
-    finally:
-        connection.drop()
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
@@ -40,6 +40,7 @@
 )
 from ryelatch_node.peer_sync._joining import Joining
 from ryelatch_node.peer_sync._server import PeerServer
+from ryelatch_node.peer_sync._standing_client import StandingClient
 from ryelatch_node.peer_sync._watch_cache import (
     PeerPartitioned,
     StoreHealth,
@@ -81,6 +82,7 @@
     :param bootstrap_client: provides the initial state from a peer if the store
         doesn't.
     :param initial_sources: chooses that peer if the store is only slow.
+    :param standing_client: asks peers what they have seen.
     :param joining: makes nodes known that were just registered.
     """
 
@@ -96,6 +98,7 @@
     announce_count: Callable[[int], None] = _ignore_count
     bootstrap_client: BootstrapClient = field(init=False)
     initial_sources: InitialSources = field(init=False)
+    standing_client: StandingClient = field(init=False)
     joining: Joining = field(init=False)
     _caches: dict[str, WatchCache] = field(
         default_factory=lambda: defaultdict(WatchCache)
@@ -129,6 +132,13 @@
             lambda: self._nodes,
             lambda: self._is_synced,
         )
+        self.standing_client = StandingClient(
+            self.startup.name,
+            self.dial,
+            lambda: self._nodes,
+            self.initial_sources.nodes_known,
+            lambda era: self.accept_era(era),
+        )
         self.joining = Joining(
             self.startup.name,
             self.clock,
--- a/packages/ryelatch-node/src/ryelatch_node/views/_configuration.py
+++ b/packages/ryelatch-node/src/ryelatch_node/views/_configuration.py
@@ -1,5 +1,6 @@
 """The node's view of the configuration, and when it was last confirmed."""
 
+from ryelatch_core.eras import REWRITE_SECONDS
 from ryelatch_core.events import LineLog, catalogue
 from ryelatch_core.kernel import Clock
 from ryelatch_core.membership import STORE_OVERDUE_SECONDS
@@ -11,12 +12,6 @@
 )
 from ryelatch_node.views._freshness import UNKNOWN_AGE_SECONDS
 
-REWRITE_SECONDS = 2.0
-"""Time in which operators and replicas write again what the store has lost.
-
-It counts from when a node notices that the store is back.
-"""
-
 
 class ConfigurationView:
     """The configuration that this node handles requests by.
@@ -33,6 +28,10 @@
         self._fresh = True
         # Version that the store last returned.
         self._stored_version = 0
+        # Newest version that peers have seen.
+        self._expected_version = 0
+        # Monotonic seconds before which the store may lack the newest version.
+        self._settled_at = float('-inf')
         # Monotonic seconds before which nothing confirms the configuration.
         self._unsettled_until = float('-inf')
 
@@ -79,9 +78,29 @@
         after that confirmation. What the store returns may lack the revocation
         until it is written again, so it confirms nothing if that may be later.
         """
-        settled = self._clock.monotonic() + REWRITE_SECONDS
-        if self._confirmation.confirmed + self._confirmation.bound < settled:
-            self._unsettled_until = settled
+        self._unsettle(REWRITE_SECONDS)
+
+    def expect(self, version: int, unsettled: float) -> None:
+        """Apply what peers have seen, before a list of a new era is applied.
+
+        This node may not have seen the newest version, because it has just
+        started, or was cut off. Nothing confirms the configuration before the
+        store returns a version that peers have seen.
+
+        :param version: the newest version that peers have seen.
+        :param unsettled: seconds for which peers expect that the store lacks
+            the newest version.
+        """
+        self._expected_version = max(self._expected_version, version)
+        if unsettled > 0:
+            self._unsettle(unsettled)
+
+    @property
+    def unsettled(self) -> float:
+        """Seconds for which the store may lack the newest version."""
+        if self._is_store_behind:
+            return REWRITE_SECONDS
+        return max(0.0, self._settled_at - self._clock.monotonic())
 
     def offer(self, configuration: Configuration, sent: float) -> None:
         """Apply a version read from the store unless it is older.
@@ -94,7 +113,7 @@
             monotonic seconds.
         """
         self._stored_version = configuration.version
-        if self._is_store_behind:
+        if configuration.version < self.version:
             self._log.record(
                 catalogue.CONFIGURATION_REFUSED,
                 version=configuration.version,
@@ -140,5 +159,12 @@
 
     @property
     def _is_store_behind(self) -> bool:
-        """Whether the store returned an older version than is in force."""
-        return self._stored_version < self.version
+        """Whether the store returned an older version than was seen."""
+        newest = max(self.version, self._expected_version)
+        return self._stored_version < newest
+
+    def _unsettle(self, seconds: float) -> None:
+        settled = self._clock.monotonic() + seconds
+        self._settled_at = max(self._settled_at, settled)
+        if self._confirmation.confirmed + self._confirmation.bound < settled:
+            self._unsettled_until = max(self._unsettled_until, settled)
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -221,6 +221,61 @@
     run(play())
 
 
+@pytest.mark.parametrize(('again', 'started'), [(1.8, 0.2), (4.5, 3)])
+def test_node_that_starts_asks_its_peers(again: float, started: float) -> None:
+    """A starting node accepts a key whose revocation the store has lost.
+
+    It has nothing to compare the store's older configuration with.
+    """
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        _configure(world, 7, _TAKEN, _KEPT)
+        await asyncio.sleep(_COPY_SECONDS)
+        _configure(world, 8, _KEPT)
+        await asyncio.sleep(_REVOKE_SECONDS)
+        world.store.go_away()
+        await asyncio.sleep(_AWAY_SECONDS)
+        world.store.restore(2 * _COPY_SECONDS, again)
+        await asyncio.sleep(started)
+        await world.restart(['node-c'], counted=True)
+        await asyncio.sleep(0.1)
+        assert world.nodes['node-c'].configuration.table is not None
+        await _expect_refused(world, _TAKEN, 2 * _REVOKE_SECONDS)
+        assert all(_accepts(world, name, _KEPT) for name in _NAMES)
+        await world.stop()
+
+    run(play())
+
+
+def test_late_revocation_is_not_undone() -> None:
+    """A node that missed a revocation takes the store's older configuration.
+
+    The store came back from an older copy, and the operator writes again only
+    after the time in which that is expected. A peer has seen the revocation.
+    """
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        _configure(world, 7, _TAKEN, _KEPT)
+        await asyncio.sleep(_COPY_SECONDS)
+        world.store.troubles['node-a'] = Trouble.SILENT
+        _configure(world, 8, _KEPT)
+        await asyncio.sleep(_REVOKE_SECONDS / 2)
+        world.store.go_away()
+        await asyncio.sleep(_AWAY_SECONDS)
+        world.store.restore(_COPY_SECONDS, 2 * _REVOKE_SECONDS)
+        del world.store.troubles['node-a']
+        await asyncio.sleep(_REVOKE_SECONDS / 2 - _AWAY_SECONDS)
+        await _expect_refused(world, _TAKEN, 2 * _REVOKE_SECONDS)
+        assert all(_accepts(world, name, _KEPT) for name in _NAMES)
+        await world.stop()
+
+    run(play())
+
+
 def test_older_version_confirms_nothing() -> None:
     """A node takes the store's older configuration for a confirmation.
 
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -122,15 +122,7 @@
             self.register(f'b-{number}')
         for name in names:
             self.nodes[name] = self._make(name)
-        entries = [
-            NodeEntry(
-                name,
-                self._find_zone(name),
-                f'{name}:1',
-                self.links.get(name, 1000 - order),
-            )
-            for order, name in enumerate(self.nodes)
-        ]
+        entries = self._list_entries()
         for node in self.nodes.values():
             node.peer_sync.update_nodes(entries)
             await node.start()
@@ -141,12 +133,19 @@
         for node in self.nodes.values():
             await node.stop()
 
-    async def restart(self, names: Iterable[str]) -> None:
-        """Stop nodes and start all of them again with an empty state."""
+    async def restart(
+        self, names: Iterable[str], *, counted: bool = False
+    ) -> None:
+        """Stop nodes and start all of them again with an empty state.
+
+        :param counted: whether they know the other nodes from the start.
+        """
         for name in names:
             await self.nodes[name].stop()
             self.nodes[name] = self._make(name)
         for name in names:
+            if counted:
+                self.nodes[name].peer_sync.update_nodes(self._list_entries())
             await self.nodes[name].start()
 
     def register(self, name: str, state: str = 'ready') -> None:
@@ -157,6 +156,17 @@
         """Delete the entry of a replica that has left."""
         self.store.drop('servers', name)
 
+    def _list_entries(self) -> list[NodeEntry]:
+        return [
+            NodeEntry(
+                name,
+                self._find_zone(name),
+                f'{name}:1',
+                self.links.get(name, 1000 - order),
+            )
+            for order, name in enumerate(self.nodes)
+        ]
+
     def _find_zone(self, name: str) -> str:
         return self.zones.get(name, 'zone-a')
 
