Soak: a run that an earlier one overtook is no unfinished stream

The check knew only later runs that supersede earlier ones. It now also knows the reverse, by what client and replicas recorded: the earlier run went on after the end of this one, and the client got an event at that moment. A run that ends together with the earlier one, or while the client gets nothing, is found as before: both cases are tested. No bound was changed.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -36,6 +36,7 @@
     :param ended: when the answer ended; infinity before.
     :param progress: when the last part of the answer arrived.
     :param deadline: when its client gave up at the latest.
+    :param received: when each part of it arrived.
     :param left: whether the client gave up for want of progress.
     :param signature: of the replica that answered; empty if none signed.
     """
@@ -51,6 +52,7 @@
     node: str = ''
     ended: float = math.inf
     progress: float = 0
+    received: list[float] = field(default_factory=list)
     deadline: float = math.inf
     left: bool = False
 
@@ -131,6 +133,7 @@
                 async for chunk in response.content.iter_any():
                     attempt.body += chunk
                     attempt.progress = loop.time()
+                    attempt.received.append(attempt.progress)
                 attempt.complete = True
         except ServerTimeoutError:
             attempt.left = True
--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -125,7 +125,7 @@
         replica.name
         for replica, run in runs
         if not _has_failed(world, attempt, replica, run)
-        and not _is_superseded(run, [other for _, other in runs])
+        and not _is_superseded(run, attempt, [other for _, other in runs])
     ]
 
 
@@ -159,12 +159,21 @@
     )
 
 
-def _is_superseded(run: Run, runs: Iterable[Run]) -> bool:
-    """Whether another run had an event before this one ended."""
+def _is_superseded(run: Run, attempt: Attempt, runs: Iterable[Run]) -> bool:
+    """Whether another run delivered, so that this one was ended.
+
+    A later one had an event before this one ended; or an earlier one went on
+    after that, and the client got an event at the time.
+    """
+    overtaken = any(
+        abs(at - run.ended) <= CATCH_UP_SECONDS for at in attempt.received
+    )
     return any(
-        other is not run and 0 < other.first_event <= run.ended
-        for other in runs
+        0 < other.first_event <= run.ended
         if other.at > run.at
+        else overtaken and other.ended > run.ended
+        for other in runs
+        if other is not run
     )
 
 
--- a/tests/soak_tests/test_streams.py
+++ b/tests/soak_tests/test_streams.py
@@ -133,6 +133,25 @@
     world.replicas[1].runs.append(second)
 
 
+def _add_overtaken(world: World, attempt: Attempt, received: float) -> None:
+    """Add a run that ends while the earlier one, which crashes, goes on."""
+    second = _make_run('r-1', _DURING, first_event=0)
+    second.ended = _DURING + 0.5
+    world.replicas[1].runs.append(second)
+    world.replicas[0].crashed_at = _ENDED
+    attempt.ended = _ENDED + 0.1
+    attempt.received.append(received)
+
+
+def _end_without_need(world: World, attempt: Attempt) -> None:
+    _add_overtaken(world, attempt, _SENT)
+
+
+def _end_with_the_other(world: World, attempt: Attempt) -> None:
+    _add_overtaken(world, attempt, _DURING + 0.5)
+    world.replicas[0].runs[0].ended = _DURING + 0.5
+
+
 def _resume_too_late(world: World, attempt: Attempt) -> None:
     world.replicas[0].runs[0].ended = _DURING
     second = _make_run('r-1', _DURING + 0.1, fault='broken off')
@@ -180,6 +199,8 @@
     'change',
     [
         _change_nothing,
+        _end_without_need,
+        _end_with_the_other,
         _delay_little,
         _delay_other,
         _delay_before,
@@ -213,6 +234,10 @@
     _delay(world, SOAK, _SENT, _ENDED, 0.3)
 
 
+def _go_on_and_crash(world: World, attempt: Attempt) -> None:
+    _add_overtaken(world, attempt, _DURING + 0.5)
+
+
 def _finish(world: World, attempt: Attempt) -> None:
     attempt.complete = True
 
@@ -289,6 +314,7 @@
         _delay_node,
         _delay_soak,
         _resume_and_crash,
+        _go_on_and_crash,
     ],
 )
 def test_stream_lost_by_the_soak_is_excused(change: _Change) -> None:
