--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -144,6 +144,7 @@
     _released: asyncio.Event | None = None
     _splits: bool = False
     _transports: set[asyncio.Transport] = field(default_factory=set)
+    _kept: set[asyncio.Transport] = field(default_factory=set)
 
     def register(self, state: str = 'ready') -> None:
         """Write its entry in the registry."""
@@ -176,8 +177,9 @@
         self.crashed_at = _read_clock()
         assert self.stop_listening is not None
         await self.stop_listening()
-        for transport in tuple(self._transports):
+        for transport in (*self._transports, *self._kept):
             transport.abort()
+        self._kept.clear()
 
     @property
     def is_still(self) -> bool:
@@ -296,6 +298,12 @@
             return await self._answer(request)
         finally:
             self._transports.discard(transport)
+            self._keep(transport)
+
+    def _keep(self, transport: asyncio.Transport) -> None:
+        """Remember a connection that may be used for another request."""
+        self._kept = {kept for kept in self._kept if not kept.is_closing()}
+        self._kept.add(transport)
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         identity = request.headers.get('X-Ryelatch-Request-Id', '')
