--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -165,8 +165,7 @@
         self._report_delay(stream, pause)
         if self.context.links.is_lost(stream.first_replica):
             if leaves_lost_links(self.context, stream, pause, self._reserved):
-                self._reserved += 1
-                stream.interrupt(LINKS_LOST)
+                self._add_run(stream, LINKS_LOST)
             return
         silence_limit = _compute_silence_limit(stream)
         if lost and pause > silence_limit and stream.uses(lost):
@@ -258,8 +257,11 @@
                 )
 
     def _hedge_streams_on(self, replica: Replica) -> None:
+        """Hedge the streams of a first replica that are silent yet."""
+        now = self.context.clock.monotonic()
         for stream in tuple(self.streams):
-            if stream.first_replica.name == replica.name:
+            silent = now - stream.progress > _compute_silence_limit(stream)
+            if silent and stream.first_replica.name == replica.name:
                 self._hedge(stream, 'no report')
 
     async def _move_off_unreachable(
@@ -325,19 +327,31 @@
             stream.interrupt(FIRST_REPLICA_LOST)
 
     def _hedge(self, stream: LiveStream, reason: str) -> None:
-        """Start another run beside a stream, if it may have one."""
+        """Start another run beside a stream, if it may have one here."""
         if self._may_hedge(stream):
+            self._add_run(stream, reason)
+
+    def _add_run(self, stream: LiveStream, reason: str) -> None:
+        """Start another run beside a stream, if it may have one."""
+        if self._may_add_run(stream):
             self._reserved += 1
             stream.hedge(reason, self.context.clock.monotonic())
 
     def _may_hedge(self, stream: LiveStream) -> bool:
-        """Whether another run may be started beside a stream."""
+        """Whether another run may be started here beside a stream."""
+        return self._may_add_run(stream) and self._has_path(stream)
+
+    def _may_add_run(self, stream: LiveStream) -> bool:
+        """Whether another run may be started beside a stream.
+
+        It may have ended while a command to move it was in transit, and its
+        client may have been told that nothing ran.
+        """
         request = stream.request
         now = self.context.clock.monotonic()
-        if stream.hedged or stream.reason or stream.writing:
+        if stream.finished or stream.hedged or stream.reason or stream.writing:
             return False
-        # It may have ended while a command to move it was in flight.
-        if stream.finished or now < stream.next_hedge:
+        if now < stream.next_hedge:
             return False
         if self.context.budget.left - self._reserved < 1:
             return False
@@ -346,9 +360,8 @@
         if stream.delivered and stream.splitter.last is None:
             # Without event IDs a new run would repeat what was delivered.
             return False
-        if self.context.quarantine.find_suspect(request.fingerprint):
-            return False
-        return self._has_path(stream)
+        suspect = self.context.quarantine.find_suspect(request.fingerprint)
+        return suspect is None
 
     def _has_path(self, stream: LiveStream) -> bool:
         """Whether any zone has a path for a run at another first replica."""
--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import aiohttp
@@ -21,7 +22,7 @@
     wait_until,
 )
 from ryelatch_core.quarantine import RequestPhase
-from ryelatch_node.ports import CommandResult
+from ryelatch_node.ports import CommandResult, MoveResult
 from ryelatch_node.relay import _hedging
 from ryelatch_node.relay._hedges import MAX_SENDS
 from ryelatch_node.relay._stream import LiveStream
@@ -77,6 +78,18 @@
     return node.replicas[node.find('stream-resumed')['path'][0][0]]
 
 
+def _record_places(node: RunningNode) -> list[tuple[str, ...]]:
+    """Record the paths that are reported for places from now on."""
+    placed: list[tuple[str, ...]] = []
+    client = node.app.find('streams', StreamWatch).context.reservations.client
+
+    def place(_identity: str, _zone: str, path: tuple[str, ...]) -> None:
+        placed.append(path)
+
+    client.place = place  # type: ignore[method-assign]
+    return placed
+
+
 async def test_silent_run_goes_on_beside_its_hedge() -> None:
     """A stream is cut off at a replica that goes on a moment later."""
     async with _hedge_stream(_make_replicas(2)) as (node, response):
@@ -102,6 +115,42 @@
         assert node.find('run-overtaken')['replica'] == first.name
 
 
+async def test_place_returns_to_a_run_that_went_on() -> None:
+    """A place stays on the path of a hedge that was overtaken."""
+    async with _hedge_stream(_make_replicas(2)) as (node, response):
+        placed = _record_places(node)
+        _find_first(node).resume()
+        await response.read()
+        assert placed == [(_find_first(node).name,)]
+
+
+async def test_place_stays_with_a_hedge_that_delivers() -> None:
+    """A place returns to the path of a run that was overtaken."""
+    async with _hedge_stream(_make_replicas(2)) as (node, response):
+        placed = _record_places(node)
+        _find_second(node).resume()
+        await response.read()
+        assert not placed
+
+
+async def test_place_returns_from_a_hedge_that_failed() -> None:
+    """A place counts at a replica that has refused the hedge."""
+    replicas = _make_replicas(2)
+    async with run_node(replicas) as node:
+        placed = _record_places(node)
+        async with open_request(node, '/plan/x') as response:
+            await wait_until(lambda: node.count('exchange-sent'))
+            first = _find_first(node)
+            for replica in node.replicas.values():
+                replica.refuse = 0 if replica is first else 503
+                replica.stall_after = _SENT_EVENTS
+            await wait_until(lambda: len(placed) > 2)
+            second = next(name for name in node.replicas if name != first.name)
+            assert placed[:3] == [(first.name,), (second,), (first.name,)]
+            first.resume()
+            await response.read()
+
+
 async def test_refused_hedge_leaves_the_run() -> None:
     """A stream ends with a hedge that finds no room."""
     replicas = _make_replicas(2)
@@ -176,6 +225,46 @@
         assert len(_list_runs(node)) == 1
 
 
+async def test_refused_request_has_no_hedge() -> None:
+    """A request runs after it was refused, as its move is answered only then.
+
+    Its replica refused it while the command to move it was in transit.
+    """
+    replicas = make_model_replicas((0, 4), (4, 8), (4, 8), (0, 8))
+    refusing, whole = replicas[0], replicas.pop()
+    async with run_node(replicas) as node:
+        context = node.app.find('streams', StreamWatch).context
+        commanded, answered = asyncio.Event(), asyncio.Event()
+
+        async def move(*_: Any) -> MoveResult:
+            commanded.set()
+            await answered.wait()
+            return MoveResult(CommandResult.UNANSWERED)
+
+        async def ask() -> int:
+            async with open_request(node, '/plan/x') as response:
+                return response.status
+
+        context.commands = replace(context.commands, move=move)
+        refusing.refuse = 503
+        refusing.stand_still()
+        asking = asyncio.create_task(ask())
+        await wait_until(lambda: node.count('exchange-sent'))
+        later = node.find('exchange-sent')['path'][1][0]
+        lost = context.replicas.replicas[later]
+        context.replicas.suspect(lost, 'lost', full=False)
+        await commanded.wait()
+        refusing.go_on()
+        assert await asking == 503
+        await node.add(whole)
+        await wait_until(lambda: whole.name in context.replicas.replicas)
+        answered.set()
+        await wait_until(lambda: node.count('stream-moved'))
+        await asyncio.sleep(0.1)
+        runs = _list_runs(node)
+        assert not runs
+
+
 async def test_lost_run_waits_for_its_hedge() -> None:
     """A stream ends as its first run breaks while a hedge is in progress."""
     async with _hedge_stream(_make_replicas(2)) as (node, response):
@@ -199,6 +288,108 @@
         assert not streams.context.windows.requests
 
 
+@contextlib.asynccontextmanager
+async def _stand_still() -> AsyncIterator[
+    tuple[RunningNode, aiohttp.ClientResponse]
+]:
+    """Let all replicas stand still until a stream is at two of them."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.pause = 0.1
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        await response.content.readuntil(b'token 2\n\n')
+        for replica in replicas:
+            replica.stand_still()
+        await wait_until(lambda: len(_list_runs(node)) == 2)
+        yield node, response
+
+
+@pytest.mark.parametrize('goes_on', [_find_first, _find_second])
+async def test_overtaken_run_leaves_nothing_behind(
+    goes_on: Callable[[RunningNode], ReplicaStandIn],
+) -> None:
+    """A wrong guess costs more than the retry and the attempt of a run."""
+    async with _stand_still() as (node, response):
+        watch = node.app.find('streams', StreamWatch)
+        context, streams = watch.context, watch.streams
+        exchange = next(iter(streams)).exchange
+        assert set(context.windows.requests) == set(node.replicas)
+        await wait_until(lambda: node.count('stream-stalled') == 2)
+        assert context.replicas.list_suspects()
+        goes_on(node).go_on()
+        received = await response.content.readuntil(b'token 3\n\n')
+        assert goes_on(node).name not in context.replicas.list_suspects()
+        received += await response.read()
+        assert make_event_stream(5).endswith(received)
+        assert (exchange.ran, exchange.unbegun, exchange.sends) == (2, 0, 2)
+        await wait_until(lambda: not streams)
+        assert not context.windows.requests
+        assert not any(context.load.requests.values())
+        assert not any(context.load.tokens.values())
+        assert not context.accounts._requests
+        assert not exchange.cut
+        assert not context.crash_checks.pending
+        assert not context.quarantine.count_suspects()
+        limits = map(context.windows.read_limit, node.replicas)
+        assert set(limits) == {math.inf}
+        assert node.count('run-overtaken') == 1
+        assert not node.count('exchange-failed')
+
+
+@pytest.mark.parametrize('goes_on', [_find_first, _find_second])
+async def test_stream_is_silent_again_and_again(
+    goes_on: Callable[[RunningNode], ReplicaStandIn],
+) -> None:
+    """A stream is cut off in a later silence, or both of its runs deliver."""
+    async with _stand_still() as (node, response):
+        replica, received = goes_on(node), b''
+        other = next(
+            each for each in node.replicas.values() if each is not replica
+        )
+
+        def is_overtaken() -> bool:
+            return other.runs[0].cancelled
+
+        for number in (3, 4):
+            replica.go_on()
+            event = f'token {number}\n\n'.encode()
+            received += await response.content.readuntil(event)
+            replica.stand_still()
+            await wait_until(is_overtaken)
+            other.go_on()
+            await asyncio.sleep(1.5)
+        replica.go_on()
+        received += await response.read()
+        assert make_event_stream(5).endswith(received)
+        assert len(_list_runs(node)) == 2
+
+
+@pytest.mark.parametrize('count', [1, 3])
+@pytest.mark.parametrize('seconds', [0.3, 1, 1.3, 2])
+async def test_silence_of_a_service_is_survived(
+    seconds: float, count: int
+) -> None:
+    """A stream is cut off as all replicas stand still for some time."""
+    replicas = _make_replicas(count)
+    for replica in replicas:
+        replica.pause = 0.1
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        received = await response.content.readuntil(b'token 2\n\n')
+        for replica in replicas:
+            replica.stand_still(splits=True)
+        await asyncio.sleep(seconds)
+        for replica in replicas:
+            replica.go_on()
+        assert received + await response.read() == make_event_stream(5)
+        assert len(_list_runs(node)) <= 2
+
+
 async def test_silence_of_all_replicas_is_survived() -> None:
     """All replicas fall silent in turn, and a third run would be too many."""
     async with _hedge_stream(_make_replicas(3)) as (node, response):
