--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarded_stream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarded_stream.py
@@ -78,6 +78,8 @@
         if head.status != _OK:
             body = b''.join([piece async for piece in answer.iterate()])
             if attempts.is_beside():
+                attempts.may_have_run = True
+                exchange.ran += 1
                 return False
             if exchange.started:
                 raise AnswerBroken
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -179,6 +179,20 @@
         assert [line['replica'] for line in overtaken] == [first.name]
 
 
+async def test_errors_through_helpers_count() -> None:
+    """A silent stream runs at each of two helpers, whose replicas fail it."""
+    async with _stall_on_lost_links() as (linked, response, first):
+        replicas = list(linked.node.replicas.values())
+        for replica in replicas:
+            replica.fail = 404
+        await wait_until(lambda: _find_runs(replicas, 'kept') > 1)
+        await asyncio.sleep(1)
+        first.resume()
+        rest = await response.read()
+        assert make_event_stream(_LONG_EVENTS).endswith(rest)
+        assert _find_runs(replicas, 'kept') == 2
+
+
 async def test_stream_that_goes_on_ends_its_helper() -> None:
     """Two runs deliver one stream, or one goes on after it is complete."""
     async with _stall_on_lost_links() as (linked, response, first):
