The first event ends the suspicion of a first replica

A stream whose first replica was suspected took the way of streams on lost replicas before its pause was recorded, so when it went on, nothing took the suspicion back: the replica got no new work for 4 s though it delivered. Only a stream that had stalled for 0.4 s before the suspicion did so, and a whole answer. The pause is now recorded there too, for first replicas only: an event says nothing of a later replica that was lost behind it.

Evidence: test_first_event_ends_a_suspicion saw m-0 suspected after the event before.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -278,6 +278,8 @@
         stream.delayed_by_loss = True
         stream.last_move_attempt = self.context.clock.monotonic()
         if stream.first_replica.name in lost:
+            # Its next event, if one comes, ends the suspicion.
+            _record_stall(stream, pause)
             self._leave_first_replica(stream)
             return
         stream.moving = True
--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -410,6 +410,24 @@
         assert not view.list_suspects()
 
 
+async def test_first_event_ends_a_suspicion() -> None:
+    """A replica that goes on after a short silence gets no work for seconds."""
+    replicas = _make_replicas(1)
+    replicas[0].stall_after = _SENT_EVENTS
+    replicas[0].events = 40
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        await response.content.readuntil(b'token 2\n\n')
+        view = node.app.find('streams', StreamWatch).context.replicas
+        view.suspect(view.replicas['m-0'], 'silent', full=False)
+        await asyncio.sleep(0.3)
+        replicas[0].resume()
+        await response.content.readuntil(b'token 3\n\n')
+        assert not view.list_suspects()
+
+
 async def test_leaving_replica_finishes_its_streams() -> None:
     """A stream is cut off at a replica that leaves and stopped listening."""
     replicas = _make_replicas(1)
