--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 
 import aiohttp
 import msgspec
@@ -30,6 +30,7 @@
     read_body,
 )
 from ryelatch_node.relay import _forward_server
+from ryelatch_node.relay._watch import HEDGE_SECONDS
 from soak.links import LinkMode
 from standins.replica import ReplicaStandIn
 
@@ -60,7 +61,7 @@
         yield nodes
 
 
-def _find_runs(replicas: list[ReplicaStandIn], identity: str) -> int:
+def _find_runs(replicas: Iterable[ReplicaStandIn], identity: str) -> int:
     return sum(
         run.identity == identity for replica in replicas for run in replica.runs
     )
@@ -185,6 +186,21 @@
         assert linked.node.find('run-overtaken')['peer']
 
 
+async def test_run_on_lost_links_counts_at_a_helper() -> None:
+    """A stream runs three times, as its helper starts a hedge of its own."""
+    async with _stall_on_lost_links() as (linked, response, first):
+        replicas = linked.node.replicas.values()
+        for replica in replicas:
+            replica.stall_after = 1
+            replica.stalls = 9
+        await wait_until(lambda: _find_runs(replicas, 'kept') > 1)
+        await asyncio.sleep(2 * HEDGE_SECONDS)
+        assert _find_runs(replicas, 'kept') == 2
+        first.resume()
+        rest = await response.read()
+        assert make_event_stream(_LONG_EVENTS).endswith(rest)
+
+
 async def test_unsafe_request_runs_once() -> None:
     """A booking is sent again, or said not to have run, as a helper is lost."""
     replicas = _make_replicas()
