--- a/tests/platform/test_hedged_streams.py
+++ b/tests/platform/test_hedged_streams.py
@@ -4,7 +4,7 @@
 import contextlib
 import math
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import aiohttp
@@ -13,13 +13,16 @@
 
 from fleet.running import (
     RunningNode,
+    ask,
+    make_configuration,
     make_event_stream,
     make_model_replicas,
     open_request,
     run_node,
     wait_until,
 )
-from ryelatch_node.ports import CommandResult
+from ryelatch_node.ports import CommandResult, MoveResult
+from ryelatch_node.relay._hedges import MAX_SENDS
 from ryelatch_node.relay._watch import HEDGE_SECONDS, StreamWatch
 from standins.replica import ReplicaStandIn
 
@@ -219,6 +222,46 @@
         assert len(_list_runs(node)) == 1
 
 
+async def test_refused_request_has_no_hedge() -> None:
+    """A request runs after it was refused, as its move is answered only then.
+
+    Its replica refused it while the command to move it was in transit.
+    """
+    replicas = make_model_replicas((0, 4), (4, 8), (4, 8), (0, 8))
+    refusing, whole = replicas[0], replicas.pop()
+    async with run_node(replicas) as node:
+        context = node.app.find('streams', StreamWatch).context
+        commanded, answered = asyncio.Event(), asyncio.Event()
+
+        async def move(*_: Any) -> MoveResult:
+            commanded.set()
+            await answered.wait()
+            return MoveResult(CommandResult.UNANSWERED)
+
+        async def ask() -> int:
+            async with open_request(node, '/plan/x') as response:
+                return response.status
+
+        context.commands = replace(context.commands, move=move)
+        refusing.refuse = 503
+        refusing.stand_still()
+        asking = asyncio.create_task(ask())
+        await wait_until(lambda: node.count('exchange-sent'))
+        later = node.find('exchange-sent')['path'][1][0]
+        lost = context.replicas.replicas[later]
+        context.replicas.suspect(lost, 'lost', full=False)
+        await commanded.wait()
+        refusing.go_on()
+        assert await asking == 503
+        await node.add(whole)
+        await wait_until(lambda: whole.name in context.replicas.replicas)
+        answered.set()
+        await wait_until(lambda: node.count('stream-moved'))
+        await asyncio.sleep(0.1)
+        runs = _list_runs(node)
+        assert not runs
+
+
 async def test_lost_run_waits_for_its_hedge() -> None:
     """A stream ends as its first run breaks while a hedge is in progress."""
     async with _hedge_stream(_make_replicas(2)) as (node, response):
@@ -428,3 +471,53 @@
         await asyncio.sleep(0.1)
         assert len(_list_runs(node)) == 1
         assert not node.count('stream-hedged')
+
+
+async def test_error_that_is_read_slowly_is_no_silence() -> None:
+    """Events of a second run follow an error that the client reads slowly."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.stand_still()
+    configuration = make_configuration()
+    configuration['routes'][2]['maxAttempts'] = 3
+    async with run_node(replicas, configuration) as node:
+        asking = asyncio.create_task(ask(node, '/plan/x'))
+        await wait_until(lambda: node.count('exchange-sent'))
+        watch = node.app.find('streams', StreamWatch)
+        exchange = next(iter(watch.streams)).exchange
+        send, reads = exchange.send, asyncio.Event()
+
+        async def send_once_read(message: Message) -> None:
+            await reads.wait()
+            await send(message)
+
+        exchange.send = send_once_read
+        _find_first(node).fail = 404
+        for replica in replicas:
+            replica.go_on()
+        await asyncio.sleep(2 * HEDGE_SECONDS)
+        reads.set()
+        status, body, _ = await asking
+        assert (status, body) == (404, b'no')
+        assert not node.count('stream-hedged')
+
+
+async def test_last_attempt_is_no_hedge() -> None:
+    """Refused hedges use up the attempts of a run that is lost after them."""
+    replicas = _make_replicas(2)
+    for replica in replicas:
+        replica.stall_after = _SENT_EVENTS
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        received = await response.content.readuntil(b'token 2\n\n')
+        first = _find_first(node)
+        other = next(each for each in replicas if each is not first)
+        other.refuse, other.stall_after = 503, 0
+        watch = node.app.find('streams', StreamWatch)
+        next(iter(watch.streams)).exchange.sends = MAX_SENDS - 1
+        await asyncio.sleep(HEDGE_SECONDS + 0.2)
+        other.refuse = 0
+        await first.crash()
+        assert received + await response.read() == make_event_stream(5)
