--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
@@ -238,8 +238,7 @@
         if state.stored and state.stored.revision >= stored.revision:
             return
         due = now + REWRITE_SPREAD_SECONDS * self._jitter
-        refused = stored.key in self._refused_keys
-        applied = _apply_object(state, stored, now, due if refused else None)
+        applied = _apply_object(state, stored, now, due, self._refused_keys)
         self._update(stored.key, applied, now)
         self.evaluate(now)
 
@@ -270,10 +269,7 @@
                 self._update(key, replace(state, stored=None), now)
         for stored in fresh.values():
             state = self._states.get(stored.key, CrashState())
-            refused = stored.key in self._refused_keys
-            applied = _apply_object(
-                state, stored, now, due if refused else None
-            )
+            applied = _apply_object(state, stored, now, due, self._refused_keys)
             self._update(stored.key, applied, now)
         self.evaluate(now)
 
@@ -395,20 +391,24 @@
 
 
 def _apply_object(
-    state: CrashState, stored: StoredCrashes, now: float, due: float | None
+    state: CrashState,
+    stored: StoredCrashes,
+    now: float,
+    due: float,
+    refused: Collection[str],
 ) -> CrashState:
     """Apply an object; one of a refused key is completed in a new era.
 
     The store has come back from an older copy, which may lack crashes or trials
     that were known before. They are written again.
 
-    :param due: from when they are, in monotonic seconds; ``None`` if the key
-        isn't refused.
+    :param due: from when they are, in monotonic seconds.
+    :param refused: keys that are refused.
     """
     before = state.stored
     if (
-        due is None
-        or before is None
+        before is None
+        or stored.key not in refused
         or before.revision.era == stored.revision.era
     ):
         return replace(state, stored=stored, changed=now)
