A replica that had come back was kept out after a return of the store

Callers lost a replica for good, until its entry changed: it had been dropped within the 30 s before the store came back from a copy, and had been listed again since, so it was taken for one that only the copy lists. An incarnation that is in use as an era ends is no such one. Seen red before: test_replica_that_had_come_back_stays_in_use.

--- a/packages/ryelatch-node/src/ryelatch_node/views/_leaving.py
+++ b/packages/ryelatch-node/src/ryelatch_node/views/_leaving.py
@@ -67,10 +67,14 @@
 
         :param replicas: as listed before.
         """
+        in_use = set()
         for replica in replicas:
             if replica.leaving:
                 self.add(replica.name)
-        self._listed_by_copy = frozenset(self._list_dropped())
+            else:
+                in_use.add(replica.name)
+        # An entry may have been written again since it was dropped.
+        self._listed_by_copy = frozenset(self._list_dropped()) - in_use
 
     def record_entry(self, name: str) -> None:
         """Record that the entry of an incarnation was written just now."""
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -408,6 +408,25 @@
     run(play())
 
 
+def test_replica_that_had_come_back_stays_in_use() -> None:
+    """An entry was deleted and written again, and a later return drops it."""
+
+    async def play() -> None:
+        world = World()
+        await world.start(_NAMES)
+        world.store.drop('servers', 'b-1', by_node=True)
+        await asyncio.sleep(1)
+        world.register('b-1')
+        await asyncio.sleep(2 * _COPY_SECONDS)
+        world.store.restore(_COPY_SECONDS, 1.5)
+        for _ in range(round(5 / _CHECK_SECONDS)):
+            assert all(node.offers('b-1') for node in world.nodes.values())
+            await asyncio.sleep(_CHECK_SECONDS)
+        await world.stop()
+
+    run(play())
+
+
 @pytest.fixture
 def _shared(monkeypatch: pytest.MonkeyPatch) -> None:
     """Let few nodes watch the store for the others."""
