--- a/tests/platform/test_era_seeds.py
+++ b/tests/platform/test_era_seeds.py
@@ -127,6 +127,8 @@
     def _accepts(self, name: str, key: str) -> bool:
         view = self.world.nodes[name].configuration
         if view.table is None:
+            # Only a node that has just started has no configuration.
+            assert self.restarts
             return False
         return view.allows_keys() and view.table.find_account(key) is not None
 
