--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -21,6 +21,10 @@
 from ryelatch_node.relay._lost_links import LINKS_LOST, leaves_lost_links
 from ryelatch_node.relay._migration_planner import MigrationPlanner
 from ryelatch_node.relay._path_checks import PathChecks
+from ryelatch_node.relay._pauses import (
+    compute_silence_limit,
+    get_stall_limit,
+)
 from ryelatch_node.relay._probe import Prober
 from ryelatch_node.relay._query import get_profile, make_path_query
 from ryelatch_node.relay._stream import FIRST_REPLICA_LOST, LiveStream
@@ -30,32 +34,7 @@
 TICK_SECONDS = 0.02
 """Interval between checks of all streams.
 
-It is about a third of ``MIN_SILENCE_SECONDS``.
-"""
-
-STALL_SECONDS = 0.4
-"""Pause after which the first replica is asked for a report.
-
-An event takes 40 to 100 ms, and several such intervals pass while replicas
-process long prompts. The report lags by 200 ms, so an earlier one would not
-show the stall.
-"""
-
-FIRST_STALL_SECONDS = 0.7
-"""``STALL_SECONDS`` before the first event, while the prompt is processed."""
-
-MIN_SILENCE_SECONDS = 0.07
-"""Minimum pause after which the replicas of a path are checked.
-
-Clients notice a pause of a quarter of a second, and another run needs most
-of that time to produce its first event.
-"""
-
-SILENCE_GAPS = 1.6
-"""Minimum pause as a multiple of the mean gap between events of the stream.
-
-The replicas of a path are checked after this pause or after
-``MIN_SILENCE_SECONDS``, whichever is longer.
+It is about a third of the shortest pause that is checked.
 """
 
 SLOW_FRACTION = 0.6
@@ -64,12 +43,6 @@
 It is a fraction of the pause that the clients of the route notice.
 """
 
-FIRST_SILENCE_SECONDS = 0.25
-"""Pause after which replicas are checked before a stream has two events.
-
-Its mean gap isn't known yet, and its prompt may still be processed.
-"""
-
 MOVE_PAUSE_SECONDS = 0.15
 """Pause between attempts to move a stalled stream."""
 
@@ -168,7 +141,7 @@
                 self._reserved += 1
                 stream.interrupt(LINKS_LOST)
             return
-        silence_limit = _compute_silence_limit(stream)
+        silence_limit = compute_silence_limit(stream)
         if lost and pause > silence_limit and stream.uses(lost):
             if now - stream.last_move_attempt > MOVE_PAUSE_SECONDS:
                 self._tasks.spawn(self._move_off_unreachable(stream, pause))
@@ -177,7 +150,7 @@
             self._path_checks.check(stream.path)
         if pause > max(silence_limit, stream.request.route.gap * SLOW_FRACTION):
             self.context.slow_replicas.check(stream.path)
-        if pause > _get_stall_limit(stream):
+        if pause > get_stall_limit(stream):
             _record_stall(stream, pause)
             self._request_report(stream.first_replica, now)
         else:
@@ -261,7 +234,7 @@
         """Hedge the streams of a first replica that are silent yet."""
         now = self.context.clock.monotonic()
         for stream in tuple(self.streams):
-            silent = now - stream.progress > _compute_silence_limit(stream)
+            silent = now - stream.progress > compute_silence_limit(stream)
             if silent and stream.first_replica.name == replica.name:
                 self._hedge(stream, 'no report')
 
@@ -423,16 +396,3 @@
             pause=round_seconds(pause),
             events=stream.delivered,
         )
-
-
-def _compute_silence_limit(stream: LiveStream) -> float:
-    """Compute the pause after which the replicas of a stream are checked."""
-    if stream.first_event is None or stream.delivered < 2:
-        return FIRST_SILENCE_SECONDS
-    flowing_seconds = stream.progress - stream.first_event
-    gap = flowing_seconds / (stream.delivered - 1)
-    return max(MIN_SILENCE_SECONDS, SILENCE_GAPS * gap)
-
-
-def _get_stall_limit(stream: LiveStream) -> float:
-    return STALL_SECONDS if stream.begun else FIRST_STALL_SECONDS
