--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 
+import aiohttp
 import msgspec
 import pytest
 
@@ -29,10 +30,12 @@
     read_body,
 )
 from ryelatch_node.relay import _forward_server
+from ryelatch_node.relay._watch import HEDGE_SECONDS
 from soak.links import LinkMode
 from standins.replica import ReplicaStandIn
 
 _EVENTS = 20
+_LONG_EVENTS = 100
 _DEADLINE_SECONDS = 5
 
 
@@ -58,7 +61,7 @@
         yield nodes
 
 
-def _find_runs(replicas: list[ReplicaStandIn], identity: str) -> int:
+def _find_runs(replicas: Iterable[ReplicaStandIn], identity: str) -> int:
     return sum(
         run.identity == identity for replica in replicas for run in replica.runs
     )
@@ -110,6 +113,120 @@
         assert received == make_event_stream(_EVENTS)
 
 
+async def test_runs_at_a_helper_count_as_attempts() -> None:
+    """A request runs as often as its route allows at each of two helpers."""
+    replicas = [*_make_replicas(), *make_model_replicas((0, 8), (0, 8))]
+    for number, replica in enumerate(replicas):
+        replica.name = f'r-{number}'
+        replica.other_identity = True
+    async with _run_cut(replicas) as nodes:
+        status, _, _ = await ask(nodes[0].node, '/plan/x', identity='counted')
+        assert status == 502
+        assert _find_runs(replicas, 'counted') == 2
+
+
+@contextlib.asynccontextmanager
+async def _stall_on_lost_links(
+    refuse: int = 0,
+) -> AsyncIterator[tuple[LinkedNode, aiohttp.ClientResponse, ReplicaStandIn]]:
+    """Let a stream fall silent on an open connection over lost links.
+
+    :param refuse: status with which replicas refuse all new runs.
+    :returns: its node, its answer and its first replica.
+    """
+    replicas = _make_replicas(pause=0.1)
+    for replica in replicas:
+        replica.events = _LONG_EVENTS
+    async with (
+        run_linked_nodes(replicas, 3) as nodes,
+        open_request(nodes[0].node, '/plan/x', identity='kept') as response,
+    ):
+        await response.content.readuntil(b'token 1\n\n')
+        nodes[0].cut(LinkMode.REFUSING)
+        await discover_cut(nodes[0], 'first')
+        first = next(replica for replica in replicas if replica.runs)
+        first.stall_after = 1
+        for replica in replicas:
+            replica.pause = 0
+            replica.refuse = refuse
+        yield nodes[0], response, first
+
+
+async def test_stream_stays_where_a_helper_refuses() -> None:
+    """A stream is cut off at its only replica before a helper can run it."""
+    async with _stall_on_lost_links(refuse=503) as (linked, response, first):
+        await wait_until(
+            lambda: any(
+                line['name'] == 'exchange-failed' and line['request'] == 'kept'
+                for line in linked.node.lines
+            )
+        )
+        first.resume()
+        rest = await response.read()
+        assert make_event_stream(_LONG_EVENTS).endswith(rest)
+        ended = [run.cancelled for run in first.runs if run.identity == 'kept']
+        assert ended == [False]
+
+
+async def test_stream_leaves_lost_links_for_a_helper() -> None:
+    """A stream waits on lost links, or its run there goes on without need."""
+    async with _stall_on_lost_links() as (linked, response, first):
+        rest = await response.read()
+        assert make_event_stream(_LONG_EVENTS).endswith(rest)
+        kept = first.runs[0]
+        await wait_until(lambda: kept.cancelled, seconds=0.5)
+        lines = linked.node.lines
+        overtaken = [line for line in lines if line['name'] == 'run-overtaken']
+        assert [line['replica'] for line in overtaken] == [first.name]
+
+
+async def test_errors_through_helpers_count() -> None:
+    """A silent stream runs at each of two helpers, whose replicas fail it."""
+    async with _stall_on_lost_links() as (linked, response, first):
+        replicas = list(linked.node.replicas.values())
+        for replica in replicas:
+            replica.fail = 404
+        await wait_until(lambda: _find_runs(replicas, 'kept') > 1)
+        await asyncio.sleep(1)
+        first.resume()
+        rest = await response.read()
+        assert make_event_stream(_LONG_EVENTS).endswith(rest)
+        assert _find_runs(replicas, 'kept') == 2
+
+
+async def test_stream_that_goes_on_ends_its_helper() -> None:
+    """Two runs deliver one stream, or one goes on after it is complete."""
+    async with _stall_on_lost_links() as (linked, response, first):
+        first.refuse = 503
+        other = next(
+            replica
+            for replica in linked.node.replicas.values()
+            if replica.accelerator and replica is not first
+        )
+        other.stall_after = 1
+        await wait_until(lambda: other.runs)
+        first.resume()
+        rest = await response.read()
+        assert make_event_stream(_LONG_EVENTS).endswith(rest)
+        await wait_until(lambda: other.runs[0].cancelled, seconds=0.5)
+        assert linked.node.find('run-overtaken')['peer']
+
+
+async def test_run_on_lost_links_counts_at_a_helper() -> None:
+    """A stream runs three times, as its helper starts a hedge of its own."""
+    async with _stall_on_lost_links() as (linked, response, first):
+        replicas = linked.node.replicas.values()
+        for replica in replicas:
+            replica.stall_after = 1
+            replica.stalls = 9
+        await wait_until(lambda: _find_runs(replicas, 'kept') > 1)
+        await asyncio.sleep(2 * HEDGE_SECONDS)
+        assert _find_runs(replicas, 'kept') == 2
+        first.resume()
+        rest = await response.read()
+        assert make_event_stream(_LONG_EVENTS).endswith(rest)
+
+
 async def test_unsafe_request_runs_once() -> None:
     """A booking is sent again, or said not to have run, as a helper is lost."""
     replicas = _make_replicas()
--- a/tests/platform/test_lost_streams.py
+++ b/tests/platform/test_lost_streams.py
@@ -226,14 +226,14 @@
 
 
 async def test_runs_with_unusable_answers_count() -> None:
-    """A stream runs at more replicas than its route allows, at bad ones."""
+    """A stream runs at too many replicas after answers that can't be used."""
     replicas = make_model_replicas((0, 8), (0, 8), (0, 8))
     for replica in replicas:
         replica.other_identity = True
     async with run_node(replicas) as node:
         status, _, _ = await ask(node, '/plan/x')
     assert status == 502
-    assert sum(bool(replica.runs) for replica in replicas) == 2
+    assert sum(len(replica.runs) for replica in replicas) == 2
 
 
 @pytest.mark.usefixtures('_harmless')
