--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_link_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_link_frames.py
@@ -67,12 +67,14 @@
 
     :param retry_after: seconds after which the client should retry, if any.
     :param reaches: whether the node reaches the replicas of the service.
+    :param ran: runs there that count against the attempts of the route.
     """
 
     status: int
     reason: str
     retry_after: Duration | None = None
     reaches: bool = True
+    ran: int = 0
 
 
 class ForwardStart(msgspec.Struct, frozen=True, array_like=True, tag='start'):
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
@@ -58,11 +58,13 @@
     Looks like the connection of a client to the code that relays requests.
 
     :param reaches: whether this node reaches the replicas of the service.
+    :param count_runs: counts the runs here against the attempts of the route.
     """
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     reaches: Callable[[], bool]
+    count_runs: Callable[[], int] = int
 
     async def receive(self) -> Message:
         """Wait until the node closes the connection.
@@ -91,7 +93,9 @@
     ) -> None:
         """Send that this node ends the request with an error."""
         await self.write(
-            ForwardRefused(status, reason, retry_after, self.reaches())
+            ForwardRefused(
+                status, reason, retry_after, self.reaches(), self.count_runs()
+            )
         )
 
     async def write(self, reply: ForwardReply) -> None:
@@ -188,6 +192,7 @@
             ran=forwarded.ran,
             reject=connection.refuse,
         )
+        connection.count_runs = lambda: exchange.ran - forwarded.ran
         exchange.detail['origin'] = forwarded.origin
         exchange.record(
             catalogue.FORWARD_TAKEN,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
@@ -242,6 +242,7 @@
         reason=refusal.reason,
         outcome='not run' if refusal.status in _NOT_RUN else 'failed',
     )
+    exchange.ran += refusal.ran
     if not refusal.reaches:
         context.links.helpers.drop(helper.node.name)
     if refusal.status in _NOT_RUN:
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -201,6 +201,19 @@
         assert make_event_stream(_LONG_EVENTS).endswith(rest)
 
 
+async def test_run_that_a_helper_lost_counts() -> None:
+    """A stream runs at replica after replica, as helpers lose its answers."""
+    async with _stall_on_lost_links() as (linked, response, first):
+        replicas = linked.node.replicas.values()
+        for replica in replicas:
+            replica.other_identity = True
+        await asyncio.sleep(2 * HEDGE_SECONDS)
+        assert _find_runs(replicas, 'kept') == 2
+        first.resume()
+        rest = await response.read()
+        assert make_event_stream(_LONG_EVENTS).endswith(rest)
+
+
 async def test_unsafe_request_runs_once() -> None:
     """A booking is sent again, or said not to have run, as a helper is lost."""
     replicas = _make_replicas()
