--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_link_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_link_frames.py
@@ -67,8 +67,7 @@
 
     :param retry_after: seconds after which the client should retry, if any.
     :param reaches: whether the node reaches the replicas of the service.
-    :param ran: runs that count against the attempts its route allows, with
-        those before it was forwarded.
+    :param ran: runs there that count against the attempts of the route.
     """
 
     status: int
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
@@ -58,11 +58,13 @@
     Looks like the connection of a client to the code that relays requests.
 
     :param reaches: whether this node reaches the replicas of the service.
+    :param count_runs: counts the runs here against the attempts of the route.
     """
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     reaches: Callable[[], bool]
+    count_runs: Callable[[], int] = int
 
     async def receive(self) -> Message:
         """Wait until the node closes the connection.
@@ -87,14 +89,13 @@
             await self.write(ForwardPiece(message['body'], last))
 
     async def refuse(
-        self, status: int, reason: str, retry_after: float | None, ran: int = 0
+        self, status: int, reason: str, retry_after: float | None
     ) -> None:
-        """Send that this node ends the request with an error.
-
-        :param ran: runs that count against the attempts its route allows.
-        """
+        """Send that this node ends the request with an error."""
         await self.write(
-            ForwardRefused(status, reason, retry_after, self.reaches(), ran)
+            ForwardRefused(
+                status, reason, retry_after, self.reaches(), self.count_runs()
+            )
         )
 
     async def write(self, reply: ForwardReply) -> None:
@@ -183,20 +184,15 @@
                 request.status, request.reason, request.retry_after
             )
             return
-
-        async def refuse(
-            status: int, reason: str, retry_after: float | None
-        ) -> None:
-            await connection.refuse(status, reason, retry_after, exchange.ran)
-
         exchange = Exchange(
             request.terms.identity,
             connection.send,
             self.context.log,
             self.context.clock,
             ran=forwarded.ran,
-            reject=refuse,
+            reject=connection.refuse,
         )
+        connection.count_runs = lambda: exchange.ran - forwarded.ran
         exchange.detail['origin'] = forwarded.origin
         exchange.record(
             catalogue.FORWARD_TAKEN,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
@@ -203,7 +203,6 @@
             attempts.serving = helper.node.name
             head = await answer.read_head()
             if isinstance(head, ForwardRefused):
-                exchange.ran += max(0, head.ran - frame.ran)
                 done = await _handle_refusal(
                     context, exchange, request, attempts, helper, head
                 )
@@ -243,6 +242,7 @@
         reason=refusal.reason,
         outcome='not run' if refusal.status in _NOT_RUN else 'failed',
     )
+    exchange.ran += refusal.ran
     if not refusal.reaches:
         context.links.helpers.drop(helper.node.name)
     if refusal.status in _NOT_RUN:
