--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/__init__.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/__init__.py
@@ -12,9 +12,9 @@
     IncarnationName,
     PermitReply,
     PermitRequest,
+    SeenVersionReply,
+    SeenVersionRequest,
     SessionRequest,
-    StandingReply,
-    StandingRequest,
     encode,
     read_body,
 )
@@ -28,12 +28,12 @@
     ReachReply,
     ReachRequest,
 )
-from ryelatch_node.peer_sync._service import PeerSync, setup
-from ryelatch_node.peer_sync._standing_client import (
-    UNKNOWN_STANDING,
-    Standing,
+from ryelatch_node.peer_sync._seen_version_client import (
+    NO_SEEN_VERSION,
+    SeenVersion,
     combine_replies,
 )
+from ryelatch_node.peer_sync._service import PeerSync, setup
 from ryelatch_node.peer_sync._watch_cache import (
     PeerPartitioned,
     StoreHealth,
@@ -41,8 +41,8 @@
 )
 
 __all__ = [
+    'NO_SEEN_VERSION',
     'REQUEST_ERRORS',
-    'UNKNOWN_STANDING',
     'Change',
     'Duration',
     'ForwardAlive',
@@ -60,10 +60,10 @@
     'PermitRequest',
     'ReachReply',
     'ReachRequest',
+    'SeenVersion',
+    'SeenVersionReply',
+    'SeenVersionRequest',
     'SessionRequest',
-    'Standing',
-    'StandingReply',
-    'StandingRequest',
     'StoreHealth',
     'StoreUpdate',
     'combine_replies',
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_frames.py
@@ -145,8 +145,8 @@
     kind: str
 
 
-class StandingRequest(
-    msgspec.Struct, frozen=True, array_like=True, tag='standing'
+class SeenVersionRequest(
+    msgspec.Struct, frozen=True, array_like=True, tag='seen'
 ):
     """Asks for the newest version of an object that a node has seen.
 
@@ -156,7 +156,7 @@
     kind: str
 
 
-class StandingReply(msgspec.Struct, frozen=True, array_like=True):
+class SeenVersionReply(msgspec.Struct, frozen=True, array_like=True):
     """Tells how far the store may be behind what a node has seen.
 
     :param era: latest era of the store that the node knows.
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_standing_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_seen_version_client.py
@@ -16,7 +16,7 @@
     Dial,
     open_to_peer,
 )
-from ryelatch_node.peer_sync._frames import StandingReply, StandingRequest
+from ryelatch_node.peer_sync._frames import SeenVersionReply, SeenVersionRequest
 from ryelatch_node.peer_sync._initial_source import COUNT_SECONDS
 
 REPLY_SECONDS = 0.2
@@ -29,11 +29,11 @@
 """Nodes that are asked; any of them may have seen what the store has lost."""
 
 
-_Asking: TypeAlias = 'asyncio.Task[StandingReply | None]'
+_Asking: TypeAlias = 'asyncio.Task[SeenVersionReply | None]'
 
 
 @dataclass(frozen=True, slots=True)
-class Standing:
+class SeenVersion:
     """How far the store can be relied on to have the newest version.
 
     :param unsettled: seconds for which it may lack the newest version.
@@ -44,12 +44,12 @@
     version: int = 0
 
 
-UNKNOWN_STANDING = Standing()
-"""Standing of a node that has seen nothing yet."""
+NO_SEEN_VERSION = SeenVersion()
+"""What is known at a node that has seen nothing yet."""
 
 
 @dataclass(eq=False)
-class StandingClient:
+class SeenVersionClient:
     """Asks peers for the newest version of an object that they have seen.
 
     :param local_name: name of this node.
@@ -66,7 +66,7 @@
     accept_era: Callable[[int], bool]
     counts_nodes: bool = False
 
-    async def request(self, object_kind: str) -> list[StandingReply]:
+    async def request(self, object_kind: str) -> list[SeenVersionReply]:
         """Ask peers what they have seen.
 
         A node that has just started waits a moment for its list of nodes. Some
@@ -100,13 +100,15 @@
                     await self.nodes_known.wait()
 
 
-def combine_replies(replies: Iterable[StandingReply], era: int) -> Standing:
+def combine_replies(
+    replies: Iterable[SeenVersionReply], era: int
+) -> SeenVersion:
     """Combine what peers have seen.
 
     :param era: era of the store of which this node has a list.
     """
     known = list(replies)
-    return Standing(
+    return SeenVersion(
         max((_read_unsettled(reply, era) for reply in known), default=0.0),
         max((reply.version for reply in known), default=0),
     )
@@ -124,7 +126,7 @@
         await asyncio.wait(pending, timeout=LATE_REPLY_SECONDS)
 
 
-def _read_unsettled(reply: StandingReply, era: int) -> float:
+def _read_unsettled(reply: SeenVersionReply, era: int) -> float:
     """Read for how long the store may lack the newest version.
 
     The store has just come back from an older copy if the peer still knows an
@@ -137,15 +139,15 @@
 
 async def _ask(
     dial: Dial, peer: NodeEntry, object_kind: str
-) -> StandingReply | None:
+) -> SeenVersionReply | None:
     """Ask a peer; ``None`` if it doesn't reply."""
-    request = StandingRequest(object_kind)
+    request = SeenVersionRequest(object_kind)
     try:
         async with (
             asyncio.timeout(REPLY_SECONDS),
             open_to_peer(dial, peer.address) as connection,
         ):
             body = await connection.send_request(request)
-        return msgspec.msgpack.decode(body, type=StandingReply)
+        return msgspec.msgpack.decode(body, type=SeenVersionReply)
     except REQUEST_ERRORS:
         return None
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_server.py
@@ -23,9 +23,9 @@
     ListRequest,
     PermitReply,
     PermitRequest,
+    SeenVersionReply,
+    SeenVersionRequest,
     SessionRequest,
-    StandingReply,
-    StandingRequest,
     WatchReply,
     WatchRequest,
     encode,
@@ -50,7 +50,7 @@
     | JoinRequest
     | ListRequest
     | ReachRequest
-    | StandingRequest
+    | SeenVersionRequest
 )
 
 _AnyRequest: TypeAlias = _PlainRequest | SessionRequest | ForwardRequest
@@ -94,8 +94,8 @@
     raise ValueError(f'no sessions for {request.service} here')
 
 
-def _know_nothing(_: StandingRequest) -> StandingReply:
-    return StandingReply()
+def _know_nothing(_: SeenVersionRequest) -> SeenVersionReply:
+    return SeenVersionReply()
 
 
 async def _reach_nothing(_: ReachRequest) -> ReachReply:
@@ -124,7 +124,7 @@
     :param handle_message: handles the message of a peer that introduces
         itself.
     :param handle_join: gets to know a peer that was just registered.
-    :param handle_standing_request: tells a peer what this node has seen of
+    :param handle_seen_version_request: tells a peer what this node has seen of
         an object.
     :param serve_session: serves a session of a peer on its connection.
     :param handle_reach_request: tells a peer what this node reaches.
@@ -146,9 +146,9 @@
     handle_join: Callable[[JoinRequest, str], Awaitable[JoinReply]] = (
         _know_nobody
     )
-    handle_standing_request: Callable[[StandingRequest], StandingReply] = (
-        _know_nothing
-    )
+    handle_seen_version_request: Callable[
+        [SeenVersionRequest], SeenVersionReply
+    ] = _know_nothing
     serve_session: ServeSession = _reject_session
     handle_reach_request: Callable[[ReachRequest], Awaitable[ReachReply]] = (
         _reach_nothing
@@ -221,8 +221,8 @@
                 return encode(await self.handle_join(request, host))
             case ListRequest():
                 return encode(self._make_list_reply(request))
-            case StandingRequest():
-                return encode(self.handle_standing_request(request))
+            case SeenVersionRequest():
+                return encode(self.handle_seen_version_request(request))
             case WatchRequest():
                 return await self._serve_watch(request)
             case ReachRequest():
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
@@ -39,8 +39,8 @@
     InitialSources,
 )
 from ryelatch_node.peer_sync._joining import Joining
+from ryelatch_node.peer_sync._seen_version_client import SeenVersionClient
 from ryelatch_node.peer_sync._server import PeerServer
-from ryelatch_node.peer_sync._standing_client import StandingClient
 from ryelatch_node.peer_sync._watch_cache import (
     PeerPartitioned,
     StoreHealth,
@@ -82,7 +82,7 @@
     :param bootstrap_client: provides the initial state from a peer if the store
         doesn't.
     :param initial_sources: chooses that peer if the store is only slow.
-    :param standing_client: asks peers what they have seen.
+    :param seen_version_client: asks peers what they have seen.
     :param joining: makes nodes known that were just registered.
     """
 
@@ -98,7 +98,7 @@
     announce_count: Callable[[int], None] = _ignore_count
     bootstrap_client: BootstrapClient = field(init=False)
     initial_sources: InitialSources = field(init=False)
-    standing_client: StandingClient = field(init=False)
+    seen_version_client: SeenVersionClient = field(init=False)
     joining: Joining = field(init=False)
     _caches: dict[str, WatchCache] = field(
         default_factory=lambda: defaultdict(WatchCache)
@@ -132,7 +132,7 @@
             lambda: self._nodes,
             lambda: self._is_synced,
         )
-        self.standing_client = StandingClient(
+        self.seen_version_client = SeenVersionClient(
             self.startup.name,
             self.dial,
             lambda: self._nodes,
--- a/tests/node/peer_sync/test_frame_properties.py
+++ b/tests/node/peer_sync/test_frame_properties.py
@@ -23,7 +23,7 @@
     JoinReply,
     ListReply,
     PermitReply,
-    StandingReply,
+    SeenVersionReply,
     WatchReply,
     unpack,
 )
@@ -40,12 +40,12 @@
 )
 
 _TAGS = (
-    *('watch', 'permit', 'greeting', 'join', 'whole', 'standing', 'session'),
+    *('watch', 'permit', 'greeting', 'join', 'whole', 'seen', 'session'),
     *('reach', 'forward'),
 )
 _REPLIES = (
     *(BootstrapReply, JoinReply, ListReply, PermitReply, ReachReply),
-    *(StandingReply, WatchReply),
+    *(SeenVersionReply, WatchReply),
 )
 _VALUES = st.recursive(
     st.none()
