Test: planned work beside one silent replica, for streams that run once only

But the suite did not hold all of it. Its streams could all be repeated, and all replicas stood still at once.

--- a/tests/platform/test_silent_replicas.py
+++ b/tests/platform/test_silent_replicas.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 import signal
+from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import pytest
 from aiohttp import ClientError, ClientSession, ClientTimeout
@@ -13,6 +15,7 @@
 from fleet.node_processes import NodeProcess, start_node, wait_ready
 from fleet.processes import Process, spawn_standin
 from fleet.running import (
+    MODEL_SERVICE,
     make_configuration,
     make_event_stream,
     make_model_replicas,
@@ -27,11 +30,33 @@
 _STREAMS = 3
 """Streams at once, fewer than the slots of one replica."""
 
+_SPREAD_STREAMS = 6
+"""Streams at two replicas, more than the slots of either."""
+
 _SHORT_SECONDS = 0.2
 _PAUSES = (0.3, 1.0, 1.3, 1.8)
 """Seconds for which replicas stand still; clients leave after two."""
 
 _READ_SECONDS = 60
+_SIGNATURE = 'X-Ryelatch-Replica-Signature'
+
+_RESUMABLE_PATH = '/plan/x'
+_UNREPEATABLE_PATH = '/tell/x'
+"""Path of streams that may run once only."""
+
+
+@dataclass(eq=False)
+class _Stream:
+    """A stream as its client sees it.
+
+    :param replica: name of the replica that signed its answer.
+    :param begun: set when a part of it has arrived, or when it has ended.
+    :param body: what arrived until its end.
+    """
+
+    replica: str = ''
+    begun: asyncio.Event = field(default_factory=asyncio.Event)
+    body: bytes = b''
 
 
 @dataclass(frozen=True)
@@ -44,47 +69,73 @@
     http: ClientSession
 
     @contextlib.asynccontextmanager
-    async def pause_replicas(self, seconds: float) -> AsyncIterator[None]:
-        """Stop all replicas, and let them go on after a time at least."""
-        self._send(signal.SIGSTOP)
-        paused = asyncio.create_task(asyncio.sleep(seconds))
+    async def pause_replicas(
+        self, seconds: float, name: str = ''
+    ) -> AsyncIterator[None]:
+        """Stop replicas, and let them go on after a time at least.
+
+        :param name: of the only one that is stopped; by default all are.
+        """
+        paused = [
+            replica for replica in self.replicas if name in {'', replica.name}
+        ]
+        _send(paused, signal.SIGSTOP)
+        waiting = asyncio.create_task(asyncio.sleep(seconds))
         try:
             yield
-            await paused
+            await waiting
         finally:
-            self._send(signal.SIGCONT)
+            _send(paused, signal.SIGCONT)
 
     async def change_configuration(self) -> None:
         """Change timeouts, and add a route."""
-        configuration = make_configuration(version=2)
+        configuration = _make_configuration(version=2)
         configuration['limits']['idleTimeoutMs'] = 4000
         configuration['routes'][-1]['timeoutMs'] = 20_000
         configuration['routes'].append(make_route('news'))
         self.store.put('config', 'main', configuration)
 
+    async def reload(self) -> None:
+        """Send SIGHUP to the node."""
+        self.node.process.send_signal(signal.SIGHUP)
+
     async def terminate(self) -> None:
         """Send SIGTERM to the node."""
         self.node.process.send_signal(signal.SIGTERM)
 
-    async def read(self, number: int, begun: asyncio.Event) -> bytes:
-        """Read a stream, and report that it has begun.
-
-        :returns: what came of it, if it was cut off.
-        """
-        lines: list[bytes] = []
+    async def read(
+        self, stream: _Stream, number: int, path: str = _RESUMABLE_PATH
+    ) -> bytes:
+        """Read a stream to its end, also if it is cut off."""
         with contextlib.suppress(ClientError, OSError):
             async with self.node.open(
-                self.http, '/plan/x', f'r-{number}'
+                self.http, path, f'r-{number}'
             ) as response:
+                signature = response.headers.get(_SIGNATURE, '')
+                stream.replica = signature.removeprefix('signed-')
                 async for line in response.content:
-                    lines.append(line)
-                    begun.set()
-        begun.set()
-        return b''.join(lines)
+                    stream.body += line
+                    stream.begun.set()
+        stream.begun.set()
+        return stream.body
+
 
-    def _send(self, number: signal.Signals) -> None:
-        for replica in self.replicas:
-            replica.send(number)
+def _send(replicas: list[Process], number: signal.Signals) -> None:
+    for replica in replicas:
+        replica.send(number)
+
+
+def _make_configuration(version: int = 1) -> dict[str, Any]:
+    """Make a configuration with streams that may run once only."""
+    configuration = make_configuration(version)
+    route = make_route(
+        'tell',
+        routeKind='streaming',
+        service=MODEL_SERVICE,
+        timeoutMs=10_000,
+    )
+    configuration['routes'].insert(0, route)
+    return configuration
 
 
 async def _start_replica(
@@ -110,7 +161,7 @@
     :param count: replicas, each with all layers.
     """
     store = ObjectStore()
-    store.put('config', 'main', make_configuration())
+    store.put('config', 'main', _make_configuration())
     runner, port = await serve_app(store.make_app())
     replicas = [
         await _start_replica(store, stand_in)
@@ -140,17 +191,30 @@
 
     :returns: what each client received.
     """
-    begun = [asyncio.Event() for _ in range(_STREAMS)]
-    readers = [
-        asyncio.create_task(running.read(number, event))
-        for number, event in enumerate(begun)
-    ]
-    await asyncio.gather(*(event.wait() for event in begun))
-    await asyncio.sleep(_SHORT_SECONDS)
+    _, reading = await _start_streams(running, _STREAMS)
     async with running.pause_replicas(seconds):
         await asyncio.sleep(_SHORT_SECONDS)
         await plan(running)
-    return await asyncio.gather(*readers)
+    return await reading
+
+
+async def _start_streams(
+    running: _Running, count: int, path: str = _RESUMABLE_PATH
+) -> tuple[list[_Stream], 'asyncio.Future[list[bytes]]']:
+    """Start streams, and wait until all are in progress.
+
+    :returns: the streams, and what arrives of each until its end.
+    """
+    streams = [_Stream() for _ in range(count)]
+    reading = asyncio.gather(
+        *(
+            running.read(stream, number, path)
+            for number, stream in enumerate(streams)
+        )
+    )
+    await asyncio.gather(*(stream.begun.wait() for stream in streams))
+    await asyncio.sleep(_SHORT_SECONDS)
+    return streams, reading
 
 
 _WHOLE = [make_event_stream(_EVENTS)] * _STREAMS
@@ -201,7 +265,35 @@
     """A request is refused as its replica stands still before any event."""
     async with _run(tmp_path, 1) as running:
         async with running.pause_replicas(seconds):
-            reader = asyncio.create_task(running.read(0, asyncio.Event()))
+            reader = asyncio.create_task(running.read(_Stream(), 0))
             await asyncio.sleep(_SHORT_SECONDS)
             await running.change_configuration()
         assert await reader == make_event_stream(_EVENTS)
+
+
+@pytest.mark.parametrize('path', [_RESUMABLE_PATH, _UNREPEATABLE_PATH])
+@pytest.mark.parametrize('seconds', _PAUSES)
+@pytest.mark.parametrize(
+    'plan',
+    [_Running.terminate, _Running.reload, _Running.change_configuration],
+)
+async def test_planned_work_awaits_one_paused_replica(
+    plan: Callable[[_Running], Awaitable[None]],
+    seconds: float,
+    path: str,
+    tmp_path: Path,
+) -> None:
+    """Streams are cut off at a silent replica while others have room.
+
+    Their node stops or changes its settings shortly before, and the replica
+    goes on afterwards.
+    """
+    async with _run(tmp_path, 2) as running:
+        streams, reading = await _start_streams(running, _SPREAD_STREAMS, path)
+        counts = Counter(stream.replica for stream in streams)
+        silent = max(counts, key=lambda name: counts[name])
+        await plan(running)
+        await asyncio.sleep(_SHORT_SECONDS)
+        async with running.pause_replicas(seconds, silent):
+            await asyncio.sleep(seconds)
+        assert await reading == [make_event_stream(_EVENTS)] * _SPREAD_STREAMS
