Soak: planned work of all kinds at once, beside sound replicas that stand still

Streams that may run once only, and streams without event IDs, are new among the requests; bookings and plain requests that have run must be answered completely, too (LOST), and streams that may run once run once (TWICE).

--- a/tests/fleet/running.py
+++ b/tests/fleet/running.py
@@ -21,7 +21,7 @@
 from ryelatch_node.relay import RelayServer
 from ryelatch_platform._main import build_app
 from standins.objects import ObjectStore
-from standins.replica import ReplicaStandIn
+from standins.replica import ReplicaStandIn, make_event
 
 MODEL_SERVICE = 'model'
 NON_MODEL_SERVICE = 'booking'
@@ -74,7 +74,7 @@
         runner, port = await serve_app(replica.make_app())
         replica.stop_listening = next(iter(runner.sites)).stop
         assert runner.server is not None
-        replica.list_connections = partial(_list_connections, runner.server)
+        replica.list_connections = partial(list_connections, runner.server)
         self.runners.append(runner)
         replica.address = f'127.0.0.1:{port}'
         self.replicas[replica.name] = replica
@@ -82,7 +82,8 @@
         return replica
 
 
-def _list_connections(server: web.Server) -> list[RequestHandler]:
+def list_connections(server: web.Server) -> list[RequestHandler]:
+    """List the open connections of a stand-in."""
     return list(server.connections)
 
 
@@ -330,14 +331,14 @@
     )
 
 
-def make_event_stream(count: int) -> bytes:
+def make_event_stream(count: int, *, numbered: bool = True) -> bytes:
     """Make the complete event stream that a replica sends.
 
     :param count: number of events.
+    :param numbered: whether its events have IDs.
     """
     return b''.join(
-        f'id: {number}\ndata: token {number}\n\n'.encode()
-        for number in range(1, count + 1)
+        make_event(number, numbered=numbered) for number in range(1, count + 1)
     )
 
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -42,6 +42,12 @@
         action='store_true',
         help='with replicas that stand still beside planned work only',
     )
+    parser.add_argument(
+        '--releasing',
+        action='store_true',
+        help='with planned work of all kinds in a larger fleet, beside '
+        'replicas that stand still',
+    )
     return parser.parse_args()
 
 
@@ -63,6 +69,7 @@
                 asking=options.asking,
                 cutting=options.cutting,
                 pausing=options.pausing,
+                releasing=options.releasing,
             )
         )
         failed += bool(outcome.violations)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,7 +8,12 @@
 from ryelatch_core.quarantine import make_part_key
 from soak.clients import Attempt, Clients
 from soak.crashing import CRASHING_KINDS, compute_digest
-from soak.streams import check_abandoned, check_attempts, check_streams
+from soak.streams import (
+    check_abandoned,
+    check_attempts,
+    check_planned,
+    check_streams,
+)
 from soak.throttling import (
     LIMIT_NOTICE_SECONDS,
     LIMIT_PER_SECOND,
@@ -19,6 +24,8 @@
     CRASHING_PART,
     SPARE_KEY,
     STREAM_EVENTS,
+    UNNUMBERED_KIND,
+    UNREPEATABLE_KIND,
     World,
 )
 from standins.replica import Run
@@ -32,6 +39,7 @@
 MAX_CRASHING_RUNS = 3
 """Replicas that may still run a request that has crashed three."""
 
+_ONCE_KINDS = frozenset(('book', UNREPEATABLE_KIND))
 _NOT_RUN = frozenset((408, 421, 429, 503))
 _CRASH_EVENTS = frozenset(('task-crashed', 'exchange-crashed', 'no-json'))
 _MIN_SERVED_RATIO = 0.9
@@ -41,14 +49,19 @@
 
 def check_answers(world: World, clients: Clients) -> Iterator[str]:
     """Complete answers are correct; incomplete streams are prefixes of them."""
-    streams = [make_event_stream(count) for count in range(STREAM_EVENTS + 1)]
+    streams = {
+        'plan': make_event_stream(STREAM_EVENTS),
+        UNREPEATABLE_KIND: make_event_stream(STREAM_EVENTS),
+        UNNUMBERED_KIND: make_event_stream(STREAM_EVENTS, numbered=False),
+    }
     for attempt in clients.attempts:
         if attempt.status != 200:
             continue
-        if attempt.kind == 'plan':
-            correct = attempt.body == streams[-1]
+        if attempt.kind in streams:
+            whole = streams[attempt.kind]
+            correct = attempt.body == whole
             if not attempt.complete:
-                correct = streams[-1].startswith(attempt.body)
+                correct = whole.startswith(attempt.body)
         else:
             name = attempt.signature.removeprefix('signed-')
             correct = not attempt.complete or attempt.body == (
@@ -63,7 +76,7 @@
     counts = Counter(run.identity for _, run in _list_runs(world))
     for attempt in clients.attempts:
         ran = counts[attempt.identity]
-        if ran > 1 and attempt.kind == 'book':
+        if ran > 1 and attempt.kind in _ONCE_KINDS:
             yield f'ran {ran} times: {attempt}'
         if ran and attempt.status in _NOT_RUN and not attempt.signature:
             yield f'said not to have run: {attempt}'
@@ -187,6 +200,7 @@
 CHECKS: tuple[Check, ...] = (
     check_answers,
     check_streams,
+    check_planned,
     check_attempts,
     check_abandoned,
     check_runs,
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -21,7 +21,7 @@
 _DEADLINE_SECONDS = 4.0
 _PAUSE_SECONDS = (0.0, 0.1)
 _SHARED_PARTS = 3
-_KINDS = ('plan', 'plan', 'ping', 'book')
+KINDS = ('plan', 'plan', 'ping', 'book')
 
 
 @dataclass
@@ -63,6 +63,8 @@
 
     :param deadline: seconds for which they wait for a complete answer.
     :param patience: seconds for which they wait for the next part of it.
+    :param kinds: routes to which they send, each as often as it is listed.
+    :param count: number of those that send at once.
     :param random_source: their own, so that the faults of a seed don't depend
         on how fast they are; by default, the one of the faults.
     """
@@ -71,13 +73,15 @@
     attempts: list[Attempt] = field(default_factory=list)
     deadline: float = _DEADLINE_SECONDS
     patience: float | None = None
+    kinds: tuple[str, ...] = KINDS
+    count: int = CLIENT_COUNT
     random_source: random.Random | None = None
     _numbers: Iterator[int] = field(default_factory=itertools.count)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Send requests until ``stop`` is set."""
         async with asyncio.TaskGroup() as group:
-            for _ in range(CLIENT_COUNT):
+            for _ in range(self.count):
                 group.create_task(self._run_client(stop))
 
     async def send_sequentially(self, count: int) -> list[Attempt]:
@@ -154,7 +158,7 @@
     async def _send_random(self, http: ClientSession, key: str) -> Attempt:
         random_source = self.random_source or self.world.random_source
         node = random_source.choice(self.world.nodes)
-        kind = random_source.choice(_KINDS)
+        kind = random_source.choice(self.kinds)
         return await self.send(http, node, kind, key)
 
 
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -115,6 +115,10 @@
             self._reserved.close()
         await wait_until(lambda: not self._writers)
 
+    async def stop_listening(self) -> None:
+        """Refuse new connections; open ones go on."""
+        self._refuse()
+
     async def close(self) -> None:
         """Refuse new connections, and reset all open ones."""
         self._refuse()
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -10,12 +10,13 @@
 from soak.checks import list_violations
 from soak.clients import Clients
 from soak.crashing import CrashingClient
-from soak.faults import inject_faults, list_faults
+from soak.faults import Fault, inject_faults, list_faults
 from soak.pausing import (
     CLIENT_DEADLINE_SECONDS,
     CLIENT_PATIENCE_SECONDS,
     PAUSING_FAULTS,
 )
+from soak.releasing import CLIENT_COUNT, KINDS, RELEASING_FAULTS
 from soak.throttling import ThrottledReplicas
 from soak.world import World, run_world
 
@@ -52,6 +53,7 @@
     asking: bool = False,
     cutting: bool = False,
     pausing: bool = False,
+    releasing: bool = False,
 ) -> Outcome:
     """Run one seed.
 
@@ -63,12 +65,17 @@
     :param cutting: whether nodes are cut off from all replicas.
     :param pausing: whether replicas stand still beside planned work, and
         nothing else happens.
+    :param releasing: the same in a fleet of a small deployment's size, beside
+        planned work of all kinds.
     """
     async with run_world(
-        seed, folder, cutting=cutting, pausing=pausing
+        seed, folder, cutting=cutting, pausing=pausing, releasing=releasing
     ) as world:
         clients = Clients(world)
-        if pausing:
+        if releasing:
+            clients.kinds = KINDS
+            clients.count = CLIENT_COUNT
+        if world.pausing:
             clients.deadline = CLIENT_DEADLINE_SECONDS
             clients.patience = CLIENT_PATIENCE_SECONDS
             clients.random_source = random.Random(seed)
@@ -84,9 +91,7 @@
             throttled.start()
         sending = asyncio.create_task(clients.run(stop_clients))
         revoking = asyncio.create_task(_revoke_key(world, seconds / 3))
-        faults = await inject_faults(
-            world, seconds, PAUSING_FAULTS if pausing else list_faults(world)
-        )
+        faults = await inject_faults(world, seconds, _list_faults(world))
         await revoking
         await throttled.stop()
         await _wait_recovered(world)
@@ -104,6 +109,12 @@
     return Outcome(seed, faults, statuses, violations)
 
 
+def _list_faults(world: World) -> tuple[Fault, ...]:
+    if world.releasing:
+        return RELEASING_FAULTS
+    return PAUSING_FAULTS if world.pausing else list_faults(world)
+
+
 async def _revoke_key(world: World, seconds: float) -> None:
     await asyncio.sleep(seconds)
     world.configure([KEY])
--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -9,7 +9,7 @@
 
 from soak.clients import Attempt, Clients
 from soak.links import Link
-from soak.world import World
+from soak.world import UNNUMBERED_KIND, UNREPEATABLE_KIND, World
 from standins.replica import ReplicaStandIn, Run
 
 CATCH_UP_SECONDS = 0.5
@@ -35,6 +35,8 @@
 
 _OK = 200
 
+_STREAM_KINDS = frozenset(('plan', UNREPEATABLE_KIND, UNNUMBERED_KIND))
+
 _Runs = Mapping[str, list[tuple[ReplicaStandIn, Run]]]
 
 
@@ -42,13 +44,26 @@
     """A stream that runs at a sound replica is finished."""
     runs = _group_runs(world)
     for attempt in clients.attempts:
-        if attempt.kind != 'plan' or _is_whole(attempt):
+        if attempt.kind not in _STREAM_KINDS or _is_whole(attempt):
             continue
         sound = _list_sound(world, attempt, runs[attempt.identity])
         if sound and not _is_excused_on_the_way(world, attempt, runs):
             yield f'unfinished, at {", ".join(sound)}: {attempt}'
 
 
+def check_planned(world: World, clients: Clients) -> Iterator[str]:
+    """A request that has run is answered completely beside planned work."""
+    if not world.releasing:
+        return
+    runs = _group_runs(world)
+    for attempt in clients.attempts:
+        if attempt.kind in _STREAM_KINDS or attempt.complete:
+            continue
+        ran = runs[attempt.identity]
+        if ran and not _is_excused_on_the_way(world, attempt, runs):
+            yield f'ran and has no complete answer: {attempt}'
+
+
 def check_attempts(world: World, clients: Clients) -> Iterator[str]:
     """Few streams run on more replicas than their route allows.
 
@@ -58,7 +73,7 @@
     ran = {
         attempt.identity: _list_begun(world, attempt, runs[attempt.identity])
         for attempt in clients.attempts
-        if attempt.kind == 'plan'
+        if attempt.kind in _STREAM_KINDS
     }
     overrun = {
         identity: names
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,9 +8,10 @@
 import subprocess
 import sys
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -18,9 +19,12 @@
 
 from fleet.running import (
     KEY,
+    MODEL_SERVICE,
+    list_connections,
     make_configuration,
     make_model_replicas,
     make_non_model_replicas,
+    make_route,
 )
 from ryelatch_core.kernel import cancel_task
 from soak.lateness import Lateness
@@ -35,6 +39,12 @@
 SIGNAL_SAFE_SECONDS = 0.3
 """Time until a process runs its first line, also on a busy machine."""
 
+UNREPEATABLE_KIND = 'tell'
+"""Streams that may run once only."""
+
+UNNUMBERED_KIND = 'note'
+"""Streams whose events have no IDs."""
+
 CRASHING_BODY = b'a question under which replicas end'
 
 CRASHING_PART = 'dead'
@@ -46,6 +56,12 @@
 _READY_SECONDS = 30
 _EVENT_SECONDS = 0.05
 _SLOW_EVENT_SECONDS = 0.1
+_SLOWEST_EVENT_SECONDS = 0.25
+_LARGE_NODE_COUNT = 8
+_FEW_LAYERS = ((0, 8), (0, 8), (0, 4), (4, 8), (4, 8), None)
+_MANY_LAYERS = ((0, 8),) * 10 + ((0, 4), (4, 8)) * 12 + (None,) * 4
+"""Layers of model replicas, 41 replicas with those of the plain service."""
+
 _SETTINGS = """
 nodeName = "{name}"
 zone = "zone-a"
@@ -152,6 +168,8 @@
     :param recovered_at: when the faults were over; 0 before.
     :param cutting: whether each node has links of its own to the replicas.
     :param pausing: whether streams last longer, as replicas stand still.
+    :param releasing: whether the fleet is that of a small deployment, and has
+        only planned work beside replicas that stand still.
     :param lateness: waits of its processes for a processor.
     :param limited_replica: the overloaded replica with a limit, and since when.
     """
@@ -172,6 +190,7 @@
     crashing_keys: set[str] = field(default_factory=set)
     cutting: bool = False
     pausing: bool = False
+    releasing: bool = False
     lateness: Lateness = field(init=False)
 
     def __post_init__(self) -> None:
@@ -184,10 +203,14 @@
         replica.name = f'{replica.name}-{self.added_replicas}'
         replica.store = self.store
         replica.events = STREAM_EVENTS
-        replica.pause = _SLOW_EVENT_SECONDS if self.pausing else _EVENT_SECONDS
+        replica.pause = self._get_event_seconds()
+        replica.unnumbered_path = f'/{UNNUMBERED_KIND}/'
         link = await self._open_link(replica.make_app())
         self.links[replica.name] = link
         replica.stop_listening = link.close
+        server = self.runners[-1].server
+        assert server is not None
+        replica.list_connections = partial(list_connections, server)
         replica.crash_on = CRASHING_BODY
         replica.crash_on_part = CRASHING_PART
         replica.address = link.address
@@ -217,11 +240,13 @@
         *,
         idle_ms: int = 5000,
         timeout_ms: int = 10_000,
+        change: Callable[[dict[str, Any]], None] | None = None,
     ) -> None:
         """Write the next version of the configuration, with these API keys.
 
         :param idle_ms: limit of idle connections in milliseconds.
         :param timeout_ms: limit of streams in milliseconds.
+        :param change: makes a further change.
         """
         self.version += self.random_source.randint(1, 3)
         accounts = [
@@ -231,7 +256,13 @@
             version=self.version, tenants=accounts
         )
         configuration['limits']['idleTimeoutMs'] = idle_ms
-        configuration['routes'][-1]['timeoutMs'] = timeout_ms
+        if self.releasing:
+            configuration['routes'] += _make_stream_routes()
+        for route in configuration['routes']:
+            if route['routeKind'] == 'streaming':
+                route['timeoutMs'] = timeout_ms
+        if change is not None:
+            change(configuration)
         self.store.put('config', 'main', configuration)
 
     async def add_node(self, name: str, folder: Path) -> None:
@@ -288,6 +319,12 @@
         for runner in self.runners:
             await runner.cleanup()
 
+    def _get_event_seconds(self) -> float:
+        """The time between two events of a stream."""
+        if self.releasing:
+            return _SLOWEST_EVENT_SECONDS
+        return _SLOW_EVENT_SECONDS if self.pausing else _EVENT_SECONDS
+
     def _list_processes(self) -> dict[str, int]:
         return {
             node.name: node.process.pid
@@ -317,6 +354,19 @@
         return link
 
 
+def _make_stream_routes() -> list[dict[str, Any]]:
+    """Make the routes of further kinds of streams."""
+    return [
+        make_route(
+            kind,
+            routeKind='streaming',
+            resumable=kind == UNNUMBERED_KIND,
+            service=MODEL_SERVICE,
+        )
+        for kind in (UNREPEATABLE_KIND, UNNUMBERED_KIND)
+    ]
+
+
 def _present_links(links: dict[str, Link]) -> Present:
     """Make a function that tells a node its own addresses of replicas."""
 
@@ -344,14 +394,20 @@
     *,
     cutting: bool = False,
     pausing: bool = False,
+    releasing: bool = False,
 ) -> AsyncIterator[World]:
     """Start a world, and stop all of it at the end.
 
     :param cutting: whether each node has links of its own to the replicas.
     :param pausing: whether streams last longer, as replicas stand still.
+    :param releasing: whether it is a small deployment with planned work.
     """
     world = World(
-        random.Random(seed), ObjectStore(), cutting=cutting, pausing=pausing
+        random.Random(seed),
+        ObjectStore(),
+        cutting=cutting,
+        pausing=pausing or releasing,
+        releasing=releasing,
     )
     world.configure([KEY, SPARE_KEY])
     sampling = asyncio.create_task(world.lateness.run())
@@ -364,10 +420,11 @@
 
 
 async def _populate(world: World, folder: Path) -> None:
-    replicas = make_model_replicas((0, 8), (0, 8), (0, 4), (4, 8), (4, 8), None)
+    held = _MANY_LAYERS if world.releasing else _FEW_LAYERS
+    replicas = make_model_replicas(*held)
     replicas += make_non_model_replicas(3)
     for replica in replicas:
         await world.add_replica(replica)
-    for number in range(NODE_COUNT):
+    for number in range(_LARGE_NODE_COUNT if world.releasing else NODE_COUNT):
         await world.add_node(f'node-{number}', folder)
     await world.wait_ready()
--- a/tests/soak_tests/test_soak.py
+++ b/tests/soak_tests/test_soak.py
@@ -15,6 +15,7 @@
     CUTTING_SEED,
     PAUSING_SEED,
     REGRESSIONS,
+    RELEASING_SEED,
 )
 
 
@@ -87,3 +88,16 @@
     outcome = await run_seed(PAUSING_SEED, CI_SECONDS, tmp_path, pausing=True)
     assert outcome.faults
     assert not outcome.violations
+
+
+async def test_planned_work_loses_no_request(tmp_path: Path) -> None:
+    """Requests are lost beside planned work and replicas that stand still.
+
+    Releases overlap while the configuration changes, and nodes are stopped and
+    told of changed settings in rounds, in a fleet of eight nodes.
+    """
+    outcome = await run_seed(
+        RELEASING_SEED, CI_SECONDS, tmp_path, releasing=True
+    )
+    assert 'release_half' in outcome.faults
+    assert not outcome.violations
--- a/tests/soak_tests/test_streams.py
+++ b/tests/soak_tests/test_streams.py
@@ -21,9 +21,10 @@
     RESCUE_SECONDS,
     check_abandoned,
     check_attempts,
+    check_planned,
     check_streams,
 )
-from soak.world import Node, World
+from soak.world import UNREPEATABLE_KIND, Node, World
 from standins.objects import ObjectStore
 from standins.replica import ReplicaStandIn, Run
 
@@ -391,3 +392,35 @@
     _delay(world, 'node-0', _ENDED, run_end, waited)
     clients = Clients(world, attempts)
     assert bool(list(check_abandoned(world, clients))) is found
+
+
+@pytest.mark.parametrize(
+    ('complete', 'ran', 'ended', 'found'),
+    [
+        (False, True, _ENDED, True),
+        (True, True, _ENDED, False),
+        (False, False, _ENDED, False),
+        (False, True, _DEADLINE, False),
+    ],
+)
+def test_requests_lost_to_planned_work_are_found(
+    complete: bool, ran: bool, ended: float, found: bool
+) -> None:
+    """A request that has run may get no answer, until its deadline."""
+    world, attempt = _make_world(), _make_attempt()
+    world.releasing = True
+    attempt.kind = 'book'
+    attempt.complete = complete
+    attempt.ended = ended
+    if ran:
+        world.replicas[0].runs.append(_make_run('r-1', _SENT))
+    clients = Clients(world, [attempt])
+    assert bool(list(check_planned(world, clients))) is found
+
+
+def test_streams_that_run_once_are_checked() -> None:
+    """A stream that may run once only is cut off, and nobody asks why."""
+    world, attempt = _make_world(), _make_attempt()
+    attempt.kind = UNREPEATABLE_KIND
+    world.replicas[0].runs.append(_make_run('r-1', _SENT))
+    assert list(check_streams(world, Clients(world, [attempt])))
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -25,6 +25,12 @@
     return asyncio.get_running_loop().time()
 
 
+def make_event(number: int, *, numbered: bool = True) -> bytes:
+    """Make an event of a stream, with its number as ID or without one."""
+    identity = f'id: {number}\n' if numbered else ''
+    return f'{identity}data: token {number}\n\n'.encode()
+
+
 @dataclass
 class Run:
     """A request that the replica received.
@@ -80,6 +86,8 @@
     :param stalls: number of next streams that stall.
     :param stalled_address: address of the replica that the report then names as
         the cause.
+    :param unnumbered_path: prefix of the paths of streams whose events have no
+        IDs.
     :param refuse: status of refusals, each with the "not run" header.
     :param fail: status with which it fails requests; 0 for none.
     :param failures: number of next requests that it fails with 500.
@@ -123,6 +131,7 @@
     stall_after: int = 0
     stalls: int = 1
     stalled_address: str = ''
+    unnumbered_path: str = ''
     refuse: int = 0
     fail: int = 0
     failures: int = 0
@@ -512,7 +521,7 @@
         for number in range(last + 1, self.events + 1):
             await self._stall_if_set(run, number)
             await self._read_after_move(run)
-            event = f'id: {number}\ndata: token {number}\n\n'.encode()
+            event = make_event(number, numbered=self._is_numbered(run))
             if self.break_after and number > self.break_after:
                 self.break_after = 0
                 run.fault = 'broken off'
@@ -527,6 +536,10 @@
         await response.write_eof()
         return response
 
+    def _is_numbered(self, run: Run) -> bool:
+        prefix = self.unnumbered_path
+        return not (prefix and run.path.startswith(prefix))
+
     async def _write_event(
         self, response: web.StreamResponse, event: bytes
     ) -> None:
