A stream without event IDs is not run again once its client has a part

Clients of a route that may be resumed, whose replicas number no events, got the first events of a stream twice: its first run was lost, and the next one began anew (ORDER: pieces of two runs were joined, and the answer looked complete).

Cause: only hedges asked whether the events have IDs. Neither the next attempt of the same node nor a forwarded one did. Otherwise the answer is cut off, and the log names the obstacle 'no event IDs'.

test_stream_without_event_ids_is_not_repeated failed before: the client got the whole stream behind its first two events. test_lag's stand-in of an exchange had no answer that has started, and now says so. A default that was named for the opposite of what it returns has another name.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
@@ -20,6 +20,7 @@
     Exchange,
     round_seconds,
 )
+from ryelatch_node.relay._hedges import may_continue
 
 MAX_HELPERS = 3
 """Nodes to which a request is forwarded, one after the other."""
@@ -39,7 +40,7 @@
 _UNAVAILABLE = 503
 
 
-def _is_alone() -> bool:
+def _has_no_other_run() -> bool:
     return False
 
 
@@ -66,7 +67,7 @@
     tried: set[str] = field(default_factory=set)
     refusal: ForwardRefused | None = None
     serving: str = ''
-    is_beside: Callable[[], bool] = _is_alone
+    is_beside: Callable[[], bool] = _has_no_other_run
 
 
 async def forward(
@@ -144,6 +145,8 @@
         return False
     if attempts.may_have_run and not request.repeatable:
         return False
+    if not may_continue(exchange, attempts.last_event):
+        return False
     if context.quarantine.find_refused(request.fingerprint):
         return False
     if not await context.links.has_lost(request.service):
@@ -166,6 +169,8 @@
     """
     if len(attempts.tried) >= MAX_HELPERS or context.budget.left < 1:
         return False
+    if not may_continue(exchange, attempts.last_event):
+        return False
     # The run at the present node counts once it is left.
     ran = exchange.ran + exchange.unbegun + 1
     if ran >= request.route.max_attempts:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_hedges.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_hedges.py
@@ -54,6 +54,16 @@
     return few and ran < request.route.max_attempts
 
 
+def may_continue(exchange: Exchange, last_event: int | None) -> bool:
+    """Whether another run can follow what the client has of an answer.
+
+    Without event IDs it would repeat that part.
+
+    :param last_event: number of the last event that the client has.
+    """
+    return last_event is not None or not exchange.started
+
+
 @dataclass(eq=False)
 class HedgedRuns:
     """The runs of one request that are in progress.
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -13,7 +13,11 @@
     ForwardAttempts,
     refuse_forwarded,
 )
-from ryelatch_node.relay._hedges import MAX_SENDS, AttemptResult
+from ryelatch_node.relay._hedges import (
+    MAX_SENDS,
+    AttemptResult,
+    may_continue,
+)
 from ryelatch_node.relay._hedging import start_hedge
 from ryelatch_node.relay._permits import acquire_permit
 from ryelatch_node.relay._places import (
@@ -174,6 +178,8 @@
 
     :returns: its name for the log; empty if another attempt is within all.
     """
+    if not may_continue(exchange, progress.last_event):
+        return 'no event IDs'
     if exchange.sends >= MAX_SENDS:
         return 'sends'
     if exchange.ran >= request.route.max_attempts and not progress.kept_to:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -17,7 +17,7 @@
 from ryelatch_node.ports import CommandResult
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._exchange import round_seconds
-from ryelatch_node.relay._hedges import has_run_left
+from ryelatch_node.relay._hedges import has_run_left, may_continue
 from ryelatch_node.relay._lost_links import LINKS_LOST, leaves_lost_links
 from ryelatch_node.relay._migration_planner import MigrationPlanner
 from ryelatch_node.relay._path_checks import PathChecks
@@ -332,8 +332,7 @@
             return False
         if not (request.repeatable and has_run_left(stream.exchange, request)):
             return False
-        if stream.delivered and stream.splitter.last is None:
-            # Without event IDs a new run would repeat what was delivered.
+        if not may_continue(stream.exchange, stream.splitter.last):
             return False
         suspect = self.context.quarantine.find_suspect(request.fingerprint)
         return suspect is None
--- a/tests/node/relay/test_lag.py
+++ b/tests/node/relay/test_lag.py
@@ -12,6 +12,7 @@
 from ryelatch_core.kernel import Hub
 from ryelatch_core.membership import compute_departure_bounds
 from ryelatch_core.retries import RetryBudget
+from ryelatch_core.streams import EventSplitter
 from ryelatch_node.ports import Reachability, Report
 from ryelatch_node.relay._lost_links import LEAVE_SECONDS, LINKS_LOST
 from ryelatch_node.relay._stream import FIRST_REPLICA_LOST
@@ -85,6 +86,7 @@
         begun=True,
         first_event=None,
         delivered=0,
+        splitter=EventSplitter(),
         moving=False,
         writing=False,
         finished=False,
@@ -99,7 +101,7 @@
             terms=SimpleNamespace(identity='r-1'),
             route=SimpleNamespace(gap=0, max_attempts=2),
         ),
-        exchange=SimpleNamespace(ran=1, unbegun=0, sends=1),
+        exchange=SimpleNamespace(ran=1, unbegun=0, sends=1, started=False),
         hedged=False,
         next_hedge=0,
         uses=lambda names: _HEAD.name in names,
--- a/tests/platform/test_lost_streams.py
+++ b/tests/platform/test_lost_streams.py
@@ -251,3 +251,30 @@
         received += await response.content.readuntil(b'token 2\n\n')
         await _find_streaming(node).crash()
         assert received + await response.read() == make_event_stream(5)
+
+
+async def _collect(
+    response: aiohttp.ClientResponse, received: bytearray
+) -> None:
+    """Add what arrives of an answer, until it ends or is cut off."""
+    async for piece in response.content.iter_any():
+        received += piece
+
+
+async def test_stream_without_event_ids_is_not_repeated() -> None:
+    """A client gets the first events twice, as another run begins anew."""
+    replicas = make_model_replicas((0, 8), (0, 8))
+    for replica in replicas:
+        replica.unnumbered_path = '/plan/'
+        replica.break_after = 2
+    async with (
+        run_node(replicas) as node,
+        open_request(node, '/plan/x') as response,
+    ):
+        received = bytearray()
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await _collect(response, received)
+        assert received == make_event_stream(2, numbered=False)
+        assert sum(len(replica.runs) for replica in replicas) == 1
+        ended = node.find('exchange-broken')
+        assert ended['obstacle'] == 'no event IDs'
