Stand-in: a replica that leaves stays in that state when it has loaded layers

Its entry turned back to ready as layers that were ordered before arrived, so nodes rightly took its refused connections for its end (soak of planned work, seed 9200).

--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -107,6 +107,7 @@
     :param extra_headers: additional headers of all its answers.
     :param refusals: times of its refusals, by the event loop's clock.
     :param reports: number of reports that nodes requested.
+    :param state: in its entry in the registry.
     :param started_at: start of its incarnation as reported, in milliseconds;
         0 if it reports none.
     :param runs: requests that it received and didn't refuse.
@@ -148,6 +149,7 @@
     refusals: list[float] = field(default_factory=list)
     reports: int = 0
     address: str = ''
+    state: str = 'ready'
     started_at: int = 0
     runs: list[Run] = field(default_factory=list)
     commands: list[dict[str, Any]] = field(default_factory=list)
@@ -167,15 +169,19 @@
     _transports: set[asyncio.Transport] = field(default_factory=set)
     _kept: set[asyncio.Transport] = field(default_factory=set)
 
-    def register(self, state: str = 'ready') -> None:
-        """Write its entry in the registry."""
+    def register(self, state: str = '') -> None:
+        """Write its entry in the registry.
+
+        :param state: its new state; by default it stays in the last one.
+        """
         assert self.store is not None
+        self.state = state or self.state
         entry: dict[str, Any] = {
             'service': self.service,
             'addr': self.address,
             'zone': self.zone,
             'slots': 4,
-            'state': state,
+            'state': self.state,
             'seq': 1,
             'version': 'v1',
             'coldRemainingMs': 0,
@@ -267,6 +273,7 @@
         :param name: name of the new incarnation, if it differs.
         """
         self.name = name or self.name
+        self.state = 'ready'
         self.started_at += 1000
         self.crashed = False
         self.layers = None
