--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_causes.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_causes.py
@@ -8,6 +8,7 @@
 
 import enum
 import itertools
+import math
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
@@ -85,14 +86,22 @@
         reach this node at once; infinity if they don't.
     :param same_crash_seconds: time within which this node records all of its
         requests that were lost in one crash.
+    :param heard_at: when the last call that the store answered was sent, in
+        monotonic seconds; a store that is silent is noticed later.
     """
 
     informed_since: float = 0
     same_crash_seconds: float = 0
+    heard_at: float = math.inf
 
-    def is_uninformed(self, now: float) -> bool:
-        """Whether other nodes may know of crashes that this one doesn't."""
-        return now - self.informed_since < SETTLE_SECONDS
+    def is_uninformed(self, since: float, now: float) -> bool:
+        """Whether other nodes may know of crashes that this one doesn't.
+
+        :param since: monotonic seconds of the crash from which on a key is
+            judged.
+        """
+        unheard = self.heard_at < since
+        return unheard or now - self.informed_since < SETTLE_SECONDS
 
 
 class _Verdict(enum.Enum):
@@ -283,7 +292,8 @@
     if now - candidate.since < SETTLE_SECONDS:
         return _Verdict.HOLD
     shared = len(candidate.state.shared.incarnations) >= CRASH_THRESHOLD
-    if knowledge.is_uninformed(now) and not shared and _has_few(candidate):
+    uninformed = knowledge.is_uninformed(candidate.since, now)
+    if uninformed and not shared and _has_few(candidate):
         return _Verdict.ADMIT
     return _Verdict.REFUSE
 
@@ -295,7 +305,7 @@
     now: float,
 ) -> _Verdict:
     crashes = candidate.state.crashes
-    uninformed = knowledge.is_uninformed(now)
+    uninformed = knowledge.is_uninformed(candidate.since, now)
     # A likelier cause may be known to other nodes only.
     outranked = _is_contested(crashes, rivals, crashes.events - 1) or (
         uninformed and crashes.events > 0
--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
@@ -143,12 +143,21 @@
         claimed = replace(state.crashes, trials=trials + 1)
         return StoreWrite(key, claimed, state.stored.revision)
 
-    def set_informed(self, *, informed: bool, now: float) -> None:
-        """Record whether reports of other nodes reach this node at once."""
+    def set_informed(
+        self, *, informed: bool, now: float, heard_at: float = math.inf
+    ) -> None:
+        """Record whether reports of other nodes reach this node at once.
+
+        :param heard_at: when the last call that the store answered was sent,
+            in monotonic seconds.
+        """
         known = self._knowledge
-        if informed != math.isfinite(known.informed_since):
+        since = known.informed_since
+        if informed != math.isfinite(since):
             since = now if informed else math.inf
-            self._knowledge = replace(known, informed_since=since)
+        updated = replace(known, informed_since=since, heard_at=heard_at)
+        if updated != known:
+            self._knowledge = updated
             self.evaluate(now)
 
     def has_pending_writes(self, now: float) -> bool:
--- a/packages/ryelatch-node/src/ryelatch_node/quarantine/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/quarantine/_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
@@ -65,6 +66,7 @@
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
     _task: 'asyncio.Task[None] | None' = None
     _logged: frozenset[str] = frozenset()
+    _heard_at: float = -math.inf
 
     async def start(self) -> None:
         """Start to write observed crashes to the store."""
@@ -201,6 +203,14 @@
         self.tracker.replace(listed, self.clock.monotonic())
         self._on_change()
 
+    def confirm(self, confirmed_at: float) -> None:
+        """Record that this node had all changes of the store at a time.
+
+        :param confirmed_at: monotonic seconds.
+        """
+        self._heard_at = max(self._heard_at, confirmed_at)
+        self.evaluate()
+
     def evaluate(self) -> None:
         """Re-evaluate which requests are refused, as crashes expire."""
         self._update_knowledge()
@@ -214,7 +224,9 @@
 
     def _update_knowledge(self) -> None:
         self.tracker.set_informed(
-            informed=self.store.is_current(), now=self.clock.monotonic()
+            informed=self.store.is_current(),
+            now=self.clock.monotonic(),
+            heard_at=self._heard_at,
         )
 
     def _on_change(self) -> None:
@@ -244,7 +256,7 @@
             writes = self.tracker.list_due_writes(self.clock.monotonic())
             if await self._perform(writes[:MAX_WRITES]):
                 pause = _FIRST_RETRY_SECONDS
-                await self._wait()
+                await _wait_for_writes(self.tracker, self.clock, self._changed)
             else:
                 # The store is unavailable. Nothing is lost: this node applies
                 # the crashes already, and writes them once the store is back.
@@ -253,24 +265,29 @@
 
     async def _perform(self, writes: list[StoreWrite]) -> bool:
         for write in writes:
+            sent = self.clock.monotonic()
             found = await self.store.apply_write(write)
             if not found.answered:
                 return False
+            self.confirm(sent)
             if found.stored is None:
                 self.remove(write.key)
             else:
                 self.put(found.stored)
         return True
 
-    async def _wait(self) -> None:
-        """Wait until writes may be due, without a check at every change."""
-        await asyncio.sleep(TICK_SECONDS)
-        if self.tracker.has_pending_writes(self.clock.monotonic()):
-            return
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(IDLE_SECONDS):
-                await self._changed.wait()
-        self._changed.clear()
+
+async def _wait_for_writes(
+    tracker: CrashTracker, clock: Clock, changed: asyncio.Event
+) -> None:
+    """Wait until writes may be due, without a check at every change."""
+    await asyncio.sleep(TICK_SECONDS)
+    if tracker.has_pending_writes(clock.monotonic()):
+        return
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(IDLE_SECONDS):
+            await changed.wait()
+    changed.clear()
 
 
 def setup(app: App) -> None:
--- a/tests/platform/test_lost_streams.py
+++ b/tests/platform/test_lost_streams.py
@@ -254,11 +254,11 @@
 
 
 async def _collect(
-    response: aiohttp.ClientResponse, received: bytearray
+    response: aiohttp.ClientResponse, pieces: list[bytes]
 ) -> None:
-    """Add what arrives of an answer, until it ends or is cut off."""
+    """Collect what arrives of an answer, until it ends or is cut off."""
     async for piece in response.content.iter_any():
-        received += piece
+        pieces.append(piece)
 
 
 async def test_stream_without_event_ids_is_not_repeated() -> None:
@@ -271,10 +271,10 @@
         run_node(replicas) as node,
         open_request(node, '/plan/x') as response,
     ):
-        received = bytearray()
+        pieces: list[bytes] = []
         with pytest.raises(aiohttp.ClientPayloadError):
-            await _collect(response, received)
-        assert received == make_event_stream(2, numbered=False)
+            await _collect(response, pieces)
+        assert b''.join(pieces) == make_event_stream(2, numbered=False)
         assert sum(len(replica.runs) for replica in replicas) == 1
         ended = node.find('exchange-broken')
         assert ended['obstacle'] == 'no event IDs'
