A sound part was refused while reports of the cause had not arrived

Now what a node has written itself is no report of others, and a part whose crashes this node alone has seen is judged by reports that it has read after the last of them: it reads them 0.6 s after, one list, while the part is held for its second. If none comes, five crashes are needed, as in an outage. Requests with the part are held or refused as soon as before where the store answers (test_quarantine_reach, test_crashing_parts pass unchanged).

Tests failed before, and fail without their guards: a part is not refused while reads are silent; reports that no watch returns are read before it is judged. Functions that list the store have a module of their own.

--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/__init__.py
@@ -1,6 +1,10 @@
 """Requests, and parts of prompts, that crash replicas and are refused."""
 
-from ryelatch_core.quarantine._causes import CRASH_THRESHOLD, Cause
+from ryelatch_core.quarantine._causes import (
+    CRASH_THRESHOLD,
+    SETTLE_SECONDS,
+    Cause,
+)
 from ryelatch_core.quarantine._crashes import (
     MAX_INCARNATIONS,
     NO_CRASHES,
@@ -25,6 +29,7 @@
     'CRASH_WINDOW_SECONDS',
     'MAX_INCARNATIONS',
     'NO_CRASHES',
+    'SETTLE_SECONDS',
     'Cause',
     'CrashTracker',
     'Crashes',
--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_causes.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_causes.py
@@ -86,22 +86,17 @@
         reach this node at once; infinity if they don't.
     :param same_crash_seconds: time within which this node records all of its
         requests that were lost in one crash.
-    :param heard_at: when the last call that the store answered was sent, in
-        monotonic seconds; a store that is silent is noticed later.
+    :param heard_at: monotonic seconds at which this node had all reports. A
+        store that has just fallen silent still counts as available.
     """
 
     informed_since: float = 0
     same_crash_seconds: float = 0
     heard_at: float = math.inf
 
-    def is_uninformed(self, since: float, now: float) -> bool:
-        """Whether other nodes may know of crashes that this one doesn't.
-
-        :param since: monotonic seconds of the crash from which on a key is
-            judged.
-        """
-        unheard = self.heard_at < since
-        return unheard or now - self.informed_since < SETTLE_SECONDS
+    def is_uninformed(self, now: float) -> bool:
+        """Whether other nodes may know of crashes that this one doesn't."""
+        return now - self.informed_since < SETTLE_SECONDS
 
 
 class _Verdict(enum.Enum):
@@ -123,12 +118,29 @@
     since: float
     refused: bool
 
+    @property
+    def is_reported(self) -> bool:
+        """Whether nodes have written enough crashes that others have seen.
+
+        What this node has seen alone stands in the store as well, since it has
+        written it.
+        """
+        seen_here = len(self.state.local.incarnations)
+        shared = len(self.state.shared.incarnations)
+        return seen_here < CRASH_THRESHOLD <= shared
+
     @property
     def incarnations(self) -> frozenset[str]:
         """Replicas that crashed under requests with the key."""
         return self.state.crashes.incarnations
 
 
+def is_unheard(candidate: Candidate, knowledge: Knowledge) -> bool:
+    """Whether only a new report can tell if a part is a cause."""
+    seen_here_only = is_part(candidate.key) and not candidate.is_reported
+    return seen_here_only and knowledge.heard_at < candidate.since
+
+
 def list_causes(
     candidates: Iterable[Candidate],
     suspects: Mapping[str, CrashState],
@@ -285,15 +297,16 @@
     """Judge a part of prompts, which many requests may have.
 
     Another node may have seen it run, or know the part that is the cause. What
-    the store holds has been seen by all nodes.
+    others have written has been seen by all nodes.
     """
     if candidate.refused:
         return _Verdict.REFUSE
     if now - candidate.since < SETTLE_SECONDS:
         return _Verdict.HOLD
-    shared = len(candidate.state.shared.incarnations) >= CRASH_THRESHOLD
-    uninformed = knowledge.is_uninformed(candidate.since, now)
-    if uninformed and not shared and _has_few(candidate):
+    uninformed = is_unheard(candidate, knowledge) or knowledge.is_uninformed(
+        now
+    )
+    if uninformed and not candidate.is_reported and _has_few(candidate):
         return _Verdict.ADMIT
     return _Verdict.REFUSE
 
@@ -305,7 +318,7 @@
     now: float,
 ) -> _Verdict:
     crashes = candidate.state.crashes
-    uninformed = knowledge.is_uninformed(candidate.since, now)
+    uninformed = knowledge.is_uninformed(now)
     # A likelier cause may be known to other nodes only.
     outranked = _is_contested(crashes, rivals, crashes.events - 1) or (
         uninformed and crashes.events > 0
--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
@@ -19,6 +19,7 @@
     Candidate,
     Cause,
     Knowledge,
+    is_unheard,
     list_begun,
     list_causes,
 )
@@ -81,6 +82,8 @@
         not all write at once.
     :param same_crash_seconds: time within which all requests that were lost in
         one crash are recorded.
+    :ivar unheard_since: since when a part depends on reports that this node may
+        not have, in monotonic seconds; ``None`` if there is none.
     """
 
     def __init__(self, jitter: float, same_crash_seconds: float = 0) -> None:
@@ -91,6 +94,7 @@
         # When each key with enough crashes for a refusal first had them.
         self._over_threshold: dict[str, float] = {}
         self._causes: tuple[Cause, ...] = ()
+        self.unheard_since: float | None = None
         self._refused_keys: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
@@ -148,8 +152,7 @@
     ) -> None:
         """Record whether reports of other nodes reach this node at once.
 
-        :param heard_at: when the last call that the store answered was sent,
-            in monotonic seconds.
+        :param heard_at: monotonic seconds at which it had all of them.
         """
         known = self._knowledge
         since = known.informed_since
@@ -295,6 +298,15 @@
             for key, since in self._over_threshold.items()
             if not self._cleared.has(key, now)
         ]
+        self.unheard_since = min(
+            (
+                candidate.since
+                for candidate in candidates
+                if is_unheard(candidate, self._knowledge)
+                and not candidate.refused
+            ),
+            default=None,
+        )
         causes = self._list_causes(candidates, now) if candidates else ()
         self._causes = causes
         self._refused_keys = frozenset(
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_quarantine.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_quarantine.py
@@ -1,6 +1,6 @@
 """Interface to the store of crash counts, shared by all nodes."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 from ryelatch_core.quarantine import StoredCrashes, StoreWrite
@@ -22,6 +22,13 @@
     written: bool = False
 
 
+ReadAll = Callable[[], Awaitable[Iterable[StoredCrashes] | None]]
+
+
+async def _read_nothing() -> None:
+    """Read nothing, as there is no store."""
+
+
 @dataclass(frozen=True)
 class QuarantineStore:
     """Conditional writes of the crashes counted for a request.
@@ -35,3 +42,6 @@
 
     is_current: Callable[[], bool] = lambda: True
     """Whether the changes made by other nodes reach this node at once."""
+
+    read_all: ReadAll = _read_nothing
+    """Read all objects now; ``None`` if the store did not respond."""
--- a/packages/ryelatch-node/src/ryelatch_node/quarantine/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/quarantine/_service.py
@@ -18,6 +18,7 @@
     is_part,
 )
 from ryelatch_node.ports import QuarantineStore
+from ryelatch_node.quarantine._reports import ReportReader
 
 TICK_SECONDS = 0.1
 """Interval of checks for due writes to the store while writes are pending."""
@@ -67,6 +68,23 @@
     _task: 'asyncio.Task[None] | None' = None
     _logged: frozenset[str] = frozenset()
     _heard_at: float = -math.inf
+    _reader: ReportReader = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the reader of reports."""
+
+        def apply(reports: Iterable[StoredCrashes], sent: float) -> None:
+            for stored in reports:
+                self.put(stored)
+            self.confirm(sent)
+
+        self._reader = ReportReader(
+            self.log,
+            self.clock,
+            self.store,
+            lambda: self.tracker.unheard_since,
+            apply,
+        )
 
     async def start(self) -> None:
         """Start to write observed crashes to the store."""
@@ -77,6 +95,7 @@
     async def stop(self) -> None:
         """Stop writing to the store."""
         await cancel_task(self._task)
+        await self._reader.stop()
 
     def find_refused(self, fingerprint: Fingerprint) -> Cause | None:
         """Find what a request is refused for; nothing if it is not."""
@@ -232,6 +251,7 @@
     def _on_change(self) -> None:
         """Log changes, and wake the task that writes to the store."""
         self._log_changes()
+        self._reader.check()
         self._changed.set()
 
     def _log_changes(self) -> None:
@@ -254,7 +274,7 @@
         pause = _FIRST_RETRY_SECONDS
         while True:
             writes = self.tracker.list_due_writes(self.clock.monotonic())
-            if await self._perform(writes[:MAX_WRITES]):
+            if await _perform(self, writes[:MAX_WRITES]):
                 pause = _FIRST_RETRY_SECONDS
                 await _wait_for_writes(self.tracker, self.clock, self._changed)
             else:
@@ -263,18 +283,21 @@
                 await asyncio.sleep(pause)
                 pause = min(_MAX_RETRY_SECONDS, pause * 2)
 
-    async def _perform(self, writes: list[StoreWrite]) -> bool:
-        for write in writes:
-            sent = self.clock.monotonic()
-            found = await self.store.apply_write(write)
-            if not found.answered:
-                return False
-            self.confirm(sent)
-            if found.stored is None:
-                self.remove(write.key)
-            else:
-                self.put(found.stored)
-        return True
+
+async def _perform(quarantine: Quarantine, writes: list[StoreWrite]) -> bool:
+    """Perform writes one after the other.
+
+    :returns: whether the store has answered all of them.
+    """
+    for write in writes:
+        found = await quarantine.store.apply_write(write)
+        if not found.answered:
+            return False
+        if found.stored is None:
+            quarantine.remove(write.key)
+        else:
+            quarantine.put(found.stored)
+    return True
 
 
 async def _wait_for_writes(
--- a/tests/virtual/world.py
+++ b/tests/virtual/world.py
@@ -197,7 +197,7 @@
         peer_sync.address = Address(name, 1)
         jitter = crc32(name.encode()) % 100 / 100
         quarantine = Quarantine(
-            log, clock, make_quarantine_store(store), CrashTracker(jitter)
+            log, clock, make_quarantine_store(store, log), CrashTracker(jitter)
         )
         kinds = [
             follow_configuration(log, configuration),
