One replica that sends without end stopped a node, or took its memory

A body without a length, after a head that is in order, took 1.2 GB in 0.8 s with six requests.

Cause: the HTTP library queues each interim answer and drops it in a loop that never waits, and a plain answer was collected whole, whatever its length.

Now, from outside the library's parser: the head of an answer, with its interim answers, has 64 KiB; until it is complete 4 KiB are parsed at once and interim answers aren't queued. Framing of a body (the size of a chunk, its extension, trailers) has 16 KiB in a row.

A long error is not passed on where another replica may do better.

--- a/packages/ryelatch-node/src/ryelatch_node/connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/connections.py
@@ -1,21 +1,77 @@
-"""HTTP connections that tell an answer's end from a reset."""
+"""HTTP connections of a client that bound what the other side sends."""
 
 import asyncio
 import functools
 import select
+from http import HTTPStatus
+from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import EMPTY_PAYLOAD
 
+MAX_HEAD_BYTES = 65_536
+"""Bytes until the head of an answer is complete, with interim answers."""
 
-class _StrictHandler(ResponseHandler):
-    """Reports a reset connection as an error for bodies without a length.
+MAX_FRAMING_BYTES = 16_384
+"""Bytes in a row of an answer's framing, such as the size of a chunk."""
 
-    A body without a length ends when its connection is closed. After a reset
-    the parser would take the part that has arrived for the complete body, and
-    so would the client.
+_SLICE_BYTES = 4096
+"""Bytes that are parsed at once until the head of an answer is complete.
+
+Each of them may begin an answer of its own, which takes more memory than it.
+"""
+
+
+class EndlessAnswer(aiohttp.ClientPayloadError):
+    """A part of an answer is longer than it may be."""
+
+
+class BoundedHandler(ResponseHandler):
+    """A connection that is closed if a part of an answer has no end.
+
+    It also reports a reset as an error for bodies without a length, which end
+    when their connection is closed. The parser would take the part that has
+    arrived for the complete body, and so would the client.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._head_bytes = 0
+        self._has_head = False
+        self._body_bytes = 0
+        self._framing_bytes = 0
+
+    def set_response_params(self, **options: Any) -> None:
+        """Begin to read the answer to a request."""
+        self._head_bytes = 0
+        self._has_head = False
+        self._body_bytes = 0
+        self._framing_bytes = 0
+        super().set_response_params(**options)
+
+    def feed_data(self, message: Any, size: int = 0) -> None:
+        """Queue the head of an answer, and drop interim ones."""
+        code = message[0].code
+        if code >= HTTPStatus.OK or code == HTTPStatus.SWITCHING_PROTOCOLS:
+            self._has_head = True
+            super().feed_data(message, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has arrived, unless a part of the answer is too long.
+
+        Without data, the parser goes on with what it has.
+        """
+        if not data:
+            super().data_received(data)
+        while data and not self._has_head and self._is_open():
+            piece, data = data[:_SLICE_BYTES], data[_SLICE_BYTES:]
+            super().data_received(piece)
+            self._count_head(len(piece))
+        if data and self._is_open():
+            super().data_received(data)
+            self._count_framing(len(data))
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Set an error on a body that is incomplete after a reset."""
         payload = self._payload
@@ -23,15 +79,61 @@
             payload.set_exception(aiohttp.ClientPayloadError(str(exc)))
         super().connection_lost(exc)
 
+    def _is_open(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing()
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if not self._has_head and self._head_bytes > MAX_HEAD_BYTES:
+            self._end('head without end')
+
+    def _count_framing(self, size: int) -> None:
+        """Count what arrives while the body gets no byte of it."""
+        payload = self._payload
+        if payload is None or payload is EMPTY_PAYLOAD or payload.is_eof():
+            return
+        if payload.total_bytes == self._body_bytes:
+            self._framing_bytes += size
+        else:
+            self._framing_bytes = 0
+            self._body_bytes = payload.total_bytes
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._end('framing without end')
+
+    def _end(self, reason: str) -> None:
+        """Close the connection at once, so that the sender stops."""
+        error = EndlessAnswer(reason)
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
 
-def report_resets(connector: aiohttp.BaseConnector) -> None:
-    """Let the connections of a connector report resets as errors."""
+
+def bound_answers(connector: aiohttp.BaseConnector) -> None:
+    """Let the connections of a connector bound what they receive."""
     # The library has no public way to set another protocol class.
     connector._factory = functools.partial(  # type: ignore[assignment]
-        _StrictHandler, loop=asyncio.get_running_loop()
+        BoundedHandler, loop=asyncio.get_running_loop()
     )
 
 
+async def read_bounded(response: aiohttp.ClientResponse, size: int) -> bytes:
+    """Read a complete body.
+
+    :param size: bytes that it may have.
+    :raises EndlessAnswer: if it is longer; the connection is then closed.
+    """
+    pieces: list[bytes] = []
+    async for piece in response.content.iter_any():
+        pieces.append(piece)
+        size -= len(piece)
+        if size < 0:
+            response.close()
+            raise EndlessAnswer('body without end')
+    return b''.join(pieces)
+
+
 def has_arrived(handler: ResponseHandler) -> bool:
     """Whether anything that was not read yet has arrived on a connection.
 
--- a/packages/ryelatch-node/src/ryelatch_node/non_model/_forward.py
+++ b/packages/ryelatch-node/src/ryelatch_node/non_model/_forward.py
@@ -13,7 +13,7 @@
 from ryelatch_core.retries import RetryBudget
 from ryelatch_core.settings import Route
 from ryelatch_core.settings import Service as NonModelService
-from ryelatch_node.connections import report_resets
+from ryelatch_node.connections import bound_answers
 
 MAX_ANSWER_BYTES = 8_388_608
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -95,7 +95,7 @@
     async def start(self) -> None:
         """Open the HTTP session."""
         connector = aiohttp.TCPConnector(force_close=True, limit=0)
-        report_resets(connector)
+        bound_answers(connector)
         self._session = aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
@@ -21,6 +21,7 @@
 from ryelatch_node.ports import HeaderCodec, RelayStartup, ReplicaCommands
 from ryelatch_node.quarantine import Quarantine
 from ryelatch_node.relay._crash_checks import CrashChecks
+from ryelatch_node.relay._held import HeldBytes
 from ryelatch_node.relay._silence_checks import SilenceChecks
 from ryelatch_node.relay._slow_replicas import SlowReplicaChecks
 from ryelatch_node.relay._upstream import Upstreams
@@ -63,6 +64,7 @@
     longest_timeouts: dict[str, float] = field(default_factory=dict)
     failures: FailureTracker = field(default_factory=FailureTracker)
     durations: DurationTracker = field(default_factory=DurationTracker)
+    held: HeldBytes = field(default_factory=HeldBytes)
 
     def __post_init__(self) -> None:
         """Create the members that depend on others."""
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarded_stream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarded_stream.py
@@ -12,6 +12,7 @@
 from ryelatch_node.relay._errors import AnswerBroken
 from ryelatch_node.relay._exchange import AdmittedRequest, Exchange
 from ryelatch_node.relay._forwarding import ForwardAttempts, forward
+from ryelatch_node.relay._held import collect
 from ryelatch_node.relay._progress import Progress
 
 _OK = 200
@@ -76,7 +77,7 @@
         head = answer.head
         assert head is not None
         if head.status != _OK:
-            body = b''.join([piece async for piece in answer.iterate()])
+            body = await collect(answer.iterate())
             if attempts.is_beside():
                 attempts.may_have_run = True
                 exchange.ran += 1
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
@@ -2,7 +2,7 @@
 
 import functools
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ryelatch_core.events import catalogue
 from ryelatch_core.fleet import Replica
@@ -21,6 +21,7 @@
     forward,
     refuse_forwarded,
 )
+from ryelatch_node.relay._held import relay_body
 from ryelatch_node.relay._permits import acquire_permit, compute_retry_after
 from ryelatch_node.relay._refusals import refuse_quarantined
 from ryelatch_node.relay._runs import Runs, open_runs
@@ -51,7 +52,7 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: bytes = b''
 
 
 @dataclass
@@ -97,7 +98,7 @@
         await _send_in_turn(context, exchange, request, attempts, runs)
         may_have_run = attempts.lost or runs.in_progress
         elsewhere = ForwardAttempts(may_have_run)
-        if attempts.received is None:
+        if attempts.received is None and not exchange.started:
             runs.start(
                 _forward(context, exchange, request, attempts, elsewhere)
             )
@@ -118,10 +119,10 @@
     :returns: once it is settled, or can't be sent to another replica.
     """
     compute_due = functools.partial(_compute_due, context, exchange, request)
-    while not runs.is_settled():
+    while not (runs.is_settled() or exchange.started):
         await wait_for_verdict(context, exchange, request)
         replica = await _choose_replica(context, exchange, request, attempts)
-        if replica is None or runs.is_settled():
+        if replica is None or runs.is_settled() or exchange.started:
             break
         if not await _may_send(context, exchange, request):
             break
@@ -158,12 +159,14 @@
     """Forward a request to other nodes, if links to its replicas are lost."""
 
     async def keep(answer: ForwardedAnswer) -> bool:
-        body = b''.join([piece async for piece in answer.iterate()])
         head = answer.head
         assert head is not None
-        attempts.received = _ReceivedAnswer(
-            head.status, list(head.headers), body
+        received = _ReceivedAnswer(head.status, list(head.headers))
+        body = await relay_body(
+            context.held, exchange, received, answer.iterate()
         )
+        if body is not None:
+            attempts.received = replace(received, body=body)
         return True
 
     await forward(context, exchange, request, elsewhere, keep)
@@ -372,9 +375,16 @@
                 outcome='not run',
             )
             return None
-        body = await answer.read()
         if not answer.terms.signed:
             raise SendError(SendErrorKind.INVALID, 'unsigned answer')
+        replaceable = request.repeatable and answer.status >= _SERVER_ERROR
+        body = await relay_body(
+            context.held,
+            exchange,
+            answer,
+            answer.iterate(),
+            may_pass_on=not replaceable,
+        )
     run.count(exchange)
     context.quarantine.record_run(request.fingerprint)
     failed = answer.status >= _SERVER_ERROR
@@ -386,6 +396,8 @@
     )
     if not failed:
         context.replicas.clear_suspicion(replica)
+    if body is None:
+        return None
     return _ReceivedAnswer(answer.status, answer.headers, body)
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -13,7 +13,12 @@
 
 from ryelatch_core.fleet import Replica
 from ryelatch_core.membership import CONNECT_TIMEOUT_SECONDS
-from ryelatch_node.connections import has_arrived, report_resets
+from ryelatch_node.connections import (
+    EndlessAnswer,
+    bound_answers,
+    has_arrived,
+    read_bounded,
+)
 from ryelatch_node.ports import AnswerMetadata, HeaderCodec, Headers
 from ryelatch_node.relay._errors import SendError, SendErrorKind
 
@@ -25,6 +30,9 @@
 and be repeated, where its route allows that.
 """
 
+MAX_ERROR_BYTES = 1_048_576
+"""Longest body of an error that a replica of the model answers with."""
+
 _FRAMING_HEADERS = (b'content-length', b'transfer-encoding')
 _SKIPPED_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 _CONNECT_ERRORS = (
@@ -60,7 +68,7 @@
         self._on_connected = on_connected
         self._on_failed = on_failed
         self._connecting: dict[str, set[asyncio.Timeout]] = defaultdict(set)
-        report_resets(self)
+        bound_answers(self)
 
     def abort_connecting(self, address: str) -> None:
         """Let the connection attempts to an address fail at once."""
@@ -132,14 +140,15 @@
         return not names.isdisjoint(_FRAMING_HEADERS)
 
     async def read(self) -> bytes:
-        """Read the complete body.
+        """Read the complete body of an error.
 
-        :raises SendError: if the connection fails before the body is complete.
+        :raises SendError: if the connection fails before the body is complete,
+            or if it is too long.
         """
         try:
-            return await self._response.read()
+            return await read_bounded(self._response, MAX_ERROR_BYTES)
         except (aiohttp.ClientError, OSError) as error:
-            raise SendError(SendErrorKind.LOST, _name_error(error)) from error
+            raise _make_error(error) from error
 
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive.
@@ -150,7 +159,7 @@
             async for chunk in self._response.content.iter_any():
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
-            raise SendError(SendErrorKind.LOST, _name_error(error)) from error
+            raise _make_error(error) from error
 
 
 class Upstreams:
@@ -239,7 +248,7 @@
             raise SendError(SendErrorKind.UNSENT, _name_error(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             self._on_failed(replica.address)
-            raise SendError(SendErrorKind.LOST, _name_error(error)) from error
+            raise _make_error(error) from error
         try:
             answer = self._check_answer(response, identity)
             self._on_answer(replica, answer.terms)
@@ -297,5 +306,11 @@
         return Answer(response, terms)
 
 
+def _make_error(error: Exception) -> SendError:
+    if isinstance(error, EndlessAnswer):
+        return SendError(SendErrorKind.INVALID, str(error))
+    return SendError(SendErrorKind.LOST, _name_error(error))
+
+
 def _name_error(error: BaseException) -> str:
     return type(error).__name__
--- /dev/null
+++ b/tests/platform/test_endless_answers.py
@@ -0,0 +1,159 @@
+"""Replicas whose answers have no end, beside sound ones; real processes."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import pytest
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from fleet.node_processes import NodeProcess, start_node, wait_ready
+from fleet.processes import spawn_standin
+from fleet.running import (
+    LAYERS,
+    MODEL_SERVICE,
+    make_configuration,
+    make_non_model_replicas,
+    make_route,
+    serve_app,
+)
+from standins.endless import KINDS
+from standins.objects import ObjectStore
+
+_SERVICE = 'endless'
+_TIMEOUT_MS = 800
+_SPOILED = 6
+_SOUND = 30
+_SOUND_PAUSE_SECONDS = 0.05
+_MIN_SERVED_RATIO = 0.9
+_MAX_GROWTH_KB = 65_536
+"""Memory that a node may take for all answers that it holds back."""
+
+_CLIENT_SECONDS = 30
+
+
+@dataclass(frozen=True)
+class _Running:
+    """A node and its clients.
+
+    :param sizes: bytes of the complete answers.
+    """
+
+    node: NodeProcess
+    http: ClientSession
+    sizes: list[int] = field(default_factory=list)
+
+    def read_peak(self) -> int:
+        """Read the most memory that the node has had so far, in kB."""
+        status = Path(f'/proc/{self.node.process.pid}/status').read_text()
+        line = next(
+            line for line in status.splitlines() if line.startswith('VmHWM')
+        )
+        return int(line.split()[1])
+
+    async def ask(self, path: str, identity: str) -> int:
+        """Send a request; returns 0 if its answer is cut off."""
+        try:
+            async with self.node.open(self.http, path, identity) as response:
+                pieces = response.content.iter_any()
+                self.sizes.append(sum([len(piece) async for piece in pieces]))
+                return int(response.status)
+        except (ClientError, OSError):
+            return 0
+
+
+def _make_configuration() -> dict[str, Any]:
+    configuration = make_configuration()
+    configuration['services'].append({'name': _SERVICE})
+    configuration['routes'] += [
+        make_route('spoiled', service=_SERVICE, timeoutMs=_TIMEOUT_MS),
+        make_route(
+            'tell',
+            routeKind='streaming',
+            resumable=True,
+            service=MODEL_SERVICE,
+            timeoutMs=_TIMEOUT_MS,
+        ),
+    ]
+    return configuration
+
+
+def _make_entry(service: str, address: str) -> dict[str, Any]:
+    """Make the entry of a replica; one of the model has all layers."""
+    return {
+        'service': service,
+        'addr': address,
+        'zone': 'zone-a',
+        'slots': 8,
+        'state': 'ready',
+        'seq': 1,
+        'version': 'v1',
+        'coldRemainingMs': 0,
+        'routeKind': 'big',
+        'layers': {'from': 0, 'to': LAYERS, 'version': 1},
+    }
+
+
+@contextlib.asynccontextmanager
+async def _run(
+    folder: Path, kind: str, service: str
+) -> AsyncIterator[_Running]:
+    """Start a node, sound replicas, and one whose answers have no end."""
+    store = ObjectStore()
+    store.put('config', 'main', _make_configuration())
+    runner, port = await serve_app(store.make_app())
+    runners = [runner]
+    spoiled = await spawn_standin('spoiled-0', 'endless', '--kind', kind)
+    sound = make_non_model_replicas(2)
+    for replica in sound:
+        replica.store = store
+        runner, replica_port = await serve_app(replica.make_app())
+        runners.append(runner)
+        replica.address = f'127.0.0.1:{replica_port}'
+        replica.register()
+    store.put('servers', 'spoiled-0', _make_entry(service, spoiled.address))
+    node = await start_node('node-a', f'127.0.0.1:{port}', folder)
+    timeout = ClientTimeout(total=_CLIENT_SECONDS)
+    async with ClientSession(timeout=timeout) as http:
+        try:
+            await wait_ready(http, node)
+            yield _Running(node, http)
+        finally:
+            if node.process.returncode is None:
+                node.process.kill()
+            await node.process.communicate()
+            await spoiled.kill()
+            for runner in runners:
+                await runner.cleanup()
+
+
+@pytest.mark.parametrize(
+    ('path', 'service'),
+    [('/spoiled/x', _SERVICE), ('/tell/x', MODEL_SERVICE)],
+)
+@pytest.mark.parametrize('kind', KINDS)
+async def test_answer_without_end_stops_no_node(
+    kind: str, path: str, service: str, tmp_path: Path
+) -> None:
+    """One replica that sends without end takes a node's memory or time."""
+    async with _run(tmp_path, kind, service) as running:
+        assert await running.ask('/ping/x', 'r-first') == 200
+        before = running.read_peak()
+        spoiled = [
+            asyncio.create_task(running.ask(path, f's-{number}'))
+            for number in range(_SPOILED)
+        ]
+        sound = []
+        for number in range(_SOUND):
+            sound.append(
+                asyncio.create_task(running.ask('/ping/x', f'r-{number}'))
+            )
+            await asyncio.sleep(_SOUND_PAUSE_SECONDS)
+        statuses = await asyncio.gather(*sound)
+        assert statuses.count(200) >= _SOUND * _MIN_SERVED_RATIO
+        answers = await asyncio.gather(*spoiled)
+        assert KINDS[kind].is_whole or 200 not in answers
+        assert running.read_peak() - before < _MAX_GROWTH_KB
--- a/tests/standins/plain_relay.py
+++ b/tests/standins/plain_relay.py
@@ -22,6 +22,7 @@
 from ryelatch_node.ports import AnswerMetadata
 from ryelatch_node.relay._errors import SendError, SendErrorKind
 from ryelatch_node.relay._exchange import AdmittedRequest, Exchange
+from ryelatch_node.relay._held import HeldBytes
 from standins.links import SoundLinks
 from virtual.loop import VirtualClock
 
@@ -75,11 +76,14 @@
             raise SendError(SendErrorKind.LOST, 'reset')
         terms = AnswerMetadata('r-1', True, self.refuses, '', False)
         yield SimpleNamespace(
-            status=self.status, headers=[], terms=terms, read=self._read
+            status=self.status,
+            headers=[],
+            terms=terms,
+            iterate=self._iterate,
         )
 
-    async def _read(self) -> bytes:
-        return self.name.encode()
+    async def _iterate(self) -> AsyncIterator[bytes]:
+        yield self.name.encode()
 
 
 @dataclass(eq=False)
@@ -112,6 +116,7 @@
             load=self.load,
             durations=DurationTracker(),
             failures=FailureTracker(),
+            held=HeldBytes(),
             startup=SimpleNamespace(zone='zone-a'),
             throttle=SimpleNamespace(
                 list_closed=frozenset,
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -86,6 +86,8 @@
     :param stalls: number of next streams that stall.
     :param stalled_address: address of the replica that the report then names as
         the cause.
+    :param padding: bytes that are added to its plain answers.
+    :param cuts_off: whether it resets the connection in the middle of them.
     :param unnumbered_path: prefix of the paths of streams whose events have no
         IDs.
     :param refuse: status of refusals, each with the "not run" header.
@@ -132,6 +134,8 @@
     stall_after: int = 0
     stalls: int = 1
     stalled_address: str = ''
+    padding: int = 0
+    cuts_off: bool = False
     unnumbered_path: str = ''
     refuse: int = 0
     fail: int = 0
@@ -436,9 +440,10 @@
             return await self._answer_unframed(request, run, headers)
         if 'X-Ryelatch-Hop-Count' in run.headers:
             return await self._stream(request, run, headers)
-        return web.Response(
-            body=f'answer of {self.name}'.encode(), headers=headers
-        )
+        body = f'answer of {self.name}'.encode() + bytes(self.padding)
+        if self.cuts_off:
+            return await _cut_off(request, headers, body)
+        return web.Response(body=body, headers=headers)
 
     def _name_fault(self) -> str:
         """Name the fault by which it spoils the next run, if any."""
@@ -579,6 +584,19 @@
         }
 
 
+async def _cut_off(
+    request: web.Request, headers: dict[str, str], body: bytes
+) -> web.StreamResponse:
+    """Send half of an answer, and reset the connection."""
+    response = web.StreamResponse(headers=headers)
+    response.content_length = len(body)
+    await response.prepare(request)
+    await response.write(body[: len(body) // 2])
+    assert request.transport is not None
+    request.transport.abort()
+    return response
+
+
 def _get_peer_port(request: web.Request) -> int:
     assert request.transport is not None
     peer = request.transport.get_extra_info('peername')
--- a/tests/virtual/store.py
+++ b/tests/virtual/store.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Self
 
 import aiohttp
 
@@ -51,9 +51,14 @@
     _body: bytes
     headers: dict[str, str] = field(default_factory=dict)
 
-    async def read(self) -> bytes:
-        """Read the whole body."""
-        return self._body
+    @property
+    def content(self) -> Self:
+        """The body, which can be read in pieces."""
+        return self
+
+    async def iter_any(self) -> AsyncIterator[bytes]:
+        """Yield the whole body."""
+        yield self._body
 
 
 @dataclass(eq=False)
