Test: answers that trickle hold no request and no connection

A byte each 50 ms behind each start of an answer, in each place where one may have no end: plain answers, and streams and reports of the model. All requests end by their deadline, and the node has as many connections as before.

--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -19,6 +19,7 @@
     make_non_model_replicas,
     make_route,
     serve_app,
+    wait_until,
 )
 from standins.endless import KINDS
 from standins.objects import ObjectStore
@@ -33,6 +34,9 @@
 """Memory that a node may take for all answers that it holds back."""
 
 _CLIENT_SECONDS = 30
+_TRICKLE_SECONDS = 0.05
+_MAX_KEPT_FILES = 4
+"""Connections that a node may keep open for further requests."""
 
 
 @dataclass(frozen=True)
@@ -54,6 +58,10 @@
         )
         return int(line.split()[1])
 
+    def count_files(self) -> int:
+        """Count the open files of the node, connections among them."""
+        return len(list(Path(f'/proc/{self.node.process.pid}/fd').iterdir()))
+
     async def ask(self, path: str, identity: str) -> int:
         """Send a request; returns 0 if its answer is cut off."""
         try:
@@ -99,14 +107,19 @@
 
 @contextlib.asynccontextmanager
 async def _run(
-    folder: Path, kind: str, service: str
+    folder: Path, kind: str, service: str, pause: float = 0
 ) -> AsyncIterator[_Running]:
-    """Start a node, sound replicas, and one whose answers have no end."""
+    """Start a node, sound replicas, and one whose answers have no end.
+
+    :param pause: seconds between two bytes of those answers.
+    """
     store = ObjectStore()
     store.put('config', 'main', _make_configuration())
     runner, port = await serve_app(store.make_app())
     runners = [runner]
-    spoiled = await spawn_standin('spoiled-0', 'endless', '--kind', kind)
+    spoiled = await spawn_standin(
+        'spoiled-0', 'endless', '--kind', kind, '--pause', str(pause)
+    )
     sound = make_non_model_replicas(2)
     for replica in sound:
         replica.store = store
@@ -157,3 +170,25 @@
         answers = await asyncio.gather(*spoiled)
         assert KINDS[kind].is_whole or 200 not in answers
         assert running.read_peak() - before < _MAX_GROWTH_KB
+
+
+@pytest.mark.parametrize(
+    ('path', 'service'),
+    [('/spoiled/x', _SERVICE), ('/tell/x', MODEL_SERVICE)],
+)
+@pytest.mark.parametrize('kind', KINDS)
+async def test_trickle_holds_no_connection(
+    kind: str, path: str, service: str, tmp_path: Path
+) -> None:
+    """A byte now and then keeps a request or a connection for ever."""
+    async with _run(tmp_path, kind, service, _TRICKLE_SECONDS) as running:
+        assert await running.ask('/ping/x', 'r-first') == 200
+        before = running.count_files()
+        answers = await asyncio.gather(
+            *(running.ask(path, f's-{number}') for number in range(_SPOILED))
+        )
+        assert KINDS[kind].is_whole or 200 not in answers
+        await wait_until(
+            lambda: running.count_files() <= before + _MAX_KEPT_FILES
+        )
+        assert await running.ask('/ping/x', 'r-last') == 200
--- a/tests/standins/endless.py
+++ b/tests/standins/endless.py
@@ -1,6 +1,7 @@
 """Stand-in for a replica whose answers have no end: ``--kind`` tells where.
 
-It writes as fast as its peer reads, until that one closes the connection.
+It writes as fast as its peer reads, or a byte now and then, until that one
+closes the connection.
 """
 
 import argparse
@@ -37,14 +38,17 @@
     again: bytes
     is_whole: bool = False
 
-    def list_pieces(self, request: bytes) -> Iterator[bytes]:
-        """Yield what is sent, in pieces of about the same size.
+    def make_start(self, request: bytes) -> bytes:
+        """Make what is sent once.
 
         :param request: head of the request.
         """
         found = _IDENTITY.search(request)
         start = _LINE_END.join(self.lines)
-        yield start.replace(_PLACEHOLDER, found[1] if found else b'')
+        return start.replace(_PLACEHOLDER, found[1] if found else b'')
+
+    def repeat(self) -> Iterator[bytes]:
+        """Yield what is sent again and again, in pieces of about one size."""
         piece = self.again * max(1, _PIECE_BYTES // len(self.again))
         yield from itertools.repeat(piece)
 
@@ -70,20 +74,32 @@
 
 async def _serve(
     kind: Kind,
+    pause: float,
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
 ) -> None:
     with contextlib.suppress(OSError, asyncio.IncompleteReadError):
         request = await reader.readuntil(_HEAD_END)
-        for piece in kind.list_pieces(request):
-            writer.write(piece)
-            await writer.drain()
+        writer.write(kind.make_start(request))
+        for piece in kind.repeat():
+            await _write(writer, piece, pause)
     writer.transport.abort()
 
 
-async def _run(port: int, kind: Kind) -> None:
+async def _write(
+    writer: asyncio.StreamWriter, piece: bytes, pause: float
+) -> None:
+    """Write a piece at once, or a byte before each pause."""
+    parts = [bytes((byte,)) for byte in piece] if pause else [piece]
+    for part in parts:
+        writer.write(part)
+        await writer.drain()
+        await asyncio.sleep(pause)
+
+
+async def _run(port: int, kind: Kind, pause: float) -> None:
     server = await asyncio.start_server(
-        lambda reader, writer: _serve(kind, reader, writer),
+        lambda reader, writer: _serve(kind, pause, reader, writer),
         '127.0.0.1',
         port,
     )
@@ -97,8 +113,9 @@
     parser = argparse.ArgumentParser()
     parser.add_argument('--port', type=int, default=0)
     parser.add_argument('--kind', choices=KINDS, required=True)
+    parser.add_argument('--pause', type=float, default=0)
     options = parser.parse_args()
-    asyncio.run(_run(options.port, KINDS[options.kind]))
+    asyncio.run(_run(options.port, KINDS[options.kind], options.pause))
 
 
 if __name__ == '__main__':
