--- a/tests/fleet/node_processes.py
+++ b/tests/fleet/node_processes.py
@@ -51,6 +51,18 @@
         url = f'http://{self.host}:8227{path}'
         return http.post(url, headers=headers, data=b'question')
 
+    def read_peak(self) -> int:
+        """Read the most memory that the process has had so far, in kB."""
+        status = Path(f'/proc/{self.process.pid}/status').read_text()
+        line = next(
+            line for line in status.splitlines() if line.startswith('VmHWM')
+        )
+        return int(line.split()[1])
+
+    def count_files(self) -> int:
+        """Count the open files of the process, connections among them."""
+        return len(list(Path(f'/proc/{self.process.pid}/fd').iterdir()))
+
     async def stop(self, number: signal.Signals) -> list[dict[str, object]]:
         """Send a signal and wait until the process terminates.
 
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -25,6 +25,9 @@
 from standins.objects import ObjectStore
 
 _SERVICE = 'endless'
+_ROUTES = (('/spoiled/x', _SERVICE), ('/tell/x', MODEL_SERVICE))
+"""Paths of routes to a plain service and to the model."""
+
 _TIMEOUT_MS = 800
 _SPOILED = 6
 _SOUND = 30
@@ -41,33 +44,17 @@
 
 @dataclass(frozen=True)
 class _Running:
-    """A node and its clients.
-
-    :param sizes: bytes of the complete answers.
-    """
+    """A node and its clients."""
 
     node: NodeProcess
     http: ClientSession
-    sizes: list[int] = field(default_factory=list)
-
-    def read_peak(self) -> int:
-        """Read the most memory that the node has had so far, in kB."""
-        status = Path(f'/proc/{self.node.process.pid}/status').read_text()
-        line = next(
-            line for line in status.splitlines() if line.startswith('VmHWM')
-        )
-        return int(line.split()[1])
-
-    def count_files(self) -> int:
-        """Count the open files of the node, connections among them."""
-        return len(list(Path(f'/proc/{self.node.process.pid}/fd').iterdir()))
 
     async def ask(self, path: str, identity: str) -> int:
         """Send a request; returns 0 if its answer is cut off."""
         try:
             async with self.node.open(self.http, path, identity) as response:
-                pieces = response.content.iter_any()
-                self.sizes.append(sum([len(piece) async for piece in pieces]))
+                while not response.content.at_eof():
+                    await response.content.readany()
                 return int(response.status)
         except (ClientError, OSError):
             return 0
@@ -143,10 +130,7 @@
                 await runner.cleanup()
 
 
-@pytest.mark.parametrize(
-    ('path', 'service'),
-    [('/spoiled/x', _SERVICE), ('/tell/x', MODEL_SERVICE)],
-)
+@pytest.mark.parametrize(('path', 'service'), _ROUTES)
 @pytest.mark.parametrize('kind', KINDS)
 async def test_answer_without_end_stops_no_node(
     kind: str, path: str, service: str, tmp_path: Path
@@ -154,7 +138,7 @@
     """One replica that sends without end takes a node's memory or time."""
     async with _run(tmp_path, kind, service) as running:
         assert await running.ask('/ping/x', 'r-first') == 200
-        before = running.read_peak()
+        before = running.node.read_peak()
         spoiled = [
             asyncio.create_task(running.ask(path, f's-{number}'))
             for number in range(_SPOILED)
@@ -169,13 +153,10 @@
         assert statuses.count(200) >= _SOUND * _MIN_SERVED_RATIO
         answers = await asyncio.gather(*spoiled)
         assert KINDS[kind].is_whole or 200 not in answers
-        assert running.read_peak() - before < _MAX_GROWTH_KB
+        assert running.node.read_peak() - before < _MAX_GROWTH_KB
 
 
-@pytest.mark.parametrize(
-    ('path', 'service'),
-    [('/spoiled/x', _SERVICE), ('/tell/x', MODEL_SERVICE)],
-)
+@pytest.mark.parametrize(('path', 'service'), _ROUTES)
 @pytest.mark.parametrize('kind', KINDS)
 async def test_trickle_holds_no_connection(
     kind: str, path: str, service: str, tmp_path: Path
@@ -183,12 +164,12 @@
     """A byte now and then keeps a request or a connection for ever."""
     async with _run(tmp_path, kind, service, _TRICKLE_SECONDS) as running:
         assert await running.ask('/ping/x', 'r-first') == 200
-        before = running.count_files()
+        before = running.node.count_files()
         answers = await asyncio.gather(
             *(running.ask(path, f's-{number}') for number in range(_SPOILED))
         )
         assert KINDS[kind].is_whole or 200 not in answers
         await wait_until(
-            lambda: running.count_files() <= before + _MAX_KEPT_FILES
+            lambda: running.node.count_files() <= before + _MAX_KEPT_FILES
         )
         assert await running.ask('/ping/x', 'r-last') == 200
--- a/tests/platform/test_endless_store.py
+++ b/tests/platform/test_endless_store.py
@@ -41,14 +41,6 @@
     node: NodeProcess
     http: ClientSession
 
-    def read_peak(self) -> int:
-        """Read the most memory that the node has had so far, in kB."""
-        status = Path(f'/proc/{self.node.process.pid}/status').read_text()
-        line = next(
-            line for line in status.splitlines() if line.startswith('VmHWM')
-        )
-        return int(line.split()[1])
-
     def lead(self, port: int) -> None:
         """Lead the way to the store to a port; connections are reset."""
         self.link.target = ('127.0.0.1', port)
@@ -102,7 +94,7 @@
     """
     async with _run(tmp_path, kind) as running:
         assert await running.ask('/ping/x', 'r-first') == 200
-        before = running.read_peak()
+        before = running.node.read_peak()
         running.lead(int(running.spoiled.address.rpartition(':')[2]))
         asked = []
         for number in range(_REQUESTS):
@@ -111,7 +103,7 @@
             await asyncio.sleep(_PAUSE_SECONDS)
         statuses = await asyncio.gather(*asked)
         assert statuses.count(200) >= _REQUESTS * _MIN_SERVED_RATIO
-        assert running.read_peak() - before < _MAX_GROWTH_KB
+        assert running.node.read_peak() - before < _MAX_GROWTH_KB
         running.lead(running.store_port)
         routes = [*make_configuration()['routes'], make_route('news')]
         running.store.put(
