--- a/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
@@ -6,6 +6,7 @@
 
 from ryelatch_core.events import catalogue
 from ryelatch_core.fleet import Replica
+from ryelatch_core.streams import StreamError
 from ryelatch_node.forwarding import ForwardedAnswer
 from ryelatch_node.ports import Dispatch, Headers
 from ryelatch_node.relay._context import RelayContext
@@ -162,9 +163,13 @@
         head = answer.head
         assert head is not None
         received = _ReceivedAnswer(head.status, list(head.headers))
-        body = await relay_body(
-            context.held, exchange, received, answer.iterate()
-        )
+        try:
+            body = await relay_body(
+                context.held, exchange, received, answer.iterate()
+            )
+        except SendError as error:
+            # Another answer is being passed on, so this one ends its helper.
+            raise StreamError(error.reason) from error
         if body is not None:
             attempts.received = replace(received, body=body)
         return True
