--- a/tests/platform/test_list.py
+++ b/tests/platform/test_list.py
@@ -8,7 +8,7 @@
 from fleet.running import serve_app
 from ryelatch_core.events import LineLog
 from ryelatch_node.ports import Address
-from ryelatch_platform._list import list_all
+from ryelatch_platform._listing import list_all
 from ryelatch_platform._store import StoreClient
 from standins.objects import ObjectStore
 
