The lines of sends say whether the client's close was waiting unread

A node reads a request before the end of its client's connection, and nothing in its lines told a request that was sent for nobody from one whose client left just after. client_left of exchange-sent, stream-resumed and exchange-forwarded asks the socket (POLLRDHUP), without a wait and without reading.

No logic depends on it yet.

--- a/packages/ryelatch-node/src/ryelatch_node/connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/connections.py
@@ -134,6 +134,18 @@
     return b''.join(pieces)
 
 
+def has_ended(transport: asyncio.BaseTransport) -> bool:
+    """Whether the other side of a connection has closed or reset it.
+
+    A busy process reads that end only after what has arrived before it.
+    """
+    if transport.is_closing():
+        return True
+    poll = select.poll()
+    poll.register(transport.get_extra_info('socket'), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def has_arrived(handler: ResponseHandler) -> bool:
     """Whether anything that was not read yet has arrived on a connection.
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
@@ -147,6 +147,7 @@
                 path_stage.replica.name for path_stage in path
             )
         ),
+        client_left=exchange.has_left(),
     )
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_disconnect.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_disconnect.py
@@ -1,6 +1,14 @@
-"""Waits until a client disconnects."""
+"""Finds out whether a client has disconnected."""
 
-from starlette.types import Receive
+from collections.abc import Callable
+from typing import TypeAlias
+
+from starlette.types import Receive, Scope
+
+HasLeft: TypeAlias = Callable[[], bool]
+"""Whether the end of a client's connection has arrived, read or not."""
+
+_EXTENSION = 'ryelatch.client'
 
 
 async def wait_for_disconnect(receive: Receive) -> None:
@@ -8,3 +16,15 @@
     message = await receive()
     while message['type'] != 'http.disconnect':
         message = await receive()
+
+
+def set_departure_check(scope: Scope, has_left: HasLeft) -> None:
+    """Let the application of a request ask whether its client has left."""
+    extensions = scope.setdefault('extensions', {})
+    extensions[_EXTENSION] = {'has_left': has_left}
+
+
+def get_departure_check(scope: Scope) -> HasLeft:
+    """Return what ``set_departure_check`` has set."""
+    has_left: HasLeft = scope['extensions'][_EXTENSION]['has_left']
+    return has_left
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -16,6 +16,7 @@
 from ryelatch_core.quarantine import Fingerprint
 from ryelatch_core.routing import RetryPolicy, Route
 from ryelatch_node.ports import Headers, Reachability, RequestMetadata
+from ryelatch_node.relay._disconnect import HasLeft
 from ryelatch_node.relay._errors import ClientGone
 
 _HOP_HEADERS = frozenset(
@@ -87,6 +88,8 @@
 
     :param identity: of this attempt of the client.
     :param send: the ASGI callable that sends messages to the client.
+    :param has_left: whether the end of the client's connection has arrived,
+        read or not.
     :param closing: whether the connection is closed after this answer.
     :param started: whether the answer's headers were sent to the client.
     :param finished: whether the answer was sent completely.
@@ -108,6 +111,7 @@
     send: Send
     log: LineLog
     clock: Clock
+    has_left: HasLeft
     closing: bool = False
     started: bool = False
     finished: bool = False
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
@@ -9,6 +9,7 @@
 
 from ryelatch_core.events import catalogue
 from ryelatch_core.kernel import LagMeter, cancel_task
+from ryelatch_node.connections import has_ended
 from ryelatch_node.forwarding import ALIVE_SECONDS
 from ryelatch_node.peer_sync import (
     ForwardAlive,
@@ -76,6 +77,10 @@
             await self.reader.read(1)
         return {'type': 'http.disconnect'}
 
+    def has_left(self) -> bool:
+        """Whether the node has closed the connection, read or not."""
+        return self.reader.at_eof() or has_ended(self.writer.transport)
+
     async def send(self, message: Message) -> None:
         """Send a part of an answer.
 
@@ -189,6 +194,7 @@
             connection.send,
             self.context.log,
             self.context.clock,
+            connection.has_left,
             ran=forwarded.ran,
             reject=connection.refuse,
         )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
@@ -330,4 +330,5 @@
         digest=request.digest,
         last_event=frame.last_event,
         room=helper.room,
+        client_left=exchange.has_left(),
     )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -19,7 +19,10 @@
     admit,
 )
 from ryelatch_node.relay._context import RelayContext
-from ryelatch_node.relay._disconnect import wait_for_disconnect
+from ryelatch_node.relay._disconnect import (
+    get_departure_check,
+    wait_for_disconnect,
+)
 from ryelatch_node.relay._errors import AnswerBroken, ClientGone
 from ryelatch_node.relay._exchange import (
     AdmittedRequest,
@@ -110,6 +113,7 @@
             send,
             context.log,
             context.clock,
+            get_departure_check(scope),
             self.stop_state.closing,
         )
         try:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
@@ -322,6 +322,7 @@
         load=context.load.requests[replica.name],
         list_age=round_seconds(context.replicas.freshness.age),
         missing=round_seconds(context.replicas.find_missing((replica.name,))),
+        client_left=exchange.has_left(),
     )
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_protocol.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_protocol.py
@@ -8,12 +8,15 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
+from starlette.types import Scope
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from ryelatch_core.events import LineLog, catalogue
 from ryelatch_core.routing import ClientLimits
+from ryelatch_node.connections import has_ended
+from ryelatch_node.relay._disconnect import set_departure_check
 
 _REJECTION = (
     'HTTP/1.1 {status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
@@ -72,6 +75,7 @@
     def on_message_begin(self) -> None:
         """Start the timer for the header of a request."""
         super().on_message_begin()
+        set_departure_check(cast('Scope', self.scope), self._has_left)
         self._await_header()
 
     def on_headers_complete(self) -> None:
@@ -101,6 +105,9 @@
         if not self.transport.is_closing():
             super().on_message_complete()
 
+    def _has_left(self) -> bool:
+        return has_ended(self.transport)
+
     def _start_timer(
         self, seconds: float, on_expiry: Callable[[], None]
     ) -> None:
--- a/tests/platform/test_leaving_clients.py
+++ b/tests/platform/test_leaving_clients.py
@@ -91,9 +91,9 @@
             'X-Ryelatch-Token-Usage: 100,40',
             'X-Ryelatch-Deadline-Ms: 8000',
             'Content-Length: 8',
-            '\r\n',
+            '\r\nquestion',
         )
-        self.writer.write('\r\n'.join(lines).encode() + b'question')
+        self.writer.write('\r\n'.join(lines).encode())
 
     async def read_status(self) -> int:
         """Read the status of an answer with a length, and its body."""
@@ -192,7 +192,7 @@
 @pytest.mark.parametrize('path', _PATHS)
 @pytest.mark.parametrize('resets', [False, True])
 @pytest.mark.parametrize('kept', [False, True])
-async def test_late_node_sends_nothing_for_clients_that_left(
+async def test_late_node_sends_nothing_for_leavers(
     path: str, resets: bool, kept: bool, tmp_path: Path
 ) -> None:
     """Requests are sent on whose clients left before they were read."""
--- a/tests/standins/plain_relay.py
+++ b/tests/standins/plain_relay.py
@@ -141,7 +141,9 @@
             wire=SimpleNamespace(write_request=lambda headers, _: headers),
             upstreams=SimpleNamespace(send=self._send),
         )
-        self.exchange = Exchange('r-1', self._receive, self.log, self.clock)
+        self.exchange = Exchange(
+            'r-1', self._receive, self.log, self.clock, bool
+        )
 
     @property
     def status(self) -> int:
