A late node sends on nothing for clients that have left

Callers saw nothing; the upstreams worked for callers that were gone. A process that had no processor time finds a request and the close of its client's connection in the kernel at once, reads the request in one pass of its loop and the close in the next. What it sends without a wait in between, it sends for nobody: 40 of 40 requests to an open connection, also for retries, hedges, places and permits that come due in the same pass.

The class: what the machine knows and the process does not. Before it relays a request, before each attempt, and once more when the attempt has its connection, a node asks the client's socket for its end, by a poll that waits for nothing and reads nothing; send-withheld counts what it kept back. A forwarded request asks the connection of the node that forwarded it.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -152,6 +152,13 @@
     'forward-taken',
     'A request was received from a node that has lost its links.',
 )
+SEND_WITHHELD = EventKind(
+    1215,
+    'send-withheld',
+    'A request was not sent, as its client had left; this process had not read '
+    'that yet.',
+    'Many of them show a node that is short of processor time.',
+)
 
 CHAIN_CHOSEN = EventKind(
     1301, 'chain-chosen', 'A chain of engines was chosen for an attempt.'
--- a/packages/ryelatch-node/src/ryelatch_node/forwarding/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/forwarding/_client.py
@@ -185,6 +185,7 @@
         request: ForwardRequest,
         *,
         repeatable: bool,
+        before_writing: Callable[[], None],
         may_leave: Callable[[], bool] = _may_always_leave,
     ) -> AsyncIterator[ForwardedAnswer]:
         """Forward a request to another node.
@@ -194,6 +195,8 @@
         :param repeatable: whether the request may run more than once. If not,
             a connection of its own is used, as it would be unknown whether an
             idle one was closed before or after the request arrived.
+        :param before_writing: called once there is a connection. What it
+            raises ends the attempt before anything was sent.
         :param may_leave: whether another node may be tried now.
         :raises HelperLost: if the node can't be reached.
         """
@@ -205,6 +208,7 @@
         busy = self.links.helpers.busy
         busy[name] += 1
         try:
+            before_writing()
             connection.writer.write(encode(request))
             yield answer
         finally:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
@@ -34,7 +34,7 @@
 )
 from ryelatch_node.relay._stream import LiveStream
 from ryelatch_node.relay._stream_scope import enter_stream_scope
-from ryelatch_node.relay._upstream import Answer
+from ryelatch_node.relay._upstream import Answer, UpstreamRequest
 from ryelatch_node.relay._watch import StreamWatch
 
 _SERVER_ERROR = 500
@@ -66,7 +66,7 @@
     context, progress = relaying.context, relaying.progress
     exchange, request = relaying.exchange, relaying.request
     tokens = request.terms.prompt + request.terms.answer // 2
-    exchange.sends += 1
+    exchange.begin_send()
     _log_send(context, exchange, request, path, progress)
     scope = asyncio.timeout(None)
     now = context.clock.monotonic()
@@ -147,7 +147,6 @@
                 path_stage.replica.name for path_stage in path
             )
         ),
-        client_left=exchange.has_left(),
     )
 
 
@@ -168,15 +167,16 @@
         rank,
     )
     progress.refused = False
-    async with context.upstreams.send(
-        stream.first_replica,
+    outgoing = UpstreamRequest(
         request.method,
         request.target,
         context.wire.write_request(request.headers, dispatch),
         request.body,
-        identity=request.terms.identity,
-        repeatable=request.repeatable,
-    ) as answer:
+        request.terms.identity,
+        request.repeatable,
+        stream.exchange.check_client,
+    )
+    async with context.upstreams.send(stream.first_replica, outgoing) as answer:
         stream.answered = True
         if answer.terms.not_run:
             progress.refused = True
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_disconnect.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_disconnect.py
@@ -25,6 +25,10 @@
 
 
 def get_departure_check(scope: Scope) -> HasLeft:
-    """Return what ``set_departure_check`` has set."""
-    has_left: HasLeft = scope['extensions'][_EXTENSION]['has_left']
+    """Return what ``set_departure_check`` has set.
+
+    Without it, the end of a connection is known once it has been read.
+    """
+    extension = scope.get('extensions', {}).get(_EXTENSION, {})
+    has_left: HasLeft = extension.get('has_left', bool)
     return has_left
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -169,6 +169,27 @@
         self.ran -= len(self.cut) - len(counted)
         self.cut = counted
 
+    def begin_send(self) -> None:
+        """Count an attempt to send the request to an upstream or a node.
+
+        :raises ClientGone: if its client has left.
+        """
+        self.check_client()
+        self.sends += 1
+
+    def check_client(self) -> None:
+        """Check that the client is still there.
+
+        :raises ClientGone: if the end of its connection has arrived, even if a
+            busy process hasn't read it yet.
+        """
+        if self.client_gone:
+            raise ClientGone
+        if self.has_left():
+            self.client_gone = True
+            self.record(catalogue.SEND_WITHHELD, sends=self.sends)
+            raise ClientGone
+
     async def start(self, status: int, headers: Headers) -> None:
         """Send the headers of the answer."""
         kept = [
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
@@ -191,7 +191,7 @@
 
     :returns: whether the client has its final answer.
     """
-    exchange.sends += 1
+    exchange.begin_send()
     frame = _make_frame(context, exchange, request, attempts)
     _log_forward(context, exchange, request, helper, frame)
     exchange.detail['forwarded_to'] = helper.node.name
@@ -201,6 +201,7 @@
             helper,
             frame,
             repeatable=request.repeatable,
+            before_writing=exchange.check_client,
             may_leave=functools.partial(
                 _may_leave, context, exchange, request, attempts
             ),
@@ -330,5 +331,4 @@
         digest=request.digest,
         last_event=frame.last_event,
         room=helper.room,
-        client_left=exchange.has_left(),
     )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -197,7 +197,14 @@
         request: AdmittedRequest,
         receive: Receive,
     ) -> None:
-        """Relay a request until it is complete or its client disconnects."""
+        """Relay a request until it is complete or its client disconnects.
+
+        A busy process may read a request and the end of its connection at once.
+        """
+        try:
+            exchange.check_client()
+        except ClientGone:
+            return
         relaying = asyncio.create_task(
             self._relay_until_deadline(exchange, request)
         )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
@@ -26,6 +26,7 @@
 from ryelatch_node.relay._permits import acquire_permit, compute_retry_after
 from ryelatch_node.relay._refusals import refuse_quarantined
 from ryelatch_node.relay._runs import Runs, open_runs
+from ryelatch_node.relay._upstream import UpstreamRequest
 from ryelatch_node.relay._verdicts import is_allowed, wait_for_verdict
 
 ATTEMPT_FRACTION = 0.5
@@ -310,7 +311,7 @@
     request: AdmittedRequest,
     replica: Replica,
 ) -> None:
-    exchange.sends += 1
+    exchange.begin_send()
     exchange.record(
         catalogue.EXCHANGE_SENT,
         replica=replica.name,
@@ -322,7 +323,6 @@
         load=context.load.requests[replica.name],
         list_age=round_seconds(context.replicas.freshness.age),
         missing=round_seconds(context.replicas.find_missing((replica.name,))),
-        client_left=exchange.has_left(),
     )
 
 
@@ -361,15 +361,16 @@
     dispatch: Dispatch,
 ) -> _ReceivedAnswer | None:
     replica = run.replica
-    async with context.upstreams.send(
-        replica,
+    outgoing = UpstreamRequest(
         request.method,
         request.target,
         context.wire.write_request(request.headers, dispatch),
         request.body or None,
-        identity=request.terms.identity,
-        repeatable=request.repeatable,
-    ) as answer:
+        request.terms.identity,
+        request.repeatable,
+        exchange.check_client,
+    )
+    async with context.upstreams.send(replica, outgoing) as answer:
         if answer.terms.not_run:
             context.replicas.suspect(replica, 'refused', full=True)
             if answer.terms.entry not in {'', replica.entry}:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_protocol.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_protocol.py
@@ -106,7 +106,14 @@
             super().on_message_complete()
 
     def _has_left(self) -> bool:
-        return has_ended(self.transport)
+        """Close the connection if its client has.
+
+        :returns: whether it is closed.
+        """
+        if not has_ended(self.transport):
+            return False
+        self.transport.close()
+        return True
 
     def _start_timer(
         self, seconds: float, on_expiry: Callable[[], None]
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -1,14 +1,17 @@
 """The HTTP client that sends requests to upstreams."""
 
 import asyncio
+import contextvars
 import itertools
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from typing import Any, TypeAlias
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 from yarl import URL
 
 from ryelatch_core.fleet import Replica
@@ -54,6 +57,12 @@
 """Handles a connection to a replica at an address that succeeded or failed."""
 
 
+_before_writing: contextvars.ContextVar[Callable[[], None]] = (
+    contextvars.ContextVar('before_writing')
+)
+"""Called in a task that sends a request, once it has a connection."""
+
+
 class _ObservedConnector(aiohttp.TCPConnector):
     """Reports which new connections were established, and which were not.
 
@@ -77,6 +86,16 @@
             if not scope.expired():
                 scope.reschedule(now)
 
+    async def connect(self, *arguments: Any, **options: Any) -> Connection:
+        """Get a connection for a request that is still wanted then."""
+        connection = await super().connect(*arguments, **options)
+        try:
+            _before_writing.get()()
+        except BaseException:
+            connection.release()
+            raise
+        return connection
+
     async def _get(self, key: Any, traces: Any) -> Any:
         """Choose a kept connection, but none whose end has arrived."""
         for handler, _ in self._conns.get(key, ()):
@@ -162,6 +181,26 @@
             raise _make_error(error) from error
 
 
+@dataclass(frozen=True)
+class UpstreamRequest:
+    """A request as it is sent to an upstream.
+
+    :param target: path and query, byte for byte.
+    :param identity: that the answer must carry.
+    :param repeatable: whether the request may run more than once.
+    :param before_writing: called once there is a connection. What it raises
+        ends the attempt before anything was sent.
+    """
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes | None
+    identity: str
+    repeatable: bool
+    before_writing: Callable[[], None]
+
+
 class Upstreams:
     """Sends requests to upstreams over pooled or single-use connections.
 
@@ -213,13 +252,7 @@
     async def send(
         self,
         replica: Replica,
-        method: str,
-        target: str,
-        headers: list[tuple[str, str]],
-        body: bytes | None,
-        *,
-        identity: str,
-        repeatable: bool,
+        request: UpstreamRequest,
     ) -> AsyncIterator[Answer]:
         """Send a request and wait for the status and headers of its answer.
 
@@ -227,20 +260,18 @@
         to it, and then it is unknown whether the request ran. So only
         repeatable requests use pooled connections.
 
-        :param target: path and query, byte for byte.
-        :param identity: that the answer must carry.
-        :param repeatable: whether the request may run more than once.
         :raises SendError: if no usable answer arrives.
         """
-        session = self._pooled if repeatable else self._single_use
+        session = self._pooled if request.repeatable else self._single_use
         assert session is not None
-        url = URL(f'http://{replica.address}{target}', encoded=True)
+        _before_writing.set(request.before_writing)
+        url = URL(f'http://{replica.address}{request.target}', encoded=True)
         try:
             response = await session.request(
-                method,
+                request.method,
                 url,
-                data=body,
-                headers=headers,
+                data=request.body,
+                headers=request.headers,
                 skip_auto_headers=_SKIPPED_HEADERS,
                 allow_redirects=False,
             )
@@ -250,7 +281,7 @@
             self._on_failed(replica.address)
             raise _make_error(error) from error
         try:
-            answer = self._check_answer(response, identity)
+            answer = self._check_answer(response, request.identity)
             self._on_answer(replica, answer.terms)
             yield answer
         finally:
--- a/tests/node/relay/test_stale_connections.py
+++ b/tests/node/relay/test_stale_connections.py
@@ -11,7 +11,7 @@
 from ryelatch_core.fleet import Replica
 from ryelatch_node.ports import AnswerMetadata
 from ryelatch_node.relay._errors import SendError, SendErrorKind
-from ryelatch_node.relay._upstream import Upstreams
+from ryelatch_node.relay._upstream import UpstreamRequest, Upstreams
 
 _ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 
@@ -61,9 +61,8 @@
 
 
 async def _send(upstreams: Upstreams, replica: Replica) -> bytes:
-    async with upstreams.send(
-        replica, 'GET', '/', [], None, identity='r-1', repeatable=True
-    ) as answer:
+    request = UpstreamRequest('GET', '/', [], None, 'r-1', True, lambda: None)
+    async with upstreams.send(replica, request) as answer:
         return await answer.read()
 
 
