A request that was given up is not delivered after a cut

Callers saw nothing; requests reached upstreams seconds after their clients had left. What is written to a connection whose link is cut stays with the operating system, which delivers it, and then the close, when the link is back. An orderly close can't take it back.

A connection that is closed with bytes that the other side has not confirmed (TIOCOUTQ) is reset, and the system discards them. Without such bytes the close stays orderly: the upstream has the request, and the close has to reach it however late, or it goes on working.

--- a/packages/ryelatch-node/src/ryelatch_node/connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/connections.py
@@ -1,8 +1,13 @@
 """HTTP connections of a client that bound what the other side sends."""
 
+import array
 import asyncio
+import fcntl
 import functools
 import select
+import socket
+import struct
+import termios
 from http import HTTPStatus
 from typing import Any
 
@@ -22,6 +27,9 @@
 Each of them may begin an answer of its own, which takes more memory than it.
 """
 
+_NO_LINGER = struct.pack('ii', 1, 0)
+"""Value of ``SO_LINGER`` with which a close resets the connection."""
+
 
 class EndlessAnswer(aiohttp.ClientPayloadError):
     """A part of an answer is longer than it may be."""
@@ -79,6 +87,13 @@
             payload.set_exception(aiohttp.ClientPayloadError(str(exc)))
         super().connection_lost(exc)
 
+    def close(self) -> None:
+        """Close the connection, so that nothing is delivered afterwards."""
+        if self.transport is not None and _discard_unconfirmed(self.transport):
+            self.abort()
+        else:
+            super().close()
+
     def _is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
@@ -134,6 +149,28 @@
     return b''.join(pieces)
 
 
+def _discard_unconfirmed(transport: asyncio.BaseTransport) -> bool:
+    """Let the system discard what the other side has not confirmed yet.
+
+    It would deliver that before the close, seconds later if a link was cut
+    meanwhile: a request that was given up would still reach its upstream.
+
+    :returns: whether there is any; then the connection has to be aborted.
+    """
+    sock = transport.get_extra_info('socket')
+    if transport.is_closing() or not _count_unconfirmed(sock):
+        return False
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    return True
+
+
+def _count_unconfirmed(sock: socket.socket) -> int:
+    """Count the bytes that a system holds for the other side."""
+    count = array.array('i', (0,))
+    fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+    return count[0]
+
+
 def has_ended(transport: asyncio.BaseTransport) -> bool:
     """Whether the other side of a connection has closed or reset it.
 
