--- a/tests/platform/test_leaving_clients.py
+++ b/tests/platform/test_leaving_clients.py
@@ -227,7 +227,7 @@
 
 
 @pytest.mark.parametrize('resets', [False, True])
-async def test_leaver_with_a_second_request_ends_the_first(
+async def test_leaver_ends_the_first_of_two_requests(
     resets: bool, tmp_path: Path
 ) -> None:
     """A replica works on for a client that had sent its next request early.
