--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -48,6 +48,11 @@
         help='with planned work of all kinds in a larger fleet, beside '
         'replicas that stand still',
     )
+    parser.add_argument(
+        '--leaving',
+        action='store_true',
+        help='with clients that leave early, and nodes that stand still',
+    )
     return parser.parse_args()
 
 
@@ -70,6 +75,7 @@
                 cutting=options.cutting,
                 pausing=options.pausing,
                 releasing=options.releasing,
+                leaving=options.leaving,
             )
         )
         failed += bool(outcome.violations)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,6 +8,7 @@
 from ryelatch_core.quarantine import make_part_key
 from soak.clients import Attempt, Clients
 from soak.crashing import CRASHING_KINDS, compute_digest
+from soak.leaving import check_leavers
 from soak.streams import (
     check_abandoned,
     check_attempts,
@@ -210,6 +211,7 @@
     check_processes,
     check_crashing,
     check_limit,
+    check_leavers,
 )
 
 
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -38,6 +38,7 @@
     :param deadline: when its client gave up at the latest.
     :param received: when each part of it arrived.
     :param left: whether the client gave up for want of progress.
+    :param leaver: whether it was meant to leave early.
     :param signature: of the replica that answered; empty if none signed.
     """
 
@@ -55,6 +56,7 @@
     received: list[float] = field(default_factory=list)
     deadline: float = math.inf
     left: bool = False
+    leaver: bool = False
 
 
 @dataclass(eq=False)
@@ -100,20 +102,25 @@
         key: str,
         body: bytes = b'question',
         part: str = '',
+        stays: float | None = None,
     ) -> Attempt:
         """Send a request and read its answer.
 
         :param part: another part of its prompt.
+        :param stays: seconds after which its client leaves; it is connected to
+            the node itself then.
         """
         loop = asyncio.get_running_loop()
         number = next(self._numbers)
+        seconds = self.deadline if stays is None else stays
         attempt = Attempt(
             f'r-{number}',
             kind,
             key,
             loop.time(),
             node=node.name,
-            deadline=loop.time() + self.deadline,
+            deadline=loop.time() + seconds,
+            leaver=stays is not None,
         )
         self.attempts.append(attempt)
         headers = {
@@ -124,8 +131,12 @@
             'X-Ryelatch-Prefix-Hash': _list_parts(number, part),
             'Api-Key': key,
         }
-        url = f'http://{node.front_link.address}/{kind}/x'
-        timeout = ClientTimeout(total=self.deadline, sock_read=self.patience)
+        address = node.front_link.address
+        if stays is not None:
+            host, port = node.front_link.target
+            address = f'{host}:{port}'
+        url = f'http://{address}/{kind}/x'
+        timeout = ClientTimeout(total=seconds, sock_read=self.patience)
         try:
             async with http.post(
                 url, headers=headers, data=body, timeout=timeout
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -11,6 +11,7 @@
 from soak.clients import Clients
 from soak.crashing import CrashingClient
 from soak.faults import Fault, inject_faults, list_faults
+from soak.leaving import LEAVING_FAULTS, Leavers
 from soak.pausing import (
     CLIENT_DEADLINE_SECONDS,
     CLIENT_PATIENCE_SECONDS,
@@ -54,6 +55,7 @@
     cutting: bool = False,
     pausing: bool = False,
     releasing: bool = False,
+    leaving: bool = False,
 ) -> Outcome:
     """Run one seed.
 
@@ -67,7 +69,10 @@
         nothing else happens.
     :param releasing: the same in a fleet of a small deployment's size, beside
         planned work of all kinds.
+    :param leaving: whether clients leave early, while nodes stand still or are
+        cut off from all replicas.
     """
+    cutting = cutting or leaving
     async with run_world(
         seed, folder, cutting=cutting, pausing=pausing, releasing=releasing
     ) as world:
@@ -89,12 +94,17 @@
             crashing_client.start()
         if asking:
             throttled.start()
+        leavers = Leavers(world, clients, random.Random(seed))
+        if leaving:
+            leavers.start()
         sending = asyncio.create_task(clients.run(stop_clients))
         revoking = asyncio.create_task(_revoke_key(world, seconds / 3))
-        faults = await inject_faults(world, seconds, _list_faults(world))
+        drawn = LEAVING_FAULTS if leaving else _list_faults(world)
+        faults = await inject_faults(world, seconds, drawn)
         await revoking
         await throttled.stop()
         await _wait_recovered(world)
+        await leavers.stop()
         stop_clients.set()
         await sending
         world.recovered_at = asyncio.get_running_loop().time()
--- a/tests/soak_tests/test_soak.py
+++ b/tests/soak_tests/test_soak.py
@@ -13,6 +13,7 @@
     CRASHING_REGRESSIONS,
     CRASHING_SEED,
     CUTTING_SEED,
+    LEAVING_SEED,
     PAUSING_SEED,
     REGRESSIONS,
     RELEASING_SEED,
@@ -101,3 +102,13 @@
     )
     assert 'release_half' in outcome.faults
     assert not outcome.violations
+
+
+async def test_nothing_is_sent_for_clients_that_left(tmp_path: Path) -> None:
+    """Requests reach replicas long after their clients have left.
+
+    Nodes stand still, are cut off from all replicas, end and start again.
+    """
+    outcome = await run_seed(LEAVING_SEED, CI_SECONDS, tmp_path, leaving=True)
+    assert 'pause_node' in outcome.faults
+    assert not outcome.violations
