--- a/tests/platform/test_unreadable_objects.py
+++ b/tests/platform/test_unreadable_objects.py
@@ -21,7 +21,6 @@
 from ryelatch_core.eras import FIRST_ERA, StoreRevision
 from ryelatch_core.events import LineLog
 from ryelatch_node.ports import Address
-from ryelatch_platform import _store
 from ryelatch_platform._store import StoreClient
 
 _HALF_PAIR = json.dumps('\ud83d').strip('"').encode()
@@ -46,7 +45,7 @@
 
     It could not tell that this process was late.
     """
-    monkeypatch.setattr(_store, 'CALL_SECONDS', 60)
+    monkeypatch.setattr('ryelatch_platform._store.CALL_SECONDS', 60)
 
 
 def _make_object(name: str, spec: bytes) -> bytes:
