--- a/packages/ryelatch-node/src/ryelatch_node/connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/connections.py
@@ -88,7 +88,7 @@
         super().connection_lost(exc)
 
     def close(self) -> None:
-        """Close the connection, so that nothing is delivered afterwards."""
+        """Close the connection; what was not confirmed is not delivered."""
         if self.transport is not None and _discard_unconfirmed(self.transport):
             self.abort()
         else:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
@@ -128,6 +128,7 @@
             break
         if not await _may_send(context, exchange, request):
             break
+        exchange.begin_send()
         attempts.names.add(replica.name)
         run = _Run(replica)
         _record_send(context, exchange, request, replica)
@@ -311,7 +312,6 @@
     request: AdmittedRequest,
     replica: Replica,
 ) -> None:
-    exchange.begin_send()
     exchange.record(
         catalogue.EXCHANGE_SENT,
         replica=replica.name,
