--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_frames.py
@@ -266,10 +266,19 @@
 async def read_body(reader: asyncio.StreamReader) -> bytes:
     """Read the body of a frame.
 
+    :raises ValueError: if the frame is longer than allowed.
+    :raises EOFError: if the stream ends.
+    """
+    return await reader.readexactly(await read_length(reader))
+
+
+async def read_length(reader: asyncio.StreamReader) -> int:
+    """Read the length of a frame's body.
+
     :raises ValueError: if the frame is longer than allowed.
     :raises EOFError: if the stream ends.
     """
     length = int.from_bytes(await reader.readexactly(_LENGTH_BYTES))
     if length > MAX_FRAME_BYTES:
         raise ValueError(f'frame too long: {length} bytes')
-    return await reader.readexactly(length)
+    return length
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_server.py
@@ -29,8 +29,8 @@
     WatchReply,
     WatchRequest,
     encode,
-    read_body,
 )
+from ryelatch_node.peer_sync._incoming import IncomingFrames
 from ryelatch_node.peer_sync._link_frames import (
     ForwardRequest,
     ReachReply,
@@ -157,6 +157,7 @@
     list_hosts: Callable[[], frozenset[str]] = _knows_no_host
     last_watched: float = NEVER
     _tasks: set['asyncio.Task[None]'] = field(default_factory=set)
+    _incoming: IncomingFrames = field(default_factory=IncomingFrames)
 
     async def serve(
         self,
@@ -194,7 +195,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        body = await read_body(reader)
+        body = await self._incoming.read_body(reader)
         request = msgspec.msgpack.decode(body, type=_AnyRequest)
         match request:
             case SessionRequest():
