Known red: a soak that drew no cut; leavers' soaks draw faults on their own

Clients draw from the source of the faults, so what is drawn depends on how fast they are. Soaks with clients that leave, which ask for a fault by name as well, give their clients a source of their own, as those of silence do.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -80,6 +80,8 @@
         if releasing:
             clients.kinds = KINDS
             clients.count = CLIENT_COUNT
+        if leaving:
+            clients.random_source = random.Random(seed)
         if world.pausing:
             clients.deadline = CLIENT_DEADLINE_SECONDS
             clients.patience = CLIENT_PATIENCE_SECONDS
