Failing tests: answers of killed processes that look complete

Replicas in processes of their own answer without a length or chunks, and are killed between two events, or in the middle of a plain body. Their system ends the connections in order, as at the end of a whole answer.

--- /dev/null
+++ b/tests/platform/test_early_ends.py
@@ -0,0 +1,191 @@
+"""Answers that end with the connection of a process that was killed."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+
+from fleet.processes import Process
+from fleet.replica_processes import run_replica_process
+from fleet.running import (
+    MODEL_SERVICE,
+    NON_MODEL_SERVICE,
+    RunningNode,
+    ask,
+    make_configuration,
+    make_event_stream,
+    make_model_replicas,
+    make_non_model_replicas,
+    make_route,
+    open_request,
+    run_node,
+    wait_until,
+)
+from standins.replica import ReplicaStandIn
+
+_HALF = ('--unframed', '--stall-after', '1')
+_PART = ('--unframed', '--stall-after', '2')
+_ENTRY_CHANGES = ('stays', 'dropped', 'started again')
+
+
+def _make_configuration() -> dict[str, object]:
+    """Make a configuration with a stream that may run once only."""
+    configuration = make_configuration()
+    once = make_route(
+        'once',
+        routeKind='streaming',
+        service=MODEL_SERVICE,
+        timeoutMs=10_000,
+    )
+    configuration['routes'].append(once)
+    return configuration
+
+
+@contextlib.asynccontextmanager
+async def _open_stalled(
+    node: RunningNode, path: str, first: bytes
+) -> AsyncIterator[aiohttp.ClientResponse]:
+    """Send a request, and read the part of its answer before a stall."""
+    async with open_request(node, path) as response:
+        assert await response.content.readexactly(len(first)) == first
+        yield response
+
+
+async def _read_rest(response: aiohttp.ClientResponse) -> tuple[bytes, bool]:
+    """Read the rest of an answer.
+
+    :returns: the rest, and whether the client takes it for complete.
+    """
+    rest = b''
+    try:
+        async for piece in response.content.iter_any():
+            rest += piece
+    except aiohttp.ClientPayloadError:
+        return rest, False
+    return rest, True
+
+
+async def _change_entry(
+    node: RunningNode, entry: ReplicaStandIn, change: str
+) -> None:
+    """Change the entry of a killed replica, and let the node notice."""
+    if change == 'dropped':
+        node.store.drop('servers', entry.name)
+    elif change == 'started again':
+        entry.started_at += 1000
+        entry.layers = None
+        entry.register()
+
+
+async def _wait_stalled(node: RunningNode, process: Process) -> None:
+    """Wait until an answer of a replica stands still."""
+    stalled: list[object] = []
+    while not stalled:
+        async with node.http.get(f'{process.url}/report') as response:
+            stalled = (await response.json())['stalled']
+
+
+async def _add_sound_replica(
+    node: RunningNode, replica: ReplicaStandIn
+) -> None:
+    listed = node.count('replica-listed')
+    await node.add(replica)
+    await wait_until(lambda: node.count('replica-listed') > listed)
+
+
+@pytest.mark.parametrize('change', _ENTRY_CHANGES)
+async def test_stream_of_killed_replica_is_resumed(change: str) -> None:
+    """A process killed between two events ends its stream like a whole one."""
+    async with (
+        run_node([]) as node,
+        run_replica_process(node, 'm-9', MODEL_SERVICE, *_PART) as (
+            process,
+            entry,
+        ),
+        _open_stalled(node, '/plan/x', make_event_stream(2)) as response,
+    ):
+        await _add_sound_replica(node, make_model_replicas((0, 8))[0])
+        await process.kill()
+        await _change_entry(node, entry, change)
+        rest = make_event_stream(5)[len(make_event_stream(2)) :]
+        assert await _read_rest(response) == (rest, True)
+
+
+async def test_stream_that_a_late_node_reads_is_resumed() -> None:
+    """A node that stood still finds all events and the end at once."""
+    async with (
+        run_node([]) as node,
+        run_replica_process(node, 'm-9', MODEL_SERVICE, *_PART) as (process, _),
+        open_request(node, '/plan/x') as response,
+    ):
+        await _add_sound_replica(node, make_model_replicas((0, 8))[0])
+        await response.content.readany()
+        time.sleep(0.2)
+        await process.kill()
+        time.sleep(0.2)
+        assert b'data: token 5' in await response.content.read()
+
+
+async def test_stream_killed_in_its_only_run_breaks() -> None:
+    """A part of a stream that can't be resumed looks like all of it."""
+    async with (
+        run_node([], _make_configuration()) as node,
+        run_replica_process(node, 'm-9', MODEL_SERVICE, *_PART) as (process, _),
+        _open_stalled(node, '/once/x', make_event_stream(2)) as response,
+    ):
+        await process.kill()
+        assert await _read_rest(response) == (b'', False)
+
+
+async def test_half_of_a_plain_answer_is_replaced() -> None:
+    """Half of a body is passed on with the length of the half."""
+    async with (
+        run_node([]) as node,
+        run_replica_process(node, 'b-9', NON_MODEL_SERVICE, *_HALF) as (
+            process,
+            _,
+        ),
+    ):
+        asking = asyncio.create_task(ask(node, '/ping/x'))
+        await _wait_stalled(node, process)
+        await _add_sound_replica(node, make_non_model_replicas(1)[0])
+        await process.kill()
+        status, body, _ = await asking
+    assert (status, body) == (200, b'answer of b-0')
+
+
+@pytest.mark.parametrize('path', ['/ping/x', '/book/x'])
+async def test_half_of_a_plain_answer_is_no_answer(path: str) -> None:
+    """Half of a body is passed on where no other replica may run it."""
+    async with (
+        run_node([]) as node,
+        run_replica_process(node, 'b-9', NON_MODEL_SERVICE, *_HALF) as (
+            process,
+            _,
+        ),
+    ):
+        asking = asyncio.create_task(ask(node, path))
+        await _wait_stalled(node, process)
+        await process.kill()
+        status, _, _ = await asking
+    assert status == 502
+
+
+@pytest.mark.parametrize('path', ['/plan/x', '/once/x', '/ping/x', '/book/x'])
+async def test_whole_answer_of_a_process_runs_once(path: str) -> None:
+    """An answer without a length is repeated, or lost, though it is whole."""
+    model = path in {'/plan/x', '/once/x'}
+    service = MODEL_SERVICE if model else NON_MODEL_SERVICE
+    expected = make_event_stream(5) if model else b'answer of r-9'
+    async with (
+        run_node([], _make_configuration()) as node,
+        run_replica_process(node, 'r-9', service, '--unframed'),
+    ):
+        for number in range(3):
+            status, body, _ = await ask(node, path, identity=f'r-{number}')
+            assert (status, body) == (200, expected)
+        sends = node.count('exchange-sent') + node.count('stream-resumed')
+    assert sends == 3
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -503,22 +503,29 @@
     async def _write_unframed(
         self, transport: asyncio.Transport, run: Run, ending: Unframed | None
     ) -> None:
-        pieces = [f'answer of {self.name}'.encode()]
-        if 'X-Ryelatch-Hop-Count' in run.headers:
-            last = int(run.headers.get('Last-Event-Id', '0'))
-            pieces = [
-                f'id: {number}\ndata: token {number}\n\n'.encode()
-                for number in range(last + 1, self.events + 1)
-            ]
+        pieces = self._make_pieces(run)
         if ending is not Unframed.WHOLE:
             pieces = pieces[:2]
         if ending is Unframed.INSIDE:
             pieces[-1] = pieces[-1][:-1]
-        for piece in pieces:
+        for number, piece in enumerate(pieces, start=1):
+            await self._stall_if_set(run, number)
             await self._wait_released()
             transport.write(piece)
+            run.first_event = run.first_event or _read_clock()
             await asyncio.sleep(self.pause)
 
+    def _make_pieces(self, run: Run) -> list[bytes]:
+        """Make the events of a stream, or the bytes of a plain body."""
+        if 'X-Ryelatch-Hop-Count' in run.headers:
+            last = int(run.headers.get('Last-Event-Id', '0'))
+            return [
+                make_event(number, numbered=self._is_numbered(run))
+                for number in range(last + 1, self.events + 1)
+            ]
+        body = f'answer of {self.name}'.encode()
+        return [body[:1], body[1:]]
+
     async def _stream(
         self,
         request: web.Request,
@@ -626,6 +633,9 @@
     parser.add_argument('--layers', type=int, nargs=2)
     parser.add_argument('--events', type=int, default=5)
     parser.add_argument('--pause', type=float, default=0.01)
+    parser.add_argument('--unframed', action='store_true')
+    parser.add_argument('--stall-after', type=int, default=0)
+    parser.add_argument('--stalls', type=int, default=1)
     options = parser.parse_args()
     replica = ReplicaStandIn(
         options.name,
@@ -634,6 +644,9 @@
         layers=tuple(options.layers) if options.layers else None,
         events=options.events,
         pause=options.pause,
+        unframed=Unframed.WHOLE if options.unframed else None,
+        stall_after=options.stall_after,
+        stalls=options.stalls,
     )
     asyncio.run(serve(replica.make_app(), options.port))
 
