An orderly end of a connection is no end of an answer

Callers saw streams that ended as complete, with the client's last chunk, before their last event, and half of a plain body with 200 and a length of the half.

Cause: an answer without a length or chunks ends with its connection. A process that is killed closes its connections in order, as its system does it for it. _forward_events took that end for whole once an event had been delivered; plain answers were not checked at all. A proof of nothing was taken for a proof.

Ruled out: this side as the cause of the end (no line of a node names the requests; streams in chunks of killed processes are resumed), and a second run that ends at once (nothing was resumed).

Now the replica is asked once more after such an end, over a connection that is kept for it. It answers: the answer is whole. It is gone, or another start or replica answers: what may be resumed or repeated is, as after a reset; the rest is broken off (502 if nothing was sent). A replica that had announced to leave may refuse connections while it ends its last streams, so a refusal proves nothing there: the stream is resumed where it may be, and taken for whole if that isn't possible. Answers that end at once share one question, which begins after them. The line of an exchange says how its end was known.

Why it holds: only the process can answer, and it does so after the end, so its own close was the end. All bodies pass Answer.iterate or Answer.read, which ask. A coding that isn't chunked doesn't state an end either.

--- a/packages/ryelatch-node/src/ryelatch_node/ports/_commands.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_commands.py
@@ -86,6 +86,17 @@
     """There was no response; the network path may be broken."""
 
 
+class Presence(enum.Enum):
+    """Whether an incarnation of a replica still runs, as it says itself."""
+
+    RUNNING = 'running'
+    GONE = 'gone'
+    """Connections are refused, or another replica answers."""
+
+    UNKNOWN = 'unknown'
+    """There was no answer in time."""
+
+
 @dataclass(frozen=True)
 class ReplicaCommands:
     """Calls to replicas."""
@@ -108,3 +119,6 @@
 
     A firewall or a lost route may reset connections that were established.
     """
+
+    confirm: Callable[[Replica, str], Awaitable[Presence]]
+    """Ask a replica whether it still runs: replica, path of health checks."""
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
@@ -13,6 +13,7 @@
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._crashes import record_stream_crash
 from ryelatch_node.relay._errors import (
+    REPLICA_LEFT,
     AnswerBroken,
     SendError,
     SendErrorKind,
@@ -90,6 +91,8 @@
         interrupted = SendError(SendErrorKind.LOST, stream.reason)
         await _record_loss(context, stream, progress, interrupted)
     except SendError as error:
+        if stream.delivered:
+            progress.left = error.reason == REPLICA_LEFT
         await _record_loss(context, stream, progress, error)
     except StreamError as error:
         record_failure(
@@ -241,12 +244,13 @@
         await _pass_on(context, stream, answer, events)
     if splitter.has_partial:
         raise SendError(SendErrorKind.LOST, 'ended in the middle of an event')
-    if not (answer.framed or stream.delivered):
+    if not (answer.framing or stream.delivered):
         raise SendError(SendErrorKind.LOST, 'ended before the first event')
     _claim(stream, progress)
     await _pass_on(context, stream, answer, b'', more=False)
     context.replicas.clear_suspicion(stream.first_replica)
-    if answer.framed:
+    stream.exchange.record_end(answer.end)
+    if answer.framing:
         # A replica that crashes between two events ends any other stream too.
         context.quarantine.record_run(stream.request.fingerprint)
     record_outcome(context, stream, failed=False)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_errors.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_errors.py
@@ -2,6 +2,9 @@
 
 import enum
 
+REPLICA_LEFT = 'replica left at the end'
+"""Reason of an answer that may be complete, though nothing can confirm it."""
+
 
 class SendErrorKind(enum.Enum):
     """Whether a request that got no usable answer may have run."""
@@ -12,6 +15,9 @@
     LOST = 'lost'
     """No complete answer was received; the request may have run."""
 
+    UNCONFIRMED = 'unconfirmed'
+    """The answer ended with its connection, perhaps before it was complete."""
+
     INVALID = 'spoiled'
     """The response is not a valid answer to the request; it may have run."""
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -17,6 +17,7 @@
 from ryelatch_core.routing import RetryPolicy, Route
 from ryelatch_node.ports import Headers, Reachability, RequestMetadata
 from ryelatch_node.relay._disconnect import HasLeft
+from ryelatch_node.relay._end_checks import AnswerEnd
 from ryelatch_node.relay._errors import ClientGone
 
 _HOP_HEADERS = frozenset(
@@ -138,6 +139,11 @@
         """Write a log line about this request."""
         self.log.record(kind, request=self.identity, **detail)
 
+    def record_end(self, end: AnswerEnd | None) -> None:
+        """Record how the end of the answer was recognized, for the log."""
+        if end is not None:
+            self.detail['end'] = end.value
+
     def doubt_run(
         self, replica: Replica, check: 'asyncio.Task[Reachability]'
     ) -> None:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -6,6 +6,7 @@
 from ryelatch_core.quarantine import CRASH_THRESHOLD
 from ryelatch_node.relay._attempt import Relaying, attempt_path
 from ryelatch_node.relay._context import RelayContext
+from ryelatch_node.relay._end_checks import AnswerEnd
 from ryelatch_node.relay._errors import AnswerBroken
 from ryelatch_node.relay._exchange import AdmittedRequest, Exchange
 from ryelatch_node.relay._forwarded_stream import forward_stream
@@ -197,6 +198,10 @@
     place: Place,
     attempts: ForwardAttempts,
 ) -> None:
+    if exchange.started and progress.left:
+        exchange.record_end(AnswerEnd.LEFT)
+        await exchange.write(b'', more=False)
+        return
     if exchange.started:
         raise AnswerBroken
     if progress.failure_answer:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
@@ -393,6 +393,7 @@
             may_pass_on=not replaceable,
         )
     run.count(exchange)
+    exchange.record_end(answer.end)
     context.quarantine.record_run(request.fingerprint)
     failed = answer.status >= _SERVER_ERROR
     context.failures.record(
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_progress.py
@@ -40,6 +40,8 @@
         ran it before; empty if any may.
     :param refused: whether the last attempt was refused, for want of room.
     :param paid: whether a retry was spent for an attempt that wasn't made.
+    :param left: whether the last run with events ended as its replica left, so
+        that the client may have all of them.
     :param excluded: first replicas whose runs failed or were interrupted, which
         other attempts avoid where they can.
     :param may_have_run: whether an attempt may have run without an answer.
@@ -53,6 +55,7 @@
     kept_to: frozenset[str] = frozenset()
     refused: bool = False
     paid: bool = False
+    left: bool = False
     excluded: set[str] = field(default_factory=set)
     may_have_run: bool = False
     crashes: int = 0
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -21,6 +21,7 @@
 from ryelatch_node.quarantine import Quarantine
 from ryelatch_node.relay._budget import RetryAllowance, make_budget
 from ryelatch_node.relay._context import RelayContext
+from ryelatch_node.relay._end_checks import EndChecks
 from ryelatch_node.relay._forward_server import ForwardServer
 from ryelatch_node.relay._ingress import Ingress
 from ryelatch_node.relay._metrics import RelayMetrics
@@ -224,21 +225,28 @@
     throttle = app.find('throttle', Throttle)
     replicas = app.find('replicas', ReplicaView)
     links = app.find('links', Links)
+    configuration = app.find('configuration', ConfigurationView)
+    commands = app.find('orders', ReplicaCommands)
+    end_checks = EndChecks(
+        app.clock, commands, replicas, configuration, throttle
+    )
     return RelayContext(
         startup=startup,
         log=app.find('log', LineLog),
         clock=app.clock,
         random_source=app.random_source,
-        configuration=app.find('configuration', ConfigurationView),
+        configuration=configuration,
         replicas=replicas,
         upstreams=Upstreams(
             wire,
+            app.clock,
+            end_checks.find_end,
             _make_answer_hook(throttle, replicas),
             links.record_connected,
             links.record_failed_address,
         ),
         wire=wire,
-        commands=app.find('orders', ReplicaCommands),
+        commands=commands,
         budget=make_budget(
             RetryAllowance(
                 startup.retry_ratio, startup.retry_extra, startup.retry_window
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -4,10 +4,11 @@
 import contextvars
 import itertools
 from collections import defaultdict
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from typing import Any, TypeAlias
+from functools import partial
+from typing import Any, Protocol, TypeAlias
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -15,6 +16,7 @@
 from yarl import URL
 
 from ryelatch_core.fleet import Replica
+from ryelatch_core.kernel import Clock
 from ryelatch_core.membership import CONNECT_TIMEOUT_SECONDS
 from ryelatch_node.connections import (
     EndlessAnswer,
@@ -23,7 +25,12 @@
     read_bounded,
 )
 from ryelatch_node.ports import AnswerMetadata, HeaderCodec, Headers
-from ryelatch_node.relay._errors import SendError, SendErrorKind
+from ryelatch_node.relay._end_checks import AnswerEnd
+from ryelatch_node.relay._errors import (
+    REPLICA_LEFT,
+    SendError,
+    SendErrorKind,
+)
 
 IDLE_SECONDS = 4.0
 """Keep-alive timeout of pooled connections.
@@ -36,7 +43,8 @@
 MAX_ERROR_BYTES = 1_048_576
 """Longest body of an error that a replica of the model answers with."""
 
-_FRAMING_HEADERS = (b'content-length', b'transfer-encoding')
+_HEAD = 'HEAD'
+_NO_BODY = frozenset((204, 304))
 _SKIPPED_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 _CONNECT_ERRORS = (
     aiohttp.ClientConnectorError,
@@ -57,6 +65,15 @@
 """Handles a connection to a replica at an address that succeeded or failed."""
 
 
+class EndCheck(Protocol):
+    """Finds out how an answer ended whose connection has ended."""
+
+    async def __call__(
+        self, replica: Replica, received: float, *, patient: bool
+    ) -> AnswerEnd:
+        """Ask the replica, for as long as it is silent if ``patient``."""
+
+
 _before_writing: contextvars.ContextVar[Callable[[], None]] = (
     contextvars.ContextVar('before_writing')
 )
@@ -135,28 +152,49 @@
     """An answer of an upstream whose status and headers have arrived.
 
     :param terms: what the headers state about the request and the replica.
+    :param check_end: finds out how the answer ended, if it has neither a length
+        nor chunks; called with the time of its end, in monotonic seconds.
+    :param repeatable: whether another run may take the place of this one.
+    :ivar end: how its end was recognized; ``None`` before that.
     """
 
     def __init__(
         self,
         response: aiohttp.ClientResponse,
         terms: AnswerMetadata,
+        clock: Clock,
+        check_end: Callable[[float], Awaitable[AnswerEnd]],
+        *,
+        repeatable: bool,
     ) -> None:
         self.status = response.status
         self.headers: Headers = [
             (name.lower(), content) for name, content in response.raw_headers
         ]
         self.terms = terms
+        self.end: AnswerEnd | None = None
+        self._clock = clock
         self._response = response
+        self._check_end = check_end
+        self._repeatable = repeatable
 
     @property
-    def framed(self) -> bool:
-        """Whether the answer states where its body ends.
+    def framing(self) -> AnswerEnd | None:
+        """How the answer states where its body ends; ``None`` if it doesn't.
 
-        Otherwise it ends with the connection, also when a replica crashes.
+        Then it ends with the connection, also when a replica crashes.
         """
-        names = {name for name, _ in self.headers}
-        return not names.isdisjoint(_FRAMING_HEADERS)
+        fields = dict(self.headers)
+        coding = fields.get(b'transfer-encoding')
+        if coding is not None:
+            chunked = coding.lower().rpartition(b',')[2].strip() == b'chunked'
+            return AnswerEnd.CHUNKS if chunked else None
+        has_body = not (
+            self.status in _NO_BODY or self._response.method == _HEAD
+        )
+        if b'content-length' in fields or not has_body:
+            return AnswerEnd.LENGTH
+        return None
 
     async def read(self) -> bytes:
         """Read the complete body of an error.
@@ -165,9 +203,11 @@
             or if it is too long.
         """
         try:
-            return await read_bounded(self._response, MAX_ERROR_BYTES)
+            body = await read_bounded(self._response, MAX_ERROR_BYTES)
         except (aiohttp.ClientError, OSError) as error:
             raise _make_error(error) from error
+        await self._confirm_end()
+        return body
 
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive.
@@ -179,6 +219,22 @@
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
             raise _make_error(error) from error
+        await self._confirm_end()
+
+    async def _confirm_end(self) -> None:
+        """Make sure that the replica has ended the answer.
+
+        :raises SendError: if it may have been cut off. Where nothing can take
+            its place, an announced departure counts as its end.
+        """
+        received = self._clock.monotonic()
+        self.end = self.framing or await self._check_end(received)
+        if self.end is AnswerEnd.GONE:
+            raise SendError(SendErrorKind.LOST, 'replica gone at the end')
+        left = self.end is AnswerEnd.LEFT
+        if self.end is AnswerEnd.UNKNOWN or (left and self._repeatable):
+            reason = REPLICA_LEFT if left else 'end not confirmed'
+            raise SendError(SendErrorKind.UNCONFIRMED, reason)
 
 
 @dataclass(frozen=True)
@@ -204,6 +260,7 @@
 class Upstreams:
     """Sends requests to upstreams over pooled or single-use connections.
 
+    :param check_end: finds out how answers ended that have no framing.
     :param on_answer: is called for each answer that is accepted.
     :param on_connected: called with the address of each new connection.
     :param on_failed: called with the address of each that failed or is slow,
@@ -213,6 +270,8 @@
     def __init__(
         self,
         wire: HeaderCodec,
+        clock: Clock,
+        check_end: EndCheck,
         on_answer: AnswerHook,
         on_connected: ContactHook,
         on_failed: ContactHook,
@@ -220,6 +279,8 @@
         self._on_connected = on_connected
         self._on_failed = on_failed
         self._wire = wire
+        self._clock = clock
+        self._check_end = check_end
         self._on_answer = on_answer
         self._pooled: aiohttp.ClientSession | None = None
         self._single_use: aiohttp.ClientSession | None = None
@@ -281,7 +342,7 @@
             self._on_failed(replica.address)
             raise _make_error(error) from error
         try:
-            answer = self._check_answer(response, request.identity)
+            answer = self._check_answer(replica, response, request)
             self._on_answer(replica, answer.terms)
             yield answer
         finally:
@@ -314,8 +375,9 @@
 
     def _check_answer(
         self,
+        replica: Replica,
         response: aiohttp.ClientResponse,
-        identity: str,
+        request: UpstreamRequest,
     ) -> Answer:
         """Check that an answer belongs to the request.
 
@@ -330,11 +392,21 @@
             (name.lower(), entry) for name, entry in response.raw_headers
         ]
         terms = self._wire.read_answer(response.status, headers)
-        if terms.identity != identity and (terms.identity or terms.signed):
+        other = terms.identity != request.identity
+        if other and (terms.identity or terms.signed):
             raise SendError(SendErrorKind.INVALID, 'answer to another request')
         if terms.encoded:
             raise SendError(SendErrorKind.INVALID, 'encoded body')
-        return Answer(response, terms)
+        check_end = partial(
+            self._check_end, replica, patient=not request.repeatable
+        )
+        return Answer(
+            response,
+            terms,
+            self._clock,
+            check_end,
+            repeatable=request.repeatable,
+        )
 
 
 def _make_error(error: Exception) -> SendError:
--- a/packages/ryelatch-node/src/ryelatch_node/views/_leaving.py
+++ b/packages/ryelatch-node/src/ryelatch_node/views/_leaving.py
@@ -31,6 +31,8 @@
     _reported: dict[str, None] = field(default_factory=dict)
     # When each incarnation was dropped, in monotonic seconds.
     _dropped: dict[str, float] = field(default_factory=dict)
+    # Those dropped that had announced to leave, the oldest first.
+    _left: dict[str, None] = field(default_factory=dict)
     _listed_by_copy: frozenset[str] = frozenset()
 
     def add(self, name: str) -> bool:
@@ -40,9 +42,7 @@
         """
         if name in self._reported:
             return False
-        self._reported[name] = None
-        while len(self._reported) > MAX_LEAVING:
-            self._reported.pop(next(iter(self._reported)))
+        _remember(self._reported, name)
         return True
 
     def mark(self, replica: Replica) -> Replica:
@@ -55,12 +55,26 @@
             return replica
         return replace(replica, leaving=True)
 
-    def record_drop(self, name: str) -> None:
+    def record_drop(self, replica: Replica) -> None:
         """Record that an incarnation is gone."""
         self._dropped = {
             **self._list_dropped(),
-            name: self.clock.monotonic(),
+            replica.name: self.clock.monotonic(),
         }
+        if replica.leaving:
+            _remember(self._left, replica.name)
+
+    def has_left(self, name: str, alive: float) -> bool:
+        """Whether an incarnation left, and wasn't just lost.
+
+        It had announced that, or was still alive after it was dropped.
+
+        :param alive: when it was still alive, in monotonic seconds.
+        """
+        if name in self._reported or name in self._left:
+            return True
+        dropped = self._dropped.get(name)
+        return dropped is not None and dropped < alive
 
     def begin_era(self, replicas: Iterable[Replica]) -> None:
         """Keep out what has left, as a copy of the store may list it as ready.
@@ -83,3 +97,10 @@
     def _list_dropped(self) -> dict[str, float]:
         since = self.clock.monotonic() - COPY_AGE_SECONDS
         return {name: at for name, at in self._dropped.items() if at >= since}
+
+
+def _remember(names: dict[str, None], name: str) -> None:
+    """Add a name, and forget the oldest ones."""
+    names[name] = None
+    while len(names) > MAX_LEAVING:
+        names.pop(next(iter(names)))
--- a/packages/ryelatch-node/src/ryelatch_node/views/_replicas.py
+++ b/packages/ryelatch-node/src/ryelatch_node/views/_replicas.py
@@ -376,8 +376,9 @@
         self._missing.forget(name)
         self._overrides.remove(name)
         self._leaving_since.pop(name, None)
-        if self._index.pop(name) is not None:
-            self.leaving.record_drop(name)
+        dropped = self._index.pop(name)
+        if dropped is not None:
+            self.leaving.record_drop(dropped)
             self._log.record(
                 catalogue.REPLICA_GONE,
                 replica=name,
--- a/tests/fleet/placing.py
+++ b/tests/fleet/placing.py
@@ -90,6 +90,7 @@
             read_report=_read_report,
             reach=_fail,
             hold_connection=_fail,
+            confirm=_fail,
         )
         controller = PlacementController(
             log=log,
--- a/tests/node/relay/test_stale_connections.py
+++ b/tests/node/relay/test_stale_connections.py
@@ -9,6 +9,7 @@
 import pytest
 
 from ryelatch_core.fleet import Replica
+from ryelatch_core.kernel import BootClock
 from ryelatch_node.ports import AnswerMetadata
 from ryelatch_node.relay._errors import SendError, SendErrorKind
 from ryelatch_node.relay._upstream import UpstreamRequest, Upstreams
@@ -51,7 +52,7 @@
 @contextlib.asynccontextmanager
 async def _open() -> AsyncIterator[Upstreams]:
     wire: Any = _Wire()
-    hooks: list[Any] = [lambda *_: None] * 3
+    hooks: list[Any] = [BootClock(), *([lambda *_: None] * 4)]
     upstreams = Upstreams(wire, *hooks)
     await upstreams.start()
     try:
--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -24,7 +24,7 @@
     run_node,
     wait_until,
 )
-from standins.replica import ReplicaStandIn
+from standins.replica import ReplicaStandIn, Unframed
 
 _HALF = ('--unframed', '--stall-after', '1')
 _PART = ('--unframed', '--stall-after', '2')
@@ -59,13 +59,13 @@
 
     :returns: the rest, and whether the client takes it for complete.
     """
-    rest = b''
+    pieces: list[bytes] = []
     try:
         async for piece in response.content.iter_any():
-            rest += piece
+            pieces.append(piece)
     except aiohttp.ClientPayloadError:
-        return rest, False
-    return rest, True
+        return b''.join(pieces), False
+    return b''.join(pieces), True
 
 
 async def _change_entry(
@@ -189,3 +189,36 @@
             assert (status, body) == (200, expected)
         sends = node.count('exchange-sent') + node.count('stream-resumed')
     assert sends == 3
+
+
+@pytest.mark.parametrize(
+    ('path', 'has_other', 'end'),
+    [
+        ('/once/x', False, 'left'),
+        ('/plan/x', False, 'left'),
+        ('/plan/x', True, 'chunks'),
+    ],
+)
+async def test_last_stream_of_a_leaver_is_complete(
+    path: str, has_other: bool, end: str
+) -> None:
+    """The last stream of a replica that left in order is broken off."""
+    async with run_node(
+        make_model_replicas((0, 8)), _make_configuration()
+    ) as node:
+        leaver = node.replicas['m-0']
+        leaver.unframed = Unframed.WHOLE
+        leaver.stall_after = 2
+        async with _open_stalled(node, path, make_event_stream(2)) as response:
+            if has_other:
+                another = make_model_replicas(None, (0, 8))[1]
+                await _add_sound_replica(node, another)
+            leaver.register('draining')
+            await wait_until(lambda: node.count('replica-leaving'))
+            assert leaver.stop_listening is not None
+            await leaver.stop_listening()
+            leaver.resume()
+            rest = make_event_stream(5)[len(make_event_stream(2)) :]
+            assert await _read_rest(response) == (rest, True)
+        await wait_until(lambda: node.count('exchange-ended'))
+        assert node.find('exchange-ended')['end'] == end
--- a/tests/standins/plain_relay.py
+++ b/tests/standins/plain_relay.py
@@ -20,6 +20,7 @@
 from ryelatch_core.retries import RetryBudget
 from ryelatch_core.routing import RetryPolicy, Route
 from ryelatch_node.ports import AnswerMetadata
+from ryelatch_node.relay._end_checks import AnswerEnd
 from ryelatch_node.relay._errors import SendError, SendErrorKind
 from ryelatch_node.relay._exchange import AdmittedRequest, Exchange
 from ryelatch_node.relay._held import HeldBytes
@@ -79,6 +80,7 @@
             status=self.status,
             headers=[],
             terms=terms,
+            end=AnswerEnd.LENGTH,
             iterate=self._iterate,
         )
 
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -109,6 +109,7 @@
     :param extra_headers: additional headers of all its answers.
     :param refusals: times of its refusals, by the event loop's clock.
     :param reports: number of reports that nodes requested.
+    :param health_checks: number of health checks that nodes requested.
     :param state: in its entry in the registry.
     :param started_at: start of its incarnation as reported, in milliseconds;
         0 if it reports none.
@@ -152,6 +153,7 @@
     extra_headers: dict[str, str] = field(default_factory=dict)
     refusals: list[float] = field(default_factory=list)
     reports: int = 0
+    health_checks: int = 0
     address: str = ''
     state: str = 'ready'
     started_at: int = 0
@@ -268,6 +270,7 @@
         app = web.Application(middlewares=[self._hold_answer])
         app.router.add_get('/report', self._report)
         app.router.add_post('/order', self._handle_command)
+        app.router.add_get('/healthz', self._check_health)
         app.router.add_route('*', '/{path:.*}', self._serve)
         return app
 
@@ -323,6 +326,14 @@
             }
         )
 
+    async def _check_health(self, request: web.Request) -> web.Response:
+        await self._wait_released()
+        if self.crashed:
+            assert request.transport is not None
+            request.transport.abort()
+        self.health_checks += 1
+        return web.Response(headers={'X-Ryelatch-Replica-Id': self.name})
+
     async def _handle_command(self, request: web.Request) -> web.Response:
         await self._wait_released()
         command = await request.json()
