--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -109,6 +109,7 @@
     :param extra_headers: additional headers of all its answers.
     :param refusals: times of its refusals, by the event loop's clock.
     :param reports: number of reports that nodes requested.
+    :param health_checks: number of health checks that nodes requested.
     :param state: in its entry in the registry.
     :param started_at: start of its incarnation as reported, in milliseconds;
         0 if it reports none.
@@ -152,6 +153,7 @@
     extra_headers: dict[str, str] = field(default_factory=dict)
     refusals: list[float] = field(default_factory=list)
     reports: int = 0
+    health_checks: int = 0
     address: str = ''
     state: str = 'ready'
     started_at: int = 0
@@ -268,6 +270,7 @@
         app = web.Application(middlewares=[self._hold_answer])
         app.router.add_get('/report', self._report)
         app.router.add_post('/order', self._handle_command)
+        app.router.add_get('/healthz', self._check_health)
         app.router.add_route('*', '/{path:.*}', self._serve)
         return app
 
@@ -323,6 +326,14 @@
             }
         )
 
+    async def _check_health(self, request: web.Request) -> web.Response:
+        await self._wait_released()
+        if self.crashed:
+            assert request.transport is not None
+            request.transport.abort()
+        self.health_checks += 1
+        return web.Response(headers={'X-Ryelatch-Replica-Id': self.name})
+
     async def _handle_command(self, request: web.Request) -> web.Response:
         await self._wait_released()
         command = await request.json()
@@ -503,22 +514,29 @@
     async def _write_unframed(
         self, transport: asyncio.Transport, run: Run, ending: Unframed | None
     ) -> None:
-        pieces = [f'answer of {self.name}'.encode()]
-        if 'X-Ryelatch-Hop-Count' in run.headers:
-            last = int(run.headers.get('Last-Event-Id', '0'))
-            pieces = [
-                f'id: {number}\ndata: token {number}\n\n'.encode()
-                for number in range(last + 1, self.events + 1)
-            ]
+        pieces = self._make_pieces(run)
         if ending is not Unframed.WHOLE:
             pieces = pieces[:2]
         if ending is Unframed.INSIDE:
             pieces[-1] = pieces[-1][:-1]
-        for piece in pieces:
+        for number, piece in enumerate(pieces, start=1):
+            await self._stall_if_set(run, number)
             await self._wait_released()
             transport.write(piece)
+            run.first_event = run.first_event or _read_clock()
             await asyncio.sleep(self.pause)
 
+    def _make_pieces(self, run: Run) -> list[bytes]:
+        """Make the events of a stream, or the bytes of a plain body."""
+        if 'X-Ryelatch-Hop-Count' in run.headers:
+            last = int(run.headers.get('Last-Event-Id', '0'))
+            return [
+                make_event(number, numbered=self._is_numbered(run))
+                for number in range(last + 1, self.events + 1)
+            ]
+        body = f'answer of {self.name}'.encode()
+        return [body[:1], body[1:]]
+
     async def _stream(
         self,
         request: web.Request,
@@ -626,6 +644,9 @@
     parser.add_argument('--layers', type=int, nargs=2)
     parser.add_argument('--events', type=int, default=5)
     parser.add_argument('--pause', type=float, default=0.01)
+    parser.add_argument('--unframed', action='store_true')
+    parser.add_argument('--stall-after', type=int, default=0)
+    parser.add_argument('--stalls', type=int, default=1)
     options = parser.parse_args()
     replica = ReplicaStandIn(
         options.name,
@@ -634,6 +655,9 @@
         layers=tuple(options.layers) if options.layers else None,
         events=options.events,
         pause=options.pause,
+        unframed=Unframed.WHOLE if options.unframed else None,
+        stall_after=options.stall_after,
+        stalls=options.stalls,
     )
     asyncio.run(serve(replica.make_app(), options.port))
 
