Answers to clients of HTTP/1.0: no chunks, and an end that tells

What callers saw: a client of HTTP/1.0 got `Transfer-Encoding: chunked`, which it doesn't know, so the sizes of the chunks were a part of its body. And a stream that couldn't be completed, or whose node stopped or was killed, ended in order, which for such a client is the end of the whole answer.

Cause: the library (uvicorn) sends chunks to all clients, and closes the connection in order when the application returns in the middle of an answer. The system does the same when it ends a process.

Why it holds: without a length, the body is sent as it is, and SO_LINGER of zero is set on the connection before the head is written. From then on every end is a reset: by this program, by the loop, by the system after a SIGKILL. Only when the system has taken the last byte is the orderly end allowed again. HTTP/1.1 is as before: there the last chunk or the length tells.

--- a/packages/ryelatch-node/src/ryelatch_node/connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/connections.py
@@ -2,6 +2,7 @@
 
 import array
 import asyncio
+import contextlib
 import fcntl
 import functools
 import select
@@ -30,6 +31,9 @@
 _NO_LINGER = struct.pack('ii', 1, 0)
 """Value of ``SO_LINGER`` with which a close resets the connection."""
 
+_ORDERLY = struct.pack('ii', 0, 0)
+"""Value of ``SO_LINGER`` with which a close ends the connection in order."""
+
 
 class EndlessAnswer(aiohttp.ClientPayloadError):
     """A part of an answer is longer than it may be."""
@@ -160,10 +164,24 @@
     sock = transport.get_extra_info('socket')
     if transport.is_closing() or not _count_unconfirmed(sock):
         return False
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    set_reset_at_close(transport, resets=True)
     return True
 
 
+def set_reset_at_close(
+    transport: asyncio.BaseTransport, *, resets: bool
+) -> None:
+    """Let the end of a connection be a reset, or an orderly end again.
+
+    The system acts on it also when it ends this process.
+    """
+    sock = transport.get_extra_info('socket')
+    linger = _NO_LINGER if resets else _ORDERLY
+    # The other side may have reset the connection already.
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def _count_unconfirmed(sock: socket.socket) -> int:
     """Count the bytes that a system holds for the other side."""
     count = array.array('i', (0,))
--- a/packages/ryelatch-node/src/ryelatch_node/front/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/front/_service.py
@@ -26,6 +26,7 @@
 from ryelatch_node.front._non_model import serve_non_model
 from ryelatch_node.front._reply import CHAT, TEXT
 from ryelatch_node.non_model import Forwarder
+from ryelatch_node.unchunked import UnchunkedProtocol
 from ryelatch_node.upstreams import Upstreams
 
 _UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE
@@ -60,7 +61,7 @@
             log_config=None,
             access_log=False,
             lifespan='off',
-            http='httptools',
+            http=UnchunkedProtocol,
             ws='none',
             server_header=False,
             timeout_keep_alive=_KEEP_ALIVE_SECONDS,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_protocol.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_protocol.py
@@ -12,15 +12,13 @@
 
 from starlette.types import Scope
 from uvicorn._types import ASGI3Application
-from uvicorn.protocols.http.httptools_impl import (
-    HttpToolsProtocol,
-    RequestResponseCycle,
-)
+from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
 from ryelatch_core.events import LineLog, catalogue
 from ryelatch_core.routing import ClientLimits
 from ryelatch_node.connections import has_ended
 from ryelatch_node.relay._disconnect import set_departure_check
+from ryelatch_node.unchunked import UnchunkedProtocol
 
 _REJECTION = (
     'HTTP/1.1 {status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
@@ -32,7 +30,7 @@
 """Interval of looks for the end of a connection of which nothing is read."""
 
 
-class BoundedProtocol(HttpToolsProtocol):
+class BoundedProtocol(UnchunkedProtocol):
     """The HTTP protocol of one client connection, with the client limits.
 
     :param read_limits: returns the limits of the configuration in force;
--- a/tests/promises/test_own_answer.py
+++ b/tests/promises/test_own_answer.py
@@ -1,8 +1,9 @@
 """A client receives the complete answer to its own request only."""
 
 import asyncio
+import json
 
-from fleet.caller import StreamedAnswer, ask
+from fleet.caller import StreamedAnswer, ask, read_answer
 from fleet.checks import check_layers_once, check_streams_freed, list_events
 from fleet.fleet import make_shape, run_fleet
 from standins.model import complete_chat
@@ -73,3 +74,31 @@
         assert await list_events(fleet, 'caller-gone')
         again = await ask(fleet.http, fleet.nodes[0], _KEYS[0], 'x', 9)
         assert again.text == complete_chat('x', 12, 9)
+
+
+async def test_old_caller_gets_no_chunks() -> None:
+    """A client of HTTP/1.0 gets the sizes of chunks as a part of its text."""
+    body = json.dumps(
+        {
+            'model': 'textile-care',
+            'stream': True,
+            'max_tokens': 9,
+            'messages': [{'role': 'user', 'content': 'x'}],
+        }
+    )
+    lines = (
+        'POST /v1/chat/completions HTTP/1.0',
+        f'Authorization: Bearer {_KEYS[0]}',
+        'Content-Type: application/json',
+        f'Content-Length: {len(body)}',
+    )
+    request = '\r\n'.join((*lines, '', body)).encode()
+    async with run_fleet(make_shape(nodes=1)) as fleet:
+        host, _, port = fleet.nodes[0].address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(request)
+        head, answer = await read_answer(reader)
+        writer.close()
+        assert b'transfer-encoding' not in head.lower()
+        assert answer.startswith(b'data: ')
+        assert answer.endswith(b'data: [DONE]\n\n')
