A node's own close is no end of an answer

What callers could see: a stream without a length or chunks ends as complete, with the last chunk, in the middle of its events; a plain answer comes with a `Content-Length` of its part. Nothing in the log says so: 200.

Cause: when this node closes a connection to a replica, as it does with all of them once its grace is over, the parser gets the same end as from the replica and takes it for that of the body. The task that reads the body is still running then, and passes the end on.

Seen red before: a stream, a plain answer that may be repeated and one that runs once were each answered 200 after `Upstreams.stop()`, 3 of 3.

Why it holds: closing or aborting a connection from this side first sets an error on a body that isn't complete; bodies whose end has been parsed aren't concerned. All clients of other programs share this class of connection: those of replicas, of the store and of commands. Asking the replica at the end doesn't catch this: it is still running.

--- a/packages/ryelatch-node/src/ryelatch_node/connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/connections.py
@@ -91,13 +91,28 @@
             payload.set_exception(aiohttp.ClientPayloadError(str(exc)))
         super().connection_lost(exc)
 
+    def abort(self) -> None:
+        """Close the connection at once; a body in progress is incomplete."""
+        self._fail_body()
+        super().abort()
+
     def close(self) -> None:
-        """Close the connection; what was not confirmed is not delivered."""
+        """Close the connection; what was not confirmed is not delivered.
+
+        A body in progress is incomplete. The parser would take the end of the
+        connection for that of a body without a length.
+        """
+        self._fail_body()
         if self.transport is not None and _discard_unconfirmed(self.transport):
             self.abort()
         else:
             super().close()
 
+    def _fail_body(self) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError('closed here'))
+
     def _is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -1,5 +1,9 @@
 """Answers with neither a length nor chunks, which end with a connection."""
 
+import asyncio
+import contextlib
+
+import aiohttp
 import pytest
 
 from fleet.running import (
@@ -8,8 +12,10 @@
     make_model_replicas,
     make_non_model_replicas,
     run_node,
+    wait_until,
 )
 from ryelatch_node.quarantine import Quarantine
+from ryelatch_node.relay._upstream import Upstreams
 from standins.replica import Unframed
 
 
@@ -62,3 +68,26 @@
         node.replicas['m-0'].unframed = None
         await ask(node, '/plan/x', identity='r-2')
         assert cleared
+
+
+@pytest.mark.parametrize('path', ['/plan/x', '/ping/x', '/book/x'])
+async def test_own_close_ends_no_answer(path: str) -> None:
+    """A node that stops takes its own close for the end of an answer."""
+    async with run_node(
+        [*make_model_replicas((0, 8)), *make_non_model_replicas(1)]
+    ) as node:
+        for replica in node.replicas.values():
+            replica.unframed = Unframed.WHOLE
+            replica.events = 1000
+            replica.pause = 0.1
+        upstreams = node.app.find('upstreams', Upstreams)
+        asking = asyncio.create_task(ask(node, path))
+        await wait_until(
+            lambda: any(replica.runs for replica in node.replicas.values())
+        )
+        # Until the first piece of the answer has arrived.
+        await asyncio.sleep(0.05)
+        await upstreams.stop()
+        with contextlib.suppress(aiohttp.ClientError):
+            status, _, _ = await asking
+            assert status != 200
