Bytes after a request add nothing to its answer

What callers could see: a client sends bytes that are no request while it is still being answered, and "HTTP/1.1 400 Bad Request" with its text is written into that answer. To a client of HTTP/1.0 this is a part of a body that then ends; of an answer with a length, it may be just the bytes that are missing.

Cause: the library writes its refusal whether or not an answer is in progress.

Seen red before: in a stream, the refusal came after the next chunk's size line was due. Now the connection is aborted once an answer has started; before that, and after it, the refusal is as it was.

--- a/packages/ryelatch-node/src/ryelatch_node/unchunked.py
+++ b/packages/ryelatch-node/src/ryelatch_node/client_protocol.py
@@ -1,13 +1,14 @@
-"""Answers to clients that know no chunks, of HTTP/1.0.
+"""Answers to clients: only a complete one looks complete.
 
-Without a length such an answer ends with its connection. Only an orderly end
-may tell its client that it is complete: an answer that can't be completed is
-reset, and so is one whose node stops or is killed.
+To a client of HTTP/1.0, which knows no chunks, an answer without a length ends
+with its connection. Only an orderly end may tell it that the answer is
+complete: one that can't be completed is reset, and so is one whose node stops
+or is killed.
 """
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import Any, TypeAlias
 
 from starlette.types import Message, Receive, Scope, Send
 from uvicorn._types import ASGI3Application
@@ -23,15 +24,35 @@
 _Application: TypeAlias = Callable[[Scope, Receive, Send], Awaitable[None]]
 
 
-class UnchunkedProtocol(HttpToolsProtocol):
-    """The HTTP protocol of one client connection, which may know no chunks.
+class ClientProtocol(HttpToolsProtocol):
+    """The HTTP protocol of one client connection.
 
-    The library sends chunks to all clients.
+    The library sends chunks to all clients, also to those that know none.
     """
 
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._running: RequestResponseCycle | None = None
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse bytes that are no request.
+
+        In the middle of an answer, the refusal would be a part of its body.
+        """
+        running = self._running
+        if (
+            running is not None
+            and running.response_started
+            and not running.response_complete
+        ):
+            self.transport.abort()
+        else:
+            super().send_400_response(msg)
+
     def _start_asgi_task(
         self, cycle: RequestResponseCycle, app: ASGI3Application
     ) -> None:
+        self._running = cycle
         if cycle.scope['http_version'] < _CHUNKS_SINCE:
             answer = _UnchunkedAnswer(app, cycle)  # type: ignore[arg-type]
             super()._start_asgi_task(cycle, answer.serve)  # type: ignore[arg-type]
--- a/packages/ryelatch-node/src/ryelatch_node/front/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/front/_service.py
@@ -18,6 +18,7 @@
 from ryelatch_core.outcomes import REQUEST_HEADER, Failure, Outcome
 from ryelatch_core.settings import Startup
 from ryelatch_node.answers import Answers
+from ryelatch_node.client_protocol import ClientProtocol
 from ryelatch_node.config import SettingsHolder
 from ryelatch_node.front import _admin as admin
 from ryelatch_node.front._errors import CallerError, respond_failure
@@ -26,7 +27,6 @@
 from ryelatch_node.front._non_model import serve_non_model
 from ryelatch_node.front._reply import CHAT, TEXT
 from ryelatch_node.non_model import Forwarder
-from ryelatch_node.unchunked import UnchunkedProtocol
 from ryelatch_node.upstreams import Upstreams
 
 _UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE
@@ -61,7 +61,7 @@
             log_config=None,
             access_log=False,
             lifespan='off',
-            http=UnchunkedProtocol,
+            http=ClientProtocol,
             ws='none',
             server_header=False,
             timeout_keep_alive=_KEEP_ALIVE_SECONDS,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_protocol.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_protocol.py
@@ -11,14 +11,12 @@
 from typing import Any, cast
 
 from starlette.types import Scope
-from uvicorn._types import ASGI3Application
-from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
 from ryelatch_core.events import LineLog, catalogue
 from ryelatch_core.routing import ClientLimits
+from ryelatch_node.client_protocol import ClientProtocol
 from ryelatch_node.connections import has_ended
 from ryelatch_node.relay._disconnect import set_departure_check
-from ryelatch_node.unchunked import UnchunkedProtocol
 
 _REJECTION = (
     'HTTP/1.1 {status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
@@ -30,7 +28,7 @@
 """Interval of looks for the end of a connection of which nothing is read."""
 
 
-class BoundedProtocol(UnchunkedProtocol):
+class BoundedProtocol(ClientProtocol):
     """The HTTP protocol of one client connection, with the client limits.
 
     :param read_limits: returns the limits of the configuration in force;
@@ -49,7 +47,6 @@
         self._log = log
         self._header_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
-        self._running: RequestResponseCycle | None = None
 
     def connection_made(
         self,
@@ -118,12 +115,6 @@
         if not self.transport.is_closing():
             super().on_message_complete()
 
-    def _start_asgi_task(
-        self, cycle: RequestResponseCycle, app: ASGI3Application
-    ) -> None:
-        self._running = cycle
-        super()._start_asgi_task(cycle, app)
-
     def _look_for_departure(self) -> None:
         """Look for the end of the connection until it is read again.
 
--- a/tests/fleet/running.py
+++ b/tests/fleet/running.py
@@ -331,6 +331,23 @@
     )
 
 
+def make_request(path: str, *, version: str = '1.1') -> bytes:
+    """Make a request of a client that writes it to a connection itself.
+
+    :param version: of HTTP.
+    """
+    lines = (
+        f'POST {path} HTTP/{version}',
+        'Host: city.example',
+        'X-Ryelatch-Request-Id: r-1',
+        'X-Ryelatch-Deadline-Ms: 20000',
+        'X-Ryelatch-Token-Usage: 100,40',
+        f'Api-Key: {KEY}',
+        'Content-Length: 0',
+    )
+    return '\r\n'.join((*lines, '', '')).encode()
+
+
 def make_event_stream(count: int, *, numbered: bool = True) -> bytes:
     """Make the complete event stream that a replica sends.
 
--- a/tests/node/test_unchunked.py
+++ b/tests/node/test_client_protocol.py
@@ -9,8 +9,8 @@
 import uvicorn
 from starlette.types import Receive, Scope, Send
 
+from ryelatch_node.client_protocol import ClientProtocol
 from ryelatch_node.listener import bind_listener
-from ryelatch_node.unchunked import UnchunkedProtocol
 
 _REQUEST = b'GET /x HTTP/1.0\r\n\r\n'
 _PIECE = bytes(1_048_576)
@@ -35,7 +35,7 @@
         await send(body)
 
     config = uvicorn.Config(
-        answer, http=UnchunkedProtocol, lifespan='off', log_config=None
+        answer, http=ClientProtocol, lifespan='off', log_config=None
     )
     config.load()
     server = uvicorn.Server(config)
--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -1,13 +1,17 @@
 """Limits on the size and the duration of what clients send."""
 
 import asyncio
+import contextlib
 
 from fleet.running import (
     RunningNode,
     make_configuration,
+    make_model_replicas,
     make_non_model_replicas,
+    make_request,
     run_node,
 )
+from standins.replica import make_event
 
 _LIMITS = {
     'maxHeaderBytes': 2000,
@@ -91,3 +95,24 @@
         )
         assert answer.startswith(b'HTTP/1.1 200 ')
         assert node.replicas['b-0'].runs[0].body == body
+
+
+async def test_stray_bytes_break_an_answer_off() -> None:
+    """An error for what follows a request is a part of its answer's body."""
+    replicas = make_model_replicas((0, 8))
+    async with run_node(replicas) as node:
+        replicas[0].events = 1000
+        replicas[0].pause = 0.05
+        reader, writer = await asyncio.open_connection(*node.server.front)
+        writer.write(make_request('/plan/x'))
+        await reader.readuntil(make_event(2))
+        writer.write(b'\0 no request\r\n\r\n')
+        pieces: list[bytes] = []
+        with contextlib.suppress(ConnectionResetError):
+            async with asyncio.timeout(20):
+                while piece := await reader.read(65_536):
+                    pieces.append(piece)
+        writer.close()
+        rest = b''.join(pieces)
+        assert b'HTTP/1.1' not in rest
+        assert not rest.endswith(b'0\r\n\r\n')
--- a/tests/platform/test_old_clients.py
+++ b/tests/platform/test_old_clients.py
@@ -12,11 +12,11 @@
 
 from fleet.node_processes import start_node, wait_ready
 from fleet.running import (
-    KEY,
     make_configuration,
     make_event_stream,
     make_model_replicas,
     make_non_model_replicas,
+    make_request,
     run_node,
     serve_app,
     wait_until,
@@ -40,27 +40,13 @@
     reset: bool
 
 
-def _make_old_request(path: str) -> bytes:
-    """Make a request of HTTP/1.0."""
-    lines = (
-        f'POST {path} HTTP/1.0',
-        'Host: city.example',
-        'X-Ryelatch-Request-Id: r-1',
-        'X-Ryelatch-Deadline-Ms: 20000',
-        'X-Ryelatch-Token-Usage: 100,40',
-        f'Api-Key: {KEY}',
-        'Content-Length: 0',
-    )
-    return '\r\n'.join((*lines, '', '')).encode()
-
-
 @contextlib.asynccontextmanager
 async def _connect(
     host: str, port: int, path: str
 ) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
     """Connect, and send a request."""
     reader, writer = await asyncio.open_connection(host, port)
-    writer.write(_make_old_request(path))
+    writer.write(make_request(path, version='1.0'))
     try:
         yield reader, writer
     finally:
