The product's store client reads objects to their end

What callers could see: an object of the store that arrives in more than one piece is taken for what its first piece holds: settings that fail their digest, a list of VMs that can't be decoded, a recorded answer of an idempotency key whose replay fails. An object that is cut off is taken for whole, even one with a length or chunks.

Cause: `StreamReader.read(n)` returns what has arrived, not n bytes. And a response without a length or chunks ends with its connection, in order also when the store's process is killed.

Seen red before: an object in two pieces (half of it returned), and one that ends early without a length, with one, and in chunks (each returned as whole).

Now the body is read to its end within the same bound, and a response that doesn't state its end counts as none, like any other that isn't complete.

--- a/packages/ryelatch-node/src/ryelatch_node/connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/connections.py
@@ -22,6 +22,8 @@
 MAX_FRAMING_BYTES = 16_384
 """Bytes in a row of an answer's framing, such as the size of a chunk."""
 
+_WITHOUT_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+
 _SLICE_BYTES = 4096
 """Bytes that are parsed at once until the head of an answer is complete.
 
@@ -168,6 +170,20 @@
     return b''.join(pieces)
 
 
+def has_framing(response: aiohttp.ClientResponse) -> bool:
+    """Whether an answer states where its body ends, or has no body.
+
+    Any other ends with its connection. So does a part of it if the process
+    that sends it is killed: its system closes the connection in order.
+    """
+    if response.method == 'HEAD' or response.status in _WITHOUT_BODY:
+        return True
+    coding = response.headers.get('Transfer-Encoding')
+    if coding is None:
+        return 'Content-Length' in response.headers
+    return coding.lower().rpartition(',')[2].strip() == 'chunked'
+
+
 def _discard_unconfirmed(transport: asyncio.BaseTransport) -> bool:
     """Let the system discard what the other side has not confirmed yet.
 
--- a/packages/ryelatch-node/src/ryelatch_node/store/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/store/_client.py
@@ -14,6 +14,11 @@
 
 from ryelatch_core.membership import Vm
 from ryelatch_core.settings import Platform
+from ryelatch_node.connections import (
+    bound_answers,
+    has_framing,
+    read_bounded,
+)
 
 _MAX_RESPONSE_BYTES = 4_194_304
 _MAX_WATCH_SECONDS = 5.0
@@ -159,7 +164,7 @@
                 headers=headers,
                 timeout=timeout,
             ) as response:
-                content = await response.content.read(_MAX_RESPONSE_BYTES)
+                content = await _read_body(response)
         except (aiohttp.ClientError, TimeoutError, OSError):
             self._replace_session(session)
             self._on_call(answered=False)
@@ -176,8 +181,11 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
+            connector = aiohttp.TCPConnector()
+            bound_answers(connector)
             self._session = aiohttp.ClientSession(
-                headers={'Authorization': f'Bearer {self._platform.token}'}
+                connector=connector,
+                headers={'Authorization': f'Bearer {self._platform.token}'},
             )
         return self._session
 
@@ -201,6 +209,17 @@
         del self._retiring[session]
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Read a complete body.
+
+    :raises ClientPayloadError: if it doesn't state where it ends: a part of
+        an object would be taken for all of it.
+    """
+    if not has_framing(response):
+        raise aiohttp.ClientPayloadError('no length')
+    return await read_bounded(response, _MAX_RESPONSE_BYTES)
+
+
 def _decode_as(
     kind: type[_Decoded],
 ) -> Callable[[Entry], Result[_Decoded, StoreError]]:
