The end of a killed service is no end of its answer

What callers could see: a service behind the product's own front is killed in the middle of an answer with neither a length nor chunks. The client gets the part with a `Content-Length` of its own and the outcome `complete`; with an idempotency key, the part is recorded, and each repeat gets it.

Cause: the system of a process that is killed ends its connections in order.

Now such an answer counts only if its service still accepts connections after its end. That isn't a proof where several processes listen, or one is back at once, so it is never recorded: a repeat is told that the request ran.

--- a/packages/ryelatch-node/src/ryelatch_node/front/_non_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/front/_non_model.py
@@ -71,8 +71,7 @@
 _ANSWER_NOT_KEPT = Failure(
     HTTPStatus.CONFLICT,
     'answer_not_kept',
-    'The request with this idempotency key ran, and its answer was too large '
-    'to keep.',
+    'The request with this idempotency key ran, and its answer was not kept.',
     Outcome.FAILED,
 )
 
@@ -160,7 +159,7 @@
     A request whose key was claimed before gets the recorded answer.
 
     :raises CallerError: if the key is too long or can't be claimed, if the
-        recorded answer was too large to keep, or if forwarding fails.
+        answer was not kept, or if forwarding fails.
     """
     if len(key) > _MAX_KEY_CHARACTERS:
         raise refuse(
@@ -195,14 +194,15 @@
     record = lost
     try:
         answered = await _forward(app, routed)
-        body = answered.body
+        # What may be a part must not become the answer of each repeat.
+        kept = answered.framed and len(answered.body) <= _MAX_RECORDED_BYTES
         record = replace(
             claim.record,
             state=RecordState.DONE,
             status=answered.status,
             headers=answered.headers,
-            body=body if len(body) <= _MAX_RECORDED_BYTES else b'',
-            whole=len(body) <= _MAX_RECORDED_BYTES,
+            body=answered.body if kept else b'',
+            whole=kept,
         )
     except CallerError as error:
         if error.failure.outcome is Outcome.NOT_RUN:
--- a/packages/ryelatch-node/src/ryelatch_node/non_model/_claims.py
+++ b/packages/ryelatch-node/src/ryelatch_node/non_model/_claims.py
@@ -58,7 +58,8 @@
     :param status: HTTP status of the answer; 0 if there is no answer.
     :param headers: headers of the answer.
     :param body: body of the answer.
-    :param whole: whether the body was stored; it is left out if too large.
+    :param whole: whether the body was stored; it is left out if it is too large
+        or may be incomplete.
     """
 
     mark: str
--- a/packages/ryelatch-node/src/ryelatch_node/non_model/_forward.py
+++ b/packages/ryelatch-node/src/ryelatch_node/non_model/_forward.py
@@ -13,7 +13,7 @@
 from ryelatch_core.retries import RetryBudget
 from ryelatch_core.settings import Route
 from ryelatch_core.settings import Service as NonModelService
-from ryelatch_node.connections import bound_answers
+from ryelatch_node.connections import bound_answers, has_framing
 
 MAX_ANSWER_BYTES = 8_388_608
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -60,11 +60,17 @@
 
 @dataclass(frozen=True)
 class Answer:
-    """The complete answer of an upstream."""
+    """The complete answer of an upstream.
+
+    :param framed: whether it stated where its body ends. If not, its upstream
+        was still listening after the end, which doesn't prove that it is
+        complete: another process may listen there.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    framed: bool = True
 
 
 @dataclass(frozen=True)
@@ -162,12 +168,32 @@
                 allow_redirects=False,
             ) as response:
                 body = await _read_body(response)
+                framed = has_framing(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Err(_FailedAttempt(sent=False, reason='no connection'))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Err(_FailedAttempt(sent=True, reason=type(error).__name__))
+        if not (framed or await _listens(upstream)):
+            return Err(_FailedAttempt(sent=True, reason='gone at the end'))
         headers = clean_headers(response.headers.items())
-        return Ok(Answer(response.status, headers, body))
+        return Ok(Answer(response.status, headers, body, framed))
+
+
+async def _listens(upstream: Vm) -> bool:
+    """Whether an upstream accepts a connection.
+
+    An answer without a length or chunks ends with its connection. So does a
+    part of one if the process of the upstream is killed.
+    """
+    host, _, port = upstream.address.rpartition(':')
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        # Timeouts included.
+        return False
+    writer.transport.abort()
+    return True
 
 
 async def _read_body(response: aiohttp.ClientResponse) -> bytes:
--- a/tests/node/non_model/test_forward.py
+++ b/tests/node/non_model/test_forward.py
@@ -17,16 +17,28 @@
 
 
 @contextlib.asynccontextmanager
-async def _run_upstream(*, resets: bool) -> AsyncIterator[Vm]:
-    """Run an upstream that sends a body and closes the connection."""
+async def _run_upstream(
+    *, resets: bool = False, ends: bool = False
+) -> AsyncIterator[Vm]:
+    """Run an upstream that sends a body and closes the connection.
+
+    :param resets: whether it resets it.
+    :param ends: whether it doesn't listen any more by then, like a process
+        that was killed.
+    """
 
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await reader.readuntil(b'\r\n\r\n')
+        head = await reader.read(65_536)
+        if not head:
+            writer.close()
+            return
         writer.write(_HEAD + _BODY)
         await writer.drain()
         await asyncio.sleep(0.05)
+        if ends:
+            server.close()
         if resets:
             sock = writer.get_extra_info('socket')
             # Without lingering, closing a socket sends a reset.
@@ -52,3 +64,15 @@
     assert answered.is_err() == resets
     if not resets:
         assert answered.unwrap().body == _BODY
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+async def test_end_of_a_killed_upstream_is_none(idempotent: bool) -> None:
+    """The part that came before an upstream was killed is passed on as all."""
+    forwarder = Forwarder()
+    await forwarder.start()
+    call = Call('r-1', 'POST', '/book', (), b'', idempotent=idempotent)
+    async with _run_upstream(ends=True) as upstream:
+        answered = await forwarder.forward(call, Service('booking'), [upstream])
+    await forwarder.stop()
+    assert answered.unwrap_err().code == 'answer_lost'
--- a/tests/promises/test_at_most_once.py
+++ b/tests/promises/test_at_most_once.py
@@ -266,3 +266,19 @@
         assert retry[:2] == (409, 'failed')
         assert retry[2]['error']['code'] == 'answer_not_kept'
         assert await count_runs(fleet) == {body: 1}
+
+
+async def test_answer_without_an_end_is_not_kept() -> None:
+    """A part of an answer may become that of each repeated booking.
+
+    The answer has neither a length nor chunks, so its end proves little. The
+    repeat must get an error that says that the booking ran.
+    """
+    async with run_fleet(make_shape(nodes=2)) as fleet:
+        await set_booking_faults(fleet, unframed=True)
+        first = await book(fleet, fleet.nodes[0], 'pallet', 'key-1')
+        assert first[:2] == (201, 'complete')
+        retry = await book(fleet, fleet.nodes[1], 'pallet', 'key-1')
+        assert retry[:2] == (409, 'failed')
+        assert retry[2]['error']['code'] == 'answer_not_kept'
+        assert await count_runs(fleet) == {'pallet': 1}
--- a/tests/standins/booking.py
+++ b/tests/standins/booking.py
@@ -13,6 +13,8 @@
 FAULTS = web.AppKey('faults', dict)
 HEADERS = web.AppKey('headers', list)
 
+_UNFRAMED = b'HTTP/1.1 201 Created\r\nContent-Type: application/json\r\n\r\n{}'
+
 
 async def book(request: web.Request) -> web.StreamResponse:
     """Run a request, and count its runs by its body or path."""
@@ -33,6 +35,9 @@
         faults['hang'] -= 1
         await asyncio.Event().wait()
     runs = request.app[RUNS][body or request.path_qs]
+    if faults.get('unframed') and request.transport is not None:
+        request.transport.write(_UNFRAMED)
+        request.transport.close()
     return web.json_response({'booked': body, 'runs': runs}, status=201)
 
 
