--- a/tests/node/non_model/test_forward.py
+++ b/tests/node/non_model/test_forward.py
@@ -26,13 +26,16 @@
     :param ends: whether it doesn't listen any more by then, like a process
         that was killed.
     """
+    closed = asyncio.Semaphore(0)
 
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         head = await reader.read(65_536)
         if not head:
+            # It was asked whether it still listens.
             writer.close()
+            closed.release()
             return
         writer.write(_HEAD + _BODY)
         await writer.drain()
@@ -45,11 +48,14 @@
             linger = struct.pack('ii', 1, 0)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         writer.close()
+        closed.release()
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     async with server:
         port = server.sockets[0].getsockname()[1]
         yield Vm('b-0', 'booking', f'127.0.0.1:{port}', 'zone-a')
+        for _ in range(1 if resets or ends else 2):
+            await closed.acquire()
 
 
 @pytest.mark.parametrize('resets', [True, False])
