Retries are earned and spent for each service

Cause: a node had one budget for all services, earned from the requests to all of them, while the allowance holds for each service by itself. So the requests of a large service paid for retries at a small one. Class: a sum is kept where each part has a bound.

Why it holds: each service has a budget with the node's part of that service's allowance, so no other service's requests come into it. A budget that is opened later has what one at rest would have had.

The stand-ins of tests have budgets of services now; what they ask is the same.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_budget.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_budget.py
@@ -1,8 +1,11 @@
-"""Divides the retries that are allowed to all nodes among single nodes."""
+"""Divides the retries that are allowed to all nodes among single nodes.
+
+An allowance holds for each service by itself.
+"""
 
 from dataclasses import dataclass
 
-from ryelatch_core.retries import RetryBudget
+from ryelatch_core.retries import RetryBudget, RetryBudgets
 
 EARNED_FRACTION = 0.7
 """Fraction used of the retries that requests earn.
@@ -35,10 +38,10 @@
 
 @dataclass(frozen=True)
 class RetryAllowance:
-    """Retries allowed to all nodes together.
+    """Retries of a service that are allowed to all nodes together.
 
-    :param ratio: retries allowed for each request.
-    :param extra: retries allowed in each window in addition.
+    :param ratio: retries allowed for each request of a service.
+    :param extra: retries allowed to each service in a window in addition.
     :param window: length of a window in seconds.
     """
 
@@ -47,17 +50,22 @@
     window: float
 
 
+def make_budgets(allowance: RetryAllowance) -> RetryBudgets:
+    """Create this node's budgets while the number of nodes is unknown."""
+    return RetryBudgets(make_budget(allowance))
+
+
 def make_budget(allowance: RetryAllowance) -> RetryBudget:
-    """Create this node's budget while the number of nodes is unknown."""
+    """Create this node's budget for one service."""
     budget = RetryBudget(allowance.ratio * EARNED_FRACTION, MIN_SAVED)
     resize_budget(budget, allowance, NODES_BEFORE_COUNT)
     return budget
 
 
 def resize_budget(
-    budget: RetryBudget, allowance: RetryAllowance, nodes: int
+    budget: RetryBudget | RetryBudgets, allowance: RetryAllowance, nodes: int
 ) -> None:
-    """Resize a node's budget to its part of the allowed retries.
+    """Resize a node's budgets to its part of the allowed retries.
 
     :param nodes: number of nodes that share them.
     """
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
@@ -15,7 +15,7 @@
     LoadTracker,
 )
 from ryelatch_core.kernel import Clock
-from ryelatch_core.retries import RetryBudget
+from ryelatch_core.retries import RetryBudgets
 from ryelatch_node.forwarding import ForwardClient
 from ryelatch_node.links import Links
 from ryelatch_node.ports import HeaderCodec, RelayStartup, ReplicaCommands
@@ -47,7 +47,7 @@
     upstreams: Upstreams
     wire: HeaderCodec
     commands: ReplicaCommands
-    budget: RetryBudget
+    budgets: RetryBudgets
     quarantine: Quarantine
     throttle: Throttle
     reservations: Reservations
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
@@ -154,7 +154,7 @@
     is_retry = attempts.may_have_run or attempts.is_beside()
     paid = attempts.paid or not is_retry
     attempts.paid = False
-    return paid or context.budget.spend()
+    return paid or context.budgets.get(request.service).spend()
 
 
 def _may_leave(
@@ -167,7 +167,8 @@
 
     Otherwise a node that is silent may be the only one that can answer it.
     """
-    if len(attempts.tried) >= MAX_HELPERS or context.budget.left < 1:
+    budget = context.budgets.get(request.service)
+    if len(attempts.tried) >= MAX_HELPERS or budget.left < 1:
         return False
     if not may_continue(exchange, attempts.last_event):
         return False
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_hedging.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_hedging.py
@@ -71,7 +71,7 @@
     if context.quarantine.find_suspect(request.fingerprint):
         return False
     left = has_run_left(relaying.exchange, request)
-    return left and context.budget.spend()
+    return left and context.budgets.get(request.service).spend()
 
 
 async def _forward(relaying: Relaying, claims: int) -> AttemptResult:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -143,7 +143,7 @@
         if isinstance(request, Refusal):
             await self._refuse(exchange, request)
             return
-        self._context.budget.earn()
+        self._context.budgets.get(request.service).earn()
         await self._relay(exchange, request, receive)
         self._log_completion(exchange, request)
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_lost_links.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_lost_links.py
@@ -32,7 +32,7 @@
         pause > LEAVE_SECONDS
         and stream.request.repeatable
         and ran < stream.request.route.max_attempts
-        and context.budget.left - reserved >= 1
+        and context.budgets.get(stream.request.service).left - reserved >= 1
     ) and _may_go_elsewhere(context, stream)
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_model.py
@@ -145,7 +145,8 @@
     await wait_for_verdict(context, exchange, request)
     if not await is_allowed(context, exchange, request):
         return 'refused'
-    if exchange.sends and not context.budget.spend():
+    budget = context.budgets.get(request.service)
+    if exchange.sends and not budget.spend():
         return 'retry budget'
     return ''
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
@@ -301,9 +301,8 @@
         return False
     if not exchange.sends:
         return True
-    return (
-        context.clock.monotonic() < request.deadline and context.budget.spend()
-    )
+    budget = context.budgets.get(request.service)
+    return context.clock.monotonic() < request.deadline and budget.spend()
 
 
 def _record_send(
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -225,7 +225,7 @@
         allowance = RetryAllowance(
             startup.retry_ratio, startup.retry_extra, startup.retry_window
         )
-        resize_budget(self._context.budget, allowance, self._nodes)
+        resize_budget(self._context.budgets, allowance, self._nodes)
 
     async def _serve_readiness(self, request: Request) -> Response:
         if self.ready:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -19,7 +19,7 @@
     SettingsChanged,
 )
 from ryelatch_node.quarantine import Quarantine
-from ryelatch_node.relay._budget import RetryAllowance, make_budget
+from ryelatch_node.relay._budget import RetryAllowance, make_budgets
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._forward_server import ForwardServer
 from ryelatch_node.relay._ingress import Ingress
@@ -69,7 +69,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._context.replicas.drop_expired()
-            self._context.budget.refill(HOUSEKEEPING_SECONDS)
+            self._context.budgets.refill(HOUSEKEEPING_SECONDS)
             self._forget_removed()
             self._context.windows.forget_old(self._context.now())
             self._context.quarantine.evaluate()
@@ -143,7 +143,7 @@
             'requests_taken': lambda: forward_server.in_progress,
             'replicas_limited': lambda: context.throttle.count_limited(),
             'requests_suspected': lambda: context.quarantine.count_suspects(),
-            'retries_left': lambda: context.budget.left,
+            'retries_left': lambda: context.budgets.left,
             'log_lines_dropped': lambda: context.log.dropped,
         },
         context.usage,
@@ -239,7 +239,7 @@
         ),
         wire=wire,
         commands=app.find('orders', ReplicaCommands),
-        budget=make_budget(
+        budgets=make_budgets(
             RetryAllowance(
                 startup.retry_ratio, startup.retry_extra, startup.retry_window
             )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -328,7 +328,8 @@
             return False
         if now < stream.next_hedge:
             return False
-        if self.context.budget.left - self._reserved < 1:
+        budget = self.context.budgets.get(request.service)
+        if budget.left - self._reserved < 1:
             return False
         if not (request.repeatable and has_run_left(stream.exchange, request)):
             return False
--- a/tests/node/relay/test_budget.py
+++ b/tests/node/relay/test_budget.py
@@ -4,6 +4,7 @@
 from ryelatch_node.relay._budget import (
     RetryAllowance,
     make_budget,
+    make_budgets,
     resize_budget,
 )
 
@@ -57,3 +58,30 @@
     windows = seconds / _ALLOWANCE.window
     allowed = _ALLOWANCE.ratio * requests * seconds * len(budgets)
     assert spent <= allowed + _ALLOWANCE.extra * windows
+
+
+def test_restarts_in_series_stay_within_bounds() -> None:
+    """Eight nodes restart one after the other, and repeat all that they may.
+
+    Their clients use a large service. All retries go to a small one, whose
+    replicas are full: with one budget for both it got 250 repeats in ten
+    seconds where 210 were allowed.
+    """
+    allowance = RetryAllowance(ratio=0.2, extra=200, window=10)
+    large_of_node, small = 6, 50
+    spent = 0
+    for node in range(8):
+        budgets = make_budgets(allowance)
+        resize_budget(budgets, allowance, 8)
+        budgets.refill(60)
+        for second in range(int(allowance.window)):
+            for _ in range(large_of_node):
+                budgets.get('large').earn()
+            budgets.refill(1)
+            spent += _spend_all(budgets.get('small'))
+            if second == node:
+                budgets = make_budgets(allowance)
+                spent += _spend_all(budgets.get('small'))
+                resize_budget(budgets, allowance, 8)
+        spent += _serve(budgets.get('small'), small // 8)
+    assert spent <= allowance.ratio * small + allowance.extra
--- a/tests/node/relay/test_lag.py
+++ b/tests/node/relay/test_lag.py
@@ -11,7 +11,7 @@
 from ryelatch_core.fleet import LayerRange, Replica, Stage
 from ryelatch_core.kernel import Hub
 from ryelatch_core.membership import compute_departure_bounds
-from ryelatch_core.retries import RetryBudget
+from ryelatch_core.retries import RetryBudget, RetryBudgets
 from ryelatch_core.streams import EventSplitter
 from ryelatch_node.ports import Reachability, Report
 from ryelatch_node.relay._lost_links import LEAVE_SECONDS, LINKS_LOST
@@ -72,7 +72,7 @@
         quarantine=SimpleNamespace(find_suspect=lambda _: None),
         replicas=view,
         commands=SimpleNamespace(read_report=read_report, reach=reach),
-        budget=RetryBudget(reserve=0),
+        budgets=RetryBudgets(RetryBudget(reserve=0)),
         throttle=SimpleNamespace(acquire_permit=acquire_permit),
         slow_replicas=SimpleNamespace(
             check=lambda _: None, stop=lambda: asyncio.sleep(0)
@@ -96,6 +96,7 @@
         move_attempts=0,
         last_move_attempt=0.0,
         request=SimpleNamespace(
+            service=_HEAD.service,
             repeatable=True,
             fingerprint=None,
             terms=SimpleNamespace(identity='r-1'),
@@ -146,7 +147,7 @@
 
     async def play() -> None:
         watch, reasons = _make_watch(answers_after=100)
-        watch.context.budget = RetryBudget(reserve=1)
+        watch.context.budgets = RetryBudgets(RetryBudget(reserve=1))
         watch._has_path = lambda _: True  # type: ignore[method-assign]
         await watch.start()
         await asyncio.sleep(0.5)
@@ -175,7 +176,7 @@
 
     async def play() -> None:
         watch, reasons = _make_watch(answers_after=100)
-        watch.context.budget = RetryBudget(reserve=1)
+        watch.context.budgets = RetryBudgets(RetryBudget(reserve=1))
         watch._has_path = lambda _: True  # type: ignore[method-assign]
         stream = next(iter(watch.streams))
         began = watch.context.clock.monotonic()
@@ -207,7 +208,7 @@
     async def play() -> None:
         watch, interrupted = _make_watch(answers_after=100)
         watch.context.links = _LostLinks()  # type: ignore[assignment]
-        watch.context.budget = RetryBudget(reserve=1)
+        watch.context.budgets = RetryBudgets(RetryBudget(reserve=1))
         await watch.start()
         await asyncio.sleep(LEAVE_SECONDS - 0.02)
         assert not interrupted
@@ -229,7 +230,7 @@
     async def play() -> None:
         watch, _ = _make_watch(answers_after=0.2)
         watch.context.links = links  # type: ignore[assignment]
-        watch.context.budget = RetryBudget(reserve=retries)
+        watch.context.budgets = RetryBudgets(RetryBudget(reserve=retries))
         watch._has_path = lambda _: True  # type: ignore[method-assign]
         first = next(iter(watch.streams))
         for _ in range(9):
--- a/tests/node/relay/test_lost_links.py
+++ b/tests/node/relay/test_lost_links.py
@@ -12,7 +12,7 @@
 from ryelatch_core.fleet import LayerRange, LoadTracker, Replica
 from ryelatch_core.kernel import Hub
 from ryelatch_core.membership import compute_departure_bounds
-from ryelatch_core.retries import RetryBudget
+from ryelatch_core.retries import RetryBudget, RetryBudgets
 from ryelatch_core.routing import Configuration, ServiceConfiguration
 from ryelatch_node.relay._lost_links import LEAVE_SECONDS, leaves_lost_links
 from ryelatch_node.views import ReplicaView
@@ -57,7 +57,7 @@
         draw=random.Random(1).random,
         links=_Links(helps=helps),
         replicas=view,
-        budget=RetryBudget(reserve=10),
+        budgets=RetryBudgets(RetryBudget(reserve=10)),
         startup=SimpleNamespace(zone=_LOST_ZONE),
         load=LoadTracker(),
         configuration=SimpleNamespace(
--- a/tests/platform/test_lost_streams.py
+++ b/tests/platform/test_lost_streams.py
@@ -9,6 +9,7 @@
 import pytest
 
 from fleet.running import (
+    MODEL_SERVICE,
     RunningNode,
     ask,
     make_event_stream,
@@ -202,7 +203,8 @@
     """An operator can't tell why a stream was not resumed."""
     async with run_node(make_model_replicas((0, 8))) as node:
         node.replicas['m-0'].pause = 0.1
-        budget = node.app.find('streams', StreamWatch).context.budget
+        budgets = node.app.find('streams', StreamWatch).context.budgets
+        budget = budgets.get(MODEL_SERVICE)
         async with open_request(node, '/plan/x') as response:
             await response.content.readuntil(b'token 1\n\n')
             while budget.spend():
--- a/tests/platform/test_stream_migration.py
+++ b/tests/platform/test_stream_migration.py
@@ -8,6 +8,7 @@
 import pytest
 
 from fleet.running import (
+    MODEL_SERVICE,
     make_event_stream,
     make_model_replicas,
     open_request,
@@ -222,7 +223,8 @@
     model = make_model_replicas((0, 4), (4, 8), (0, 8))
     model[2].zone = 'zone-b'
     async with run_node(model) as node:
-        budget = node.app.find('streams', StreamWatch).context.budget
+        budgets = node.app.find('streams', StreamWatch).context.budgets
+        budget = budgets.get(MODEL_SERVICE)
         replicas = list(node.replicas.values())
         for replica in replicas:
             replica.stall_after = 2
--- a/tests/standins/plain_relay.py
+++ b/tests/standins/plain_relay.py
@@ -17,7 +17,7 @@
     Replica,
 )
 from ryelatch_core.quarantine import Fingerprint
-from ryelatch_core.retries import RetryBudget
+from ryelatch_core.retries import RetryBudget, RetryBudgets
 from ryelatch_core.routing import RetryPolicy, Route
 from ryelatch_node.ports import AnswerMetadata
 from ryelatch_node.relay._errors import SendError, SendErrorKind
@@ -104,14 +104,15 @@
         """Create the services."""
         self.clock = VirtualClock()
         self.log = LineLog('node-a', self.clock, len)
-        self.budget = RetryBudget(reserve=self.retries)
+        budgets = RetryBudgets(RetryBudget(reserve=self.retries))
+        self.budget = budgets.get(SERVICE)
         self.load = LoadTracker()
         self.context: Any = SimpleNamespace(
             clock=self.clock,
             now=self.clock.monotonic,
             draw=random.Random(1).random,
             log=self.log,
-            budget=self.budget,
+            budgets=budgets,
             links=_Links(),
             load=self.load,
             durations=DurationTracker(),
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -112,6 +112,7 @@
     :param state: in its entry in the registry.
     :param started_at: start of its incarnation as reported, in milliseconds;
         0 if it reports none.
+    :param arrivals: identities of the requests that it ran or refused as full.
     :param runs: requests that it received and didn't refuse.
     :param commands: commands that it received.
     :param sequence: number of commands that changed its layers.
@@ -155,6 +156,7 @@
     address: str = ''
     state: str = 'ready'
     started_at: int = 0
+    arrivals: list[str] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     commands: list[dict[str, Any]] = field(default_factory=list)
     sequence: int = 0
@@ -392,6 +394,7 @@
                     'At-Server': self.address,
                 },
             )
+        self.arrivals.append(identity)
         if self.refuse:
             self.refusals.append(_read_clock())
             return web.Response(
