A refused copy of a forwarded request is a repeat

What callers saw: repeats of requests piled up beyond what is allowed (rule BUDGET). That this is what they saw isn't shown: it needs links that count as lost, as they do for a moment when a silence of a whole service ends.

Class: "not run" was taken for "not sent".

Evidence: test_refused_copies_at_helpers_are_repeats, with no retry left at any node.

Why it holds: a forwarded request is a retry as soon as any copy may have reached a replica, which the sends and those that reached none tell.

--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_link_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_link_frames.py
@@ -68,6 +68,7 @@
     :param retry_after: seconds after which the client should retry, if any.
     :param reaches: whether the node reaches the replicas of the service.
     :param ran: runs there that count against the attempts of the route.
+    :param sent: whether a replica may have received it there.
     """
 
     status: int
@@ -75,6 +76,7 @@
     retry_after: Duration | None = None
     reaches: bool = True
     ran: int = 0
+    sent: bool = True
 
 
 class ForwardStart(msgspec.Struct, frozen=True, array_like=True, tag='start'):
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -169,6 +169,10 @@
         self.ran -= len(self.cut) - len(counted)
         self.cut = counted
 
+    def has_sent(self) -> bool:
+        """Whether a replica may have received the request, run or not."""
+        return self.sends > self.unsent
+
     def begin_send(self) -> None:
         """Count an attempt to send the request to an upstream or a node.
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
@@ -60,12 +60,14 @@
 
     :param reaches: whether this node reaches the replicas of the service.
     :param count_runs: counts the runs here against the attempts of the route.
+    :param has_sent: whether a replica may have received the request.
     """
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     reaches: Callable[[], bool]
     count_runs: Callable[[], int] = int
+    has_sent: Callable[[], bool] = bool
 
     async def receive(self) -> Message:
         """Wait until the node closes the connection.
@@ -99,7 +101,12 @@
         """Send that this node ends the request with an error."""
         await self.write(
             ForwardRefused(
-                status, reason, retry_after, self.reaches(), self.count_runs()
+                status,
+                reason,
+                retry_after,
+                self.reaches(),
+                self.count_runs(),
+                self.has_sent(),
             )
         )
 
@@ -199,6 +206,7 @@
             reject=connection.refuse,
         )
         connection.count_runs = lambda: exchange.ran - forwarded.ran
+        connection.has_sent = exchange.has_sent
         exchange.detail['origin'] = forwarded.origin
         exchange.record(
             catalogue.FORWARD_TAKEN,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
@@ -138,7 +138,7 @@
 ) -> bool:
     """Whether a request may be sent to another node.
 
-    A request that may have run is a retry for the replicas, wherever it goes.
+    A request that a replica may have received is a retry, wherever it goes.
     """
     ran = exchange.ran + exchange.unbegun
     if request.origin or ran >= request.route.max_attempts:
@@ -151,7 +151,7 @@
         return False
     if not await context.links.has_lost(request.service):
         return False
-    is_retry = attempts.may_have_run or attempts.is_beside()
+    is_retry = exchange.has_sent() or attempts.may_have_run
     paid = attempts.paid or not is_retry
     attempts.paid = False
     return paid or context.budgets.get(request.service).spend()
@@ -253,6 +253,7 @@
     if not refusal.reaches:
         context.links.helpers.drop(helper.node.name)
     if refusal.status in _NOT_RUN:
+        exchange.unsent += not refusal.sent
         attempts.refusal = refusal
         return False
     if refusal.status in {_BAD_GATEWAY, _GATEWAY_TIMEOUT}:
@@ -279,6 +280,8 @@
     if error.sent:
         attempts.may_have_run = True
         exchange.ran += 1
+    else:
+        exchange.unsent += 1
     exchange.record(
         catalogue.EXCHANGE_FAILED,
         peer=helper.node.name,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_verdicts.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_verdicts.py
@@ -30,7 +30,7 @@
     """
     if context.quarantine.find_refused(request.fingerprint) is None:
         return True
-    if not request.trial or exchange.sends > exchange.unsent:
+    if not request.trial or exchange.has_sent():
         return False
     if not exchange.on_trial:
         exchange.on_trial = await context.quarantine.claim_trial(
--- a/tests/platform/test_repeats.py
+++ b/tests/platform/test_repeats.py
@@ -1,8 +1,10 @@
 """Repeats of requests beyond what each service allows."""
 
 import asyncio
-from collections.abc import Iterable
+import contextlib
+from collections.abc import AsyncIterator, Iterable
 
+from fleet.cutting import LinkedNode, discover_cut, run_linked_nodes
 from fleet.running import (
     RunningNode,
     ask,
@@ -10,6 +12,8 @@
     make_non_model_replicas,
     run_node,
 )
+from soak.links import LinkMode
+from standins.replica import ReplicaStandIn
 
 _ROUNDS = 30
 _STREAMS_IN_ROUND = 10
@@ -18,6 +22,18 @@
 _WINDOW = 10
 
 
+def _list_arrivals(
+    replicas: Iterable[ReplicaStandIn], identity: str
+) -> list[str]:
+    """List the replicas that got a request, once for each of its copies."""
+    return [
+        replica.name
+        for replica in replicas
+        for arrival in replica.arrivals
+        if arrival == identity
+    ]
+
+
 async def _ask_all(node: RunningNode, path: str, names: Iterable[str]) -> None:
     async with asyncio.TaskGroup() as group:
         for name in names:
@@ -46,3 +62,36 @@
     arrivals = sum(len(replica.arrivals) for replica in plain)
     allowed = _RATIO * _ROUNDS + _EXTRA * windows
     assert arrivals - _ROUNDS <= allowed
+
+
+@contextlib.asynccontextmanager
+async def _run_cut(
+    replicas: list[ReplicaStandIn],
+) -> AsyncIterator[list[LinkedNode]]:
+    """Run nodes of which the first one has lost its links, and knows it.
+
+    No retry is earned or refilled.
+    """
+    async with run_linked_nodes(
+        replicas, 3, retry_ratio=0.0, retry_extra=0.0
+    ) as nodes:
+        nodes[0].cut(LinkMode.REFUSING)
+        await discover_cut(nodes[0], 'first')
+        yield nodes
+
+
+async def test_refused_copies_at_helpers_are_repeats() -> None:
+    """A request reaches a replica through each helper without any retry.
+
+    Each copy is refused and didn't run, but the replica got it.
+    """
+    replicas = make_non_model_replicas(2)
+    async with _run_cut(replicas) as nodes:
+        for replica in replicas:
+            replica.refuse = 503
+        for number in range(4):
+            # The first ones use up the retries that each process begins with.
+            await ask(nodes[0].node, '/ping/x', identity=f'full-{number}')
+        status, _, _ = await ask(nodes[0].node, '/ping/x', identity='full')
+        assert status == 503
+        assert len(_list_arrivals(replicas, 'full')) == 1
