--- a/packages/ryelatch-node/src/ryelatch_node/forwarding/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/forwarding/_client.py
@@ -66,6 +66,8 @@
         one may still be the only one that can answer.
     :param complete: whether all of it has arrived.
     :param head: its status and headers, once they have arrived.
+    :param ran: runs at the node that count against the attempts of the route,
+        as far as it has told. It may have begun one more.
     """
 
     connection: PeerConnection
@@ -74,6 +76,7 @@
     may_leave: Callable[[], bool] = _may_always_leave
     complete: bool = False
     head: ForwardStart | None = None
+    ran: int = 1
     _confirmed: bool = False
 
     async def read_head(self) -> ForwardStart | ForwardRefused:
@@ -108,6 +111,7 @@
             self._confirmed = True
             if not isinstance(reply, ForwardAlive):
                 return reply
+            self.ran = max(1, reply.ran)
 
     async def _read_any(self) -> ForwardReply:
         try:
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_link_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_link_frames.py
@@ -57,7 +57,12 @@
 
 
 class ForwardAlive(msgspec.Struct, frozen=True, array_like=True, tag='alive'):
-    """The request is in progress; sent at once, and while nothing else is."""
+    """The request is in progress; sent at once, and while nothing else is.
+
+    :param ran: runs there so far that count against the attempts of the route.
+    """
+
+    ran: int = 0
 
 
 class ForwardRefused(
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -169,6 +169,11 @@
         self.ran -= len(self.cut) - len(counted)
         self.cut = counted
 
+    @property
+    def begun_runs(self) -> int:
+        """Runs that count against the attempts, or will as they end."""
+        return self.ran + self.unbegun
+
     def has_sent(self) -> bool:
         """Whether a replica may have received the request, run or not."""
         return self.sends > self.unsent
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forward_server.py
@@ -125,7 +125,7 @@
         """Tell the node again and again that its request is in progress."""
         while not self.writer.is_closing():
             if not self.writer.transport.get_write_buffer_size():
-                self.writer.write(encode(ForwardAlive()))
+                self.writer.write(encode(ForwardAlive(self.count_runs())))
             await asyncio.sleep(ALIVE_SECONDS)
 
 
@@ -205,7 +205,7 @@
             ran=forwarded.ran,
             reject=connection.refuse,
         )
-        connection.count_runs = lambda: exchange.ran - forwarded.ran
+        connection.count_runs = lambda: exchange.begun_runs - forwarded.ran
         connection.has_sent = exchange.has_sent
         exchange.detail['origin'] = forwarded.origin
         exchange.record(
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarded_stream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarded_stream.py
@@ -80,7 +80,7 @@
             body = await collect(answer.iterate())
             if attempts.is_beside():
                 attempts.may_have_run = True
-                exchange.ran += 1
+                exchange.ran += attempts.ran
                 return False
             if exchange.started:
                 raise AnswerBroken
@@ -139,7 +139,7 @@
     if not attempts.serving:
         return
     attempts.may_have_run = True
-    exchange.ran += 1
+    exchange.ran += attempts.ran
     exchange.record(catalogue.RUN_OVERTAKEN, peer=attempts.serving)
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarding.py
@@ -58,6 +58,7 @@
     :param tried: names of the nodes that did not serve it.
     :param refusal: of the last node that refused it.
     :param serving: name of the node that has it now; empty if none has.
+    :param answer: of the last node that took it.
     :param is_beside: whether a run of this node is in progress meanwhile.
     """
 
@@ -67,8 +68,14 @@
     tried: set[str] = field(default_factory=set)
     refusal: ForwardRefused | None = None
     serving: str = ''
+    answer: ForwardedAnswer | None = None
     is_beside: Callable[[], bool] = _has_no_other_run
 
+    @property
+    def ran(self) -> int:
+        """Runs at that node, which count once it is left or lost."""
+        return self.answer.ran if self.answer else 1
+
 
 async def forward(
     context: RelayContext,
@@ -140,7 +147,7 @@
 
     A request that a replica may have received is a retry, wherever it goes.
     """
-    ran = exchange.ran + exchange.unbegun
+    ran = exchange.begun_runs
     if request.origin or ran >= request.route.max_attempts:
         return False
     if attempts.may_have_run and not request.repeatable:
@@ -172,8 +179,7 @@
         return False
     if not may_continue(exchange, attempts.last_event):
         return False
-    # The run at the present node counts once it is left.
-    ran = exchange.ran + exchange.unbegun + 1
+    ran = exchange.begun_runs + attempts.ran
     if ran >= request.route.max_attempts:
         return False
     others = context.links.helpers.choose(request.service, attempts.tried)
@@ -208,6 +214,7 @@
             ),
         ) as answer:
             attempts.serving = helper.node.name
+            attempts.answer = answer
             head = await answer.read_head()
             if isinstance(head, ForwardRefused):
                 done = await _handle_refusal(
@@ -279,7 +286,7 @@
     context.links.helpers.drop(helper.node.name)
     if error.sent:
         attempts.may_have_run = True
-        exchange.ran += 1
+        exchange.ran += attempts.ran
     else:
         exchange.unsent += 1
     exchange.record(
@@ -309,7 +316,7 @@
         version=request.version,
         elapsed=max(0, context.now() - request.arrived),
         last_event=attempts.last_event,
-        ran=exchange.ran + exchange.unbegun,
+        ran=exchange.begun_runs,
     )
 
 
--- a/tests/platform/test_repeats.py
+++ b/tests/platform/test_repeats.py
@@ -10,8 +10,12 @@
     ask,
     make_model_replicas,
     make_non_model_replicas,
+    open_request,
     run_node,
+    wait_until,
 )
+from ryelatch_node.peer_sync import PeerSync
+from ryelatch_node.relay._watch import HEDGE_SECONDS
 from soak.links import LinkMode
 from standins.replica import ReplicaStandIn
 
@@ -95,3 +99,39 @@
         status, _, _ = await ask(nodes[0].node, '/ping/x', identity='full')
         assert status == 503
         assert len(_list_arrivals(replicas, 'full')) == 1
+
+
+async def test_runs_of_a_lost_helper_all_count() -> None:
+    """A stream runs three times, as its helper is lost in its second run."""
+    replicas = [
+        *make_model_replicas((0, 8), (0, 8), (0, 8)),
+        *make_non_model_replicas(2),
+    ]
+    for replica in replicas:
+        replica.stalls = 9
+    async with run_linked_nodes(replicas, 3) as nodes:
+        nodes[0].cut(LinkMode.REFUSING)
+        await discover_cut(nodes[0], 'first')
+        for replica in replicas:
+            replica.stall_after = 1
+        async with open_request(
+            nodes[0].node, '/plan/x', identity='twice'
+        ) as response:
+            await response.content.readuntil(b'token 1\n\n')
+            await wait_until(
+                lambda: len(_list_arrivals(replicas, 'twice')) == 2
+            )
+            await asyncio.sleep(0.5)
+            helper = next(
+                linked.node
+                for linked in nodes
+                if linked.node.count('forward-taken')
+                and linked.node.count('stream-hedged')
+            )
+            for replica in replicas:
+                replica.refuse = 503 if replica.runs else 0
+            await helper.app.find('news', PeerSync).server.stop()
+            await asyncio.sleep(HEDGE_SECONDS)
+            names = [replica.name for replica in replicas[:3] if replica.runs]
+            assert len(names) == 2
+            response.close()
