--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -113,6 +113,7 @@
     :param state: in its entry in the registry.
     :param started_at: start of its incarnation as reported, in milliseconds;
         0 if it reports none.
+    :param arrivals: identities of the requests that it ran or refused as full.
     :param runs: requests that it received and didn't refuse.
     :param commands: commands that it received.
     :param sequence: number of commands that changed its layers.
@@ -157,6 +158,7 @@
     address: str = ''
     state: str = 'ready'
     started_at: int = 0
+    arrivals: list[str] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     commands: list[dict[str, Any]] = field(default_factory=list)
     sequence: int = 0
@@ -403,6 +405,7 @@
                     'At-Server': self.address,
                 },
             )
+        self.arrivals.append(identity)
         if self.refuse:
             self.refusals.append(_read_clock())
             return web.Response(
@@ -476,10 +479,14 @@
     async def _crash_during(
         self, request: web.Request, run: Run
     ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers=self._make_signed_headers(run.identity)
-        )
-        if 'X-Ryelatch-Hop-Count' in run.headers:
+        headers = self._make_signed_headers(run.identity)
+        response = web.StreamResponse(headers=headers)
+        streams = 'X-Ryelatch-Hop-Count' in run.headers
+        if self.unframed:
+            first = make_event(1) if streams else b'answer'
+            assert request.transport is not None
+            request.transport.write(_make_unframed_head(headers) + first)
+        elif streams:
             await response.prepare(request)
         await asyncio.sleep(self.pause)
         await self.crash()
