Known red: a crash that looks like the end of an answer is not recorded

A request that crashes each process that begins it reaches no more than three replicas plus three retries, as long as the nodes notice the crashes. If the answer has neither a length nor chunks and its first piece was sent, the kernel ends its connection in order, so the answer counts as complete, no crash is recorded, and for a plain request the content even counts as sound.

A stand-in crashes there as a killed process does: after a piece without a length, with a FIN.

--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 
 import pytest
+from aiohttp import ClientPayloadError
 
 from fleet.running import (
     RunningNode,
@@ -14,7 +15,7 @@
     make_non_model_replicas,
     run_nodes,
 )
-from standins.replica import ReplicaStandIn
+from standins.replica import ReplicaStandIn, Unframed
 
 _CRASHING = b'a question under which replicas end'
 _MAX_RETRIES = 3
@@ -32,6 +33,39 @@
         yield nodes
 
 
+async def _count_runs(replicas: list[ReplicaStandIn], path: str) -> int:
+    """Send the crashing request again and again, and count its runs."""
+    async with _run_nodes(replicas) as nodes:
+        senders = itertools.cycle(nodes)
+        for number in range(12):
+            # An answer that has begun may break.
+            with contextlib.suppress(ClientPayloadError):
+                await ask(
+                    next(senders),
+                    path,
+                    identity=f'c-{number}',
+                    content=_CRASHING,
+                )
+            await asyncio.sleep(_SHARING_SECONDS)
+    return sum(len(replica.runs) for replica in replicas)
+
+
+@pytest.mark.parametrize('path', ['/plan/x', '/ping/x'])
+async def test_crash_after_a_first_piece_is_recorded(path: str) -> None:
+    """A crash that looks like the end of an answer clears its request.
+
+    The replica sends a first piece without a length, and is gone.
+    """
+    replicas = (
+        make_model_replicas(*[(0, 8)] * 14)
+        if path.startswith('/plan')
+        else make_non_model_replicas(14)
+    )
+    for replica in replicas:
+        replica.unframed = Unframed.WHOLE
+    assert await _count_runs(replicas, path) <= 3 + _MAX_RETRIES
+
+
 def _list_crashed(replicas: list[ReplicaStandIn]) -> list[str]:
     return [replica.name for replica in replicas if replica.crashed]
 
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -468,10 +468,14 @@
     async def _crash_during(
         self, request: web.Request, run: Run
     ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers=self._make_signed_headers(run.identity)
-        )
-        if 'X-Ryelatch-Hop-Count' in run.headers:
+        headers = self._make_signed_headers(run.identity)
+        response = web.StreamResponse(headers=headers)
+        streams = 'X-Ryelatch-Hop-Count' in run.headers
+        if self.unframed:
+            first = make_event(1) if streams else b'answer'
+            assert request.transport is not None
+            request.transport.write(_make_unframed_head(headers) + first)
+        elif streams:
             await response.prepare(request)
         await asyncio.sleep(self.pause)
         await self.crash()
