Answers after a restart that a node has not seen are whole

Callers of a replica that had just started again under its id lost whole streams without a length: the node listed its start before for up to a second, and took the other start in its report for the end of the process that had answered.

A process that answers within START_SECONDS after the end of an answer can't have started since, unless this node read that end late. So it is the one that answered, whatever the entry says; later, or at a late node, the answer is resumed or broken off as before.

--- a/packages/ryelatch-node/src/ryelatch_node/ports/_commands.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_commands.py
@@ -90,6 +90,9 @@
     """Whether an incarnation of a replica still runs, as it says itself."""
 
     RUNNING = 'running'
+    RESTARTED = 'restarted'
+    """Another incarnation than the listed one answers under its entry."""
+
     GONE = 'gone'
     """Connections are refused, or another replica answers."""
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
@@ -14,7 +14,7 @@
     FailureTracker,
     LoadTracker,
 )
-from ryelatch_core.kernel import Clock
+from ryelatch_core.kernel import Clock, LagMeter
 from ryelatch_core.retries import RetryBudgets
 from ryelatch_node.forwarding import ForwardClient
 from ryelatch_node.links import Links
@@ -34,6 +34,7 @@
 class RelayContext:
     """Services that the relay uses, and state that it keeps itself.
 
+    :param lag: records when this process ran late.
     :param longest_timeouts: longest time for which a client of a route was
         prepared to wait for an answer, in seconds, by name of the route.
     """
@@ -64,6 +65,7 @@
     longest_timeouts: dict[str, float] = field(default_factory=dict)
     failures: FailureTracker = field(default_factory=FailureTracker)
     durations: DurationTracker = field(default_factory=DurationTracker)
+    lag: LagMeter = field(default_factory=LagMeter)
     held: HeldBytes = field(default_factory=HeldBytes)
 
     def __post_init__(self) -> None:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_end_checks.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_end_checks.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from ryelatch_core.fleet import Replica
-from ryelatch_core.kernel import Clock
+from ryelatch_core.kernel import Clock, LagMeter
 from ryelatch_node.ports import Presence, ReplicaCommands
 from ryelatch_node.throttle import Throttle
 from ryelatch_node.views import ConfigurationView, ReplicaView
@@ -30,6 +30,9 @@
 A node that runs late reads them later than they came.
 """
 
+START_SECONDS = 0.15
+"""Least time after the end of a process until another one answers for it."""
+
 
 class AnswerEnd(enum.Enum):
     """How the end of an answer was recognized."""
@@ -54,6 +57,8 @@
     """Asks replicas whether they outlived the answers they sent.
 
     All answers that end at once share one question.
+
+    :param lag: records when this process ran late.
     """
 
     clock: Clock
@@ -61,6 +66,7 @@
     replicas: ReplicaView
     configuration: ConfigurationView
     throttle: Throttle
+    lag: LagMeter
     _gathering: dict[str, 'asyncio.Task[Presence]'] = field(
         default_factory=dict
     )
@@ -77,6 +83,9 @@
         while patient and presence is Presence.UNKNOWN:
             await asyncio.sleep(RETRY_SECONDS)
             presence = await self._ask(replica)
+        if presence is Presence.RESTARTED and self._is_too_soon(received):
+            # The answer came from it, as its entry here is of before.
+            presence = Presence.RUNNING
         if presence is Presence.RUNNING:
             return AnswerEnd.RUNNING
         if presence is Presence.UNKNOWN:
@@ -84,6 +93,12 @@
         left = self._has_left(replica.name, received - ALIVE_SECONDS)
         return AnswerEnd.LEFT if left else AnswerEnd.GONE
 
+    def _is_too_soon(self, received: float) -> bool:
+        """Whether no process can have started since an answer ended."""
+        now = self.clock.monotonic()
+        since = now - START_SECONDS
+        return received >= since and not self.lag.was_late(since)
+
     async def _ask(self, replica: Replica) -> Presence:
         question = self._gathering.get(replica.name)
         if question is None:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -5,7 +5,7 @@
 
 from ryelatch_core.events import LineLog, UsageTracker, catalogue, keep_running
 from ryelatch_core.fleet import LoadTracker, Replica
-from ryelatch_core.kernel import App, Service, cancel_task
+from ryelatch_core.kernel import App, LagMeter, Service, cancel_task
 from ryelatch_node.forwarding import ForwardClient
 from ryelatch_node.links import Links, LinksChanged
 from ryelatch_node.listener import Listener
@@ -117,7 +117,7 @@
     These are ``upstreams``, ``streams``, ``server`` and ``housekeeper``.
     """
     context = _collect_parts(app)
-    watch = StreamWatch(context, Prober(context))
+    watch = StreamWatch(context, Prober(context), lag=context.lag)
     metrics = RelayMetrics(
         context.log,
         {
@@ -227,8 +227,9 @@
     links = app.find('links', Links)
     configuration = app.find('configuration', ConfigurationView)
     commands = app.find('orders', ReplicaCommands)
+    lag = LagMeter()
     end_checks = EndChecks(
-        app.clock, commands, replicas, configuration, throttle
+        app.clock, commands, replicas, configuration, throttle, lag
     )
     return RelayContext(
         startup=startup,
@@ -259,6 +260,7 @@
         forwarding=app.find('forwarding', ForwardClient),
         usage=app.find('costs', UsageTracker),
         load=load,
+        lag=lag,
     )
 
 
--- a/tests/node/relay/test_end_checks.py
+++ b/tests/node/relay/test_end_checks.py
@@ -9,6 +9,7 @@
 
 from fake_clock import FakeClock
 from ryelatch_core.fleet import Replica
+from ryelatch_core.kernel import LagMeter
 from ryelatch_node.ports import Presence
 from ryelatch_node.relay._end_checks import AnswerEnd, EndChecks
 from ryelatch_node.views._leaving import LeavingIncarnations
@@ -48,8 +49,9 @@
         commands: Any = SimpleNamespace(confirm=self._confirm)
         configuration: Any = SimpleNamespace(table=None)
         throttle: Any = SimpleNamespace(acquire_permit=self._permit)
+        self.lag = LagMeter()
         return EndChecks(
-            self.clock, commands, replicas, configuration, throttle
+            self.clock, commands, replicas, configuration, throttle, self.lag
         )
 
     async def _permit(self, _: Replica) -> bool:
@@ -129,3 +131,25 @@
     checks = asked.make_checks()
     asked.leaving.record_drop(replace(_REPLICA, leaving=True))
     assert await _find_end(asked, checks) is AnswerEnd.LEFT
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'late', 'end'),
+    [
+        (0.0, False, AnswerEnd.RUNNING),
+        (1.0, False, AnswerEnd.GONE),
+        (0.0, True, AnswerEnd.GONE),
+    ],
+)
+async def test_start_that_was_not_seen_yet(
+    seconds: float, late: bool, end: AnswerEnd
+) -> None:
+    """Whole answers after a restart are lost until its entry is seen."""
+    asked = _Asked([Presence.RESTARTED])
+    checks = asked.make_checks()
+    received = asked.clock.monotonic()
+    asked.clock.now += seconds
+    if late:
+        asked.lag.record(received - 1, asked.clock.monotonic())
+    found = await checks.find_end(_REPLICA, received, patient=False)
+    assert found is end
