A cut stream isn't complete because a replica left

Callers saw streams that ended as complete, with the last chunk, though events were missing, where no other replica could go on.

Cause: Progress.left was set for a run that ended inside an event, as the end of the connection is asked about before the part of an event is looked at; and it stayed set after a later run had delivered more events and was then interrupted, spoiled or lost at another node.

Now a part of an event, or an interruption, sets nothing, and each run that delivers, forwarded ones too, takes it back.

Evidence: both tests fail without the change and pass with it.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
@@ -91,7 +91,9 @@
         interrupted = SendError(SendErrorKind.LOST, stream.reason)
         await _record_loss(context, stream, progress, interrupted)
     except SendError as error:
-        if stream.delivered:
+        # A part of an event shows that events are missing.
+        whole = stream.delivered and not stream.splitter.has_partial
+        if whole and not stream.reason:
             progress.left = error.reason == REPLICA_LEFT
         await _record_loss(context, stream, progress, error)
     except StreamError as error:
@@ -295,4 +297,5 @@
     """
     if not progress.runs.claim(stream):
         raise SendError(SendErrorKind.LOST, stream.reason)
+    progress.left = False
     progress.last_event = stream.splitter.last
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_forwarded_stream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_forwarded_stream.py
@@ -132,6 +132,7 @@
     """
     if not progress.runs.claim(run):
         raise TimeoutError
+    progress.left = False
 
 
 def _record_overtaken(exchange: Exchange, attempts: ForwardAttempts) -> None:
--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -24,7 +24,7 @@
     run_node,
     wait_until,
 )
-from standins.replica import ReplicaStandIn, Unframed
+from standins.replica import ReplicaStandIn, Unframed, make_event
 
 _HALF = ('--unframed', '--stall-after', '1')
 _PART = ('--unframed', '--stall-after', '2')
@@ -222,3 +222,54 @@
             assert await _read_rest(response) == (rest, True)
         await wait_until(lambda: node.count('exchange-ended'))
         assert node.find('exchange-ended')['end'] == end
+
+
+async def _leave_stalled(node: RunningNode, leaver: ReplicaStandIn) -> None:
+    """Let a replica leave in the middle of a stream, which then goes on."""
+    leaver.register('draining')
+    await wait_until(lambda: node.count('replica-leaving'))
+    assert leaver.stop_listening is not None
+    await leaver.stop_listening()
+    leaver.resume()
+
+
+async def test_leaver_cut_in_an_event_breaks() -> None:
+    """A stream cut in an event is complete as its replica was leaving."""
+    async with run_node(make_model_replicas((0, 8))) as node:
+        leaver = node.replicas['m-0']
+        leaver.unframed = Unframed.INSIDE
+        leaver.stall_after = 1
+        first = make_event_stream(1)
+        async with _open_stalled(node, '/plan/x', first) as response:
+            await _leave_stalled(node, leaver)
+            assert await _read_rest(response) == (b'', False)
+
+
+async def test_stream_spoiled_after_a_leaver_breaks(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A second run that fails counts as complete as the first one left."""
+    skipped: list[int] = []
+
+    def make(number: int, *, numbered: bool = True) -> bytes:
+        return make_event(number + len(skipped), numbered=numbered)
+
+    monkeypatch.setattr('standins.replica.make_event', make)
+    async with run_node(make_model_replicas((0, 8))) as node:
+        leaver = node.replicas['m-0']
+        leaver.unframed = Unframed.WHOLE
+        leaver.events = 2
+        leaver.stall_after = 1
+        first = make_event_stream(1)
+        async with _open_stalled(node, '/plan/x', first) as response:
+            another = make_model_replicas(None, (0, 8))[1]
+            another.stall_after = 3
+            leaver.register('draining')
+            await node.add(another)
+            await wait_until(lambda: node.count('replica-listed') > 1)
+            await _leave_stalled(node, leaver)
+            more = make_event_stream(3)[len(first) :]
+            assert await response.content.readexactly(len(more)) == more
+            skipped.append(1)
+            another.resume()
+            assert await _read_rest(response) == (b'', False)
