A replica that hung and was killed has not left

Callers saw parts of answers that ended as complete: a stream that may run once, or half of a plain body.

Cause: whether a replica was alive after its entry was dropped was judged by the time at which the connection ended. A process that stands still until its entry has lapsed, and is then killed, ends its connections only then. find_end asks for the time of the last bytes, which only a live process sends.

Evidence: the test fails without the change and passes with it; the tests of the relay and of early ends pass.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -153,7 +153,8 @@
 
     :param terms: what the headers state about the request and the replica.
     :param check_end: finds out how the answer ended, if it has neither a length
-        nor chunks; called with the time of its end, in monotonic seconds.
+        nor chunks; called with the time of its last bytes, in monotonic
+        seconds. A process that stands still may be killed much later.
     :param repeatable: whether another run may take the place of this one.
     :ivar end: how its end was recognized; ``None`` before that.
     """
@@ -174,6 +175,7 @@
         self.terms = terms
         self.end: AnswerEnd | None = None
         self._clock = clock
+        self._received = clock.monotonic()
         self._response = response
         self._check_end = check_end
         self._repeatable = repeatable
@@ -216,6 +218,7 @@
         """
         try:
             async for chunk in self._response.content.iter_any():
+                self._received = self._clock.monotonic()
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
             raise _make_error(error) from error
@@ -227,8 +230,7 @@
         :raises SendError: if it may have been cut off. Where nothing can take
             its place, an announced departure counts as its end.
         """
-        received = self._clock.monotonic()
-        self.end = self.framing or await self._check_end(received)
+        self.end = self.framing or await self._check_end(self._received)
         if self.end is AnswerEnd.GONE:
             raise SendError(SendErrorKind.LOST, 'replica gone at the end')
         left = self.end is AnswerEnd.LEFT
--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -273,3 +273,20 @@
             skipped.append(1)
             another.resume()
             assert await _read_rest(response) == (b'', False)
+
+
+async def test_stream_of_a_lapsed_replica_breaks() -> None:
+    """A replica that hung until its entry was gone and was killed has left."""
+    async with (
+        run_node([], _make_configuration()) as node,
+        run_replica_process(node, 'm-9', MODEL_SERVICE, *_PART) as (
+            process,
+            entry,
+        ),
+        _open_stalled(node, '/once/x', make_event_stream(2)) as response,
+    ):
+        node.store.drop('servers', entry.name)
+        await wait_until(lambda: node.count('replica-gone'))
+        await asyncio.sleep(1.1)
+        await process.kill()
+        assert await _read_rest(response) == (b'', False)
