A receipt without a token is no end of an answer

What callers could see, at the product's own front: an answer ends with `finish_reason: stop` and `[DONE]` after a part of its text, where the engine of the last layers sent a receipt without a token.

Cause: the field is optional on the wire, as the engines before the last send none, and a missing token counted as the token that ends a text. Engines send that one explicitly.

Seen red before: the answer finished with `stop`. Now the attempt fails like one whose receipt doesn't fit its step, and the answer goes on elsewhere.

--- a/packages/ryelatch-node/src/ryelatch_node/answers/_answer.py
+++ b/packages/ryelatch-node/src/ryelatch_node/answers/_answer.py
@@ -167,13 +167,15 @@
         """Continue with the result of a step that a stage ran."""
         if not self._finish_step(step):
             return
-        if not matches_step(step, receipt):
+        is_last = stage + 1 == len(self._links)
+        lacks_token = is_last and step.sample and not receipt.tokens
+        if lacks_token or not matches_step(step, receipt):
             self._fail_attempt(stage, 'receipt')
             return
-        if stage + 1 < len(self._links):
+        if not is_last:
             self._forward(stage + 1, step, receipt)
         elif step.sample:
-            self._add_token(receipt.tokens)
+            self._add_token(receipt.tokens[0])
         if stage == 0 and self._chunks:
             self._send_chunk()
 
@@ -247,8 +249,7 @@
         self._open_steps[next_step.key] = index
         self._links[index].send(next_step, self, index)
 
-    def _add_token(self, tokens: tuple[int, ...]) -> None:
-        token = tokens[0] if tokens else END_TOKEN
+    def _add_token(self, token: int) -> None:
         if token == END_TOKEN:
             self._complete(Finish.STOP)
             return
