A closed connection's end isn't changed any more

With uvloop the socket of a transport is a number that another connection may have by then. Found by reading; nothing was seen. The tests of the protocol were also run in a loop of uvloop, as a trial, with a client that leaves.

--- a/packages/ryelatch-node/src/ryelatch_node/client_protocol.py
+++ b/packages/ryelatch-node/src/ryelatch_node/client_protocol.py
@@ -111,7 +111,8 @@
         What this process still holds is lost if it ends.
         """
         transport = self.cycle.transport
+        if transport.is_closing():
+            return
         transport.set_write_buffer_limits(high=0)
         await self.cycle.flow.drain()
-        if not self.cycle.disconnected:
-            set_reset_at_close(transport, resets=False)
+        set_reset_at_close(transport, resets=False)
--- a/packages/ryelatch-node/src/ryelatch_node/connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/connections.py
@@ -206,6 +206,9 @@
 
     The system acts on it also when it ends this process.
     """
+    if transport.is_closing():
+        # The number of its socket may be that of another one soon.
+        return
     sock = transport.get_extra_info('socket')
     linger = _NO_LINGER if resets else _ORDERLY
     # The other side may have reset the connection already.
