Soak: replicas in processes of their own, which are killed

Callers saw streams that ended as complete after a part of their events. The soak missed it: its replicas lived in its own process, and their crashes reset connections. A process that is killed closes them in order.

--killing starts replicas as processes. What they receive is in files, also after a kill.

New check of repeats by service and window, with an extra of 10 in this series; the check of replicas by request covers plain requests as well.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,7 +6,8 @@
 import sys
 from pathlib import Path
 
-from soak.play import run_seed
+from soak.killing import DEFAULT_PROCESSES
+from soak.play import Outcome, run_seed
 
 
 def _parse() -> argparse.Namespace:
@@ -53,9 +54,27 @@
         action='store_true',
         help='with clients that leave early, and nodes that stand still',
     )
+    parser.add_argument(
+        '--killing',
+        type=int,
+        nargs='?',
+        const=DEFAULT_PROCESSES,
+        default=0,
+        metavar='PROCESSES',
+        help='with replicas in processes of their own, which are killed '
+        'beside planned work',
+    )
     return parser.parse_args()
 
 
+def _describe(outcome: Outcome) -> str:
+    """Describe how near the repeats came to what is allowed."""
+    return ', '.join(
+        f'{repeats.service} {repeats.count} of {repeats.allowed:.1f}'
+        for repeats in outcome.repeats
+    )
+
+
 def main() -> int:
     """Run the seeds given on the command line."""
     options = _parse()
@@ -76,12 +95,14 @@
                 pausing=options.pausing,
                 releasing=options.releasing,
                 leaving=options.leaving,
+                processes=options.killing,
             )
         )
         failed += bool(outcome.violations)
         sys.stdout.write(
             f'seed {seed}: {len(outcome.faults)} faults, '
             f'statuses {dict(outcome.statuses)}, '
+            f'repeats {_describe(outcome)}, '
             f'{len(outcome.violations)} violations\n'
         )
         for violation in outcome.violations:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -9,6 +9,7 @@
 from soak.clients import Attempt, Clients
 from soak.crashing import CRASHING_KINDS, compute_digest
 from soak.leaving import check_leavers
+from soak.repeats import check_repeats
 from soak.streams import (
     check_abandoned,
     check_attempts,
@@ -29,6 +30,7 @@
     UNREPEATABLE_KIND,
     World,
 )
+from standins.killable import PLAIN_PIECES, make_plain_piece
 from standins.replica import Run
 
 REVOKE_SECONDS = 5.0
@@ -64,14 +66,19 @@
             if not attempt.complete:
                 correct = whole.startswith(attempt.body)
         else:
-            name = attempt.signature.removeprefix('signed-')
-            correct = not attempt.complete or attempt.body == (
-                f'answer of {name}'.encode()
-            )
+            body = _make_plain_body(world, attempt)
+            correct = not attempt.complete or attempt.body == body
         if not correct:
             yield f'wrong answer: {attempt}'
 
 
+def _make_plain_body(world: World, attempt: Attempt) -> bytes:
+    name = attempt.signature.removeprefix('signed-')
+    if world.killing:
+        return make_plain_piece(name) * PLAIN_PIECES
+    return f'answer of {name}'.encode()
+
+
 def check_runs(world: World, clients: Clients) -> Iterator[str]:
     """Bookings run at most once, and nothing does that was refused unrun."""
     counts = Counter(run.identity for _, run in _list_runs(world))
@@ -212,6 +219,7 @@
     check_crashing,
     check_limit,
     check_leavers,
+    check_repeats,
 )
 
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -11,6 +11,8 @@
 from soak.clients import Clients
 from soak.crashing import CrashingClient
 from soak.faults import Fault, inject_faults, list_faults
+from soak.killing import CLIENT_COUNT as KILLING_CLIENT_COUNT
+from soak.killing import KILLING_FAULTS
 from soak.leaving import LEAVING_FAULTS, Leavers
 from soak.pausing import (
     CLIENT_DEADLINE_SECONDS,
@@ -18,6 +20,7 @@
     PAUSING_FAULTS,
 )
 from soak.releasing import CLIENT_COUNT, KINDS, RELEASING_FAULTS
+from soak.repeats import Repeats, measure_repeats
 from soak.throttling import ThrottledReplicas
 from soak.world import World, run_world
 
@@ -36,12 +39,14 @@
 
     :param faults: names of the injected faults, in order.
     :param statuses: number of answers by status; 0 where none came.
+    :param repeats: by service, the window nearest to the retry budget.
     """
 
     seed: int
     faults: list[str]
     statuses: Counter[int]
     violations: list[str]
+    repeats: list[Repeats]
 
 
 async def run_seed(
@@ -56,6 +61,7 @@
     pausing: bool = False,
     releasing: bool = False,
     leaving: bool = False,
+    processes: int = 0,
 ) -> Outcome:
     """Run one seed.
 
@@ -71,18 +77,28 @@
         planned work of all kinds.
     :param leaving: whether clients leave early, while nodes stand still or are
         cut off from all replicas.
+    :param processes: number of replicas in processes of their own, which are
+        killed beside planned work; 0 for none.
     """
     cutting = cutting or leaving
     async with run_world(
-        seed, folder, cutting=cutting, pausing=pausing, releasing=releasing
+        seed,
+        folder,
+        cutting=cutting,
+        pausing=pausing,
+        releasing=releasing,
+        processes=processes,
     ) as world:
         clients = Clients(world)
         if releasing:
             clients.kinds = KINDS
             clients.count = CLIENT_COUNT
+        if world.killing:
+            clients.kinds = KINDS
+            clients.count = KILLING_CLIENT_COUNT
         if leaving:
             clients.random_source = random.Random(seed)
-        if world.pausing:
+        if world.pausing or world.killing:
             clients.deadline = CLIENT_DEADLINE_SECONDS
             clients.patience = CLIENT_PATIENCE_SECONDS
             clients.random_source = random.Random(seed)
@@ -116,14 +132,18 @@
             await throttled.overload()
         recovery_attempts = await clients.send_sequentially(RECOVERY_REQUESTS)
         await crashing_client.stop()
+        world.read_records()
         statuses = Counter(attempt.status for attempt in clients.attempts)
         violations = list_violations(world, clients, recovery_attempts)
-    return Outcome(seed, faults, statuses, violations)
+        repeats = measure_repeats(world, clients)
+    return Outcome(seed, faults, statuses, violations, repeats)
 
 
 def _list_faults(world: World) -> tuple[Fault, ...]:
     if world.releasing:
         return RELEASING_FAULTS
+    if world.killing:
+        return KILLING_FAULTS
     return PAUSING_FAULTS if world.pausing else list_faults(world)
 
 
--- a/tests/soak/releasing.py
+++ b/tests/soak/releasing.py
@@ -121,7 +121,7 @@
     """Change the time limits of idle connections and of streams."""
     source = world.random_source
     world.configure(
-        _list_keys(world),
+        list_keys(world),
         idle_ms=source.randint(*_IDLE_MS),
         timeout_ms=source.randint(*_TIMEOUT_MS),
     )
@@ -133,13 +133,13 @@
     def add_route(configuration: dict[str, Any]) -> None:
         configuration['routes'].append(make_route(f'news-{world.version}'))
 
-    world.configure(_list_keys(world), change=add_route)
+    world.configure(list_keys(world), change=add_route)
 
 
 async def change_accounts(world: World) -> None:
     """Add a client account, which the next change takes away."""
     key = f'ward-{world.version + 2}-key'
-    world.configure([*_list_keys(world), key])
+    world.configure([*list_keys(world), key])
 
 
 async def change_weights(world: World) -> None:
@@ -152,10 +152,11 @@
             {'service': NON_MODEL_SERVICE, 'weight': 1 - weight},
         ]
 
-    world.configure(_list_keys(world), change=split_route)
+    world.configure(list_keys(world), change=split_route)
 
 
-def _list_keys(world: World) -> list[str]:
+def list_keys(world: World) -> list[str]:
+    """List the API keys that hold at present."""
     return [KEY, SPARE_KEY] if world.revoked_at is None else [KEY]
 
 
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -8,7 +8,9 @@
 PAUSING_SEED = 6301
 RELEASING_SEED = 9101
 LEAVING_SEED = 7001
+KILLING_SEEDS = (7301, 7302)
 CI_SECONDS = 6.0
+KILLING_SECONDS = 8.0
 
 REGRESSIONS: dict[int, str] = {
     1012: 'the signal for changed settings killed a starting process',
--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -31,11 +31,13 @@
 """
 
 _MAX_ATTEMPTS = 2
-"""Of the route of streams."""
+"""Of all routes but the one whose requests run once only."""
+
+_ONCE_KIND = 'book'
 
 _OK = 200
 
-_STREAM_KINDS = frozenset(('plan', UNREPEATABLE_KIND, UNNUMBERED_KIND))
+STREAM_KINDS = frozenset(('plan', UNREPEATABLE_KIND, UNNUMBERED_KIND))
 
 _Runs = Mapping[str, list[tuple[ReplicaStandIn, Run]]]
 
@@ -44,7 +46,7 @@
     """A stream that runs at a sound replica is finished."""
     runs = _group_runs(world)
     for attempt in clients.attempts:
-        if attempt.kind not in _STREAM_KINDS or _is_whole(attempt):
+        if attempt.kind not in STREAM_KINDS or _is_whole(attempt):
             continue
         sound = _list_sound(world, attempt, runs[attempt.identity])
         if sound and not _is_excused_on_the_way(world, attempt, runs):
@@ -52,36 +54,46 @@
 
 
 def check_planned(world: World, clients: Clients) -> Iterator[str]:
-    """A request that has run is answered completely beside planned work."""
-    if not world.releasing:
+    """A request that has run is answered completely beside planned work.
+
+    Where replicas are killed, one of them that was not has run it.
+    """
+    if not (world.releasing or world.killing):
         return
     runs = _group_runs(world)
     for attempt in clients.attempts:
-        if attempt.kind in _STREAM_KINDS or attempt.complete:
+        if attempt.kind in STREAM_KINDS or attempt.complete:
             continue
         ran = runs[attempt.identity]
+        if world.killing:
+            ran = [
+                (replica, run)
+                for replica, run in ran
+                if not _has_failed(world, attempt, replica, run)
+            ]
         if ran and not _is_excused_on_the_way(world, attempt, runs):
             yield f'ran and has no complete answer: {attempt}'
 
 
 def check_attempts(world: World, clients: Clients) -> Iterator[str]:
-    """Few streams run on more replicas than their route allows.
+    """Few requests run on more replicas than their route allows.
 
-    Replicas that didn't finish them don't count, if the soak is the cause.
+    Replicas that didn't finish them don't count, if the soak is the cause; one
+    that merely stood still does.
     """
     runs = _group_runs(world)
-    ran = {
-        attempt.identity: _list_begun(world, attempt, runs[attempt.identity])
-        for attempt in clients.attempts
-        if attempt.kind in _STREAM_KINDS
-    }
     overrun = {
-        identity: names
-        for identity, names in ran.items()
-        if len(names) > _MAX_ATTEMPTS
+        attempt.identity: names
+        for attempt in clients.attempts
+        if len(names := _list_begun(world, attempt, runs[attempt.identity]))
+        > _get_max_attempts(attempt)
     }
     if len(overrun) > MAX_OVERRUN_REQUESTS:
-        yield f'ran on more than {_MAX_ATTEMPTS} replicas: {overrun}'
+        yield f'ran on more replicas than their routes allow: {overrun}'
+
+
+def _get_max_attempts(attempt: Attempt) -> int:
+    return 1 if attempt.kind == _ONCE_KIND else _MAX_ATTEMPTS
 
 
 def check_abandoned(world: World, clients: Clients) -> Iterator[str]:
@@ -149,11 +161,13 @@
     attempt: Attempt,
     runs: list[tuple[ReplicaStandIn, Run]],
 ) -> list[str]:
-    """List the replicas that began to stream and could have finished."""
+    """List the replicas that began to answer and could have finished."""
+    plain = attempt.kind not in STREAM_KINDS
     return [
         replica.name
         for replica, run in runs
-        if run.first_event and not _has_failed(world, attempt, replica, run)
+        if (plain or run.first_event)
+        and not _has_failed(world, attempt, replica, run)
     ]
 
 
@@ -222,12 +236,21 @@
         replica
         for replica in world.replicas
         if replica is first
-        or not addresses.isdisjoint(
-            link.address for link in _list_links(world, replica.name)
-        )
+        or not addresses.isdisjoint(_list_addresses(world, replica, run))
     ]
 
 
+def _list_addresses(
+    world: World, replica: ReplicaStandIn, run: Run
+) -> Iterator[str]:
+    """List the addresses at which a replica could be reached during a run."""
+    for link in _list_links(world, replica.name):
+        yield link.address
+    # An address without a link passes to the next process.
+    if world.killing and replica.crashed_at > run.at:
+        yield replica.address
+
+
 def _list_links(world: World, name: str) -> list[Link]:
     own = (node.replica_links.get(name) for node in world.nodes)
     return [link for link in (world.links.get(name), *own) if link is not None]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -29,6 +29,7 @@
 from ryelatch_core.kernel import cancel_task
 from soak.lateness import Lateness
 from soak.links import Link
+from soak.processes import ReplicaProcess, start_process
 from standins.objects import ObjectStore, Present
 from standins.replica import ReplicaStandIn
 
@@ -53,9 +54,21 @@
 SPARE_KEY = 'ward-2-key'
 """API key that is revoked during a run."""
 
+RETRY_RATIO = 0.1
+RETRY_WINDOW_SECONDS = 10.0
+"""Of the retry budget; the defaults of the settings."""
+
 _READY_SECONDS = 30
+_FOLLOW_SECONDS = 0.05
+_RETRY_EXTRA = 200
+_SMALL_RETRY_EXTRA = 10
+"""So small that it binds."""
+
+_REPLICA_HOST = 251
+_STARTS_AT_ONCE = 8
 _EVENT_SECONDS = 0.05
 _SLOW_EVENT_SECONDS = 0.1
+_KILLED_EVENT_SECONDS = 0.15
 _SLOWEST_EVENT_SECONDS = 0.25
 _LARGE_NODE_COUNT = 8
 _FEW_LAYERS = ((0, 8), (0, 8), (0, 4), (4, 8), (4, 8), None)
@@ -70,7 +83,7 @@
 readiness = "{host}:8220"
 [bounds]
 graceS = 8
-retryBudgetExtra = 200
+retryBudgetExtra = {extra}
 [platform]
 addr = "{store}"
 """
@@ -104,6 +117,11 @@
     process: subprocess.Popen[bytes] | None = None
     killed: list[float] = field(default_factory=list)
 
+    @property
+    def is_running(self) -> bool:
+        """Whether its process runs."""
+        return self.process is not None and self.process.poll() is None
+
     def start(self) -> None:
         """Start the process as the platform does."""
         self.started_at = time.monotonic()
@@ -170,6 +188,12 @@
     :param pausing: whether streams last longer, as replicas stand still.
     :param releasing: whether the fleet is that of a small deployment, and has
         only planned work beside replicas that stand still.
+    :param processes: replicas that are processes of their own, also those that
+        have ended; each has a stand-in in ``replicas`` that holds what is known
+        of it.
+    :param replica_host: loopback address of these processes.
+    :param retry_extra: retries of a service that are allowed in each window,
+        besides a share of its requests.
     :param lateness: waits of its processes for a processor.
     :param limited_replica: the overloaded replica with a limit, and since when.
     """
@@ -191,6 +215,11 @@
     cutting: bool = False
     pausing: bool = False
     releasing: bool = False
+    killing: bool = False
+    folder: Path = Path()
+    processes: list[ReplicaProcess] = field(default_factory=list)
+    replica_host: str = ''
+    retry_extra: int = _RETRY_EXTRA
     lateness: Lateness = field(init=False)
 
     def __post_init__(self) -> None:
@@ -220,6 +249,52 @@
         replica.register()
         return replica
 
+    async def add_process(
+        self,
+        name: str,
+        like: ReplicaStandIn,
+        *,
+        kept_name: str = '',
+        port: int = 0,
+    ) -> None:
+        """Start a replica in a process of its own, without a link.
+
+        :param name: first part of a unique name.
+        :param like: whose service and accelerator it has; its layers as well,
+            if that one was never started.
+        :param kept_name: name of the one before it that it takes over.
+        :param port: of the one before it, if it takes that over.
+        """
+        self.added_replicas += 1
+        replica = ReplicaStandIn(
+            kept_name or f'{name}-{self.added_replicas}',
+            like.service,
+            accelerator=like.accelerator,
+            layers=None if like.address else like.layers,
+            store=self.store,
+            events=STREAM_EVENTS,
+            pause=self._get_event_seconds(),
+            unnumbered_path=f'/{UNNUMBERED_KIND}/',
+        )
+        record = self.folder / f'{replica.name}-{self.added_replicas}.jsonl'
+        # A folder may hold the files of a former run.
+        record.write_bytes(b'')
+        self.processes.append(
+            await start_process(replica, self.replica_host, record, port)
+        )
+        self.replicas.append(replica)
+
+    async def follow_processes(self) -> None:
+        """Read what processes of replicas write, until it is cancelled."""
+        while True:
+            self.read_records()
+            await asyncio.sleep(_FOLLOW_SECONDS)
+
+    def read_records(self) -> None:
+        """Read what processes of replicas have written."""
+        for process in self.processes:
+            process.follow()
+
     def list_registered(self) -> list[ReplicaStandIn]:
         """List the replicas that have an entry in the registry."""
         return [
@@ -256,7 +331,7 @@
             version=self.version, tenants=accounts
         )
         configuration['limits']['idleTimeoutMs'] = idle_ms
-        if self.releasing:
+        if self.releasing or self.killing:
             configuration['routes'] += _make_stream_routes()
         for route in configuration['routes']:
             if route['routeKind'] == 'streaming':
@@ -267,14 +342,7 @@
 
     async def add_node(self, name: str, folder: Path) -> None:
         """Start a node with links of its own to the store and the clients."""
-        # Not from the seed: two concurrent runs of one seed would use the same
-        # addresses and get each other's requests.
-        address_source = random.SystemRandom()
-        low, high = (
-            address_source.randint(1, 250),
-            address_source.randint(0, 250),
-        )
-        host = f'127.{low}.{high}.{len(self.nodes) + 7}'
+        host = draw_host(len(self.nodes) + 7)
         replica_links: dict[str, Link] = {}
         store_app = self.store.make_app(_present_links(replica_links))
         store_link = await self._open_link(store_app)
@@ -282,7 +350,12 @@
         await front_link.start()
         settings = folder / f'{name}.toml'
         settings.write_text(
-            _SETTINGS.format(name=name, host=host, store=store_link.address)
+            _SETTINGS.format(
+                name=name,
+                host=host,
+                store=store_link.address,
+                extra=self.retry_extra,
+            )
         )
         node = Node(
             name,
@@ -314,6 +387,8 @@
                 await replica_link.stop()
             await node.front_link.stop()
             await node.store_link.stop()
+        for process in self.processes:
+            await process.process.kill()
         for link in self.links.values():
             await link.stop()
         for runner in self.runners:
@@ -323,6 +398,8 @@
         """The time between two events of a stream."""
         if self.releasing:
             return _SLOWEST_EVENT_SECONDS
+        if self.killing:
+            return _KILLED_EVENT_SECONDS
         return _SLOW_EVENT_SECONDS if self.pausing else _EVENT_SECONDS
 
     def _list_processes(self) -> dict[str, int]:
@@ -354,6 +431,18 @@
         return link
 
 
+def draw_host(last: int) -> str:
+    """Draw a loopback address, not from the seed.
+
+    Two concurrent runs of one seed would use the same addresses and get each
+    other's requests.
+
+    :param last: its last part.
+    """
+    source = random.SystemRandom()
+    return f'127.{source.randint(1, 250)}.{source.randint(0, 250)}.{last}'
+
+
 def _make_stream_routes() -> list[dict[str, Any]]:
     """Make the routes of further kinds of streams."""
     return [
@@ -395,12 +484,15 @@
     cutting: bool = False,
     pausing: bool = False,
     releasing: bool = False,
+    processes: int = 0,
 ) -> AsyncIterator[World]:
     """Start a world, and stop all of it at the end.
 
     :param cutting: whether each node has links of its own to the replicas.
     :param pausing: whether streams last longer, as replicas stand still.
     :param releasing: whether it is a small deployment with planned work.
+    :param processes: number of replicas in processes of their own, in place of
+        all others; 0 for none.
     """
     world = World(
         random.Random(seed),
@@ -408,23 +500,48 @@
         cutting=cutting,
         pausing=pausing or releasing,
         releasing=releasing,
+        killing=processes > 0,
+        folder=folder,
+        replica_host=draw_host(_REPLICA_HOST),
+        retry_extra=_SMALL_RETRY_EXTRA if processes else _RETRY_EXTRA,
     )
     world.configure([KEY, SPARE_KEY])
     sampling = asyncio.create_task(world.lateness.run())
+    following = asyncio.create_task(world.follow_processes())
     try:
-        await _populate(world, folder)
+        await _populate(world, folder, processes)
         yield world
     finally:
+        await cancel_task(following)
         await cancel_task(sampling)
         await world.stop()
 
 
-async def _populate(world: World, folder: Path) -> None:
-    held = _MANY_LAYERS if world.releasing else _FEW_LAYERS
-    replicas = make_model_replicas(*held)
-    replicas += make_non_model_replicas(3)
-    for replica in replicas:
-        await world.add_replica(replica)
+async def _populate(world: World, folder: Path, processes: int) -> None:
+    if processes:
+        await _start_processes(world, processes)
+    else:
+        held = _MANY_LAYERS if world.releasing else _FEW_LAYERS
+        replicas = make_model_replicas(*held)
+        replicas += make_non_model_replicas(3)
+        for replica in replicas:
+            await world.add_replica(replica)
     for number in range(_LARGE_NODE_COUNT if world.releasing else NODE_COUNT):
         await world.add_node(f'node-{number}', folder)
     await world.wait_ready()
+
+
+async def _start_processes(world: World, count: int) -> None:
+    """Start replicas as processes, some at once; two thirds have a model."""
+    whole = -(-count * 2 // 3) - 2
+    replicas = make_model_replicas(*((0, 8),) * whole, (0, 4), (4, 8))
+    replicas += make_non_model_replicas(count - len(replicas))
+    starting = asyncio.Semaphore(_STARTS_AT_ONCE)
+
+    async def start(replica: ReplicaStandIn) -> None:
+        async with starting:
+            await world.add_process(replica.name, replica)
+
+    async with asyncio.TaskGroup() as group:
+        for replica in replicas:
+            group.create_task(start(replica))
--- a/tests/soak_tests/test_soak.py
+++ b/tests/soak_tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from soak.killing import DEFAULT_PROCESSES
 from soak.play import run_seed
 from soak.seeds import (
     ASKING_SEED,
@@ -13,6 +14,8 @@
     CRASHING_REGRESSIONS,
     CRASHING_SEED,
     CUTTING_SEED,
+    KILLING_SECONDS,
+    KILLING_SEEDS,
     LEAVING_SEED,
     PAUSING_SEED,
     REGRESSIONS,
@@ -112,3 +115,18 @@
     outcome = await run_seed(LEAVING_SEED, CI_SECONDS, tmp_path, leaving=True)
     assert 'pause_node' in outcome.faults
     assert not outcome.violations
+
+
+@pytest.mark.parametrize('seed', KILLING_SEEDS)
+async def test_killed_processes_break_no_promise(
+    seed: int, tmp_path: Path
+) -> None:
+    """Clients take parts of killed replicas' answers for whole ones.
+
+    Replicas are processes of their own, and the nodes' budgets are small.
+    """
+    outcome = await run_seed(
+        seed, KILLING_SECONDS, tmp_path, processes=DEFAULT_PROCESSES
+    )
+    assert 'kill_in_answer' in outcome.faults
+    assert not outcome.violations
--- a/tests/soak_tests/test_streams.py
+++ b/tests/soak_tests/test_streams.py
@@ -345,6 +345,73 @@
     assert bool(list(check_attempts(world, clients))) is found
 
 
+@pytest.mark.parametrize(
+    ('kind', 'replicas', 'killed', 'found'),
+    [
+        ('ping', 3, False, True),
+        ('ping', 2, False, False),
+        ('ping', 3, True, False),
+        ('book', 2, False, True),
+        ('book', 1, False, False),
+    ],
+)
+def test_plain_requests_run_too_often_are_found(
+    kind: str, replicas: int, killed: bool, found: bool
+) -> None:
+    """Only streams count, or a replica that stood still counts as ended."""
+    world = _make_world()
+    attempts = [
+        _make_attempt(f'r-{number}')
+        for number in range(MAX_OVERRUN_REQUESTS + 1)
+    ]
+    for attempt in attempts:
+        attempt.kind = kind
+        for replica in world.replicas[:replicas]:
+            run = _make_run(attempt.identity, _SENT, first_event=0)
+            replica.runs.append(run)
+    world.replicas[0].standstills.append((_SENT, _ENDED))
+    if killed:
+        world.replicas[1].crashed_at = _DURING
+    clients = Clients(world, attempts)
+    assert bool(list(check_attempts(world, clients))) is found
+
+
+@pytest.mark.parametrize(
+    ('crashed_at', 'found'), [(_DURING, False), (_SENT - 1, True)]
+)
+def test_former_process_at_address_is_no_excuse(
+    crashed_at: float, found: bool
+) -> None:
+    """A process killed before a stream began excuses the next one there."""
+
+    def change(world: World, attempt: Attempt) -> None:
+        world.killing = True
+        address = '127.1.1.1:9000'
+        for replica in world.replicas[:2]:
+            replica.address = address
+        world.replicas[1].crashed_at = crashed_at
+        path = world.replicas[0].runs[0].headers
+        path['X-Ryelatch-Hop-Count'] = f'{address}=0-8'
+
+    assert bool(_cut_off(change)) is found
+
+
+@pytest.mark.parametrize(
+    ('crashed_at', 'found'), [(_DURING, False), (math.inf, True)]
+)
+def test_plain_answer_lost_beside_kills_is_found(
+    crashed_at: float, found: bool
+) -> None:
+    """An answer of a replica that wasn't killed is lost unnoticed."""
+    world, attempt = _make_world(), _make_attempt()
+    world.killing = True
+    attempt.kind = 'ping'
+    world.replicas[0].runs.append(_make_run('r-1', _SENT))
+    world.replicas[0].crashed_at = crashed_at
+    clients = Clients(world, [attempt])
+    assert bool(list(check_planned(world, clients))) is found
+
+
 @pytest.mark.parametrize(
     ('count', 'late', 'paused', 'found'),
     [
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -112,6 +112,8 @@
     :param state: in its entry in the registry.
     :param started_at: start of its incarnation as reported, in milliseconds;
         0 if it reports none.
+    :param arrivals: identities of all requests that it received, also of those
+        that it refused, with the times.
     :param runs: requests that it received and didn't refuse.
     :param commands: commands that it received.
     :param sequence: number of commands that changed its layers.
@@ -155,6 +157,7 @@
     address: str = ''
     state: str = 'ready'
     started_at: int = 0
+    arrivals: list[tuple[str, float]] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     commands: list[dict[str, Any]] = field(default_factory=list)
     sequence: int = 0
@@ -375,6 +378,7 @@
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         identity = request.headers.get('X-Ryelatch-Request-Id', '')
+        self.arrivals.append((identity, _read_clock()))
         expected = request.headers.get('X-Ryelatch-Expect-Replica', self.name)
         if expected != self.name:
             return web.Response(
