Soaks that cut nodes off draw their faults apart from clients

Clients have a source of their own now wherever nodes are cut off, as in the soaks with pauses and early leavers. The check that a cut is drawn stays as it is.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -96,7 +96,7 @@
         if world.killing:
             clients.kinds = KINDS
             clients.count = KILLING_CLIENT_COUNT
-        if leaving:
+        if cutting:
             clients.random_source = random.Random(seed)
         if world.pausing or world.killing:
             clients.deadline = CLIENT_DEADLINE_SECONDS
