--- a/tests/soak/killing.py
+++ b/tests/soak/killing.py
@@ -17,7 +17,7 @@
 from soak.releasing import change_limits, list_keys, reload_nodes
 from soak.world import Node, World
 
-CLIENT_COUNT = 32
+CLIENT_COUNT = 48
 
 DEFAULT_PROCESSES = 16
 
@@ -32,7 +32,7 @@
 _LISTEN_SECONDS = 3.4
 """Time for which a replica that leaves takes requests; nodes need three."""
 
-_KILLED_RATIO = 0.5
+_KILLED_RATIOS = (0.3, 0.5, 0.9)
 _STOP_PAUSE_SECONDS = (0.2, 2.0)
 _GRACE_SECONDS = 9.0
 _RESTART_SECONDS = (0.1, 1.0)
@@ -51,14 +51,15 @@
 
 
 async def kill_share(world: World) -> None:
-    """Kill up to half of a service's replicas amid answers or at once."""
+    """Kill some or nearly all replicas of a service, at once or in answers."""
     service = world.random_source.choice((MODEL_SERVICE, NON_MODEL_SERVICE))
     running = [
         replica
         for replica in _list_staying(world)
         if replica.stand_in.service == service
     ]
-    count = max(1, round(len(running) * _KILLED_RATIO))
+    ratio = world.random_source.choice(_KILLED_RATIOS)
+    count = max(1, round(len(running) * ratio))
     end = world.random_source.choice((ReplicaProcess.kill, _arm))
     replicas = world.random_source.sample(running, min(count, len(running)))
     await _end_all(world, replicas, end)
@@ -80,14 +81,15 @@
 
 
 async def pause_replicas(world: World) -> None:
-    """Pause some replicas for about a second."""
+    """Pause up to half of the replicas for about a second."""
     source = world.random_source
     running = [
         replica
         for replica in world.processes
         if replica.is_running and not replica.stand_in.is_still
     ]
-    paused = source.sample(running, min(len(running), source.randint(1, 3)))
+    count = source.randint(1, max(1, len(running) // 2))
+    paused = source.sample(running, min(count, len(running)))
     for replica in paused:
         replica.stand_still()
     await asyncio.sleep(source.uniform(*_PAUSE_SECONDS))
@@ -128,6 +130,7 @@
     kill_replica,
     kill_share,
     kill_share,
+    kill_share,
     stop_replica,
     stop_replica,
     pause_replicas,
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,6 +1,7 @@
 """Runs a seed: faults under load, then recovery, then the checks."""
 
 import asyncio
+import itertools
 import random
 from collections import Counter
 from dataclasses import dataclass
@@ -8,7 +9,7 @@
 
 from fleet.running import KEY
 from soak.checks import list_violations
-from soak.clients import Clients
+from soak.clients import Attempt, Clients
 from soak.crashing import CrashingClient
 from soak.faults import Fault, inject_faults, list_faults
 from soak.killing import CLIENT_COUNT as KILLING_CLIENT_COUNT
@@ -31,6 +32,7 @@
 """
 
 RECOVERY_REQUESTS = 30
+_LONG_AT_ONCE = 6
 
 
 @dataclass(frozen=True)
@@ -130,7 +132,7 @@
             await crashing_client.resend()
         if asking:
             await throttled.overload()
-        recovery_attempts = await clients.send_sequentially(RECOVERY_REQUESTS)
+        recovery_attempts = await _send_recovered(world, clients)
         await crashing_client.stop()
         world.read_records()
         statuses = Counter(attempt.status for attempt in clients.attempts)
@@ -139,6 +141,16 @@
     return Outcome(seed, faults, statuses, violations, repeats)
 
 
+async def _send_recovered(world: World, clients: Clients) -> list[Attempt]:
+    """Send the requests that must be served; some at once if streams last."""
+    at_once = _LONG_AT_ONCE if world.killing else 1
+    count = RECOVERY_REQUESTS // at_once
+    sent = await asyncio.gather(
+        *(clients.send_sequentially(count) for _ in range(at_once))
+    )
+    return [*itertools.chain.from_iterable(sent)]
+
+
 def _list_faults(world: World) -> tuple[Fault, ...]:
     if world.releasing:
         return RELEASING_FAULTS
--- a/tests/standins/killable.py
+++ b/tests/standins/killable.py
@@ -29,6 +29,8 @@
 _FLUSH_SECONDS = 0.02
 """Time until what was written has left the process for sure."""
 
+_PARENT_SECONDS = 1.0
+
 _Write = Callable[[bytes], Awaitable[None]]
 
 
@@ -201,10 +203,20 @@
     bound = runner.addresses[0][1]
     replica.address = f'{host}:{bound}'
     print(f'READY {bound}', flush=True)
+    ending = asyncio.create_task(_stop_with_parent(stop))
     await stop.wait()
+    ending.cancel()
     await runner.cleanup()
 
 
+async def _stop_with_parent(stop: asyncio.Event) -> None:
+    """End with the soak, also when that was killed."""
+    parent = os.getppid()
+    while os.getppid() == parent:
+        await asyncio.sleep(_PARENT_SECONDS)
+    stop.set()
+
+
 async def _run() -> None:
     parser = argparse.ArgumentParser()
     parser.add_argument('--port', type=int, default=0)
