--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -69,6 +69,7 @@
     :param count: number of those that send at once.
     :param random_source: their own, so that the faults of a seed don't depend
         on how fast they are; by default, the one of the faults.
+    :param varied: whether no two requests are alike.
     """
 
     world: World
@@ -78,6 +79,7 @@
     kinds: tuple[str, ...] = KINDS
     count: int = CLIENT_COUNT
     random_source: random.Random | None = None
+    varied: bool = False
     _numbers: Iterator[int] = field(default_factory=itertools.count)
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -170,7 +172,10 @@
         random_source = self.random_source or self.world.random_source
         node = random_source.choice(self.world.nodes)
         kind = random_source.choice(self.kinds)
-        return await self.send(http, node, kind, key)
+        body = b'question'
+        if self.varied:
+            body = f'question {len(self.attempts)}'.encode()
+        return await self.send(http, node, kind, key, body)
 
 
 def _list_parts(number: int, further: str) -> str:
--- a/tests/soak/killing.py
+++ b/tests/soak/killing.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from fleet.running import MODEL_SERVICE, NON_MODEL_SERVICE
-from soak.faults import Fault
+from soak.faults import Fault, pause_node
 from soak.processes import ReplicaProcess
 from soak.releasing import change_limits, list_keys, reload_nodes
 from soak.world import Node, World
@@ -135,6 +135,7 @@
     stop_replica,
     pause_replicas,
     pause_replicas,
+    pause_node,
     stop_series,
     reload_nodes,
     change_limits,
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -98,6 +98,7 @@
         if world.killing:
             clients.kinds = KINDS
             clients.count = KILLING_CLIENT_COUNT
+            clients.varied = True
         if cutting:
             clients.random_source = random.Random(seed)
         if world.pausing or world.killing:
