--- a/packages/ryelatch-node/src/ryelatch_node/connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/connections.py
@@ -2,6 +2,7 @@
 
 import array
 import asyncio
+import contextlib
 import fcntl
 import functools
 import select
@@ -21,6 +22,8 @@
 MAX_FRAMING_BYTES = 16_384
 """Bytes in a row of an answer's framing, such as the size of a chunk."""
 
+_WITHOUT_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+
 _SLICE_BYTES = 4096
 """Bytes that are parsed at once until the head of an answer is complete.
 
@@ -30,6 +33,9 @@
 _NO_LINGER = struct.pack('ii', 1, 0)
 """Value of ``SO_LINGER`` with which a close resets the connection."""
 
+_ORDERLY = struct.pack('ii', 0, 0)
+"""Value of ``SO_LINGER`` with which a close ends the connection in order."""
+
 
 class EndlessAnswer(aiohttp.ClientPayloadError):
     """A part of an answer is longer than it may be."""
@@ -87,13 +93,28 @@
             payload.set_exception(aiohttp.ClientPayloadError(str(exc)))
         super().connection_lost(exc)
 
+    def abort(self) -> None:
+        """Close the connection at once; a body in progress is incomplete."""
+        self._fail_body()
+        super().abort()
+
     def close(self) -> None:
-        """Close the connection; what was not confirmed is not delivered."""
+        """Close the connection; what was not confirmed is not delivered.
+
+        A body in progress is incomplete. The parser would take the end of the
+        connection for that of a body without a length.
+        """
+        self._fail_body()
         if self.transport is not None and _discard_unconfirmed(self.transport):
             self.abort()
         else:
             super().close()
 
+    def _fail_body(self) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError('closed here'))
+
     def _is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
@@ -149,6 +170,20 @@
     return b''.join(pieces)
 
 
+def has_framing(response: aiohttp.ClientResponse) -> bool:
+    """Whether an answer states where its body ends, or has no body.
+
+    Any other ends with its connection. So does a part of it if the process
+    that sends it is killed: its system closes the connection in order.
+    """
+    if response.method == 'HEAD' or response.status in _WITHOUT_BODY:
+        return True
+    coding = response.headers.get('Transfer-Encoding')
+    if coding is None:
+        return 'Content-Length' in response.headers
+    return coding.lower().rpartition(',')[2].strip() == 'chunked'
+
+
 def _discard_unconfirmed(transport: asyncio.BaseTransport) -> bool:
     """Let the system discard what the other side has not confirmed yet.
 
@@ -160,10 +195,24 @@
     sock = transport.get_extra_info('socket')
     if transport.is_closing() or not _count_unconfirmed(sock):
         return False
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    set_reset_at_close(transport, resets=True)
     return True
 
 
+def set_reset_at_close(
+    transport: asyncio.BaseTransport, *, resets: bool
+) -> None:
+    """Let the end of a connection be a reset, or an orderly end again.
+
+    The system acts on it also when it ends this process.
+    """
+    sock = transport.get_extra_info('socket')
+    linger = _NO_LINGER if resets else _ORDERLY
+    # The other side may have reset the connection already.
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def _count_unconfirmed(sock: socket.socket) -> int:
     """Count the bytes that a system holds for the other side."""
     count = array.array('i', (0,))
--- a/packages/ryelatch-node/src/ryelatch_node/front/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/front/_service.py
@@ -18,6 +18,7 @@
 from ryelatch_core.outcomes import REQUEST_HEADER, Failure, Outcome
 from ryelatch_core.settings import Startup
 from ryelatch_node.answers import Answers
+from ryelatch_node.client_protocol import ClientProtocol
 from ryelatch_node.config import SettingsHolder
 from ryelatch_node.front import _admin as admin
 from ryelatch_node.front._errors import CallerError, respond_failure
@@ -60,7 +61,7 @@
             log_config=None,
             access_log=False,
             lifespan='off',
-            http='httptools',
+            http=ClientProtocol,
             ws='none',
             server_header=False,
             timeout_keep_alive=_KEEP_ALIVE_SECONDS,
