Failing test: a resumption that has no event to add

The next one, asked to go on after the last event, had none to send, without a length; this counted as `ended before the first event`, and the stream was broken off (retry budget). As the end is confirmed by the replica, such an answer can be told from a lost one.

--- a/tests/platform/test_late_questions.py
+++ b/tests/platform/test_late_questions.py
@@ -84,3 +84,17 @@
             second.kill()
             second.wait()
     assert status == 502 or body == _WHOLE
+
+
+async def test_resumption_without_events_is_whole() -> None:
+    """A stream with all of its events is broken off, as no more come.
+
+    Its replica was killed after the last event, and the next one has nothing
+    to add; its answer has no length either.
+    """
+    async with (
+        run_node([]) as node,
+        run_replica_process(node, 'm-9', MODEL_SERVICE, '--unframed'),
+    ):
+        status, body, _ = await ask(node, '/plan/x', Last_Event_Id='5')
+    assert (status, body) == (200, b'')
