--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_link_frames.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_link_frames.py
@@ -57,7 +57,12 @@
 
 
 class ForwardAlive(msgspec.Struct, frozen=True, array_like=True, tag='alive'):
-    """The request is in progress; sent at once, and while nothing else is."""
+    """The request is in progress; sent at once, and while nothing else is.
+
+    :param ran: runs there so far that count against the attempts of the route.
+    """
+
+    ran: int = 0
 
 
 class ForwardRefused(
@@ -68,6 +73,7 @@
     :param retry_after: seconds after which the client should retry, if any.
     :param reaches: whether the node reaches the replicas of the service.
     :param ran: runs there that count against the attempts of the route.
+    :param sent: whether a replica may have received it there.
     """
 
     status: int
@@ -75,6 +81,7 @@
     retry_after: Duration | None = None
     reaches: bool = True
     ran: int = 0
+    sent: bool = True
 
 
 class ForwardStart(msgspec.Struct, frozen=True, array_like=True, tag='start'):
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -175,6 +175,15 @@
         self.ran -= len(self.cut) - len(counted)
         self.cut = counted
 
+    @property
+    def begun_runs(self) -> int:
+        """Runs that count against the attempts, or will as they end."""
+        return self.ran + self.unbegun
+
+    def has_sent(self) -> bool:
+        """Whether a replica may have received the request, run or not."""
+        return self.sends > self.unsent
+
     def begin_send(self) -> None:
         """Count an attempt to send the request to an upstream or a node.
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -22,6 +22,7 @@
     EndlessAnswer,
     bound_answers,
     has_arrived,
+    has_framing,
     read_bounded,
 )
 from ryelatch_node.ports import AnswerMetadata, HeaderCodec, Headers
@@ -43,8 +44,6 @@
 MAX_ERROR_BYTES = 1_048_576
 """Longest body of an error that a replica of the model answers with."""
 
-_HEAD = 'HEAD'
-_NO_BODY = frozenset((204, 304))
 _SKIPPED_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 _CONNECT_ERRORS = (
     aiohttp.ClientConnectorError,
@@ -184,17 +183,10 @@
 
         Then it ends with the connection, also when a replica crashes.
         """
-        fields = dict(self.headers)
-        coding = fields.get(b'transfer-encoding')
-        if coding is not None:
-            chunked = coding.lower().rpartition(b',')[2].strip() == b'chunked'
-            return AnswerEnd.CHUNKS if chunked else None
-        has_body = not (
-            self.status in _NO_BODY or self._response.method == _HEAD
-        )
-        if b'content-length' in fields or not has_body:
-            return AnswerEnd.LENGTH
-        return None
+        if not has_framing(self._response):
+            return None
+        chunked = b'transfer-encoding' in dict(self.headers)
+        return AnswerEnd.CHUNKS if chunked else AnswerEnd.LENGTH
 
     async def read(self) -> bytes:
         """Read the complete body of an error.
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -79,7 +79,7 @@
         match line['kind']:
             case 'arrival':
                 arrival = line['identity'], line['at']
-                self.stand_in.arrivals.append(arrival)
+                self.stand_in.received.append(arrival)
             case 'run':
                 self._add_run(line)
             case 'event':
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -57,7 +57,7 @@
     arrivals = defaultdict(list)
     for replica in world.replicas:
         if replica.service == service:
-            for identity, at in replica.arrivals:
+            for identity, at in replica.received:
                 arrivals[identity].append(at)
     for times in arrivals.values():
         yield from sorted(times)[1:]
--- a/tests/soak_tests/test_processes.py
+++ b/tests/soak_tests/test_processes.py
@@ -71,13 +71,13 @@
             await response.read()
         await _wait_ended(replica)
     received = replica.stand_in
-    assert [identity for identity, _ in received.arrivals] == ['r-1', 'r-1']
+    assert [identity for identity, _ in received.received] == ['r-1', 'r-1']
     run = received.runs[0]
     assert (run.path, run.headers['X-Ryelatch-Hop-Count']) == (
         '/plan/x',
         'x=0-8',
     )
-    assert received.arrivals[1][1] <= run.at <= received.crashed_at
+    assert received.received[1][1] <= run.at <= received.crashed_at
 
 
 async def test_leaving_process_finishes_its_answers(tmp_path: Path) -> None:
--- a/tests/soak_tests/test_repeats.py
+++ b/tests/soak_tests/test_repeats.py
@@ -32,8 +32,8 @@
     attempts = [
         Attempt(f'r-{number}', 'plan', KEY, sent) for number in range(_REQUESTS)
     ]
-    replicas[0].arrivals += [(attempt.identity, sent) for attempt in attempts]
-    replicas[1].arrivals += [
+    replicas[0].received += [(attempt.identity, sent) for attempt in attempts]
+    replicas[1].received += [
         (f'r-{number}', sent + after + number * spread)
         for number in range(repeats)
     ]
@@ -62,7 +62,7 @@
     """Requests for a service allow repeats at another one."""
     world = World(random.Random(1), ObjectStore(), retry_extra=_EXTRA)
     world.replicas.append(ReplicaStandIn('m-0', MODEL_SERVICE))
-    world.replicas[0].arrivals += [('r-0', _BEGIN)] * 5
+    world.replicas[0].received += [('r-0', _BEGIN)] * 5
     attempts = [
         Attempt(f'r-{number}', 'ping', KEY, _BEGIN)
         for number in range(_REQUESTS)
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -113,7 +113,8 @@
     :param state: in its entry in the registry.
     :param started_at: start of its incarnation as reported, in milliseconds;
         0 if it reports none.
-    :param arrivals: identities of all requests that it received, also of those
+    :param arrivals: identities of the requests that it ran or refused as full.
+    :param received: identities of all requests that it received, also of those
         that it refused, with the times.
     :param runs: requests that it received and didn't refuse.
     :param commands: commands that it received.
@@ -159,7 +160,8 @@
     address: str = ''
     state: str = 'ready'
     started_at: int = 0
-    arrivals: list[tuple[str, float]] = field(default_factory=list)
+    arrivals: list[str] = field(default_factory=list)
+    received: list[tuple[str, float]] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     commands: list[dict[str, Any]] = field(default_factory=list)
     sequence: int = 0
@@ -389,7 +391,7 @@
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         identity = request.headers.get('X-Ryelatch-Request-Id', '')
-        self.arrivals.append((identity, _read_clock()))
+        self.received.append((identity, _read_clock()))
         expected = request.headers.get('X-Ryelatch-Expect-Replica', self.name)
         if expected != self.name:
             return web.Response(
@@ -407,6 +409,7 @@
                     'At-Server': self.address,
                 },
             )
+        self.arrivals.append(identity)
         if self.refuse:
             self.refusals.append(_read_clock())
             return web.Response(
@@ -480,10 +483,14 @@
     async def _crash_during(
         self, request: web.Request, run: Run
     ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers=self._make_signed_headers(run.identity)
-        )
-        if 'X-Ryelatch-Hop-Count' in run.headers:
+        headers = self._make_signed_headers(run.identity)
+        response = web.StreamResponse(headers=headers)
+        streams = 'X-Ryelatch-Hop-Count' in run.headers
+        if self.unframed:
+            first = make_event(1) if streams else b'answer'
+            assert request.transport is not None
+            request.transport.write(_make_unframed_head(headers) + first)
+        elif streams:
             await response.prepare(request)
         await asyncio.sleep(self.pause)
         await self.crash()
