--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,6 +1,7 @@
 """Runs a seed: faults under load, then recovery, then the checks."""
 
 import asyncio
+import itertools
 import random
 from collections import Counter
 from dataclasses import dataclass
@@ -8,9 +9,11 @@
 
 from fleet.running import KEY
 from soak.checks import list_violations
-from soak.clients import Clients
+from soak.clients import Attempt, Clients
 from soak.crashing import CrashingClient
 from soak.faults import Fault, inject_faults, list_faults
+from soak.killing import CLIENT_COUNT as KILLING_CLIENT_COUNT
+from soak.killing import KILLING_FAULTS
 from soak.leaving import LEAVING_FAULTS, Leavers
 from soak.pausing import (
     CLIENT_DEADLINE_SECONDS,
@@ -18,6 +21,7 @@
     PAUSING_FAULTS,
 )
 from soak.releasing import CLIENT_COUNT, KINDS, RELEASING_FAULTS
+from soak.repeats import Repeats, measure_repeats
 from soak.throttling import ThrottledReplicas
 from soak.world import World, run_world
 
@@ -28,6 +32,7 @@
 """
 
 RECOVERY_REQUESTS = 30
+_LONG_AT_ONCE = 6
 
 
 @dataclass(frozen=True)
@@ -36,12 +41,14 @@
 
     :param faults: names of the injected faults, in order.
     :param statuses: number of answers by status; 0 where none came.
+    :param repeats: by service, the window nearest to the retry budget.
     """
 
     seed: int
     faults: list[str]
     statuses: Counter[int]
     violations: list[str]
+    repeats: list[Repeats]
 
 
 async def run_seed(
@@ -56,6 +63,7 @@
     pausing: bool = False,
     releasing: bool = False,
     leaving: bool = False,
+    processes: int = 0,
 ) -> Outcome:
     """Run one seed.
 
@@ -71,21 +79,32 @@
         planned work of all kinds.
     :param leaving: whether clients leave early, while nodes stand still or are
         cut off from all replicas.
+    :param processes: number of replicas in processes of their own, which are
+        killed beside planned work; 0 for none.
     """
     cutting = cutting or leaving
     async with run_world(
-        seed, folder, cutting=cutting, pausing=pausing, releasing=releasing
+        seed,
+        folder,
+        cutting=cutting,
+        pausing=pausing,
+        releasing=releasing,
+        processes=processes,
     ) as world:
         clients = Clients(world)
         if releasing:
             clients.kinds = KINDS
             clients.count = CLIENT_COUNT
-        if leaving:
+        if world.killing:
+            clients.kinds = KINDS
+            clients.count = KILLING_CLIENT_COUNT
+            clients.varied = True
+        if cutting or world.pausing or world.killing:
             clients.random_source = random.Random(seed)
-        if world.pausing:
+        if world.pausing or world.killing:
             clients.deadline = CLIENT_DEADLINE_SECONDS
+        if world.pausing:
             clients.patience = CLIENT_PATIENCE_SECONDS
-            clients.random_source = random.Random(seed)
         stop_clients = asyncio.Event()
         crashing_client = CrashingClient(
             world, clients, random.Random(seed), crashing_part
@@ -114,16 +133,30 @@
             await crashing_client.resend()
         if asking:
             await throttled.overload()
-        recovery_attempts = await clients.send_sequentially(RECOVERY_REQUESTS)
+        recovery_attempts = await _send_recovered(world, clients)
         await crashing_client.stop()
+        world.read_records()
         statuses = Counter(attempt.status for attempt in clients.attempts)
         violations = list_violations(world, clients, recovery_attempts)
-    return Outcome(seed, faults, statuses, violations)
+        repeats = measure_repeats(world, clients)
+    return Outcome(seed, faults, statuses, violations, repeats)
+
+
+async def _send_recovered(world: World, clients: Clients) -> list[Attempt]:
+    """Send the requests that must be served; some at once if streams last."""
+    at_once = _LONG_AT_ONCE if world.killing else 1
+    count = RECOVERY_REQUESTS // at_once
+    sent = await asyncio.gather(
+        *(clients.send_sequentially(count) for _ in range(at_once))
+    )
+    return [*itertools.chain.from_iterable(sent)]
 
 
 def _list_faults(world: World) -> tuple[Fault, ...]:
     if world.releasing:
         return RELEASING_FAULTS
+    if world.killing:
+        return KILLING_FAULTS
     return PAUSING_FAULTS if world.pausing else list_faults(world)
 
 
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -114,6 +114,8 @@
     :param started_at: start of its incarnation as reported, in milliseconds;
         0 if it reports none.
     :param arrivals: identities of the requests that it ran or refused as full.
+    :param received: identities of all requests that it received, also of those
+        that it refused, with the times.
     :param runs: requests that it received and didn't refuse.
     :param commands: commands that it received.
     :param sequence: number of commands that changed its layers.
@@ -159,6 +161,7 @@
     state: str = 'ready'
     started_at: int = 0
     arrivals: list[str] = field(default_factory=list)
+    received: list[tuple[str, float]] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     commands: list[dict[str, Any]] = field(default_factory=list)
     sequence: int = 0
@@ -388,6 +391,7 @@
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         identity = request.headers.get('X-Ryelatch-Request-Id', '')
+        self.received.append((identity, _read_clock()))
         expected = request.headers.get('X-Ryelatch-Expect-Replica', self.name)
         if expected != self.name:
             return web.Response(
