A late node doesn't take the next process for the killed one

Callers of a plain service got half of a body with 200 where their node read the end late and the killed process was running again under its id by then: a health check names the id only. Callers of a stream with all of its events saw it broken off where the next replica had nothing to add and no length.

A node that read an end RESTART_SECONDS late or more takes an answer of a service without reported starts for no proof. A resumption without events is complete if its replica was still running after it.

--- a/packages/ryelatch-core/src/ryelatch_core/kernel/_lag.py
+++ b/packages/ryelatch-core/src/ryelatch_core/kernel/_lag.py
@@ -25,6 +25,7 @@
     """
 
     _late_at: float = float('-inf')
+    _late_by: float = 0
 
     def record(self, due: float, now: float) -> bool:
         """Record that something due at a time runs now.
@@ -34,8 +35,16 @@
         late = ran_late(due, now)
         if late:
             self._late_at = now
+            self._late_by = now - due
         return late
 
     def was_late(self, since: float) -> bool:
         """Return whether this process has paused since a time."""
         return self._late_at >= since
+
+    def find_pause(self, since: float) -> float:
+        """Return how long this process paused last, if it has since a time.
+
+        :returns: seconds; 0 if it hasn't.
+        """
+        return self._late_by if self.was_late(since) else 0
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_commands.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_commands.py
@@ -90,6 +90,9 @@
     """Whether an incarnation of a replica still runs, as it says itself."""
 
     RUNNING = 'running'
+    ANSWERS = 'answers'
+    """An incarnation answers under its entry, and doesn't tell which one."""
+
     RESTARTED = 'restarted'
     """Another incarnation than the listed one answers under its entry."""
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
@@ -12,6 +12,7 @@
 from ryelatch_node.ports import Dispatch
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._crashes import record_stream_crash
+from ryelatch_node.relay._end_checks import AnswerEnd
 from ryelatch_node.relay._errors import (
     REPLICA_LEFT,
     AnswerBroken,
@@ -246,7 +247,9 @@
         await _pass_on(context, stream, answer, events)
     if splitter.has_partial:
         raise SendError(SendErrorKind.LOST, 'ended in the middle of an event')
-    if not (answer.framing or stream.delivered):
+    # One that goes on after the last event has nothing to add.
+    resumed = splitter.last is not None and answer.end is AnswerEnd.RUNNING
+    if not (answer.framing or stream.delivered or resumed):
         raise SendError(SendErrorKind.LOST, 'ended before the first event')
     _claim(stream, progress)
     await _pass_on(context, stream, answer, b'', more=False)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_end_checks.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_end_checks.py
@@ -30,8 +30,8 @@
 A node that runs late reads them later than they came.
 """
 
-START_SECONDS = 0.15
-"""Least time after the end of a process until another one answers for it."""
+RESTART_SECONDS = 0.3
+"""Least time after the end of a process until the next one answers for it."""
 
 
 class AnswerEnd(enum.Enum):
@@ -83,21 +83,30 @@
         while patient and presence is Presence.UNKNOWN:
             await asyncio.sleep(RETRY_SECONDS)
             presence = await self._ask(replica)
-        if presence is Presence.RESTARTED and self._is_too_soon(received):
-            # The answer came from it, as its entry here is of before.
-            presence = Presence.RUNNING
-        if presence is Presence.RUNNING:
-            return AnswerEnd.RUNNING
-        if presence is Presence.UNKNOWN:
-            return AnswerEnd.UNKNOWN
+        match presence:
+            case Presence.RUNNING:
+                return AnswerEnd.RUNNING
+            case Presence.UNKNOWN:
+                return AnswerEnd.UNKNOWN
+            case Presence.ANSWERS if not self._reads_late(received):
+                return AnswerEnd.RUNNING
+            case Presence.ANSWERS:
+                return AnswerEnd.UNKNOWN
+            case Presence.RESTARTED if self._is_soon(received):
+                # Its entry here is older than the process that answered.
+                return AnswerEnd.RUNNING
         left = self._has_left(replica.name, received - ALIVE_SECONDS)
         return AnswerEnd.LEFT if left else AnswerEnd.GONE
 
-    def _is_too_soon(self, received: float) -> bool:
+    def _is_soon(self, received: float) -> bool:
         """Whether no process can have started since an answer ended."""
-        now = self.clock.monotonic()
-        since = now - START_SECONDS
-        return received >= since and not self.lag.was_late(since)
+        since = self.clock.monotonic() - received
+        return since < RESTART_SECONDS and not self._reads_late(received)
+
+    def _reads_late(self, received: float) -> bool:
+        """Whether this node read an end so late that one can have started."""
+        pause = self.lag.find_pause(received - RESTART_SECONDS)
+        return pause >= RESTART_SECONDS
 
     async def _ask(self, replica: Replica) -> Presence:
         question = self._gathering.get(replica.name)
--- a/tests/node/relay/test_end_checks.py
+++ b/tests/node/relay/test_end_checks.py
@@ -134,18 +134,21 @@
 
 
 @pytest.mark.parametrize(
-    ('seconds', 'late', 'end'),
+    ('presence', 'seconds', 'late', 'end'),
     [
-        (0.0, False, AnswerEnd.RUNNING),
-        (1.0, False, AnswerEnd.GONE),
-        (0.0, True, AnswerEnd.GONE),
+        (Presence.RESTARTED, 0.0, False, AnswerEnd.RUNNING),
+        (Presence.RESTARTED, 1.0, False, AnswerEnd.GONE),
+        (Presence.RESTARTED, 0.0, True, AnswerEnd.GONE),
+        (Presence.ANSWERS, 0.0, False, AnswerEnd.RUNNING),
+        (Presence.ANSWERS, 1.0, False, AnswerEnd.RUNNING),
+        (Presence.ANSWERS, 0.0, True, AnswerEnd.UNKNOWN),
     ],
 )
-async def test_start_that_was_not_seen_yet(
-    seconds: float, late: bool, end: AnswerEnd
+async def test_other_start_than_the_listed_one(
+    presence: Presence, seconds: float, late: bool, end: AnswerEnd
 ) -> None:
-    """Whole answers after a restart are lost until its entry is seen."""
-    asked = _Asked([Presence.RESTARTED])
+    """A process that was killed and the next one are taken for each other."""
+    asked = _Asked([presence])
     checks = asked.make_checks()
     received = asked.clock.monotonic()
     asked.clock.now += seconds
