A silent replica has not ended, and one in need isn't asked

A replica that limits requests gets a bare connection. An entry that is kept through an outage is no sign of a departure. A later incarnation ends the wait for a silent one. What only looks like a departure clears no request.

--- a/packages/ryelatch-node/src/ryelatch_node/ports/_commands.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_commands.py
@@ -99,8 +99,11 @@
     GONE = 'gone'
     """Connections are refused, or another replica answers."""
 
+    SILENT = 'silent'
+    """A connection to its address stays open, and nothing is answered."""
+
     UNKNOWN = 'unknown'
-    """There was no answer in time."""
+    """No connection was established, or it was lost."""
 
 
 @dataclass(frozen=True)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_end_checks.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_end_checks.py
@@ -24,6 +24,9 @@
 RETRY_SECONDS = 0.2
 """Pause between questions about an answer that nothing can replace."""
 
+HOLD_SECONDS = 0.1
+"""Time for which a connection is held; a reset arrives within a round trip."""
+
 ALIVE_SECONDS = 1.0
 """Time before the last bytes of an answer in which its replica was alive.
 
@@ -79,33 +82,59 @@
         :param received: when its last bytes arrived, in monotonic seconds.
         :param patient: whether to ask for as long as the replica is silent.
         """
+        ended = self.clock.monotonic()
         presence = await self._ask(replica)
-        while patient and presence is Presence.UNKNOWN:
+        while self._asks_again(replica, presence, patient=patient):
             await asyncio.sleep(RETRY_SECONDS)
             presence = await self._ask(replica)
-        match presence:
-            case Presence.RUNNING:
-                return AnswerEnd.RUNNING
-            case Presence.UNKNOWN:
-                return AnswerEnd.UNKNOWN
-            case Presence.ANSWERS if not self._reads_late(received):
-                return AnswerEnd.RUNNING
-            case Presence.ANSWERS:
-                return AnswerEnd.UNKNOWN
-            case Presence.RESTARTED if self._is_soon(received):
-                # Its entry here is older than the process that answered.
-                return AnswerEnd.RUNNING
-        left = self._has_left(replica.name, received - ALIVE_SECONDS)
-        return AnswerEnd.LEFT if left else AnswerEnd.GONE
-
-    def _is_soon(self, received: float) -> bool:
+        if presence is Presence.SILENT and self.lag.was_late(ended):
+            # The end of the connection may have arrived unread.
+            presence = Presence.UNKNOWN
+        if presence is Presence.UNKNOWN:
+            return AnswerEnd.UNKNOWN
+        if self._is_gone(replica, presence, ended):
+            left = self._has_left(replica, received - ALIVE_SECONDS)
+            return AnswerEnd.LEFT if left else AnswerEnd.GONE
+        known = presence in {Presence.RUNNING, Presence.RESTARTED}
+        if known or not self._reads_late(ended):
+            return AnswerEnd.RUNNING
+        return AnswerEnd.UNKNOWN
+
+    def _is_gone(
+        self, replica: Replica, presence: Presence, ended: float
+    ) -> bool:
+        """Whether the process that answered has ended.
+
+        :param ended: when its answer ended, in monotonic seconds.
+        """
+        if presence in {Presence.RUNNING, Presence.GONE}:
+            return presence is Presence.GONE
+        # Its entry here may be older than the process that answered.
+        restarted = presence is Presence.RESTARTED
+        replaced = restarted or self._is_replaced(replica)
+        return replaced and not self._is_soon(ended)
+
+    def _asks_again(
+        self, replica: Replica, presence: Presence, *, patient: bool
+    ) -> bool:
+        unknown = presence is Presence.UNKNOWN
+        return patient and unknown and not self._is_replaced(replica)
+
+    def _is_replaced(self, replica: Replica) -> bool:
+        """Whether a later incarnation is known to have its place."""
+        crashed = self.replicas.incarnations.list_crashed(
+            self.clock.monotonic()
+        )
+        return replica.name in crashed
+
+    def _is_soon(self, ended: float) -> bool:
         """Whether no process can have started since an answer ended."""
-        since = self.clock.monotonic() - received
-        return since < RESTART_SECONDS and not self._reads_late(received)
+        since = self.clock.monotonic() - ended
+        return since < RESTART_SECONDS and not self._reads_late(ended)
 
-    def _reads_late(self, received: float) -> bool:
+    def _reads_late(self, ended: float) -> bool:
         """Whether this node read an end so late that one can have started."""
-        pause = self.lag.find_pause(received - RESTART_SECONDS)
+        pause = self.lag.find_pause(ended - RESTART_SECONDS)
         return pause >= RESTART_SECONDS
 
     async def _ask(self, replica: Replica) -> Presence:
@@ -120,25 +149,32 @@
         await asyncio.sleep(GATHER_SECONDS)
         # An answer that ends from now on needs a later question.
         del self._gathering[replica.name]
-        if not await self.throttle.acquire_permit(replica):
-            return Presence.UNKNOWN
+        if self.throttle.is_throttled(replica.name):
+            return await self._hold_connection(replica)
         table = self.configuration.table
         service = table and table.configuration.services.get(replica.service)
         health_path = service.health_path if service else '/'
         return await self.commands.confirm(replica, health_path)
 
-    def _has_left(self, name: str, alive: float) -> bool:
+    async def _hold_connection(self, replica: Replica) -> Presence:
+        """Ask without a request a replica that limits those it takes."""
+
+        async def hold() -> None:
+            await asyncio.sleep(HOLD_SECONDS)
+
+        is_open = await self.commands.hold_connection(replica, hold)
+        return Presence.SILENT if is_open else Presence.UNKNOWN
+
+    def _has_left(self, replica: Replica, alive: float) -> bool:
         """Whether a replica left, and wasn't just lost.
 
         It had announced that, or was still alive after its entry was removed.
 
         :param alive: when it was still alive, in monotonic seconds.
         """
-        now = self.clock.monotonic()
-        if name in self.replicas.incarnations.list_crashed(now):
+        if self._is_replaced(replica):
             return False
-        known = self.replicas.replicas.get(name)
+        known = self.replicas.replicas.get(replica.name)
         if known is None:
-            return self.replicas.leaving.has_left(name, alive)
-        missing = self.replicas.find_missing((name,))
-        return known.leaving or missing > now - alive
+            return self.replicas.leaving.has_left(replica.name, alive)
+        return known.leaving
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
@@ -11,6 +11,7 @@
 from ryelatch_node.ports import Dispatch, Headers
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._crashes import UNRESPONSIVE, record_non_model_crash
+from ryelatch_node.relay._end_checks import AnswerEnd
 from ryelatch_node.relay._errors import SendError, SendErrorKind
 from ryelatch_node.relay._exchange import (
     AdmittedRequest,
@@ -393,7 +394,8 @@
         )
     run.count(exchange)
     exchange.record_end(answer.end)
-    context.quarantine.record_run(request.fingerprint)
+    if answer.end is not AnswerEnd.LEFT:
+        context.quarantine.record_run(request.fingerprint)
     failed = answer.status >= _SERVER_ERROR
     context.failures.record(
         replica.name,
