Test: a stream that another node reads is resumed after an orderly end

The replica's listener and connections are closed in order, as a system does for a process that is killed.

--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from fleet.cutting import discover_cut, run_linked_nodes
 from fleet.processes import Process
 from fleet.replica_processes import run_replica_process
 from fleet.running import (
@@ -24,6 +25,7 @@
     run_node,
     wait_until,
 )
+from soak.links import LinkMode
 from standins.replica import ReplicaStandIn, Unframed, make_event
 
 _HALF = ('--unframed', '--stall-after', '1')
@@ -290,3 +292,34 @@
         await asyncio.sleep(1.1)
         await process.kill()
         assert await _read_rest(response) == (b'', False)
+
+
+async def _end_in_order(replica: ReplicaStandIn) -> None:
+    """End a replica as its system does for a process that is killed."""
+    assert replica.stop_listening is not None
+    assert replica.list_connections is not None
+    replica.crashed = True
+    await replica.stop_listening()
+    for connection in replica.list_connections():
+        assert connection.transport is not None
+        connection.transport.close()
+
+
+async def test_forwarded_stream_is_resumed() -> None:
+    """A part of a stream that a helper reads is passed on as complete."""
+    models = make_model_replicas((0, 8), (0, 8))
+    for replica in models:
+        replica.unframed = Unframed.WHOLE
+        replica.stall_after = 2
+    replicas = [*models, *make_non_model_replicas(2)]
+    async with run_linked_nodes(replicas, 3) as nodes:
+        nodes[0].cut(LinkMode.REFUSING)
+        await discover_cut(nodes[0], 'first')
+        first = make_event_stream(2)
+        node = nodes[0].node
+        async with _open_stalled(node, '/plan/x', first) as response:
+            other, ended = sorted(models, key=lambda model: len(model.runs))
+            other.stalls = 0
+            await _end_in_order(ended)
+            rest = make_event_stream(5)[len(first) :]
+            assert await _read_rest(response) == (rest, True)
