Log what the check of a lost replica finds

An operator could not tell why a lost run counted as no crash: the check of its replica's address left no line. replica-checked names the outcome.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -352,6 +352,12 @@
     'Check the software of the replica.',
     Level.WARNING,
 )
+REPLICA_CHECKED = EventKind(
+    1441,
+    'replica-checked',
+    'A connection to a replica was lost, and the node looked whether the replica has ended.',
+    'Nothing. The outcome says what was found; crashes are counted only where it has ended.',
+)
 OUTAGE_LONGER = EventKind(
     1433,
     'outage-longer',
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
@@ -71,7 +71,7 @@
     def __post_init__(self) -> None:
         """Create the members that depend on others."""
         self.crash_checks = CrashChecks(
-            self.commands, self.replicas, self.links
+            self.log, self.commands, self.replicas, self.links
         )
         self.silence_checks = SilenceChecks(
             self.clock,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_crash_checks.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_crash_checks.py
@@ -8,6 +8,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from ryelatch_core.events import LineLog, catalogue
 from ryelatch_core.fleet import Replica
 from ryelatch_node.links import Links
 from ryelatch_node.ports import Reachability, ReplicaCommands
@@ -22,6 +23,7 @@
     ninety of them would connect at the same time.
     """
 
+    log: LineLog
     commands: ReplicaCommands
     replicas: ReplicaView
     links: Links
@@ -72,4 +74,9 @@
             self.links.record_failed((replica,))
         if found is Reachability.REFUSED:
             self.replicas.suspect(replica, 'ended', full=False)
+        self.log.record(
+            catalogue.REPLICA_CHECKED,
+            replica=replica.name,
+            outcome=found.value,
+        )
         return found
