--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -355,8 +355,8 @@
 REPLICA_CHECKED = EventKind(
     1441,
     'replica-checked',
-    'A connection to a replica was lost, and the node looked whether the replica has ended.',
-    'Nothing. The outcome says what was found; crashes are counted only where it has ended.',
+    'A connection to a replica was lost, and it was checked for a crash.',
+    'Nothing. Only where it has ended are its requests suspected.',
 )
 OUTAGE_LONGER = EventKind(
     1433,
