--- a/tests/fleet/running.py
+++ b/tests/fleet/running.py
@@ -72,9 +72,10 @@
         """Start a replica, and register it at the store."""
         replica.store = self.store
         runner, port = await serve_app(replica.make_app())
-        replica.stop_listening = next(iter(runner.sites)).stop
+        replica.stop_listening = partial(_stop_listening, runner)
         assert runner.server is not None
         replica.list_connections = partial(list_connections, runner.server)
+        replica.listen_again = partial(_listen, runner, port)
         self.runners.append(runner)
         replica.address = f'127.0.0.1:{port}'
         self.replicas[replica.name] = replica
@@ -403,6 +404,15 @@
         app, shutdown_timeout=0.1, access_log=None, handler_cancellation=True
     )
     await runner.setup()
-    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    await _listen(runner, 0)
     port: int = runner.addresses[0][1]
     return runner, port
+
+
+async def _stop_listening(runner: web.AppRunner) -> None:
+    for site in tuple(runner.sites):
+        await site.stop()
+
+
+async def _listen(runner: web.AppRunner, port: int) -> None:
+    await web.TCPSite(runner, '127.0.0.1', port).start()
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -17,6 +17,8 @@
 from standins.server import serve
 
 _LEAVING_CHECK_SECONDS = 0.02
+_REGISTER_SECONDS = 0.3
+"""Time from a new start to its entry in the registry."""
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -71,6 +73,36 @@
     """The connection is reset after a complete event."""
 
 
+class Sent(enum.Enum):
+    """What a replica has sent of an answer."""
+
+    NOTHING = 'nothing'
+    PART = 'part'
+    """A part of the head."""
+
+    HEAD = 'head'
+    EVENT = 'event'
+    """The head and one event."""
+
+
+@dataclass(frozen=True)
+class Ending:
+    """How a replica ends under a request that crashes it.
+
+    :param sent: what it has sent before.
+    :param after: seconds from the beginning of the request to the end.
+    :param listens: seconds for which its address accepts connections after it.
+    :param back: seconds after it until a new start listens at its address.
+    :param resets: whether its connections are reset.
+    """
+
+    sent: Sent = Sent.HEAD
+    after: float = 0.01
+    listens: float = 0
+    back: float = math.inf
+    resets: bool = False
+
+
 @dataclass(eq=False)
 class ReplicaStandIn:
     """A replica with its state and its faults.
@@ -99,11 +131,13 @@
         and resets the connection.
     :param unframed: how its answers end that have no length; ``None`` for
         answers with one. After one that isn't whole, they are.
-    :param crash_on: body of a request that crashes it, after the head of a
-        stream's answer was sent; its address refuses connections from then on.
+    :param crash_on: body of a request that crashes it.
+    :param ending: how; ``None`` for after the head of a stream's answer, or
+        before that of another one, while its address refuses connections.
     :param crash_on_part: hash of a part of the prompts that crash it likewise.
     :param crashed: whether it has crashed.
     :param crashed_at: when, in seconds of the event loop's clock.
+    :param crashes: when it crashed, each time.
     :param standstills: the times at which it stood still, the last one until
         infinity while it does.
     :param extra_headers: additional headers of all its answers.
@@ -121,6 +155,7 @@
     :param sequence: number of commands that changed its layers.
     :param fence: fencing number of the last of them.
     :param stop_listening: makes its address refuse connections.
+    :param listen_again: makes its address accept connections again.
     :param list_connections: lists the open connections to it.
     :param load_seconds: time that it takes to load layers.
     :param reading_seconds: time for which a stream stands still after a move,
@@ -149,9 +184,11 @@
     unframed_part: bool = False
     unframed: Unframed | None = None
     crash_on: bytes = b''
+    ending: Ending | None = None
     crash_on_part: str = ''
     crashed: bool = False
     crashed_at: float = math.inf
+    crashes: list[float] = field(default_factory=list)
     standstills: list[tuple[float, float]] = field(default_factory=list)
     extra_headers: dict[str, str] = field(default_factory=dict)
     refusals: list[float] = field(default_factory=list)
@@ -170,6 +207,7 @@
     _moved: asyncio.Event = field(default_factory=asyncio.Event)
     _stalled: dict[str, str] = field(default_factory=dict)
     stop_listening: Callable[[], Awaitable[None]] | None = None
+    listen_again: Callable[[], Awaitable[None]] | None = None
     list_connections: Callable[[], list[RequestHandler]] | None = None
     load_seconds: float = 0
     reading_seconds: float = 0
@@ -231,14 +269,26 @@
         self.store.drop('servers', self.name)
 
     async def crash(self) -> None:
-        """Crash like a process: stop listening and reset all connections."""
+        """Crash like a process: stop listening and end all connections."""
         self.crashed = True
         self.crashed_at = _read_clock()
+        self.crashes.append(self.crashed_at)
         assert self.stop_listening is not None
-        await self.stop_listening()
+        ending = self.ending or Ending()
+        if not ending.listens:
+            await self.stop_listening()
         for transport in (*self._transports, *self._kept):
-            transport.abort()
+            if ending.resets:
+                _reset(transport)
+            else:
+                transport.abort()
         self._kept.clear()
+        if ending.listens:
+            await asyncio.sleep(ending.listens)
+            await self._close()
+        if math.isfinite(ending.back):
+            await asyncio.sleep(ending.back)
+            await self._come_back()
 
     @property
     def is_still(self) -> bool:
@@ -293,6 +343,25 @@
         self.fence = 0
         self.resume()
 
+    async def _close(self) -> None:
+        """Stop listening, and close the connections accepted until then."""
+        assert self.stop_listening is not None
+        assert self.list_connections is not None
+        await self.stop_listening()
+        for connection in self.list_connections():
+            connection.force_close()
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    async def _come_back(self) -> None:
+        """Start anew under the same entry, which is updated a little later."""
+        assert self.listen_again is not None
+        self.started_at += 1000
+        self.crashed = False
+        await self.listen_again()
+        await asyncio.sleep(_REGISTER_SECONDS)
+        self.register()
+
     async def _wait_released(self) -> None:
         while self._released is not None:
             await self._released.wait()
@@ -485,6 +554,14 @@
     ) -> web.StreamResponse:
         headers = self._make_signed_headers(run.identity)
         response = web.StreamResponse(headers=headers)
+        if self.ending:
+            await self._send_before_end(request, headers, self.ending.sent)
+            await asyncio.sleep(self.ending.after)
+            # The end of this connection must not cancel the crash.
+            crash = asyncio.create_task(self.crash())
+            self._loads.add(crash)
+            crash.add_done_callback(self._loads.discard)
+            await asyncio.Event().wait()
         streams = 'X-Ryelatch-Hop-Count' in run.headers
         if self.unframed:
             first = make_event(1) if streams else b'answer'
@@ -496,6 +573,22 @@
         await self.crash()
         return response
 
+    async def _send_before_end(
+        self, request: web.Request, headers: dict[str, str], sent: Sent
+    ) -> None:
+        assert request.transport is not None
+        framing = {'Transfer-Encoding': 'chunked'}
+        head = _make_unframed_head({**headers, **framing})
+        event = make_event(1)
+        chunk = b'%x\r\n%b\r\n' % (len(event), event)
+        pieces = {
+            Sent.NOTHING: b'',
+            Sent.PART: head[: len(head) // 2],
+            Sent.HEAD: head,
+            Sent.EVENT: head + chunk,
+        }
+        request.transport.write(pieces[sent])
+
     async def _reset_unframed(
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
