A request that waits at each crash is judged by all of them

Cause: two rules for requests of whose answer nothing had come. Each further crash began the delay of 1 s anew, so what came more often was never judged; and whatever had just begun at the same replica cleared it of that crash, on a busy replica always something. Class: a veto of a passer-by in place of weight. Now the delay counts from the third crash, the request is held in it, and where others had begun five crashes are enough, as each passer-by met one.

Two tests of the tracker, both red before. The test that three crashes don't suffice where others had begun is unchanged.

--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_causes.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_causes.py
@@ -23,10 +23,11 @@
 by chance. Each further crash fails all other requests of that replica.
 """
 
-UNINFORMED_CRASH_THRESHOLD = 5
-"""The same where another key may be a likelier cause, unknown to this node.
+DOUBTFUL_CRASH_THRESHOLD = 5
+"""The same where another key may be a likelier cause.
 
-In an outage of the store, a node knows only the crashes that it has seen.
+In an outage of the store, a node knows only the crashes that it has seen. And
+where a request was waiting, what had just begun there is as likely.
 """
 
 MAX_COINCIDENCES = 1
@@ -99,10 +100,12 @@
         return now - self.informed_since < SETTLE_SECONDS
 
 
-class _Verdict(enum.Enum):
-    ADMIT = enum.auto()
-    HOLD = enum.auto()
+class _Verdict(enum.IntEnum):
+    """Verdicts on a key; of several, the last one counts."""
+
     REFUSE = enum.auto()
+    HOLD = enum.auto()
+    ADMIT = enum.auto()
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,9 +165,12 @@
     rivals = [state for key, state in suspects.items() if not is_part(key)]
     explained: frozenset[str] = frozenset()
     for candidate in ranked:
-        if not _is_cause(candidate.state, now, explained, begun):
+        if not _has_enough(candidate.state, explained):
             continue
-        verdict = _judge(candidate, rivals, knowledge, now)
+        verdict = max(
+            _judge(candidate, rivals, knowledge, now),
+            _judge_waiting(candidate, explained, begun, now),
+        )
         if verdict is _Verdict.ADMIT:
             continue
         settled = verdict is _Verdict.REFUSE
@@ -334,7 +340,7 @@
 
 
 def _has_few(candidate: Candidate) -> bool:
-    return len(candidate.incarnations) < UNINFORMED_CRASH_THRESHOLD
+    return len(candidate.incarnations) < DOUBTFUL_CRASH_THRESHOLD
 
 
 def _is_contested(
@@ -348,22 +354,33 @@
     return len(crashes.incarnations - list_begun(likely)) < CRASH_THRESHOLD
 
 
-def _is_cause(
-    state: CrashState,
-    now: float,
+def _has_enough(state: CrashState, explained: frozenset[str]) -> bool:
+    """Whether enough crashes remain that no other cause explains."""
+    unexplained = state.crashes.incarnations - explained
+    return len(unexplained) >= CRASH_THRESHOLD
+
+
+def _judge_waiting(
+    candidate: Candidate,
     explained: frozenset[str],
     begun_anywhere: frozenset[str],
-) -> bool:
-    """Whether enough crashes remain that no other cause explains.
+    now: float,
+) -> _Verdict:
+    """Judge a key whose requests were waiting as replicas crashed.
 
-    A request that waited at a replica is cleared of its crash by a request
-    that had begun to run there. The node that sent the latter may not have
-    reported it yet, so waiting requests are considered only after a delay.
+    What had just begun at the same replica explains a crash better, but each
+    passer-by explains only one. So more crashes are needed where any had begun.
+    The node that sent the cause may not have reported it yet.
     """
-    begun = state.crashes.begun - explained
+    crashes = candidate.state.crashes
+    begun = crashes.begun - explained
     if len(begun) >= CRASH_THRESHOLD:
-        return True
-    if now - state.changed < SETTLE_SECONDS:
-        return False
-    unexplained = state.crashes.waiting - explained - begun_anywhere
-    return len(begun | unexplained) >= CRASH_THRESHOLD
+        return _Verdict.REFUSE
+    if now - candidate.since < SETTLE_SECONDS:
+        return _Verdict.HOLD
+    waiting = crashes.waiting - explained
+    if len(begun | (waiting - begun_anywhere)) >= CRASH_THRESHOLD:
+        return _Verdict.REFUSE
+    if len(begun | waiting) >= DOUBTFUL_CRASH_THRESHOLD:
+        return _Verdict.REFUSE
+    return _Verdict.ADMIT
--- a/tests/core/quarantine/test_parts.py
+++ b/tests/core/quarantine/test_parts.py
@@ -14,8 +14,8 @@
     make_part_key,
 )
 from ryelatch_core.quarantine._causes import (
+    DOUBTFUL_CRASH_THRESHOLD,
     SETTLE_SECONDS,
-    UNINFORMED_CRASH_THRESHOLD,
 )
 from ryelatch_core.quarantine._cleared import CLEARED_SECONDS
 from ryelatch_core.quarantine._tracker import (
@@ -304,7 +304,7 @@
     """In an outage of the store a node refuses a part that runs elsewhere."""
     tracker = _make()
     tracker.set_informed(informed=False, now=_NOW - 1)
-    for number in range(UNINFORMED_CRASH_THRESHOLD):
+    for number in range(DOUBTFUL_CRASH_THRESHOLD):
         assert not _refuses(tracker, _ask(_DEAD))
         _crash(tracker, f'r-{number}', _ask(_DEAD))
     assert _refuses(tracker, _ask(_DEAD))
--- a/tests/core/quarantine/test_tracker.py
+++ b/tests/core/quarantine/test_tracker.py
@@ -157,6 +157,35 @@
     assert _refuses(tracker, 'a', _LATER)
 
 
+def test_each_crash_does_not_put_off_the_next() -> None:
+    """A request that crashes a replica twice a second is never refused."""
+    tracker = _make()
+    _crash_waiting(tracker, 'a', 'r-1', 'r-2', 'r-3')
+    assert tracker.is_unsettled(Fingerprint('a'), _NOW)
+    later = _NOW + SETTLE_SECONDS / 2
+    tracker.record_crash(Fingerprint('a'), 'r-4', RequestPhase.WAITING, later)
+    assert tracker.is_unsettled(Fingerprint('a'), later)
+    assert _refuses(tracker, 'a', _LATER)
+
+
+def test_passers_by_do_not_hide_the_cause() -> None:
+    """At each crash other streams had just begun, as on any busy replica.
+
+    Each of them met one crash, and the request that waited met all.
+    """
+    tracker = _make()
+    for number in range(4):
+        _crash_waiting(tracker, 'a', f'r-{number}')
+        _crash(tracker, f'passer-{number}', f'r-{number}')
+    assert not _refuses(tracker, 'a', _LATER)
+    _crash_waiting(tracker, 'a', 'r-4')
+    _crash(tracker, 'passer-4', 'r-4')
+    assert _refuses(tracker, 'a', _LATER)
+    assert not any(
+        _refuses(tracker, f'passer-{number}', _LATER) for number in range(5)
+    )
+
+
 def test_request_that_ran_elsewhere_is_cleared() -> None:
     """A request meets two crashes by chance and is then answered.
 
