An address that accepts connections proves no living replica

A system may end the connections of a killed process before its listening socket, and a restart or a proxy listens on. Class: one accepted connection taken for a process.

A lost replica is now asked for its start (report, health check; a bare connection where it limits its requests), and looked at for half a second, and while runs there are in doubt for four. Only requests that are suspected wait for more than the first look. Also counted now: ends after bytes that are no answer, and after a run was given up as its client left. One attempt of a client crashes two replicas at most also where they had sent nothing.

Ruled out: a cleared request (no failure was answered before); the order in which connections end, orderly or reset, changes nothing.

A question per lost connection that is not refused is the cost.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_attempt.py
@@ -11,7 +11,10 @@
 from ryelatch_core.streams import EventSplitter, StreamError
 from ryelatch_node.ports import Dispatch
 from ryelatch_node.relay._context import RelayContext
-from ryelatch_node.relay._crashes import record_stream_crash
+from ryelatch_node.relay._crashes import (
+    expect_stream_crash,
+    record_stream_crash,
+)
 from ryelatch_node.relay._end_checks import AnswerEnd
 from ryelatch_node.relay._errors import (
     REPLICA_LEFT,
@@ -86,7 +89,10 @@
     context.returns.record_start(now)
     progress.runs.runs.add(stream)
     try:
-        async with enter_stream_scope(context, relaying.watch.streams, stream):
+        async with (
+            expect_stream_crash(context, stream),
+            enter_stream_scope(context, relaying.watch.streams, stream),
+        ):
             return await _run(context, relaying.watch.prober, stream, progress)
     except TimeoutError:
         interrupted = SendError(SendErrorKind.LOST, stream.reason)
@@ -98,9 +104,8 @@
             progress.left = error.reason == REPLICA_LEFT
         await _record_loss(context, stream, progress, error)
     except StreamError as error:
-        record_failure(
-            context, stream, progress, SendErrorKind.INVALID, str(error)
-        )
+        spoiled = SendError(SendErrorKind.INVALID, str(error))
+        await _record_loss(context, stream, progress, spoiled)
     finally:
         progress.runs.runs.discard(stream)
     return AttemptResult.AGAIN
@@ -114,14 +119,14 @@
 ) -> None:
     """Record an attempt that was lost, and whether its first replica crashed.
 
-    A run that had just begun when the replica crashed counts as an attempt:
-    it may have caused the crash, and then each attempt crashes one more
-    replica.
+    A run that had just begun when the replica crashed, or was waiting there,
+    counts as an attempt: it may have caused the crash, and then each attempt
+    crashes one more replica.
     """
     record_failure(context, stream, progress, error.kind, error.reason)
     if await record_stream_crash(context, stream, error):
         progress.crashes += 1
-        stream.exchange.ran += stream.answered
+        stream.exchange.ran += error.kind is SendErrorKind.LOST
 
 
 def _log_send(
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_context.py
@@ -71,7 +71,13 @@
     def __post_init__(self) -> None:
         """Create the members that depend on others."""
         self.crash_checks = CrashChecks(
-            self.log, self.commands, self.replicas, self.links
+            self.log,
+            self.clock,
+            self.commands,
+            self.configuration,
+            self.throttle,
+            self.replicas,
+            self.links,
         )
         self.silence_checks = SilenceChecks(
             self.clock,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_end_checks.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_end_checks.py
@@ -12,6 +12,7 @@
 from ryelatch_core.fleet import Replica
 from ryelatch_core.kernel import Clock, LagMeter
 from ryelatch_node.ports import Presence, ReplicaCommands
+from ryelatch_node.relay._presence import ask_presence
 from ryelatch_node.throttle import Throttle
 from ryelatch_node.views import ConfigurationView, ReplicaView
 
@@ -24,9 +25,6 @@
 RETRY_SECONDS = 0.2
 """Pause between questions about an answer that nothing can replace."""
 
-HOLD_SECONDS = 0.1
-"""Time for which a connection is held; a reset arrives within a round trip."""
-
 ALIVE_SECONDS = 1.0
 """Time before the last bytes of an answer in which its replica was alive.
 
@@ -149,21 +147,9 @@
         await asyncio.sleep(GATHER_SECONDS)
         # An answer that ends from now on needs a later question.
         del self._gathering[replica.name]
-        if self.throttle.is_throttled(replica.name):
-            return await self._hold_connection(replica)
-        table = self.configuration.table
-        service = table and table.configuration.services.get(replica.service)
-        health_path = service.health_path if service else '/'
-        return await self.commands.confirm(replica, health_path)
-
-    async def _hold_connection(self, replica: Replica) -> Presence:
-        """Ask without a request a replica that limits those it takes."""
-
-        async def hold() -> None:
-            await asyncio.sleep(HOLD_SECONDS)
-
-        is_open = await self.commands.hold_connection(replica, hold)
-        return Presence.SILENT if is_open else Presence.UNKNOWN
+        return await ask_presence(
+            self.commands, self.configuration, self.throttle, replica
+        )
 
     def _has_left(self, replica: Replica, alive: float) -> bool:
         """Whether a replica left, and wasn't just lost.
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -15,7 +15,8 @@
 from ryelatch_core.kernel import Clock
 from ryelatch_core.quarantine import Fingerprint
 from ryelatch_core.routing import RetryPolicy, Route
-from ryelatch_node.ports import Headers, Reachability, RequestMetadata
+from ryelatch_node.ports import Headers, RequestMetadata
+from ryelatch_node.relay._crash_checks import Fate
 from ryelatch_node.relay._disconnect import HasLeft
 from ryelatch_node.relay._end_checks import AnswerEnd
 from ryelatch_node.relay._errors import ClientGone
@@ -122,7 +123,7 @@
     on_trial: bool = False
     ran: int = 0
     unbegun: int = 0
-    _doubtful: set['asyncio.Task[Reachability]'] = field(default_factory=set)
+    _doubtful: set['asyncio.Task[Fate]'] = field(default_factory=set)
     cut: list[Replica] = field(default_factory=list)
     status: int = 0
     pause: float = 0
@@ -144,12 +145,10 @@
         if end is not None:
             self.detail['end'] = end.value
 
-    def doubt_run(
-        self, replica: Replica, check: 'asyncio.Task[Reachability]'
-    ) -> None:
+    def doubt_run(self, replica: Replica, check: 'asyncio.Task[Fate]') -> None:
         """Count a run until a check finds that its replica has ended.
 
-        :param check: connects to the replica.
+        :param check: looks whether the replica has ended.
         """
         self._doubtful.add(check)
         check.add_done_callback(partial(self._settle_run, replica))
@@ -280,12 +279,12 @@
         await self.answer(status, headers, body)
 
     def _settle_run(
-        self, replica: Replica, check: 'asyncio.Task[Reachability]'
+        self, replica: Replica, check: 'asyncio.Task[Fate]'
     ) -> None:
         self._doubtful.discard(check)
         if check.cancelled() or check.exception() is not None:
             return
-        if check.result() is Reachability.REFUSED:
+        if check.result() is Fate.ENDED:
             self.ran -= 1
         else:
             self.cut.append(replica)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_non_model.py
@@ -1,5 +1,6 @@
 """Relays requests to services without a model."""
 
+import asyncio
 import functools
 import math
 from dataclasses import dataclass, field, replace
@@ -10,9 +11,13 @@
 from ryelatch_node.forwarding import ForwardedAnswer
 from ryelatch_node.ports import Dispatch, Headers
 from ryelatch_node.relay._context import RelayContext
-from ryelatch_node.relay._crashes import UNRESPONSIVE, record_non_model_crash
+from ryelatch_node.relay._crashes import (
+    UNRESPONSIVE,
+    expect_non_model_crash,
+    record_non_model_crash,
+)
 from ryelatch_node.relay._end_checks import AnswerEnd
-from ryelatch_node.relay._errors import SendError, SendErrorKind
+from ryelatch_node.relay._errors import ClientGone, SendError, SendErrorKind
 from ryelatch_node.relay._exchange import (
     AdmittedRequest,
     Exchange,
@@ -212,9 +217,12 @@
         received = await _try_replica(context, exchange, request, run)
     except SendError as error:
         _record_failure(context, exchange, replica, error)
-        await record_non_model_crash(context, exchange, request, replica, error)
         attempts.lost = attempts.lost or error.kind is not SendErrorKind.UNSENT
+        await record_non_model_crash(context, exchange, request, replica, error)
         return
+    except (asyncio.CancelledError, ClientGone):
+        expect_non_model_crash(context, exchange, request, replica)
+        raise
     attempts.received = received or attempts.received
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_watch.py
@@ -108,6 +108,7 @@
         await self.prober.stop()
         await self._path_checks.stop()
         await self.context.slow_replicas.stop()
+        await self.context.crash_checks.stop()
         await self._tasks.stop()
 
     async def _run(self) -> None:
@@ -297,8 +298,8 @@
         if replica.name in view.incarnations.list_crashed(now):
             stream.interrupt(FIRST_REPLICA_LOST)
             return
-        crashed = await self.context.crash_checks.has_crashed(replica)
-        if crashed and view.is_available(replica):
+        ended = await self.context.crash_checks.refuses_connections(replica)
+        if ended and view.is_available(replica):
             stream.interrupt(FIRST_REPLICA_LOST)
 
     def _hedge(self, stream: LiveStream, reason: str) -> None:
--- a/tests/node/relay/test_lag.py
+++ b/tests/node/relay/test_lag.py
@@ -74,6 +74,7 @@
         commands=SimpleNamespace(read_report=read_report, reach=reach),
         budgets=RetryBudgets(RetryBudget(reserve=0)),
         throttle=SimpleNamespace(acquire_permit=acquire_permit),
+        crash_checks=SimpleNamespace(stop=lambda: asyncio.sleep(0)),
         slow_replicas=SimpleNamespace(
             check=lambda _: None, stop=lambda: asyncio.sleep(0)
         ),
--- a/tests/platform/test_lost_streams.py
+++ b/tests/platform/test_lost_streams.py
@@ -39,7 +39,7 @@
     checked: asyncio.Event = field(default_factory=asyncio.Event)
     release: asyncio.Event = field(default_factory=asyncio.Event)
 
-    async def has_crashed(self, _: Replica) -> bool:
+    async def has_crashed(self, _: Replica, **_options: bool) -> bool:
         """Replace the check of the replica's address by one held open."""
         self.checked.set()
         await self.release.wait()
--- a/tests/standins/plain_relay.py
+++ b/tests/standins/plain_relay.py
@@ -138,9 +138,15 @@
             quarantine=SimpleNamespace(
                 wait_until_settled=_settle,
                 find_refused=lambda _: None,
+                find_suspect=lambda _: None,
+                record_crash=lambda *_: None,
                 record_run=lambda _: None,
             ),
-            crash_checks=SimpleNamespace(has_crashed=_has_crashed),
+            crash_checks=SimpleNamespace(
+                count_crash=_count_crash,
+                expect_crash=lambda *_: None,
+                follow=lambda _: None,
+            ),
             wire=SimpleNamespace(write_request=lambda headers, _: headers),
             upstreams=SimpleNamespace(send=self._send),
         )
@@ -202,7 +208,7 @@
     return False
 
 
-async def _has_crashed(_: Replica) -> bool:
+async def _count_crash(*_: Any, **_options: bool) -> bool:
     return False
 
 
