A loss just after a check needs another check

A connection that was lost in the step in which the check of an earlier loss ended got that check's answer, RUNNING, and the crash was not recorded. The check is now forgotten before its result is used.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_crash_checks.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_crash_checks.py
@@ -147,7 +147,6 @@
         task = asyncio.create_task(self._check(check))
         self._checks[replica.name] = check
         self._results[replica.name] = task
-        task.add_done_callback(lambda _: self._forget(replica))
         return task
 
     async def has_crashed(
@@ -217,10 +216,6 @@
         kept.append(_LostRun(record, now + FOLLOW_SECONDS, is_refuted))
         self._lost_runs[replica.name] = kept
 
-    def _forget(self, replica: Replica) -> None:
-        del self._results[replica.name]
-        del self._checks[replica.name]
-
     async def _check(self, check: _Check) -> Fate:
         """Look at a replica until its fate is known, or for some time.
 
@@ -231,6 +226,9 @@
         try:
             fate = await self._look_repeatedly(check)
         finally:
+            # What is lost from now on needs another check.
+            del self._results[check.replica.name]
+            del self._checks[check.replica.name]
             check.looked.set()
         self._conclude(check, fate)
         return fate
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -28,6 +28,12 @@
         action='store_true',
         help='with different requests that crash replicas by a common part',
     )
+    parser.add_argument(
+        '--ending',
+        action='store_true',
+        help='with replicas that end in various ways under such requests, '
+        'also before their answers begin',
+    )
     parser.add_argument(
         '--asking',
         action='store_true',
@@ -90,6 +96,7 @@
                 folder,
                 crashing=options.crashing,
                 crashing_part=options.crashing_part,
+                ending=options.ending,
                 asking=options.asking,
                 cutting=options.cutting,
                 pausing=options.pausing,
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -58,6 +58,7 @@
     *,
     crashing: bool = False,
     crashing_part: bool = False,
+    ending: bool = False,
     asking: bool = False,
     cutting: bool = False,
     pausing: bool = False,
@@ -71,6 +72,8 @@
     :param folder: for settings and log files of the processes.
     :param crashing: whether a client sends a request that crashes replicas.
     :param crashing_part: whether it sends different ones with such a part.
+    :param ending: whether replicas end in various ways under such requests, at
+        any time and also before they have sent anything.
     :param asking: whether replicas announce limits and ask for backoff.
     :param cutting: whether nodes are cut off from all replicas.
     :param pausing: whether replicas stand still beside planned work, and
@@ -90,6 +93,7 @@
         pausing=pausing,
         releasing=releasing,
         processes=processes,
+        ending=ending,
     ) as world:
         clients = Clients(world)
         if releasing:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -31,7 +31,7 @@
 from soak.links import Link
 from soak.processes import ReplicaProcess, start_process
 from standins.objects import ObjectStore, Present
-from standins.replica import ReplicaStandIn
+from standins.replica import Ending, ReplicaStandIn, Sent
 
 NODE_COUNT = 3
 STREAM_EVENTS = 8
@@ -71,6 +71,10 @@
 _KILLED_EVENT_SECONDS = 0.15
 _SLOWEST_EVENT_SECONDS = 0.25
 _LARGE_NODE_COUNT = 8
+_ENDING_SECONDS = (0.01, 0.05, 0.3, 0.8, 2.0)
+_LISTENING_SECONDS = (0.0, 0.0, 0.02, 0.1, 0.3)
+"""Time for which the address of a replica that has ended accepts on."""
+
 _FEW_LAYERS = ((0, 8), (0, 8), (0, 4), (4, 8), (4, 8), None)
 _MANY_LAYERS = ((0, 8),) * 10 + ((0, 4), (4, 8)) * 12 + (None,) * 4
 """Layers of model replicas, 41 replicas with those of the plain service."""
@@ -212,6 +216,7 @@
     dropped_at: dict[str, float] = field(default_factory=dict)
     limited_replica: tuple[str, float] | None = None
     crashing_keys: set[str] = field(default_factory=set)
+    endings: random.Random | None = None
     cutting: bool = False
     pausing: bool = False
     releasing: bool = False
@@ -242,6 +247,7 @@
         replica.list_connections = partial(list_connections, server)
         replica.crash_on = CRASHING_BODY
         replica.crash_on_part = CRASHING_PART
+        replica.ending = self._draw_ending()
         replica.address = link.address
         for node in self.nodes:
             await self._link_replica(node, replica.name)
@@ -394,6 +400,18 @@
         for runner in self.runners:
             await runner.cleanup()
 
+    def _draw_ending(self) -> Ending | None:
+        """Draw how a replica ends under a request, if that varies."""
+        source = self.endings
+        if source is None:
+            return None
+        return Ending(
+            source.choice(tuple(Sent)),
+            source.choice(_ENDING_SECONDS),
+            source.choice(_LISTENING_SECONDS),
+            resets=bool(source.randrange(2)),
+        )
+
     def _get_event_seconds(self) -> float:
         """The time between two events of a stream."""
         if self.releasing:
@@ -485,6 +503,7 @@
     pausing: bool = False,
     releasing: bool = False,
     processes: int = 0,
+    ending: bool = False,
 ) -> AsyncIterator[World]:
     """Start a world, and stop all of it at the end.
 
@@ -493,6 +512,7 @@
     :param releasing: whether it is a small deployment with planned work.
     :param processes: number of replicas in processes of their own, in place of
         all others; 0 for none.
+    :param ending: whether replicas end in various ways under a request.
     """
     world = World(
         random.Random(seed),
@@ -504,6 +524,7 @@
         folder=folder,
         replica_host=draw_host(_REPLICA_HOST),
         retry_extra=_SMALL_RETRY_EXTRA if processes else _RETRY_EXTRA,
+        endings=random.Random(seed) if ending else None,
     )
     world.configure([KEY, SPARE_KEY])
     sampling = asyncio.create_task(world.lateness.run())
--- a/tests/soak_tests/test_soak.py
+++ b/tests/soak_tests/test_soak.py
@@ -14,6 +14,7 @@
     CRASHING_REGRESSIONS,
     CRASHING_SEED,
     CUTTING_SEED,
+    ENDING_SEED,
     KILLING_SECONDS,
     KILLING_SEEDS,
     LEAVING_SEED,
@@ -47,6 +48,15 @@
     assert not outcome.violations
 
 
+async def test_early_ends_of_replicas_are_counted(tmp_path: Path) -> None:
+    """A request goes on crashing replicas that send nothing, or accept on."""
+    outcome = await run_seed(
+        ENDING_SEED, CI_SECONDS, tmp_path, crashing=True, ending=True
+    )
+    assert outcome.faults
+    assert not outcome.violations
+
+
 async def test_crashing_part_is_kept_out(tmp_path: Path) -> None:
     """Requests that share only a part crash replicas amid other faults."""
     outcome = await run_seed(
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -380,11 +380,13 @@
         start, stop = self.layers
         return {'from': start, 'to': stop, 'version': 1}
 
+    def _abort_if_crashed(self, request: web.Request) -> None:
+        if self.crashed and request.transport is not None:
+            request.transport.abort()
+
     async def _report(self, request: web.Request) -> web.Response:
         await self._wait_released()
-        if self.crashed:
-            assert request.transport is not None
-            request.transport.abort()
+        self._abort_if_crashed(request)
         self.reports += 1
         stalled = [
             {'id': identity, 'addr': address}
@@ -402,9 +404,7 @@
 
     async def _check_health(self, request: web.Request) -> web.Response:
         await self._wait_released()
-        if self.crashed:
-            assert request.transport is not None
-            request.transport.abort()
+        self._abort_if_crashed(request)
         self.health_checks += 1
         return web.Response(headers={'X-Ryelatch-Replica-Id': self.name})
 
