A stream that goes on between its events has run long

The fix before it counted the time that a stream has run up to its last event, so that a replica that falls silent after one event and ends is counted. Only where the pause reaches the window of 0.5 s does the time count up to the last event.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_crashes.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_crashes.py
@@ -34,7 +34,7 @@
     if interrupted or error.kind is SendErrorKind.UNSENT:
         return False
     replica = stream.first_replica
-    if stream.has_run_long(stream.progress):
+    if stream.has_run_long(context.now()):
         # It isn't the cause, whatever the check finds. Waiting would only
         # delay its resumption: an unresponsive VM takes the check's timeout.
         context.crash_checks.start(replica)
@@ -57,7 +57,7 @@
     try:
         yield
     except (asyncio.CancelledError, ClientGone):
-        if not stream.has_run_long(stream.progress):
+        if not stream.has_run_long(context.now()):
             _expect_crash(
                 context,
                 stream.request,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_stream.py
@@ -98,12 +98,14 @@
         """Whether it has run too long to be the cause of a replica's crash.
 
         The time counts from the first event, because a slow replica may take
-        long to produce it.
+        long to produce it. A stream that has fallen silent runs no further.
 
         :param now: monotonic seconds.
         """
         first = self.first_event
-        return first is not None and now - first >= CRASH_WINDOW_SECONDS
+        silent = now - self.progress >= CRASH_WINDOW_SECONDS
+        ran_until = self.progress if silent else now
+        return first is not None and ran_until - first >= CRASH_WINDOW_SECONDS
 
     def hedge(self, reason: str, now: float) -> None:
         """Start another run beside this one, which goes on.
