What met twice as many crashes explains those of fewer

Cause: keys were ranked by begun crashes first, so the stream was judged before the cause that waited.

A key now ranks last if another one met all of its crashes, and at least as many more. With less than that the order stays: what had begun is likelier than what was waiting (a test for each). Candidates and their order have a module of their own.

--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/__init__.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/__init__.py
@@ -1,10 +1,7 @@
 """Requests, and parts of prompts, that crash replicas and are refused."""
 
-from ryelatch_core.quarantine._causes import (
-    CRASH_THRESHOLD,
-    SETTLE_SECONDS,
-    Cause,
-)
+from ryelatch_core.quarantine._candidates import CRASH_THRESHOLD
+from ryelatch_core.quarantine._causes import SETTLE_SECONDS, Cause
 from ryelatch_core.quarantine._crashes import (
     MAX_INCARNATIONS,
     NO_CRASHES,
--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_causes.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_causes.py
@@ -12,17 +12,16 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
+from ryelatch_core.quarantine._candidates import (
+    CRASH_THRESHOLD,
+    Candidate,
+    rank,
+    rank_all,
+)
 from ryelatch_core.quarantine._crash_state import CrashState
 from ryelatch_core.quarantine._crashes import Crashes
 from ryelatch_core.quarantine._fingerprint import Fingerprint, is_part
 
-CRASH_THRESHOLD = 3
-"""Crashes under a key at which requests with it are refused.
-
-A request that is resent while a group of replicas is lost can meet two crashes
-by chance. Each further crash fails all other requests of that replica.
-"""
-
 DOUBTFUL_CRASH_THRESHOLD = 5
 """The same where another key may be a likelier cause.
 
@@ -108,36 +107,6 @@
     ADMIT = enum.auto()
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
-    """A key with enough crashes for a refusal that has not run since.
-
-    :param since: monotonic seconds since which it has enough.
-    :param refused: whether it is a cause for refusals so far.
-    """
-
-    key: str
-    state: CrashState
-    since: float
-    refused: bool
-
-    @property
-    def is_reported(self) -> bool:
-        """Whether nodes have written enough crashes that others have seen.
-
-        What this node has seen alone stands in the store as well, since it has
-        written it.
-        """
-        seen_here = len(self.state.local.incarnations)
-        shared = len(self.state.shared.incarnations)
-        return seen_here < CRASH_THRESHOLD <= shared
-
-    @property
-    def incarnations(self) -> frozenset[str]:
-        """Replicas that crashed under requests with the key."""
-        return self.state.crashes.incarnations
-
-
 def is_unheard(candidate: Candidate, knowledge: Knowledge) -> bool:
     """Whether only a new report can tell if a part is a cause."""
     seen_here_only = is_part(candidate.key) and not candidate.is_reported
@@ -160,7 +129,7 @@
     :param suspects: keys with fewer crashes that have not run since.
     :param begun: replicas at whose crash any request had just begun to run.
     """
-    ranked = sorted(candidates, key=_rank)
+    ranked = rank_all(candidates)
     known = [*ranked, *_list_unlikelier(ranked, suspects, now)]
     rivals = [state for key, state in suspects.items() if not is_part(key)]
     explained: frozenset[str] = frozenset()
@@ -196,7 +165,7 @@
             for key, state in suspects.items()
             if state.crash_bound >= _MIN_EXPLAINED
         ),
-        key=_rank,
+        key=rank,
     )
 
 
@@ -206,22 +175,6 @@
     return frozenset(itertools.chain.from_iterable(groups))
 
 
-def _rank(candidate: Candidate) -> tuple[int, int, int, bool, str]:
-    """Rank the likeliest cause first.
-
-    Of keys that met the same crashes, the one of whose answers least had
-    arrived is the likeliest cause, and a whole request before its parts.
-    """
-    crashes = candidate.state.crashes
-    return (
-        -len(crashes.begun),
-        -len(crashes.waiting),
-        crashes.events,
-        is_part(candidate.key),
-        candidate.key,
-    )
-
-
 def _make_cause(
     candidate: Candidate, known: list[Candidate], *, settled: bool
 ) -> Cause:
--- a/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
+++ b/packages/ryelatch-core/src/ryelatch_core/quarantine/_tracker.py
@@ -13,10 +13,9 @@
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import replace
 
+from ryelatch_core.quarantine._candidates import CRASH_THRESHOLD, Candidate
 from ryelatch_core.quarantine._causes import (
-    CRASH_THRESHOLD,
     RETENTION_SECONDS,
-    Candidate,
     Cause,
     Knowledge,
     is_unheard,
--- a/tests/core/quarantine/test_tracker.py
+++ b/tests/core/quarantine/test_tracker.py
@@ -186,6 +186,30 @@
     )
 
 
+def test_cause_that_waits_explains_begun_streams() -> None:
+    """A stream meets three crashes under a request that is refused by then.
+
+    Copies of the request were under way. The stream had begun at its replicas,
+    and the cause was waiting there.
+    """
+    tracker = _make()
+    names = [f'r-{number}' for number in range(9)]
+    _crash_waiting(tracker, 'cause', *names)
+    _crash(tracker, 'stream', *names[6:])
+    assert _refuses(tracker, 'cause', _LATER)
+    assert not _refuses(tracker, 'stream', _LATER)
+
+
+def test_cause_that_began_is_not_outweighed() -> None:
+    """A popular request waits at each crash of a cause, and at two more."""
+    tracker = _make()
+    names = [f'r-{number}' for number in range(5)]
+    _crash_waiting(tracker, 'popular', *names)
+    _crash(tracker, 'cause', *names[:3])
+    assert _refuses(tracker, 'cause', _LATER)
+    assert not _refuses(tracker, 'popular', _LATER)
+
+
 def test_request_that_ran_elsewhere_is_cleared() -> None:
     """A request meets two crashes by chance and is then answered.
 
