--- a/tests/fleet/running.py
+++ b/tests/fleet/running.py
@@ -158,6 +158,19 @@
     }
 
 
+def make_once_configuration() -> dict[str, Any]:
+    """Make a configuration with a stream that may run once only."""
+    configuration = make_configuration()
+    once = make_route(
+        'once',
+        routeKind='streaming',
+        service=MODEL_SERVICE,
+        timeoutMs=10_000,
+    )
+    configuration['routes'].append(once)
+    return configuration
+
+
 def make_non_model_replicas(count: int = 2) -> list[ReplicaStandIn]:
     """Make replicas of the non-model service."""
     return [
--- a/tests/platform/test_cut_heads.py
+++ b/tests/platform/test_cut_heads.py
@@ -12,8 +12,7 @@
     NON_MODEL_SERVICE,
     RunningNode,
     ask,
-    make_configuration,
-    make_route,
+    make_once_configuration,
     run_node,
     wait_until,
 )
@@ -66,18 +65,6 @@
         writer.close()
 
 
-def _make_configuration() -> dict[str, object]:
-    configuration = make_configuration()
-    once = make_route(
-        'once',
-        routeKind='streaming',
-        service=MODEL_SERVICE,
-        timeoutMs=10_000,
-    )
-    configuration['routes'].append(once)
-    return configuration
-
-
 @contextlib.asynccontextmanager
 async def _run_cutting(
     path: str,
@@ -94,7 +81,7 @@
         store=ObjectStore(),
     )
     port = server.sockets[0].getsockname()[1]
-    async with server, run_node([], _make_configuration()) as node:
+    async with server, run_node([], make_once_configuration()) as node:
         replica.store = node.store
         replica.address = f'127.0.0.1:{port}'
         replica.register()
--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -16,11 +16,10 @@
     NON_MODEL_SERVICE,
     RunningNode,
     ask,
-    make_configuration,
     make_event_stream,
     make_model_replicas,
     make_non_model_replicas,
-    make_route,
+    make_once_configuration,
     open_request,
     run_node,
     wait_until,
@@ -33,19 +32,6 @@
 _ENTRY_CHANGES = ('stays', 'dropped', 'started again')
 
 
-def _make_configuration() -> dict[str, object]:
-    """Make a configuration with a stream that may run once only."""
-    configuration = make_configuration()
-    once = make_route(
-        'once',
-        routeKind='streaming',
-        service=MODEL_SERVICE,
-        timeoutMs=10_000,
-    )
-    configuration['routes'].append(once)
-    return configuration
-
-
 @contextlib.asynccontextmanager
 async def _open_stalled(
     node: RunningNode, path: str, first: bytes
@@ -134,7 +120,7 @@
 async def test_stream_killed_in_its_only_run_breaks() -> None:
     """A part of a stream that can't be resumed looks like all of it."""
     async with (
-        run_node([], _make_configuration()) as node,
+        run_node([], make_once_configuration()) as node,
         run_replica_process(node, 'm-9', MODEL_SERVICE, *_PART) as (process, _),
         _open_stalled(node, '/once/x', make_event_stream(2)) as response,
     ):
@@ -183,7 +169,7 @@
     service = MODEL_SERVICE if model else NON_MODEL_SERVICE
     expected = make_event_stream(5) if model else b'answer of r-9'
     async with (
-        run_node([], _make_configuration()) as node,
+        run_node([], make_once_configuration()) as node,
         run_replica_process(node, 'r-9', service, '--unframed'),
     ):
         for number in range(3):
@@ -206,7 +192,7 @@
 ) -> None:
     """The last stream of a replica that left in order is broken off."""
     async with run_node(
-        make_model_replicas((0, 8)), _make_configuration()
+        make_model_replicas((0, 8)), make_once_configuration()
     ) as node:
         leaver = node.replicas['m-0']
         leaver.unframed = Unframed.WHOLE
@@ -280,7 +266,7 @@
 async def test_stream_of_a_lapsed_replica_breaks() -> None:
     """A replica that hung until its entry was gone and was killed has left."""
     async with (
-        run_node([], _make_configuration()) as node,
+        run_node([], make_once_configuration()) as node,
         run_replica_process(node, 'm-9', MODEL_SERVICE, *_PART) as (
             process,
             entry,
