What a replica had announced is no crash

Found by reading the diff: an answer without a length that may be whole, as its replica left, went into the check of crashes, as did requests that clients had given up at a replica that leaves. It refuses connections then, and a sound request would have been suspected for each departure. Neither counts now; the test of the second was red before.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_crash_checks.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_crash_checks.py
@@ -300,11 +300,20 @@
         if await self.links.explains_loss(replica):
             return False
         now = self.clock.monotonic()
+        left = self._has_left(replica, now)
         for run in self._lost_runs.pop(replica.name, []):
-            if run.until > now:
+            if run.until > now and (run.is_refuted or not left):
                 run.record()
         return True
 
+    def _has_left(self, replica: Replica, now: float) -> bool:
+        """Whether a replica may refuse connections as it leaves."""
+        known = self.replicas.replicas.get(replica.name)
+        if known is not None:
+            return known.leaving
+        crashed = self.replicas.incarnations.list_crashed(now)
+        return replica.name not in crashed
+
     async def _follow(self, replica: Replica) -> None:
         check = _Check(replica, self.clock.monotonic())
         try:
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_crashes.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_crashes.py
@@ -8,7 +8,12 @@
 from ryelatch_core.fleet import Replica
 from ryelatch_core.quarantine import RequestPhase
 from ryelatch_node.relay._context import RelayContext
-from ryelatch_node.relay._errors import ClientGone, SendError, SendErrorKind
+from ryelatch_node.relay._errors import (
+    REPLICA_LEFT,
+    ClientGone,
+    SendError,
+    SendErrorKind,
+)
 from ryelatch_node.relay._exchange import AdmittedRequest, Exchange
 from ryelatch_node.relay._stream import FIRST_REPLICA_LOST, LiveStream
 
@@ -31,7 +36,7 @@
     :returns: whether the replica crashed just as the stream began there.
     """
     interrupted = stream.reason not in {'', FIRST_REPLICA_LOST}
-    if interrupted or error.kind is SendErrorKind.UNSENT:
+    if interrupted or not _may_be_crash(error):
         return False
     replica = stream.first_replica
     if stream.has_run_long(context.now()):
@@ -79,7 +84,7 @@
     Unlike a stream, the request has no events that show whether it had begun,
     so it counts as begun.
     """
-    if error.kind is not SendErrorKind.UNSENT:
+    if _may_be_crash(error):
         await context.crash_checks.count_crash(
             replica,
             _make_non_model_record(context, exchange, request, replica),
@@ -124,6 +129,12 @@
     )
 
 
+def _may_be_crash(error: SendError) -> bool:
+    """Whether a run was lost, and not as its replica had announced."""
+    left = error.reason == REPLICA_LEFT
+    return error.kind is not SendErrorKind.UNSENT and not left
+
+
 def _is_suspected(context: RelayContext, request: AdmittedRequest) -> bool:
     suspect = context.quarantine.find_suspect(request.fingerprint)
     return suspect is not None
--- a/tests/node/relay/test_crash_checks.py
+++ b/tests/node/relay/test_crash_checks.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -56,6 +56,7 @@
     takes: float = 0
     is_lost: bool = False
     throttled: bool = False
+    leaving: bool = False
     replaced: set[str] = field(default_factory=set)
     suspected: list[str] = field(default_factory=list)
     questions: int = 0
@@ -69,6 +70,7 @@
             incarnations=SimpleNamespace(
                 list_crashed=lambda _: frozenset(self.replaced)
             ),
+            replicas={_REPLICA.name: replace(_REPLICA, leaving=self.leaving)},
             suspect=lambda _, reason, full: self.suspected.append(reason),
         )
         commands: Any = SimpleNamespace(
@@ -253,6 +255,18 @@
     run(play())
 
 
+def test_given_up_run_of_a_leaver_does_not_count() -> None:
+    """A replica leaves as announced, and what was given up there is blamed."""
+
+    async def play() -> None:
+        lost = _Lost(_REFUSE, leaving=True)
+        lost.checks.expect_crash(_REPLICA, lost.record)
+        assert await lost.checks.has_crashed(_REPLICA)
+        assert not lost.recorded
+
+    run(play())
+
+
 def test_lost_links_are_no_crash() -> None:
     """A firewall refuses connections, and requests are blamed for it."""
 
