--- a/tests/core/quarantine/test_tracker.py
+++ b/tests/core/quarantine/test_tracker.py
@@ -1,6 +1,7 @@
 """Requests that crash replicas are recognized and refused."""
 
 import itertools
+import random
 
 import pytest
 
@@ -210,6 +211,20 @@
     assert not _refuses(tracker, 'popular', _LATER)
 
 
+def test_crashes_in_waves_blame_no_request() -> None:
+    """Replicas crash in waves whatever they run, and requests wait at some.
+
+    Each request met three of twenty-one crashes, and explains none of the rest.
+    """
+    tracker = _make()
+    source = random.Random(1)
+    names = [f'r-{number}' for number in range(21)]
+    keys = [f'request-{number}' for number in range(30)]
+    for key in keys:
+        _crash_waiting(tracker, key, *source.sample(names, 3))
+    assert not any(_refuses(tracker, key, _LATER) for key in keys)
+
+
 def test_request_that_ran_elsewhere_is_cleared() -> None:
     """A request meets two crashes by chance and is then answered.
 
