Soak: a request that crashes replicas is owed no whole stream

Trace: it was the crashing request itself; its first run was overtaken by a hedge after 1.3 s, before it would have ended that replica (after 2 s), so the replica counted as sound, and the two others it had crashed. Such a request earns nothing.

--- a/tests/soak/crashing.py
+++ b/tests/soak/crashing.py
@@ -12,7 +12,7 @@
 from ryelatch_core.quarantine import digest_request
 from soak.clients import Clients
 from soak.world import CRASHING_BODY, CRASHING_PART, World
-from standins.replica import ReplicaStandIn
+from standins.replica import ReplicaStandIn, Run
 
 CRASHING_KINDS = ('plan', 'ping')
 
@@ -32,6 +32,12 @@
     return digest_request('city.example', 'POST', f'/{kind}/x', account, body)
 
 
+def crashes_replicas(run: Run) -> bool:
+    """Whether a request crashes the replicas that run it."""
+    parts = run.headers.get('X-Ryelatch-Prefix-Hash', '')
+    return run.body == CRASHING_BODY or f'{CRASHING_PART}:' in parts
+
+
 @dataclass(eq=False)
 class CrashingClient:
     """Sends such requests to random nodes, and replaces crashed replicas.
