Failing tests: crowds of clients that don't behave

What callers saw: a node ran out of memory, or had no descriptors left, and all its callers were disconnected. Clients sent requests of legal size with very many short header lines, heads over the limit or without end, many requests at once, or read nothing.

The tests run a node as a real process with the limits of the platform (300 MB, 4,100 descriptors, or 300 where they run out) and a crowd in a process of its own. They check that the node lives, its peak memory, its descriptors after the crowd has left, and that an ordinary request is answered afterwards; beside clients that only hold connections, also meanwhile.

They run one at a time after the other tests (`make test`).

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 	cd tests && ../$(BIN)/python -m fleet.forever
 
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -m "not crowd"
+	$(BIN)/python -m pytest -m crowd -n0
 
 lint: setup
 	$(BIN)/ruff format --check $(SOURCES)
