Answers may repeat an identity as long as a header may be

What callers saw: a request with an identity of 8 kB or more was answered 502, although it had run: a caller who may not repeat it doesn't know.

Cause: a replica's answer repeats the identity, and the HTTP client's bound for one header line of an answer is 8 kB; a request may have a header of 16 kB. Ruled out: the request side (the replica receives it whole), the signature check (the client fails before it).

The bound of the whole head of an answer (64 KiB) now holds for one line too, so an answer without end is still cut off there.

After: 200, 16 of 16 requests at the limits.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -19,6 +19,7 @@
 from ryelatch_core.kernel import Clock
 from ryelatch_core.membership import CONNECT_TIMEOUT_SECONDS
 from ryelatch_node.connections import (
+    MAX_HEAD_BYTES,
     EndlessAnswer,
     bound_answers,
     has_arrived,
@@ -358,6 +359,8 @@
             ),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
+            # An answer repeats the identity, which may be as long as a header.
+            max_field_size=MAX_HEAD_BYTES,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
             ),
