Log lines are bounded in length and, for refusals too, in number

What operators saw: one client that sent identities of 15 kB filled the log of a node with 394 MB in 9 s, and lines of refusals had no bound at all.

Cause: a line repeats the identity, which the client chooses, whole, and only lines of level `info` were limited in number.

A text in a line is cut after 256 characters and says how much is left out; stack traces, which clients don't write, stay whole. Lines of the other levels have a bucket of 3,000 that fills by 300 a second, so that the lines of a bad moment are all written and no client writes faster for long. What is left out is counted, as before.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_lines.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_lines.py
@@ -22,6 +22,21 @@
 The rest is for restarts, when all entries of the node's view change at once.
 """
 
+MAX_URGENT_LINES = 3000
+"""Lines of the other levels that are written at once."""
+
+URGENT_LINES_PER_SECOND = 300
+"""Rate at which lines of the other levels are written after that.
+
+Clients cause such lines with requests that are refused.
+"""
+
+MAX_TEXT_CHARS = 256
+"""Characters of a text that are written; clients choose some of them."""
+
+_TRACE = 'trace'
+"""Field of a stack trace, which is written whole."""
+
 
 class LineLog:
     """Writes one JSON line for each decision or change of the node's view.
@@ -50,6 +65,8 @@
         self._queue: deque[bytes] = deque()
         self._second = 0
         self._written = 0
+        self._urgent_left = float(MAX_URGENT_LINES)
+        self._urgent_at = clock.monotonic()
 
     def record(self, kind: EventKind, /, **detail: Any) -> None:
         """Write a line.
@@ -89,7 +106,7 @@
         if len(self._queue) >= MAX_QUEUED_LINES:
             return False
         if kind.level is not Level.INFO:
-            return True
+            return self._admit_urgent()
         second = int(self._clock.monotonic())
         if second != self._second:
             self._second = second
@@ -97,6 +114,16 @@
         self._written += 1
         return self._written <= MAX_LINES_PER_SECOND
 
+    def _admit_urgent(self) -> bool:
+        now = self._clock.monotonic()
+        earned = (now - self._urgent_at) * URGENT_LINES_PER_SECOND
+        self._urgent_at = now
+        self._urgent_left = min(MAX_URGENT_LINES, self._urgent_left + earned)
+        if self._urgent_left < 1:
+            return False
+        self._urgent_left -= 1
+        return True
+
     def _render(self, kind: EventKind, detail: dict[str, Any]) -> bytes:
         line = {
             'time': round(self._clock.wall(), 3),
@@ -105,12 +132,22 @@
             'event': f'RL{kind.number}',
             'name': kind.name,
             'level': kind.level.value,
-            **detail,
+            **{name: _shorten(name, text) for name, text in detail.items()},
         }
         text = json.dumps(line, separators=(',', ':'))
         return f'{text}\n'.encode()
 
 
+def _shorten(name: str, content: Any) -> Any:
+    """Cut a text that is too long, and say how much is left out."""
+    if name == _TRACE or not isinstance(content, str):
+        return content
+    left_out = len(content) - MAX_TEXT_CHARS
+    if left_out <= 0:
+        return content
+    return f'{content[:MAX_TEXT_CHARS]}... ({left_out} more)'
+
+
 def open_stdout() -> Callable[[bytes], int]:
     """Make standard output non-blocking.
 
--- a/tests/core/events/test_lines.py
+++ b/tests/core/events/test_lines.py
@@ -4,6 +4,10 @@
 from typing import Any
 
 from ryelatch_core.events import LineLog, catalogue
+from ryelatch_core.events._lines import (
+    MAX_URGENT_LINES,
+    URGENT_LINES_PER_SECOND,
+)
 from ryelatch_core.kernel import SystemClock
 
 
@@ -96,3 +100,26 @@
     log = LineLog('node-a', _Clock(), reader.write)
     log.record(catalogue.HISTORY_LOST, kind='config')
     assert reader.read()[0]['kind'] == 'config'
+
+
+def test_lines_of_refusals_are_bounded_in_number() -> None:
+    """Clients fill the log with requests that are refused."""
+    clock = _Clock()
+    log = LineLog('node-a', clock, len)
+    for _ in range(10):
+        clock.now += 1
+        for _ in range(2000):
+            log.record(catalogue.EXCHANGE_REFUSED)
+    written = 20_000 - log.dropped
+    assert written <= MAX_URGENT_LINES + 10 * URGENT_LINES_PER_SECOND
+
+
+def test_text_of_a_client_is_cut() -> None:
+    """A line of the log is as long as a client likes."""
+    reader = _Reader()
+    log = LineLog('node-a', _Clock(), reader.write)
+    log.record(catalogue.EXCHANGE_REFUSED, request='x' * 8000, trace='y' * 999)
+    line = reader.read()[0]
+    assert line['request'].startswith('xxx')
+    assert line['request'].endswith('(7744 more)')
+    assert line['trace'] == 'y' * 999
