Each connection of a client is parsed one request at a time

What callers saw: a node used up its memory, or answered nobody for seconds, while a few clients sent heads over the limit, many requests at once, bodies in chunks of a byte, or trailers without end. Before its first configuration a node had no limits at all.

Trailers are dropped. Empty lines start and end no timer. The defaults hold before the first configuration. A body ends at its client's deadline, or after 60 s.

Ruled out: the limits of the parser itself (it has none).

Five of the new cases of test_limits were red on: trailers, the refusal that can be read, both bodies, empty lines.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_disconnect.py
+++ b/packages/ryelatch-node/src/ryelatch_node/clients/_departure.py
@@ -1,10 +1,18 @@
 """Finds out whether a client has disconnected."""
 
+import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TypeAlias
 
 from starlette.types import Receive, Scope
 
+from ryelatch_node.clients._flow import HeldFlow
+from ryelatch_node.connections import has_ended
+
+DEPARTURE_CHECK_SECONDS = 0.2
+"""Interval of looks for the end of a connection of which nothing is read."""
+
 HasLeft: TypeAlias = Callable[[], bool]
 """Whether the end of a client's connection has arrived, read or not."""
 
@@ -32,3 +40,30 @@
     extension = scope.get('extensions', {}).get(_EXTENSION, {})
     has_left: HasLeft = extension.get('has_left', bool)
     return has_left
+
+
+@dataclass(eq=False)
+class DepartureWatch:
+    """Looks for the end of a connection, which reading alone doesn't tell.
+
+    Nothing is read while requests wait for their turn.
+    """
+
+    loop: asyncio.AbstractEventLoop
+    transport: asyncio.Transport
+    flow: HeldFlow
+
+    def look(self) -> None:
+        """Look now and then until the connection is read again."""
+        if self.flow.read_paused and not self.has_left():
+            self.loop.call_later(DEPARTURE_CHECK_SECONDS, self.look)
+
+    def has_left(self) -> bool:
+        """Close the connection if its client has.
+
+        :returns: whether it is closed.
+        """
+        if not has_ended(self.transport):
+            return False
+        self.transport.close()
+        return True
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_exchange.py
@@ -15,9 +15,9 @@
 from ryelatch_core.kernel import Clock
 from ryelatch_core.quarantine import Fingerprint
 from ryelatch_core.routing import RetryPolicy, Route
+from ryelatch_node.clients import HasLeft
 from ryelatch_node.ports import Headers, RequestMetadata
 from ryelatch_node.relay._crash_checks import Fate
-from ryelatch_node.relay._disconnect import HasLeft
 from ryelatch_node.relay._end_checks import AnswerEnd
 from ryelatch_node.relay._errors import ClientGone
 
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -4,6 +4,7 @@
 import contextlib
 import traceback
 from collections.abc import Callable, Iterator
+from math import inf
 
 from starlette.types import Receive, Scope, Send
 
@@ -12,6 +13,10 @@
 from ryelatch_core.routing import (
     ClientLimits,
 )
+from ryelatch_node.clients import (
+    get_departure_check,
+    wait_for_disconnect,
+)
 from ryelatch_node.relay._admission import (
     ReceivedRequest,
     Refusal,
@@ -19,10 +24,6 @@
     admit,
 )
 from ryelatch_node.relay._context import RelayContext
-from ryelatch_node.relay._disconnect import (
-    get_departure_check,
-    wait_for_disconnect,
-)
 from ryelatch_node.relay._errors import AnswerBroken, ClientGone
 from ryelatch_node.relay._exchange import (
     AdmittedRequest,
@@ -39,6 +40,9 @@
 _REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
 _UNAVAILABLE = 503
+
+MAX_BODY_SECONDS = 60.0
+"""Time to receive a body whose client doesn't say how long it waits."""
 _GATEWAY_TIMEOUT = 504
 
 
@@ -117,17 +121,18 @@
             self.stop_state.closing,
         )
         try:
-            body = await self._read_body(receive)
+            body = await self._read_body(receive, terms.deadline)
         except ClientGone:
             return
         except _TooLarge:
+            exchange.closing = True
             await exchange.refuse(_TOO_LARGE, 'the body is too large')
             return
         except TimeoutError:
             # Nothing was sent to an upstream, so a client may safely repeat
             # the request, as a 408 permits.
             exchange.closing = True
-            await exchange.refuse(_REQUEST_TIMEOUT, 'the body stands still')
+            await exchange.refuse(_REQUEST_TIMEOUT, 'the body is too slow')
             return
         received = ReceivedRequest(scope, terms, body, arrived)
         try:
@@ -174,7 +179,18 @@
             **exchange.detail,
         )
 
-    async def _read_body(self, receive: Receive) -> bytes:
+    async def _read_body(
+        self, receive: Receive, deadline: float | None
+    ) -> bytes:
+        """Read a body until it is complete.
+
+        :param deadline: seconds for which its client waits for the answer.
+        :raises TimeoutError: if it stands still, or takes longer than that.
+        """
+        async with asyncio.timeout(min(deadline or inf, MAX_BODY_SECONDS)):
+            return await self._collect_body(receive)
+
+    async def _collect_body(self, receive: Receive) -> bytes:
         table = self._context.configuration.table
         limits = table.configuration.limits if table else ClientLimits()
         chunks: list[bytes] = []
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_initial_sync.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_initial_sync.py
@@ -7,8 +7,8 @@
 from starlette.types import Receive
 
 from ryelatch_core.kernel import cancel_task
+from ryelatch_node.clients import wait_for_disconnect
 from ryelatch_node.relay._context import RelayContext
-from ryelatch_node.relay._disconnect import wait_for_disconnect
 from ryelatch_node.relay._errors import ClientGone
 
 MAX_WAIT_SECONDS = 1.2
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -16,6 +16,7 @@
 from ryelatch_core.events import catalogue
 from ryelatch_core.membership import compute_departure_bounds
 from ryelatch_core.routing import ClientLimits
+from ryelatch_node.clients import READ_BYTES, BoundedReader, MeasuredProtocol
 from ryelatch_node.listener import BACKLOG, bind_listener
 from ryelatch_node.ports import Address, SettingsChanged
 from ryelatch_node.relay._budget import (
@@ -26,7 +27,6 @@
 from ryelatch_node.relay._context import RelayContext
 from ryelatch_node.relay._ingress import Ingress
 from ryelatch_node.relay._metrics import RelayMetrics
-from ryelatch_node.relay._protocol import BoundedProtocol
 
 NOTICE_SECONDS = 3.0
 """Time for which a stopping node serves new requests at least.
@@ -81,6 +81,7 @@
         self._config: uvicorn.Config | None = None
         self._nodes = NODES_BEFORE_COUNT
         self._sockets: list[socket.socket] = []
+        self._read_buffer = bytearray(READ_BYTES)
         # Replaced by the bound addresses: the system chooses a port for 0.
         self.front = context.startup.front
         self.readiness = context.startup.readiness
@@ -137,11 +138,12 @@
 
     def apply_limits(self) -> None:
         """Apply the idle timeout of the configuration to connections."""
-        limits = self._read_limits()
-        if limits is not None and self._config is not None:
+        if self._config is not None:
             # Clients may reuse a connection until the limit. Rounding up
             # avoids that a connection is closed while a request arrives.
-            self._config.timeout_keep_alive = math.ceil(limits.idle_seconds)
+            self._config.timeout_keep_alive = math.ceil(
+                self._read_limits().idle_seconds
+            )
 
     def set_node_count(self, nodes: int) -> None:
         """Set this node's part of the load and of the retry budget.
@@ -206,19 +208,18 @@
         else:
             await self._internal_app(scope, receive, send)
 
-    def _make_protocol(
-        self, *arguments: Any, **options: Any
-    ) -> BoundedProtocol:
-        return BoundedProtocol(
+    def _make_protocol(self, *arguments: Any, **options: Any) -> BoundedReader:
+        protocol = MeasuredProtocol(
             *arguments,
             read_limits=self._read_limits,
             log=self._context.log,
             **options,
         )
+        return BoundedReader(protocol, self._read_buffer)
 
-    def _read_limits(self) -> ClientLimits | None:
+    def _read_limits(self) -> ClientLimits:
         table = self._context.configuration.table
-        return table.configuration.limits if table else None
+        return table.configuration.limits if table else ClientLimits()
 
     def _apply_budget(self) -> None:
         startup = self._context.startup
--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -20,6 +20,14 @@
     'idleTimeoutMs': 600,
 }
 _HEADER_START = b'POST /ping/x HTTP/1.1\r\nHost: city.example\r\n'
+_KEYED = b''.join(
+    (
+        _HEADER_START,
+        b'Api-Key: ward-1-key\r\n',
+        b'X-Ryelatch-Request-Id: r-1\r\n',
+        b'X-Ryelatch-Deadline-Ms: 1000\r\n',
+    )
+)
 
 
 async def _send(node: RunningNode, *parts: bytes) -> bytes:
@@ -116,3 +124,77 @@
         rest = b''.join(pieces)
         assert b'HTTP/1.1' not in rest
         assert not rest.endswith(b'0\r\n\r\n')
+
+
+async def _trickle(node: RunningNode, start: bytes, again: bytes) -> bytes:
+    """Send some bytes now and then until the node closes the connection."""
+    reader, writer = await asyncio.open_connection(*node.server.front)
+    writer.write(start)
+    reading = asyncio.create_task(reader.read())
+    async with asyncio.timeout(20):
+        while not reading.done():
+            await asyncio.sleep(0.1)
+            writer.write(again)
+    writer.transport.abort()
+    return reading.result()
+
+
+async def test_slow_body_is_refused_at_the_deadline() -> None:
+    """A byte of a body now and then holds a request for good."""
+    async with run_node(make_non_model_replicas(1), _configure()) as node:
+        start = b'%bContent-Length: 9000\r\n\r\n' % _KEYED
+        answer = await _trickle(node, start, b'x')
+        assert answer.startswith(b'HTTP/1.1 408 ')
+        assert not node.replicas['b-0'].runs
+
+
+async def test_rest_of_a_large_body_is_not_awaited() -> None:
+    """A client that is refused for its body goes on sending it."""
+    async with run_node(make_non_model_replicas(1), _configure()) as node:
+        start = b'%bTransfer-Encoding: chunked\r\n\r\n' % _KEYED
+        chunk = b'2000\r\n%b\r\n' % (b'x' * 0x2000)
+        answer = await _trickle(node, start, chunk)
+        assert answer.startswith(b'HTTP/1.1 413 ')
+        assert answer.count(b'HTTP/1.1') == 1
+
+
+async def test_empty_lines_keep_no_connection() -> None:
+    """An empty line after an answer takes the idle timer away."""
+    async with run_node(make_non_model_replicas(1), _configure()) as node:
+        start = b'%bContent-Length: 0\r\n\r\n' % _KEYED
+        answer = await _trickle(node, start, b'\r\n')
+        assert answer.startswith(b'HTTP/1.1 200 ')
+
+
+async def test_trailers_are_no_headers() -> None:
+    """A line behind a body is forwarded as a header."""
+    async with run_node(make_non_model_replicas(1), _configure()) as node:
+        start = b'%bTransfer-Encoding: chunked\r\n' % _KEYED
+        body = b'Connection: close\r\n\r\n1\r\nx\r\n0\r\nA: b\r\n\r\n'
+        answer = await _send(node, start, body)
+        assert answer.startswith(b'HTTP/1.1 200 ')
+        assert 'A' not in node.replicas['b-0'].runs[0].headers
+
+
+async def test_refused_client_can_read_why() -> None:
+    """The refusal is lost, as the connection is reset while bytes arrive."""
+    async with run_node(make_non_model_replicas(1), _configure()) as node:
+        start = b'%bX-Long: ' % _HEADER_START
+        answer = await _trickle(node, start, b'x' * 3000)
+        assert answer.startswith(b'HTTP/1.1 431 ')
+        assert answer.endswith(b'}')
+
+
+async def test_pipelined_requests_are_served_in_turn() -> None:
+    """Requests that arrive at once are lost, or answered in another order."""
+    async with run_node(make_non_model_replicas(1), _configure()) as node:
+        requests = [
+            b'%bContent-Length: 1' % _KEYED.replace(b'r-1', b'r-%d' % number)
+            for number in range(50)
+        ]
+        content = b'\r\n\r\nx'.join((*requests, b''))
+        last = b'%bConnection: close\r\nContent-Length: 0\r\n\r\n' % _KEYED
+        answer = await _send(node, content, last)
+        assert answer.count(b'HTTP/1.1 200 ') == 51
+        order = [run.identity for run in node.replicas['b-0'].runs]
+        assert order == [f'r-{number}' for number in range(50)] + ['r-1']
