Connections of clients share memory and descriptors

What callers saw: a node ran out of memory under requests that are legal one by one (bodies of 4 MB, heads of 3,000 lines, answers of 20 MB that nobody reads); and as long as a crowd held connections and did nothing, seven in eight ordinary callers were disconnected.

Cause: one and the same for both. Every bound was one connection's; no sum was kept anywhere, and a connection that does nothing cost as much as one that is served. The two sums are in one commit, as the same order of closing connections serves both.

- Descriptors: connections and requests in progress (each needs one more, to its upstream) use half of what the settings (`limits.maxFds`) and the system allow, but for a reserve.
Beyond that the connection is closed that has been without a whole request for longest.
Eight connections are accepted a turn, so that a caller is read before others could push it out; the event loop accepted all that waited, until it had no descriptor left and closed them unread.
- Memory: an estimate of what requests take (lines and text of heads, bodies, answers that are being written) is kept below two fifths of `limits.memoryMb`; large requests leave a quarter of that to small ones.
Beyond it a connection is closed that takes memory and has no whole request, then one whose client has read nothing for a second, and then the request is refused with 503 and Retry-After: it has not run.
- Long answers are written in slices as the client reads, and count until then.
A client that reads nothing for the idle timeout is disconnected; a close waits 5 s for it.

What was weighed: the resident memory as the measure (it stays high after a crowd, as the allocator keeps it, and would refuse for good); reserving a body's length ahead (fifteen connections that send nothing would take all room); refusing newcomers instead of closing idle connections (ordinary callers are newcomers).

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -152,6 +152,21 @@
     'forward-taken',
     'A request was received from a node that has lost its links.',
 )
+CONNECTION_EVICTED = EventKind(
+    1216,
+    'connection-evicted',
+    'The connection that had been without a request for longest was closed, as '
+    'others needed its descriptor or its memory.',
+    'If frequent, look for clients that open many connections.',
+    Level.WARNING,
+)
+CONNECTIONS_NOT_ACCEPTED = EventKind(
+    1217,
+    'connections-not-accepted',
+    'The system refused to accept a connection; the next try follows soon.',
+    'Compare the descriptors of the process with those of the settings.',
+    Level.ERROR,
+)
 SEND_WITHHELD = EventKind(
     1215,
     'send-withheld',
--- a/packages/ryelatch-node/src/ryelatch_node/ports/__init__.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/__init__.py
@@ -12,6 +12,8 @@
 from ryelatch_node.ports._leases import LeaseRecord, LeaseStore
 from ryelatch_node.ports._quarantine import QuarantineStore, StoreWriteResult
 from ryelatch_node.ports._startup import (
+    DEFAULT_MAX_FILES,
+    DEFAULT_MEMORY_BYTES,
     Address,
     NodeCountChanged,
     RelayStartup,
@@ -28,6 +30,8 @@
 )
 
 __all__ = [
+    'DEFAULT_MAX_FILES',
+    'DEFAULT_MEMORY_BYTES',
     'MAX_PARTS',
     'Address',
     'AnswerMetadata',
--- a/packages/ryelatch-node/src/ryelatch_node/ports/_startup.py
+++ b/packages/ryelatch-node/src/ryelatch_node/ports/_startup.py
@@ -3,6 +3,12 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+DEFAULT_MEMORY_BYTES = 300_000_000
+"""Memory of the process if the settings don't tell, that of a small VM."""
+
+DEFAULT_MAX_FILES = 4100
+"""Descriptors of the process if the settings don't tell."""
+
 
 class Address(NamedTuple):
     """Host and port on which a server listens."""
@@ -35,6 +41,8 @@
     :param fenced: whether upstreams refuse commands with old fencing numbers.
     :param fleet_admission: whether requests to services whose routes differ in
         priority need a place that is reserved over all nodes.
+    :param memory_bytes: memory that this VM gives the process.
+    :param max_files: descriptors that this VM lets the process open.
     """
 
     name: str
@@ -56,6 +64,8 @@
     stall_seconds: float
     fenced: bool
     fleet_admission: bool = False
+    memory_bytes: float = DEFAULT_MEMORY_BYTES
+    max_files: int = DEFAULT_MAX_FILES
 
 
 RESTART_ONLY = (
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -4,7 +4,6 @@
 import contextlib
 import math
 import socket
-from typing import Any
 
 import uvicorn
 from starlette.applications import Starlette
@@ -16,9 +15,19 @@
 from ryelatch_core.events import catalogue
 from ryelatch_core.membership import compute_departure_bounds
 from ryelatch_core.routing import ClientLimits
-from ryelatch_node.clients import READ_BYTES, BoundedReader, MeasuredProtocol
-from ryelatch_node.listener import BACKLOG, bind_listener
-from ryelatch_node.ports import Address, SettingsChanged
+from ryelatch_node.clients import (
+    Acceptor,
+    BoundedProtocol,
+    BoundedReader,
+    ClientResources,
+    ConnectionTable,
+    MemoryBudget,
+    compute_backlog,
+    compute_capacity,
+    compute_max_descriptors,
+)
+from ryelatch_node.listener import bind_listener
+from ryelatch_node.ports import Address, RelayStartup, SettingsChanged
 from ryelatch_node.relay._budget import (
     NODES_BEFORE_COUNT,
     RetryAllowance,
@@ -80,8 +89,8 @@
         self._server: uvicorn.Server | None = None
         self._config: uvicorn.Config | None = None
         self._nodes = NODES_BEFORE_COUNT
-        self._sockets: list[socket.socket] = []
-        self._read_buffer = bytearray(READ_BYTES)
+        self._acceptors: list[Acceptor] = []
+        self._resources = _make_resources(context)
         # Replaced by the bound addresses: the system chooses a port for 0.
         self.front = context.startup.front
         self.readiness = context.startup.readiness
@@ -93,6 +102,11 @@
             ]
         )
 
+    @property
+    def resources(self) -> ClientResources:
+        """What the connections of clients share."""
+        return self._resources
+
     @property
     def ready(self) -> bool:
         """Whether new clients should be sent here."""
@@ -111,39 +125,38 @@
             log_config=None,
             access_log=False,
             lifespan='off',
-            http=self._make_protocol,  # type: ignore[arg-type]
             interface='asgi3',
             ws='none',
             server_header=False,
             date_header=False,
-            backlog=BACKLOG,
         )
         config.load()
         startup = self._context.startup
-        self._sockets = [
+        sockets = [
             self._listener or bind_listener(*startup.front),
             bind_listener(*startup.readiness),
             bind_listener(*startup.metrics),
         ]
-        bound = [
-            Address(*listening.getsockname()) for listening in self._sockets
-        ]
+        bound = [Address(*listening.getsockname()) for listening in sockets]
         self.front = bound[0]
         self.readiness = bound[1]
         self.metrics = bound[2]
         self._config = config
         self._server = uvicorn.Server(config)
         self._server.lifespan = config.lifespan_class(config)
-        await self._server.startup(self._sockets)
+        await self._server.startup([])
+        for listening in sockets:
+            self._accept(listening)
 
-    def apply_limits(self) -> None:
-        """Apply the idle timeout of the configuration to connections."""
+    def check_clients(self) -> None:
+        """Apply the idle timeout to connections, and end those that hang."""
         if self._config is not None:
             # Clients may reuse a connection until the limit. Rounding up
             # avoids that a connection is closed while a request arrives.
             self._config.timeout_keep_alive = math.ceil(
                 self._read_limits().idle_seconds
             )
+        self._resources.connections.check()
 
     def set_node_count(self, nodes: int) -> None:
         """Set this node's part of the load and of the retry budget.
@@ -157,6 +170,7 @@
     def apply_settings(self, changed: SettingsChanged) -> None:
         """Apply settings that changed while this process runs."""
         self._context.startup = changed.startup
+        _apply_resources(self._resources, changed.startup)
         self._context.configuration.set_bound(changed.startup.revoke_seconds)
         self._context.replicas.freshness.bounds = compute_departure_bounds(
             changed.startup.drain_seconds, changed.startup.steady_seconds
@@ -196,9 +210,11 @@
         """Close all connections and listening sockets."""
         if self._server is None:
             return
+        for acceptor in self._acceptors:
+            acceptor.close()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(MARGIN_SECONDS / 2):
-                await self._server.shutdown(self._sockets)
+                await self._server.shutdown([])
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         if scope['type'] != 'http':
@@ -208,18 +224,36 @@
         else:
             await self._internal_app(scope, receive, send)
 
-    def _make_protocol(self, *arguments: Any, **options: Any) -> BoundedReader:
-        protocol = MeasuredProtocol(
-            *arguments,
-            read_limits=self._read_limits,
-            log=self._context.log,
-            **options,
+    def _accept(self, listening: socket.socket) -> None:
+        """Listen on a socket, and accept its connections."""
+        connections = self._resources.connections
+        listening.listen(compute_backlog(connections.max_descriptors))
+        acceptor = Acceptor(
+            listening, self._make_protocol, connections, self._record_unaccepted
+        )
+        acceptor.start()
+        self._acceptors.append(acceptor)
+
+    def _make_protocol(self) -> BoundedReader:
+        assert self._config is not None
+        assert self._server is not None
+        protocol = BoundedProtocol(
+            config=self._config,
+            server_state=self._server.server_state,
+            app_state={},
+            resources=self._resources,
+        )
+        return BoundedReader(protocol, self._resources.read_buffer)
+
+    def _record_unaccepted(self, error: OSError) -> None:
+        self._context.log.record(
+            catalogue.CONNECTIONS_NOT_ACCEPTED,
+            error=str(error),
+            connections=len(self._resources.connections),
         )
-        return BoundedReader(protocol, self._read_buffer)
 
     def _read_limits(self) -> ClientLimits:
-        table = self._context.configuration.table
-        return table.configuration.limits if table else ClientLimits()
+        return self._resources.read_limits()
 
     def _apply_budget(self) -> None:
         startup = self._context.startup
@@ -235,3 +269,29 @@
 
     async def _serve_metrics(self, request: Request) -> Response:
         return PlainTextResponse(self._relay_metrics.expose())
+
+
+def _make_resources(context: RelayContext) -> ClientResources:
+    """Make what all connections of clients share."""
+
+    def read_limits() -> ClientLimits:
+        table = context.configuration.table
+        return table.configuration.limits if table else ClientLimits()
+
+    connections = ConnectionTable(0, context.clock.monotonic)
+    resources = ClientResources(
+        connections,
+        MemoryBudget(0, connections.free_memory),
+        read_limits,
+        context.log,
+    )
+    _apply_resources(resources, context.startup)
+    return resources
+
+
+def _apply_resources(resources: ClientResources, startup: RelayStartup) -> None:
+    """Apply the memory and the descriptors of the settings."""
+    resources.connections.max_descriptors = compute_max_descriptors(
+        startup.max_files
+    )
+    resources.memory.capacity = compute_capacity(startup.memory_bytes)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -78,7 +78,7 @@
             self._context.forwarding.close_idle()
             self._context.configuration.allows_keys()
             self._context.replicas.freshness.check()
-            self._server.apply_limits()
+            self._server.check_clients()
             self._context.log.report_dropped()
             if (
                 self._context.clock.monotonic() - self._costs_recorded
@@ -146,6 +146,8 @@
             'requests_suspected': lambda: context.quarantine.count_suspects(),
             'retries_left': lambda: context.budgets.left,
             'log_lines_dropped': lambda: context.log.dropped,
+            'client_connections': lambda: len(server.resources.connections),
+            'client_memory_bytes': lambda: server.resources.memory.used,
         },
         context.usage,
     )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -45,6 +45,9 @@
 MAX_ERROR_BYTES = 1_048_576
 """Longest body of an error that a replica of the model answers with."""
 
+READ_BUFFER_BYTES = 16_384
+"""Bytes of an answer that wait for its client before its upstream has to."""
+
 _SKIPPED_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 _CONNECT_ERRORS = (
     aiohttp.ClientConnectorError,
@@ -361,6 +364,7 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             # An answer repeats the identity, which may be as long as a header.
             max_field_size=MAX_HEAD_BYTES,
+            read_bufsize=READ_BUFFER_BYTES,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
             ),
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ryelatch_node.ports import DEFAULT_MAX_FILES, DEFAULT_MEMORY_BYTES
 from ryelatch_platform import SettingsFileError, read_settings
 
 _GOOD = """
@@ -37,6 +38,18 @@
     assert not startup.fleet_admission
 
 
+def test_resources_are_read(tmp_path: Path) -> None:
+    """A node takes more than its VM has, or nothing where none is given."""
+    path = tmp_path / 'settings.toml'
+    path.write_text(f'{_GOOD}\n[limits]\nmemoryMb = 200\nmaxFds = 900\n')
+    startup = read_settings(path)
+    assert (startup.memory_bytes, startup.max_files) == (200_000_000, 900)
+    path.write_text(f'{_GOOD}\n[limits]\nmemoryMb = 0\nmaxFds = 0\n')
+    startup = read_settings(path)
+    assert startup.memory_bytes == DEFAULT_MEMORY_BYTES
+    assert startup.max_files == DEFAULT_MAX_FILES
+
+
 def test_admission_is_switched_on(tmp_path: Path) -> None:
     path = tmp_path / 'settings.toml'
     path.write_text(f'fleetAdmission = true\n{_GOOD}')
