Soak: crowds of clients that don't behave, beside ordinary ones

`--crowding`: twenty clients for each node, each of a kind that the seed draws from all phases of a connection, with a key of no account, amid the faults of the other series. No node may have more than its VM's memory, in any series.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -70,6 +70,11 @@
         help='with replicas in processes of their own, which are killed '
         'beside planned work',
     )
+    parser.add_argument(
+        '--crowding',
+        action='store_true',
+        help="with crowds of clients that don't behave",
+    )
     return parser.parse_args()
 
 
@@ -103,6 +108,7 @@
                 releasing=options.releasing,
                 leaving=options.leaving,
                 processes=options.killing,
+                crowding=options.crowding,
             )
         )
         failed += bool(outcome.violations)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,6 +8,7 @@
 from ryelatch_core.quarantine import make_part_key
 from soak.clients import Attempt, Clients
 from soak.crashing import CRASHING_KINDS, compute_digest, crashes_replicas
+from soak.crowding import check_memory
 from soak.leaving import check_leavers
 from soak.repeats import check_repeats
 from soak.streams import (
@@ -210,6 +211,7 @@
     check_revoked,
     check_leaving,
     check_processes,
+    check_memory,
     check_crashing,
     check_limit,
     check_leavers,
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -11,6 +11,7 @@
 from soak.checks import list_violations
 from soak.clients import Attempt, Clients
 from soak.crashing import CrashingClient
+from soak.crowding import open_crowds
 from soak.faults import Fault, inject_faults, list_faults
 from soak.killing import CLIENT_COUNT as KILLING_CLIENT_COUNT
 from soak.killing import KILLING_FAULTS
@@ -65,6 +66,7 @@
     releasing: bool = False,
     leaving: bool = False,
     processes: int = 0,
+    crowding: bool = False,
 ) -> Outcome:
     """Run one seed.
 
@@ -84,17 +86,22 @@
         cut off from all replicas.
     :param processes: number of replicas in processes of their own, which are
         killed beside planned work; 0 for none.
+    :param crowding: whether crowds of clients that don't behave come beside
+        the ordinary ones.
     """
     cutting = cutting or leaving
-    async with run_world(
-        seed,
-        folder,
-        cutting=cutting,
-        pausing=pausing,
-        releasing=releasing,
-        processes=processes,
-        ending=ending,
-    ) as world:
+    async with (
+        run_world(
+            seed,
+            folder,
+            cutting=cutting,
+            pausing=pausing,
+            releasing=releasing,
+            processes=processes,
+            ending=ending,
+        ) as world,
+        open_crowds(world, seed if crowding else None) as crowds,
+    ):
         clients = Clients(world)
         if releasing:
             clients.kinds = KINDS
@@ -128,6 +135,7 @@
         faults = await inject_faults(world, seconds, drawn)
         await revoking
         await throttled.stop()
+        await crowds.stop()
         await _wait_recovered(world)
         await leavers.stop()
         stop_clients.set()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -126,6 +126,14 @@
         """Whether its process runs."""
         return self.process is not None and self.process.poll() is None
 
+    def read_peak(self) -> int:
+        """Read the most memory that its process has had, in kB."""
+        if self.process is None or not self.is_running:
+            return 0
+        status = Path(f'/proc/{self.process.pid}/status').read_text()
+        _, _, rest = status.partition('VmHWM:')
+        return int(rest.split()[0])
+
     def start(self) -> None:
         """Start the process as the platform does."""
         self.started_at = time.monotonic()
--- a/tests/soak_tests/test_soak.py
+++ b/tests/soak_tests/test_soak.py
@@ -13,6 +13,7 @@
     CRASHING_PART_SEED,
     CRASHING_REGRESSIONS,
     CRASHING_SEED,
+    CROWDING_SEED,
     CUTTING_SEED,
     ENDING_SEED,
     KILLING_SECONDS,
@@ -127,6 +128,16 @@
     assert not outcome.violations
 
 
+async def test_crowds_break_no_promise(tmp_path: Path) -> None:
+    """Clients that don't behave end nodes, or cost others their answers.
+
+    They keep all phases of a connection busy, amid other faults.
+    """
+    outcome = await run_seed(CROWDING_SEED, CI_SECONDS, tmp_path, crowding=True)
+    assert outcome.faults
+    assert not outcome.violations
+
+
 @pytest.mark.parametrize('seed', KILLING_SEEDS)
 async def test_killed_processes_break_no_promise(
     seed: int, tmp_path: Path
--- a/tests/standins/crowd.py
+++ b/tests/standins/crowd.py
@@ -9,7 +9,7 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 _KEY = 'ward-1-key'
 _RETRY_SECONDS = 0.02
@@ -23,6 +23,9 @@
 _LINE_END = '\r\n'
 _HEAD_END = b'\r\n\r\n'
 
+Address = tuple[str, int]
+"""Host and port."""
+
 _Make = Callable[[str], bytes]
 """Makes bytes from a text that no other request has."""
 
@@ -214,11 +217,9 @@
     await asyncio.Event().wait()
 
 
-async def _connect(
-    behaviour: Behaviour, host: str, port: int, name: str
-) -> None:
+async def _connect(behaviour: Behaviour, address: Address, name: str) -> None:
     """Use one connection until it ends."""
-    reader, writer = await asyncio.open_connection(host, port, limit=2**17)
+    reader, writer = await asyncio.open_connection(*address, limit=2**17)
     if not behaviour.reads:
         # Without a transport that reads, nothing empties the socket.
         writer.transport.pause_reading()  # type: ignore[attr-defined]
@@ -239,11 +240,11 @@
 
 
 async def _run_client(
-    behaviour: Behaviour, host: str, port: int, name: str
+    behaviour: Behaviour, address: Address, name: str
 ) -> None:
     for number in itertools.count():
         with contextlib.suppress(OSError):
-            await _connect(behaviour, host, port, f'{name}-{number}')
+            await _connect(behaviour, address, f'{name}-{number}')
         await asyncio.sleep(_RETRY_SECONDS)
 
 
@@ -255,13 +256,27 @@
     return [KINDS[source.choice(sorted(KINDS))] for _ in range(count)]
 
 
+def use_key(behaviour: Behaviour, key: str) -> Behaviour:
+    """Let requests carry another key."""
+
+    def rewrite(make: _Make) -> _Make:
+        return lambda tag: make(tag).replace(_KEY.encode(), key.encode())
+
+    again = rewrite(behaviour.again) if behaviour.again else None
+    return replace(behaviour, first=rewrite(behaviour.first), again=again)
+
+
 async def _run(options: argparse.Namespace) -> None:
-    behaviours = choose_behaviours(options.kind, options.clients, options.seed)
+    behaviours = [
+        use_key(behaviour, options.key)
+        for behaviour in choose_behaviours(
+            options.kind, options.clients, options.seed
+        )
+    ]
+    address = options.host, options.port
     async with asyncio.TaskGroup() as group:
         for number, behaviour in enumerate(behaviours):
-            group.create_task(
-                _run_client(behaviour, options.host, options.port, f'c{number}')
-            )
+            group.create_task(_run_client(behaviour, address, f'c{number}'))
         print('READY', options.port, flush=True)
 
 
@@ -273,6 +288,7 @@
     parser.add_argument('--host')
     parser.add_argument('--port', type=int)
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--key', default=_KEY)
     asyncio.run(_run(parser.parse_args()))
 
 
