The product's own front has the bounds of connections too

What callers saw: the own front, which the platform doesn't start, had no bound but one on names and values of a whole header: a crowd of 100 that sends heads without end took 869 MB of a node, requests 400 a write or trailers up to 3,024 MB, and a connection that sends half a header stayed for good.

Cause: the bounds stood in the relay's protocol only. Both fronts now use the same one; the own front's limits are constants, and its connections are counted as they are opened, as its server accepts them itself.

Not tried: the same over TLS.

--- a/packages/ryelatch-node/src/ryelatch_node/clients/_measured.py
+++ b/packages/ryelatch-node/src/ryelatch_node/clients/_measured.py
@@ -12,7 +12,7 @@
 
 from starlette.types import Scope
 
-from ryelatch_core.events import LineLog, catalogue
+from ryelatch_core.events import catalogue
 from ryelatch_core.routing import ClientLimits
 from ryelatch_node.client_protocol import ClientProtocol
 from ryelatch_node.clients._departure import (
@@ -40,6 +40,7 @@
     piece is kept; the rest stays with the system, so that its client waits.
 
     :param read_limits: returns the limits that are in force.
+    :param record: writes an event with its details into the log.
     """
 
     flow: HeldFlow
@@ -49,12 +50,12 @@
         self,
         *arguments: Any,
         read_limits: Callable[[], ClientLimits],
-        log: LineLog,
+        record: Callable[..., object],
         **options: Any,
     ) -> None:
         super().__init__(*arguments, **options)
         self._read_limits = read_limits
-        self._log = log
+        self._record = record
         self._splitter = RequestSplitter()
         self._parts: list[bytes] = []
         self._timer = ConnectionTimer(self.loop)
@@ -180,7 +181,7 @@
 
     def record_refusal(self, status: HTTPStatus, reason: str) -> None:
         """Log that the client is refused."""
-        self._log.record(
+        self._record(
             catalogue.CALLER_REFUSED,
             status=f'{status.value} {status.phrase}',
             reason=reason,
--- a/packages/ryelatch-node/src/ryelatch_node/clients/_protocol.py
+++ b/packages/ryelatch-node/src/ryelatch_node/clients/_protocol.py
@@ -48,7 +48,7 @@
         super().__init__(
             *arguments,
             read_limits=resources.read_limits,
-            log=resources.log,
+            record=resources.record,
             **options,
         )
         self._connections = resources.connections
@@ -62,9 +62,12 @@
         self,
         transport: asyncio.Transport,  # type: ignore[override]
     ) -> None:
-        """Count the connection."""
+        """Count the connection, if there is room for it."""
         super().connection_made(transport)
-        self._connections.add(self)
+        if self._connections.make_room():
+            self._connections.add(self)
+        else:
+            transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Count it no more, and release what its requests took."""
@@ -133,7 +136,7 @@
 
     def evict(self) -> None:
         """Close the connection, as others need the room."""
-        self._log.record(
+        self._record(
             catalogue.CONNECTION_EVICTED,
             client=self.client,
             connections=len(self._connections),
--- a/packages/ryelatch-node/src/ryelatch_node/front/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/front/_service.py
@@ -14,13 +14,13 @@
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from ryelatch_core.events import Timeline, catalogue
-from ryelatch_core.kernel import App, Service
+from ryelatch_core.kernel import App, Service, cancel_task
 from ryelatch_core.outcomes import REQUEST_HEADER, Failure, Outcome
 from ryelatch_core.settings import Startup
 from ryelatch_node.answers import Answers
-from ryelatch_node.client_protocol import ClientProtocol
 from ryelatch_node.config import SettingsHolder
 from ryelatch_node.front import _admin as admin
+from ryelatch_node.front import _connections as connections
 from ryelatch_node.front._errors import CallerError, respond_failure
 from ryelatch_node.front._meter import Meter
 from ryelatch_node.front._model import list_models, serve_model
@@ -30,8 +30,6 @@
 from ryelatch_node.upstreams import Upstreams
 
 _UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE
-_KEEP_ALIVE_SECONDS = 30
-_BACKLOG = 4096
 _METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 _POLL_SECONDS = 0.02
 
@@ -50,6 +48,8 @@
         self._instance = uuid.uuid4().hex[:6]
         self._server: uvicorn.Server | None = None
         self._task: asyncio.Task[None] | None = None
+        self._checking: asyncio.Task[None] | None = None
+        self._resources = connections.make_resources(app)
 
     async def start(self) -> None:
         """Listen, and report to the load balancer that this node is ready."""
@@ -61,11 +61,11 @@
             log_config=None,
             access_log=False,
             lifespan='off',
-            http=ClientProtocol,
+            http=connections.make_factory(self._resources),  # type: ignore[arg-type]
             ws='none',
             server_header=False,
-            timeout_keep_alive=_KEEP_ALIVE_SECONDS,
-            backlog=_BACKLOG,
+            timeout_keep_alive=connections.IDLE_SECONDS,
+            backlog=connections.BACKLOG,
             ssl_certfile=tls.certificate if tls else None,
             ssl_keyfile=tls.key if tls else None,
         )
@@ -76,6 +76,9 @@
         listening = self._server.servers[0].sockets[0]
         self.port = listening.getsockname()[1]
         self._task = asyncio.create_task(self._server.main_loop())
+        self._checking = asyncio.create_task(
+            connections.check_connections(self._resources)
+        )
         self.ready = True
 
     async def drain(self) -> None:
@@ -101,6 +104,7 @@
             self._server.should_exit = True
             await self._task
             await self._server.shutdown()
+        await cancel_task(self._checking)
 
     def _build_application(self) -> Starlette:
         app = self._app
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -283,7 +283,7 @@
         connections,
         MemoryBudget(0, connections.free_memory),
         read_limits,
-        context.log,
+        context.log.record,
     )
     _apply_resources(resources, context.startup)
     return resources
