An upgrade with a body is refused

What callers saw: a request that offered another protocol and had a body ran without it, and its body was taken for the next request on the connection.

Cause: the parser ends a request with `Upgrade` at its header, as what follows would belong to the other protocol. No protocol is ever changed here. Without a body such a request is served as before; with one it is answered 400, as the parser can't be told to read on.

--- a/packages/ryelatch-node/src/ryelatch_node/clients/_answers.py
+++ b/packages/ryelatch-node/src/ryelatch_node/clients/_answers.py
@@ -20,11 +20,11 @@
     """Writes one answer, and counts its memory until the client has read it.
 
     :param charge: memory of the request.
-    :param abort: ends the connection if there is no room.
+    :param evict: closes the connection, if there is no room.
     """
 
     charge: Charge
-    abort: Callable[[], None]
+    evict: Callable[[], None]
 
     async def write(self, send: Send, message: Message) -> None:
         """Write a message, a long one in slices.
@@ -37,7 +37,7 @@
             return
         cost = ANSWER_COPIES * len(body)
         if not self.charge.grow(cost):
-            self.abort()
+            self.evict()
             return
         try:
             for piece in _slice(message, body):
--- a/packages/ryelatch-node/src/ryelatch_node/clients/_measured.py
+++ b/packages/ryelatch-node/src/ryelatch_node/clients/_measured.py
@@ -115,7 +115,11 @@
         self._timer.cancel()
         self._check_size()
         lengths = (int(text) for name, text in self.headers if name == _LENGTH)
-        self._splitter.end_head(next(lengths, 0))
+        body_bytes = next(lengths, 0)
+        if self.parser.should_upgrade() and self._has_body(body_bytes):
+            # The parser takes such a body for the next request.
+            self.reject(HTTPStatus.BAD_REQUEST, 'an upgrade with a body')
+        self._splitter.end_head(body_bytes)
         if self.is_over:
             return
         super().on_headers_complete()
@@ -213,6 +217,10 @@
                 'the header is too large',
             )
 
+    def _has_body(self, body_bytes: int) -> bool:
+        names = {name for name, _ in self.headers}
+        return body_bytes > 0 or b'transfer-encoding' in names
+
     def _hold(self) -> None:
         """Read nothing until the requests before are answered."""
         self.flow.hold()
--- a/packages/ryelatch-node/src/ryelatch_node/clients/_protocol.py
+++ b/packages/ryelatch-node/src/ryelatch_node/clients/_protocol.py
@@ -186,7 +186,7 @@
     def _make_counted(self, charge: Charge, app: ASGI3Application) -> ASGIApp:
         """Count a request while an application serves it."""
         self._connections.requests += 1
-        writer = AnswerWriter(charge, self.transport.abort)
+        writer = AnswerWriter(charge, self.evict)
 
         async def serve(scope: Scope, receive: Receive, send: Send) -> None:
             write = functools.partial(writer.write, send)
--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -198,3 +198,23 @@
         assert answer.count(b'HTTP/1.1 200 ') == 51
         order = [run.identity for run in node.replicas['b-0'].runs]
         assert order == [f'r-{number}' for number in range(50)] + ['r-1']
+
+
+async def test_body_of_an_upgrade_is_no_request() -> None:
+    """A request runs without its body, which is served as a request."""
+    async with run_node(make_non_model_replicas(1), _configure()) as node:
+        inner = b'%bConnection: close\r\nContent-Length: 0\r\n\r\n' % _KEYED
+        length = b'Content-Length: %d\r\n\r\n' % len(inner)
+        head = b'%bConnection: upgrade\r\nUpgrade: x\r\n' % _KEYED
+        answer = await _send(node, head, length, inner)
+        assert answer.startswith(b'HTTP/1.1 400 ')
+        assert answer.count(b'HTTP/1.1') == 1
+        assert not node.replicas['b-0'].runs
+
+
+async def test_upgrade_without_a_body_is_served() -> None:
+    """A client that offers another protocol is refused."""
+    async with run_node(make_non_model_replicas(1), _configure()) as node:
+        upgrade = b'%bConnection: upgrade, close\r\nUpgrade: x\r\n\r\n'
+        answer = await _send(node, upgrade % _KEYED)
+        assert answer.startswith(b'HTTP/1.1 200 ')
