--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import contextlib
+import socket
+
+import pytest
 
 from fleet.running import (
     RunningNode,
@@ -11,6 +14,7 @@
     make_request,
     run_node,
 )
+from ryelatch_node.clients import _measured
 from standins.replica import make_event
 
 _LIMITS = {
@@ -176,11 +180,19 @@
         assert 'A' not in node.replicas['b-0'].runs[0].headers
 
 
-async def test_refused_client_can_read_why() -> None:
+async def test_refused_client_can_read_why(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """The refusal is lost, as the connection is reset while bytes arrive."""
+    monkeypatch.setattr(_measured, 'LINGER_SECONDS', 20)
     async with run_node(make_non_model_replicas(1), _configure()) as node:
-        start = b'%bX-Long: ' % _HEADER_START
-        answer = await _trickle(node, start, b'x' * 3000)
+        loop = asyncio.get_running_loop()
+        with socket.create_connection(node.server.front) as client:
+            client.setblocking(False)
+            start = b'%bX-Long: ' % _HEADER_START
+            await loop.sock_sendall(client, b'%b%b' % (start, b'x' * 8_000_000))
+            async with asyncio.timeout(20):
+                answer = await loop.sock_recv(client, 2000)
         assert answer.startswith(b'HTTP/1.1 431 ')
         assert answer.endswith(b'}')
 
