Known red: two tests kept connections longer than clients may

What was seen, once each: ServerDisconnectedError in test_part_that_crashes_replicas_is_refused[0], and no answer to the last request of test_trickle_holds_no_connection.

Traced: the tests' client kept idle connections for 15 s where the node's idle timeout is 5 s; a request that is sent as the node closes crosses its close.

Ruled out before: that the node's timers run ahead of what has arrived (test_kept_connections, SIGSTOP for longer than the timeouts, green).

The clients of these tests, and of all nodes in the tests' process, keep connections for four fifths of the configured timeout now. The checks stay as they were.

--- a/tests/fleet/running.py
+++ b/tests/fleet/running.py
@@ -12,7 +12,7 @@
 from functools import partial
 from typing import Any
 
-from aiohttp import ClientSession, web
+from aiohttp import ClientSession, TCPConnector, web
 from aiohttp.web_protocol import RequestHandler
 
 from ryelatch_core.events import LineLog
@@ -27,6 +27,9 @@
 NON_MODEL_SERVICE = 'booking'
 KEY = 'ward-1-key'
 LAYERS = 8
+_KEPT_FRACTION = 0.8
+"""Part of the idle timeout for which clients keep a connection."""
+
 _SETTLING_SECONDS = 3
 """Time after which nodes that started together have counted each other.
 
@@ -158,6 +161,15 @@
     }
 
 
+def make_connector(configuration: dict[str, Any]) -> TCPConnector:
+    """Make the connections of a client that keeps them no longer than it may.
+
+    A request that it sends at the idle timeout crosses the node's close.
+    """
+    idle_ms = configuration['limits']['idleTimeoutMs']
+    return TCPConnector(keepalive_timeout=_KEPT_FRACTION * idle_ms / 1000)
+
+
 def make_once_configuration() -> dict[str, Any]:
     """Make a configuration with a stream that may run once only."""
     configuration = make_configuration()
@@ -254,10 +266,13 @@
     :param changes: start-up settings in which it differs from the default.
     """
     store = ObjectStore()
-    store.put('config', 'main', configuration or make_configuration())
+    configuration = configuration or make_configuration()
+    store.put('config', 'main', configuration)
     runner, port = await serve_app(store.make_app())
     startup = make_startup(port)._replace(**changes)
-    async with ClientSession(auto_decompress=False) as http:
+    async with ClientSession(
+        connector=make_connector(configuration), auto_decompress=False
+    ) as http:
         node = _make_node(store, {}, startup, http)
         node.runners.append(runner)
         try:
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -16,6 +16,7 @@
     LAYERS,
     MODEL_SERVICE,
     make_configuration,
+    make_connector,
     make_non_model_replicas,
     make_route,
     serve_app,
@@ -117,7 +118,8 @@
     store.put('servers', 'spoiled-0', _make_entry(service, spoiled.address))
     node = await start_node('node-a', f'127.0.0.1:{port}', folder)
     timeout = ClientTimeout(total=_CLIENT_SECONDS)
-    async with ClientSession(timeout=timeout) as http:
+    connector = make_connector(_make_configuration())
+    async with ClientSession(connector=connector, timeout=timeout) as http:
         try:
             await wait_ready(http, node)
             yield _Running(node, http)
