A request without room is refused, also if it is the oldest one

What a caller would have seen: its connection closed without an answer where all other connections were served: a request that needed memory or a descriptor could close its own connection to make room.

The connection that needs room is no candidate any more; if it has been without a whole request for longest, it is refused.

--- a/packages/ryelatch-node/src/ryelatch_node/clients/_connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/clients/_connections.py
@@ -15,9 +15,11 @@
 _MAX_FILES_RESERVE = 200
 """Descriptors for files, listening sockets, the store and other nodes."""
 
-_DESCRIPTORS_PER_REQUEST = 2
-"""A connection of a client, and one to the upstream that serves it."""
+_CLIENT_FRACTION = 0.5
+"""Part of the other descriptors for clients and their requests.
 
+The rest is for connections that are kept to upstreams, or about to be closed.
+"""
 
 STUCK_SECONDS = 1.0
 """Time without reading after which a client's connection makes room."""
@@ -50,7 +52,7 @@
     allowed = max_files if soft == resource.RLIM_INFINITY else soft
     allowed = min(max_files, allowed)
     reserve = min(_MAX_FILES_RESERVE, int(allowed * _FILES_FRACTION))
-    return (allowed - reserve) // _DESCRIPTORS_PER_REQUEST
+    return int((allowed - reserve) * _CLIENT_FRACTION)
 
 
 def compute_backlog(max_descriptors: int) -> int:
@@ -122,13 +124,16 @@
                 return False
         return True
 
-    def free_memory(self) -> bool:
+    def free_memory(self, owner: object) -> bool:
         """Close a connection that takes memory and isn't served.
 
-        :returns: whether there was one.
+        :param owner: the connection that needs it.
+        :returns: whether there was one; not if the owner itself has been
+            without a whole request for longest.
         """
         incomplete = (each for each in self._waiting if each.taken)
-        return self._evict(next(incomplete, None))
+        oldest = next(incomplete, None)
+        return oldest is not owner and self._evict(oldest)
 
     def check(self) -> None:
         """Close the connections that have stood still for too long."""
--- a/packages/ryelatch-node/src/ryelatch_node/clients/_memory.py
+++ b/packages/ryelatch-node/src/ryelatch_node/clients/_memory.py
@@ -28,25 +28,30 @@
     """Counts the estimated memory of all requests of clients.
 
     :param capacity: bytes that they may take together.
-    :param make_room: called when they take it; closes a connection whose
-        charges are thereby released, and returns whether there was one.
+    :param make_room: called when they take it, with the owner of the request
+        that needs more; closes another connection, whose charges are thereby
+        released, and returns whether there was one.
     :ivar used: bytes at present.
     """
 
     def __init__(
-        self, capacity: int, make_room: Callable[[], bool] = bool
+        self, capacity: int, make_room: Callable[[object], bool] | None = None
     ) -> None:
         self.capacity = capacity
         self.used = 0
         self._make_room = make_room
 
-    def open_charge(self) -> 'Charge':
-        """Begin to count the memory of another request."""
-        return Charge(self)
+    def open_charge(self, owner: object = None) -> 'Charge':
+        """Begin to count the memory of another request.
 
-    def find_room(self, size: int, total: int) -> bool:
+        :param owner: its connection.
+        """
+        return Charge(self, owner)
+
+    def find_room(self, owner: object, size: int, total: int) -> bool:
         """Find room for more of a request, if need be by closing connections.
 
+        :param owner: its connection.
         :param size: bytes by which it grows.
         :param total: bytes that it takes then.
         """
@@ -54,7 +59,7 @@
         if total > SMALL_BYTES:
             bound *= LARGE_FRACTION
         while self.used + size > bound:
-            if not self._make_room():
+            if self._make_room is None or not self._make_room(owner):
                 return False
         return True
 
@@ -66,10 +71,11 @@
     :ivar released: whether the request is over; it takes no more then.
     """
 
-    def __init__(self, budget: MemoryBudget) -> None:
+    def __init__(self, budget: MemoryBudget, owner: object) -> None:
         self.size = 0
         self.released = False
         self._budget = budget
+        self._owner = owner
 
     def grow(self, size: int) -> bool:
         """Count more memory, if there is room for it.
@@ -79,10 +85,7 @@
         """
         if self.released:
             return False
-        if not self._budget.find_room(size, self.size + size):
-            return False
-        # Making room may have closed the connection of this request.
-        if self.released:
+        if not self._budget.find_room(self._owner, size, self.size + size):
             return False
         self.size += size
         self._budget.used += size
--- a/packages/ryelatch-node/src/ryelatch_node/clients/_protocol.py
+++ b/packages/ryelatch-node/src/ryelatch_node/clients/_protocol.py
@@ -25,7 +25,7 @@
 """Estimated memory of a header line, besides its text."""
 
 TEXT_COPIES = 3
-"""Copies of the text of a header line: received, decoded, sent."""
+"""Copies of the text of a path or header line: received, decoded, sent."""
 
 BODY_COPIES = 2
 """Copies of a body: in parts as they were received, and whole."""
@@ -53,7 +53,7 @@
         )
         self._connections = resources.connections
         self._memory = resources.memory
-        self._receiving = resources.memory.open_charge()
+        self._receiving = resources.memory.open_charge(self)
         self._received: deque[Charge] = deque()
         self._uncharged = 0
         self._stillness = StillnessMeter(self._connections.now())
@@ -95,7 +95,12 @@
         """Begin to count the memory of a request."""
         super().on_message_begin()
         self._uncharged = 0
-        self._receiving = self._memory.open_charge()
+        self._receiving = self._memory.open_charge(self)
+
+    def on_url(self, url: bytes) -> None:
+        """Count the memory of a part of the path."""
+        super().on_url(url)
+        self._uncharged += TEXT_COPIES * len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Count the memory of a line."""
@@ -174,6 +179,8 @@
         self, cycle: RequestResponseCycle, app: ASGI3Application
     ) -> None:
         charge = self._received.popleft()
+        # Whoever needs room doesn't make it for itself.
+        self._connections.record_serving(self, serving=True)
         serve: ASGIApp
         if self._connections.make_room() and charge.grow(REQUEST_BYTES):
             serve = self._make_counted(charge, app)
@@ -182,6 +189,7 @@
             self.record_refusal(_OVERLOADED, NO_ROOM)
             serve = make_refusing_app(_OVERLOADED, NO_ROOM)
         super()._start_asgi_task(cycle, serve)  # type: ignore[arg-type]
+        self._update_serving()
 
     def _make_counted(self, charge: Charge, app: ASGI3Application) -> ASGIApp:
         """Count a request while an application serves it."""
--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -13,8 +13,10 @@
     make_non_model_replicas,
     make_request,
     run_node,
+    wait_until,
 )
 from ryelatch_node.clients import _measured
+from ryelatch_node.clients._protocol import REQUEST_BYTES
 from standins.replica import make_event
 
 _LIMITS = {
@@ -230,3 +232,46 @@
         upgrade = b'%bConnection: upgrade, close\r\nUpgrade: x\r\n\r\n'
         answer = await _send(node, upgrade % _KEYED)
         assert answer.startswith(b'HTTP/1.1 200 ')
+
+
+@pytest.mark.parametrize(
+    'start',
+    [
+        _KEYED.replace(b'/ping/x', b'/ping/%b' % (b'x' * 1500)),
+        b'%bA: %b\r\n' % (_KEYED, b'x' * 1500),
+        b'%b%b' % (_KEYED, b'a:\r\n' * 100),
+    ],
+    ids=['path', 'value', 'lines'],
+)
+async def test_request_without_room_is_refused(start: bytes) -> None:
+    """Requests that are small one by one take more memory than there is."""
+    async with run_node(make_non_model_replicas(1), _configure()) as node:
+        content = b'%bConnection: close\r\nContent-Length: 0\r\n\r\n'
+        resources = node.server.resources
+        resources.memory.capacity = REQUEST_BYTES + 6000
+        answer = await _send(node, content % _KEYED)
+        assert answer.startswith(b'HTTP/1.1 200 ')
+        answer = await _send(node, content % start)
+        assert answer.startswith(b'HTTP/1.1 503 ')
+        assert b'retry-after: ' in answer
+        assert len(node.replicas['b-0'].runs) == 1
+        await wait_until(lambda: not resources.memory.used)
+
+
+async def test_idle_connections_make_room() -> None:
+    """A caller is disconnected, as others hold all descriptors."""
+    limits = {**_LIMITS, 'idleTimeoutMs': 20_000, 'headerTimeoutMs': 20_000}
+    async with run_node(
+        make_non_model_replicas(1),
+        make_configuration(limits=limits),
+        max_files=40,
+    ) as node:
+        opened = [
+            await asyncio.open_connection(*node.server.front) for _ in range(40)
+        ]
+        content = b'%bConnection: close\r\nContent-Length: 0\r\n\r\n' % _KEYED
+        assert (await _send(node, content)).startswith(b'HTTP/1.1 200 ')
+        assert node.count('connection-evicted') >= 40 - 15
+        assert len(node.server.resources.connections) <= 15
+        for _, writer in opened:
+            writer.transport.abort()
