Connections to the port for nodes make room until they send a frame

What callers saw: with 300 descriptors, 400 connections to the port for other nodes that send nothing took them all, and every request was answered 503, as no connection to an upstream could be opened.

Cause: that port had no bound on connections and no timer for the first frame; the sum over clients' connections doesn't count there.

Nodes send a frame as they connect. Connections that have sent a frame are peers and stay.

Red before: 503 for the first request, when the case was run by itself; in one run of all nine cases, three at a time, it had passed. After: 9 of 9 cases of other ports, run by themselves. At readiness and metrics the six cases were green at once, as they have the protocol of clients.

--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_server.py
@@ -36,6 +36,10 @@
     ReachReply,
     ReachRequest,
 )
+from ryelatch_node.peer_sync._newcomers import (
+    FIRST_FRAME_SECONDS,
+    Newcomers,
+)
 from ryelatch_node.peer_sync._watch_cache import (
     STORE_HEALTHY,
     UNKNOWN_AGE_SECONDS,
@@ -133,6 +137,7 @@
         connections to replicas, or forward requests.
     :param last_watched: when a peer last requested a watch that it could have
         sent to the store, in monotonic seconds.
+    :param newcomers: connections without a first frame.
     """
 
     clock: Clock
@@ -156,6 +161,7 @@
     serve_forwarded: ServeForwarded = _reject_forwarded
     list_hosts: Callable[[], frozenset[str]] = _knows_no_host
     last_watched: float = NEVER
+    newcomers: Newcomers = field(default_factory=Newcomers)
     _tasks: set['asyncio.Task[None]'] = field(default_factory=set)
     _incoming: IncomingFrames = field(default_factory=IncomingFrames)
 
@@ -169,8 +175,12 @@
         assert task is not None
         self._tasks.add(task)
         try:
+            with self.newcomers.admit(writer):
+                async with asyncio.timeout(FIRST_FRAME_SECONDS):
+                    body = await self._incoming.read_body(reader)
             while True:
-                await self._serve_request(reader, writer)
+                await self._serve_request(body, reader, writer)
+                body = await self._incoming.read_body(reader)
         except REQUEST_ERRORS:
             # The connection is lost, or the sender is not a peer. A peer
             # retries, or sends its request to the store.
@@ -192,10 +202,10 @@
 
     async def _serve_request(
         self,
+        body: bytes,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        body = await self._incoming.read_body(reader)
         request = msgspec.msgpack.decode(body, type=_AnyRequest)
         match request:
             case SessionRequest():
--- a/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/peer_sync/_service.py
@@ -121,6 +121,7 @@
             self._accept_nodes,
             lambda era: self.accept_era(era),
         )
+        self.server.newcomers.set_descriptors(self.startup.max_files)
         self.server.handle_message = self.bootstrap_client.handle_message
         self.server.list_hosts = self._list_hosts
         self.initial_sources = InitialSources(
--- a/tests/platform/test_bad_clients.py
+++ b/tests/platform/test_bad_clients.py
@@ -15,7 +15,13 @@
 from fleet.node_processes import NodeProcess, start_node, wait_ready
 from fleet.processes import Process, spawn
 from fleet.running import make_configuration, make_route, serve_app, wait_until
-from standins.crowd import KINDS, make_body_request, make_names, make_request
+from standins.crowd import (
+    KINDS,
+    Address,
+    make_body_request,
+    make_names,
+    make_request,
+)
 from standins.objects import ObjectStore
 from standins.raw_replica import RawReplica
 
@@ -74,6 +80,9 @@
 )
 """Kinds and numbers of clients."""
 
+_OTHER_PORTS = (8220, 9464, 9465)
+"""Ports for readiness, metrics and other nodes."""
+
 _HOLDING = ('nothing', 'unfinished head', 'slow head', 'slow bodies')
 """Kinds that hold connections, and cost a node nothing else."""
 
@@ -176,12 +185,12 @@
 
 @contextlib.asynccontextmanager
 async def _run_crowd(
-    running: _Running, kind: str, clients: int, seed: int = 1
+    running: _Running, kind: str, clients: int, seed: int = 1, port: int = 8227
 ) -> AsyncIterator[None]:
     """Run a crowd in a process of its own until the block is left."""
     crowd = await spawn(
         'crowd',
-        _make_command(kind, clients, running.node.host, seed),
+        _make_command(kind, clients, (running.node.host, port), seed),
     )
     try:
         await _wait_started(crowd)
@@ -190,12 +199,15 @@
         await crowd.kill()
 
 
-def _make_command(kind: str, clients: int, host: str, seed: int) -> list[str]:
+def _make_command(
+    kind: str, clients: int, address: Address, seed: int
+) -> list[str]:
+    host, port = address
     options = {
         '--kind': kind,
         '--clients': str(clients),
         '--host': host,
-        '--port': '8227',
+        '--port': str(port),
         '--seed': str(seed),
     }
     pairs = [text for pair in options.items() for text in pair]
@@ -242,6 +254,24 @@
         assert await running.send(make_request('r-last')) == 200
 
 
+@pytest.mark.parametrize('kind', ['nothing', 'unfinished head', 'endless head'])
+@pytest.mark.parametrize('port', _OTHER_PORTS)
+async def test_crowd_at_another_port_stops_no_node(
+    port: int, kind: str, tmp_path: Path
+) -> None:
+    """Connections at ports that aren't for clients take all descriptors."""
+    async with _run(tmp_path, _FEW_FILES) as running:
+        before = running.node.count_files()
+        async with _run_crowd(running, kind, _FEW_FILES + 100, port=port):
+            await asyncio.sleep(1)
+            for number in range(8):
+                assert await running.send(make_request(f'r-{number}')) == 200
+                await asyncio.sleep(0.5)
+        running.check_alive()
+        await running.wait_for_files(before + _MAX_KEPT_FILES)
+        assert await running.send(make_request('r-last')) == 200
+
+
 @pytest.mark.parametrize('kind', KINDS)
 async def test_crowd_has_more_clients_than_descriptors(
     kind: str, tmp_path: Path
