--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -163,7 +163,7 @@
 CONNECTIONS_NOT_ACCEPTED = EventKind(
     1217,
     'connections-not-accepted',
-    'The system refused to accept a connection; the next try follows soon.',
+    'A connection was not accepted, as the error says.',
     'Compare the descriptors of the process with those of the settings.',
     Level.ERROR,
 )
--- a/packages/ryelatch-node/src/ryelatch_node/clients/_acceptor.py
+++ b/packages/ryelatch-node/src/ryelatch_node/clients/_acceptor.py
@@ -21,8 +21,8 @@
     """Accepts connections at a listening socket.
 
     :param make_protocol: makes the protocol of a connection.
-    :param on_error: called with an error of the system, such as a lack of
-        descriptors.
+    :param on_error: called with the reason why a connection isn't accepted,
+        such as a lack of descriptors.
     """
 
     def __init__(
@@ -63,8 +63,9 @@
             if self._connections.make_room():
                 self._open(accepted)
             else:
-                # All others are being served. The client is told at once.
+                # Its client can try another node at once.
                 accepted.close()
+                self._on_error(OSError('all connections are being served'))
 
     def _open(self, accepted: socket.socket) -> None:
         accepted.setblocking(False)
