--- a/tests/platform/test_withheld_sends.py
+++ b/tests/platform/test_withheld_sends.py
@@ -20,13 +20,13 @@
     run_node,
     wait_until,
 )
+from ryelatch_node.clients import _departure
 from ryelatch_node.forwarding import ForwardClient
 from ryelatch_node.links import Links
 from ryelatch_node.relay import (
     _forward_server,
     _model,
     _non_model,
-    _protocol,
     _upstream,
 )
 from soak.links import LinkMode
@@ -110,7 +110,7 @@
     replicas = _make_replicas()
     departure = _Departure()
     async with run_node(replicas) as node:
-        monkeypatch.setattr(_protocol, 'has_ended', departure.has_left)
+        monkeypatch.setattr(_departure, 'has_ended', departure.has_left)
         waiting = departure.follow(getattr(owner, name))
         monkeypatch.setattr(owner, name, waiting)
         await _ask(node, path)
@@ -140,7 +140,7 @@
         return any(replica.runs or replica.refusals for replica in replicas)
 
     async with run_node(replicas) as node:
-        monkeypatch.setattr(_protocol, 'has_ended', has_arrived)
+        monkeypatch.setattr(_departure, 'has_ended', has_arrived)
         await _ask(node, path)
         refusals = sum(len(replica.refusals) for replica in replicas)
         assert _count_runs(replicas) + refusals == 1
@@ -159,7 +159,7 @@
     async with run_linked_nodes(_make_replicas(), 2) as nodes:
         nodes[0].cut(LinkMode.REFUSING)
         await discover_cut(nodes[0], 'first')
-        monkeypatch.setattr(_protocol, 'has_ended', departure.has_left)
+        monkeypatch.setattr(_departure, 'has_ended', departure.has_left)
         waiting = departure.follow(getattr(owner, name))
         monkeypatch.setattr(owner, name, waiting)
         await _ask(nodes[0].node, path)
