One timer looks for the end of a connection that isn't read

What callers would have seen: a node slowed down by a client that sends requests behind each other, for as long as it does. Found by reading: each request that waited began another series of looks, five a second, and none ended while the next request waited already.

A look that is scheduled already isn't scheduled again.

--- a/packages/ryelatch-node/src/ryelatch_node/clients/_departure.py
+++ b/packages/ryelatch-node/src/ryelatch_node/clients/_departure.py
@@ -52,11 +52,16 @@
     loop: asyncio.AbstractEventLoop
     transport: asyncio.Transport
     flow: HeldFlow
+    _is_scheduled: bool = False
 
     def look(self) -> None:
-        """Look now and then until the connection is read again."""
-        if self.flow.read_paused and not self.has_left():
-            self.loop.call_later(DEPARTURE_CHECK_SECONDS, self.look)
+        """Look now and then until the connection is read again.
+
+        It is held again with each request that waits, so this may be called
+        many times meanwhile.
+        """
+        if not self._is_scheduled:
+            self._look()
 
     def has_left(self) -> bool:
         """Close the connection if its client has.
@@ -67,3 +72,8 @@
             return False
         self.transport.close()
         return True
+
+    def _look(self) -> None:
+        self._is_scheduled = self.flow.read_paused and not self.has_left()
+        if self._is_scheduled:
+            self.loop.call_later(DEPARTURE_CHECK_SECONDS, self._look)
