Answers that nobody reads hold less, and count sooner

What was seen: 1,000 clients that read nothing of answers of 20 MB took 532 MB of a node, 4,000 of them 440 to 490, where 300 may be (100 stay below).

Cause: what has arrived of such an answer was counted as it was written, if it was long. Before that, and behind a short piece, up to 256 kB an answer wait in the HTTP client, as the event loop reads as much at once; 64 KiB more were written ahead for each client.

A connection to an upstream has a window of 32 KiB, 16 KiB are written ahead, slices are 32 KiB, and an answer counts 256 KiB as soon as its client is behind.

--- a/packages/ryelatch-node/src/ryelatch_node/clients/_answers.py
+++ b/packages/ryelatch-node/src/ryelatch_node/clients/_answers.py
@@ -8,22 +8,27 @@
 
 from ryelatch_node.clients._memory import Charge
 
-SLICE_BYTES = 65_536
+SLICE_BYTES = 32_768
 """Bytes of an answer that are given to the system at once."""
 
 ANSWER_COPIES = 2
 """Parts of an answer in memory: one is written, another one has arrived."""
 
+UNREAD_BYTES = 262_144
+"""What has arrived of an answer at most while its client reads nothing."""
+
 
 @dataclass(eq=False)
 class AnswerWriter:
     """Writes one answer, and counts its memory until the client has read it.
 
     :param charge: memory of the request.
+    :param is_unread: whether the client has left too much of it unread.
     :param evict: closes the connection, if there is no room.
     """
 
     charge: Charge
+    is_unread: Callable[[], bool]
     evict: Callable[[], None]
 
     async def write(self, send: Send, message: Message) -> None:
@@ -32,10 +37,14 @@
         :param send: waits until the client has read most of what was written.
         """
         body = message.get('body', b'')
-        if len(body) <= SLICE_BYTES:
+        cost = 0
+        if len(body) > SLICE_BYTES:
+            cost = ANSWER_COPIES * len(body)
+        elif body and self.is_unread():
+            cost = UNREAD_BYTES
+        if not cost:
             await send(message)
             return
-        cost = ANSWER_COPIES * len(body)
         if not self.charge.grow(cost):
             self.evict()
             return
--- a/packages/ryelatch-node/src/ryelatch_node/clients/_protocol.py
+++ b/packages/ryelatch-node/src/ryelatch_node/clients/_protocol.py
@@ -30,6 +30,9 @@
 BODY_COPIES = 2
 """Copies of a body: in parts as they were received, and whole."""
 
+UNSENT_BYTES = 16_384
+"""Bytes of an answer that wait for the client before the answer has to."""
+
 SLACK_SECONDS = 1.0
 """Time after which a timer is taken to be missing."""
 
@@ -64,6 +67,7 @@
     ) -> None:
         """Count the connection, if there is room for it."""
         super().connection_made(transport)
+        transport.set_write_buffer_limits(high=UNSENT_BYTES)
         if self._connections.make_room():
             self._connections.add(self)
         else:
@@ -197,7 +201,9 @@
     def _make_counted(self, charge: Charge, app: ASGI3Application) -> ASGIApp:
         """Count a request while an application serves it."""
         self._connections.requests += 1
-        writer = AnswerWriter(charge, self.evict)
+        writer = AnswerWriter(
+            charge, lambda: self.flow.write_paused, self.evict
+        )
 
         async def serve(scope: Scope, receive: Receive, send: Send) -> None:
             write = functools.partial(writer.write, send)
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextvars
 import itertools
+import socket
 from collections import defaultdict
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
@@ -12,7 +13,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.connector import Connection
+from aiohttp.connector import AddrInfoType, Connection
 from yarl import URL
 
 from ryelatch_core.fleet import Replica
@@ -48,6 +49,12 @@
 READ_BUFFER_BYTES = 16_384
 """Bytes of an answer that wait for its client before its upstream has to."""
 
+WINDOW_BYTES = 16_384
+"""Bytes that an upstream may send ahead; the system allows twice as many.
+
+They are read at once, for all answers whose clients read nothing.
+"""
+
 _SKIPPED_HEADERS = ('Accept', 'Accept-Encoding', 'Content-Type', 'User-Agent')
 _CONNECT_ERRORS = (
     aiohttp.ClientConnectorError,
@@ -93,7 +100,7 @@
     def __init__(
         self, on_connected: ContactHook, on_failed: ContactHook, **options: Any
     ) -> None:
-        super().__init__(limit=0, **options)
+        super().__init__(limit=0, socket_factory=_open_socket, **options)
         self._on_connected = on_connected
         self._on_failed = on_failed
         self._connecting: dict[str, set[asyncio.Timeout]] = defaultdict(set)
@@ -410,6 +417,13 @@
         )
 
 
+def _open_socket(address: AddrInfoType) -> socket.socket:
+    """Open a socket on which little waits to be read."""
+    opened = socket.socket(*address[:3])
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+    return opened
+
+
 def _make_error(error: Exception) -> SendError:
     if isinstance(error, EndlessAnswer):
         return SendError(SendErrorKind.INVALID, str(error))
--- a/tests/node/clients/test_answers.py
+++ b/tests/node/clients/test_answers.py
@@ -3,13 +3,17 @@
 from starlette.types import Message
 
 from ryelatch_node.clients import MemoryBudget
-from ryelatch_node.clients._answers import SLICE_BYTES, AnswerWriter
+from ryelatch_node.clients._answers import (
+    SLICE_BYTES,
+    UNREAD_BYTES,
+    AnswerWriter,
+)
 
 _LONG = bytes(3 * SLICE_BYTES + 1)
 
 
 async def _write(
-    budget: MemoryBudget, message: Message
+    budget: MemoryBudget, message: Message, *, unread: bool = False
 ) -> tuple[list[Message], list[int], bool]:
     """Write a message.
 
@@ -24,7 +28,7 @@
         counted.append(budget.used)
 
     charge = budget.open_charge()
-    writer = AnswerWriter(charge, lambda: aborted.append(True))
+    writer = AnswerWriter(charge, lambda: unread, lambda: aborted.append(True))
     await writer.write(send, message)
     assert budget.used == 0
     return sent, counted, bool(aborted)
@@ -64,3 +68,16 @@
     sent, _, aborted = await _write(MemoryBudget(0), message)
     assert sent == [message]
     assert not aborted
+
+
+async def test_short_part_counts_while_nobody_reads() -> None:
+    """Behind a short part that is unread, more arrives that nobody counts."""
+    message = {'type': 'http.response.body', 'body': b'x', 'more_body': True}
+    budget = MemoryBudget(10 * UNREAD_BYTES)
+    sent, counted, aborted = await _write(budget, message, unread=True)
+    assert [piece['body'] for piece in sent] == [b'x']
+    assert counted == [UNREAD_BYTES]
+    assert not aborted
+    sent, _, aborted = await _write(MemoryBudget(1000), message, unread=True)
+    assert aborted
+    assert not sent
--- a/tests/platform/test_bad_clients.py
+++ b/tests/platform/test_bad_clients.py
@@ -75,6 +75,8 @@
     ('chunk extension', 60),
     ('trailers', 60),
     ('unread answers', 100),
+    ('unread answers', 1000),
+    ('unread answers', 4000),
     ('unread short answers', 100),
     ('paths', 60),
     ('identities', 60),
