--- a/review/test_cases_2.py
+++ b/review/test_cases_2.py
@@ -10,7 +10,7 @@
 import pytest
 
 
-@pytest.mark.parametrize('case', ['4', '5', '6', '7'])
+@pytest.mark.parametrize('case', ['4', '5', '6', '7', '8'])
 def test_case(case: str) -> None:
     """A rule of the users' pages is broken; `claim.txt` says which and how."""
     script = Path(__file__).parent / case / 'run.sh'
