Soak: clients that leave end though a cancellation is lost

A cancellation that meets the total time limit of a request is taken back by the two nested timers of the HTTP client, and `Clients.send` takes it for a timeout; the client's `while True` then went on for ever.

The clients now end by a flag that is set before the cancellation, so it doesn't matter whether that arrives. Ruled out: the other tasks that a soak cancels (crashing, throttling) send no request with a limit as short as when they are stopped, or end by another condition.

--- a/tests/soak/leaving.py
+++ b/tests/soak/leaving.py
@@ -58,6 +58,7 @@
     clients: Clients
     random_source: random.Random
     _tasks: list['asyncio.Task[None]'] = field(default_factory=list)
+    _stopping: bool = False
 
     def start(self) -> None:
         """Start sending."""
@@ -67,14 +68,19 @@
         ]
 
     async def stop(self) -> None:
-        """Stop sending."""
+        """Stop sending.
+
+        A cancellation that meets the end of a request's time is lost in the
+        HTTP client; the client that goes on then ends by the flag.
+        """
+        self._stopping = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _send_repeatedly(self) -> None:
         source = self.random_source
-        while True:
+        while not self._stopping:
             async with ClientSession() as http:
                 await self.clients.send(
                     http,
