Tests of killable replicas: the signal arrives before the request

A replica now records that it is armed, and `ReplicaProcess.arm` waits for that record, so a request can't come first. The wait for the end of a process has a bound, so that the test fails in place of hanging. The soak itself kills a replica that doesn't end in time, as before.

The new test delays the signal by a second.

--- a/tests/platform/test_late_questions.py
+++ b/tests/platform/test_late_questions.py
@@ -1,7 +1,6 @@
 """Ends of answers that a late node asks about, or that have no event."""
 
 import asyncio
-import signal
 import subprocess
 import sys
 import time
@@ -73,7 +72,7 @@
         replica.store = node.store
         first = await start_process(replica, draw_host(9), record)
         await wait_until(lambda: node.count('replica-listed'))
-        first.send(signal.SIGUSR1)
+        await first.arm()
         asking = asyncio.create_task(ask(node, path))
         await wait_until(lambda: '"run"' in record.read_text())
         _block_until_killed(record)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -16,6 +16,8 @@
 
 LOAD_SECONDS = 0.3
 
+_POLL_SECONDS = 0.01
+
 
 @dataclass(eq=False)
 class ReplicaProcess:
@@ -25,12 +27,14 @@
         this one serves nothing itself.
     :param record: file into which the process writes.
     :param leaving: whether it was told to leave.
+    :ivar armed: whether it has said that its next answer ends it.
     """
 
     stand_in: ReplicaStandIn
     process: Process
     record: Path
     leaving: bool = False
+    armed: bool = False
     _runs: dict[int, Run] = field(default_factory=dict)
     _offset: int = 0
 
@@ -50,6 +54,16 @@
             self._record_crash(asyncio.get_running_loop().time())
             self.send(signal.SIGKILL)
 
+    async def arm(self) -> None:
+        """Let the process be killed in its next answer; wait until it will.
+
+        A signal may reach it after a request that is sent later.
+        """
+        self.send(signal.SIGUSR1)
+        while self.is_running and not self.armed:
+            await asyncio.sleep(_POLL_SECONDS)
+            self.follow()
+
     def stand_still(self) -> None:
         """Stop the process for a while."""
         if self.is_running and not self.stand_in.is_still:
@@ -90,6 +104,8 @@
                 self._record_crash(line['at'])
             case 'held':
                 self._hold(line)
+            case 'armed':
+                self.armed = True
 
     def _add_run(self, line: dict[str, Any]) -> None:
         run = Run(
--- a/tests/soak_tests/test_processes.py
+++ b/tests/soak_tests/test_processes.py
@@ -1,9 +1,11 @@
 """Tests of replicas of a soak that are processes of their own."""
 
+import asyncio
 import contextlib
 import math
 import signal
 from collections.abc import AsyncIterator
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -16,6 +18,11 @@
 from standins.objects import ObjectStore
 from standins.replica import ReplicaStandIn
 
+_END_SECONDS = 30
+"""Time until a process that doesn't end fails its test."""
+
+_LATE_SECONDS = 1.0
+
 _IDENTITY = {'X-Ryelatch-Request-Id': 'r-1'}
 _STREAM = {**_IDENTITY, 'X-Ryelatch-Hop-Count': 'x=0-8'}
 _WHOLE = {
@@ -40,10 +47,31 @@
 
 
 async def _wait_ended(replica: ReplicaProcess) -> None:
-    await replica.process.child.wait()
+    async with asyncio.timeout(_END_SECONDS):
+        await replica.process.child.wait()
     replica.follow()
 
 
+def _delay_signals(replica: ReplicaProcess) -> None:
+    """Let signals reach a process late, as on a busy machine."""
+    loop = asyncio.get_running_loop()
+    send = replica.process.send
+    replica.process.send = partial(  # type: ignore[method-assign]
+        loop.call_later, _LATE_SECONDS, send
+    )
+
+
+async def test_late_signal_arms_a_process(tmp_path: Path) -> None:
+    """A request overtakes the signal, and its process lives on."""
+    async with _run_process(tmp_path) as (replica, http):
+        _delay_signals(replica)
+        await replica.arm()
+        headers, whole = _WHOLE['/plan/x']
+        async with http.post('/plan/x', headers=headers) as response:
+            assert await response.read() != whole
+        await _wait_ended(replica)
+
+
 @pytest.mark.parametrize('path', _WHOLE)
 async def test_killed_process_ends_answers_in_order(
     path: str, tmp_path: Path
@@ -51,7 +79,7 @@
     """A part of an answer is reset, so that no client takes it for whole."""
     headers, whole = _WHOLE[path]
     async with _run_process(tmp_path) as (replica, http):
-        replica.send(signal.SIGUSR1)
+        await replica.arm()
         async with http.post(path, headers=headers) as response:
             part = await response.read()
         assert whole.startswith(part)
@@ -66,7 +94,7 @@
         other = {**_IDENTITY, 'X-Ryelatch-Expect-Replica': 'm-1'}
         async with http.post('/ping/x', headers=other) as refused:
             assert refused.status == 421
-        replica.send(signal.SIGUSR1)
+        await replica.arm()
         async with http.post('/plan/x', headers=_STREAM) as response:
             await response.read()
         await _wait_ended(replica)
--- a/tests/standins/killable.py
+++ b/tests/standins/killable.py
@@ -76,6 +76,7 @@
     def arm(self) -> None:
         """Let the process be killed during its next answer."""
         self.armed = True
+        self.record.write('armed')
 
     def announce_leaving(self) -> None:
         """Say in all answers from now on that it leaves."""
