Connections accept nothing that no request waits for

Cause: after a complete answer, a connection in a pool still parsed whatever arrived and queued each answer (the guards for heads and framing stop counting there). Ruled out: bytes that wait to be read (the window of the system is 16 KiB and nothing pauses reading), and the answer that the relay holds back (bounded, and complete).

The same cause elsewhere: all pools have connections of this class, also those for presence, reports, both stores and plain services; engines had connections without any bound. A later question for presence, or a call to a store, took the old answer for its own.

Before its first request and from the end of an answer on, a connection is now closed by whatever arrives, unparsed, and leaves the line `surplus-received`. An answer that is complete by then counts; what comes in one piece with it is parsed 16 KiB at a time and dropped. All pools of the node use one class, which also gives out no connection on which anything has arrived unread, as only the relay's did before.

It holds because nothing is parsed without a request, whatever it is.

--- a/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
+++ b/packages/ryelatch-core/src/ryelatch_core/events/_catalogue.py
@@ -373,6 +373,14 @@
     'A connection to a replica was lost, and it was checked for a crash.',
     'Nothing. Only where it has ended are its requests suspected.',
 )
+SURPLUS_RECEIVED = EventKind(
+    1442,
+    'surplus-received',
+    'A program sent what no request was waiting for; its connection was '
+    'closed, and answers that were complete by then are used.',
+    'If frequent, check the software at the address in the event.',
+    Level.WARNING,
+)
 OUTAGE_LONGER = EventKind(
     1433,
     'outage-longer',
--- a/packages/ryelatch-node/src/ryelatch_node/connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/connections.py
@@ -9,13 +9,16 @@
 import socket
 import struct
 import termios
+from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any
+from typing import Any, TypeAlias
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.streams import EMPTY_PAYLOAD
 
+from ryelatch_core.events import LineLog, Timeline, catalogue
+
 MAX_HEAD_BYTES = 65_536
 """Bytes until the head of an answer is complete, with interim answers."""
 
@@ -24,12 +27,15 @@
 
 _WITHOUT_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
-_SLICE_BYTES = 4096
+_HEAD_SLICE_BYTES = 4096
 """Bytes that are parsed at once until the head of an answer is complete.
 
 Each of them may begin an answer of its own, which takes more memory than it.
 """
 
+_BODY_SLICE_BYTES = 16_384
+"""Bytes of a body that are parsed at once; answers may follow its end."""
+
 _NO_LINGER = struct.pack('ii', 1, 0)
 """Value of ``SO_LINGER`` with which a close resets the connection."""
 
@@ -37,6 +43,22 @@
 """Value of ``SO_LINGER`` with which a close ends the connection in order."""
 
 
+SurplusHook: TypeAlias = Callable[[str], None]
+"""Handles that a program has sent what no request waits for.
+
+It is called with the program's address; its connection is closed.
+"""
+
+
+def make_surplus_hook(log: LineLog | Timeline) -> SurplusHook:
+    """Make a hook that records what no request waits for."""
+
+    def record(address: str) -> None:
+        log.record(catalogue.SURPLUS_RECEIVED, address=address)
+
+    return record
+
+
 class EndlessAnswer(aiohttp.ClientPayloadError):
     """A part of an answer is longer than it may be."""
 
@@ -44,13 +66,24 @@
 class BoundedHandler(ResponseHandler):
     """A connection that is closed if a part of an answer has no end.
 
+    It is also closed by whatever arrives while no request waits for it: before
+    the first request, or after the end of an answer. Nobody would read that,
+    and the next request would take it for its answer.
+
     It also reports a reset as an error for bodies without a length, which end
     when their connection is closed. The parser would take the part that has
     arrived for the complete body, and so would the client.
+
+    :param on_surplus: called if it is closed for what no request waits for.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, on_surplus: SurplusHook
+    ) -> None:
         super().__init__(loop)
+        self._on_surplus = on_surplus
+        self._is_unused = True
+        self._has_surplus = False
         self._head_bytes = 0
         self._has_head = False
         self._body_bytes = 0
@@ -58,6 +91,7 @@
 
     def set_response_params(self, **options: Any) -> None:
         """Begin to read the answer to a request."""
+        self._is_unused = False
         self._head_bytes = 0
         self._has_head = False
         self._body_bytes = 0
@@ -65,9 +99,11 @@
         super().set_response_params(**options)
 
     def feed_data(self, message: Any, size: int = 0) -> None:
-        """Queue the head of an answer, and drop interim ones."""
+        """Queue the head of an answer; drop interim and further ones."""
         code = message[0].code
-        if code >= HTTPStatus.OK or code == HTTPStatus.SWITCHING_PROTOCOLS:
+        if self._has_head:
+            self._has_surplus = True
+        elif code >= HTTPStatus.OK or code == HTTPStatus.SWITCHING_PROTOCOLS:
             self._has_head = True
             super().feed_data(message, size)
 
@@ -78,13 +114,19 @@
         """
         if not data:
             super().data_received(data)
-        while data and not self._has_head and self._is_open():
-            piece, data = data[:_SLICE_BYTES], data[_SLICE_BYTES:]
+        start = 0
+        while start < len(data) and self._is_open():
+            if self._is_complete():
+                self._has_surplus = True
+                break
+            size = _BODY_SLICE_BYTES if self._has_head else _HEAD_SLICE_BYTES
+            piece = data[start : start + size]
+            start += size
+            had_head = self._has_head
             super().data_received(piece)
-            self._count_head(len(piece))
-        if data and self._is_open():
-            super().data_received(data)
-            self._count_framing(len(data))
+            self._count(len(piece), had_head=had_head)
+        if self._has_surplus and self._is_open():
+            self._end_surplus()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Set an error on a body that is incomplete after a reset."""
@@ -118,6 +160,28 @@
     def _is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
+    def _is_complete(self) -> bool:
+        """Whether no request waits for what arrives next."""
+        if not self._has_head:
+            return self._is_unused
+        payload = self._payload
+        ended = payload is None or payload.is_eof()
+        return ended and not self._upgraded
+
+    def _count(self, size: int, *, had_head: bool) -> None:
+        if had_head:
+            self._count_framing(size)
+        else:
+            self._count_head(size)
+
+    def _end_surplus(self) -> None:
+        """Close the connection at once; an answer before that is complete."""
+        assert self.transport is not None
+        peer = self.transport.get_extra_info('peername') or ('?', 0)
+        self.force_close()
+        self.transport.abort()
+        self._on_surplus(f'{peer[0]}:{peer[1]}')
+
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
         if not self._has_head and self._head_bytes > MAX_HEAD_BYTES:
@@ -146,12 +210,31 @@
             self.transport.abort()
 
 
-def bound_answers(connector: aiohttp.BaseConnector) -> None:
-    """Let the connections of a connector bound what they receive."""
-    # The library has no public way to set another protocol class.
-    connector._factory = functools.partial(  # type: ignore[assignment]
-        BoundedHandler, loop=asyncio.get_running_loop()
-    )
+class BoundedConnector(aiohttp.TCPConnector):
+    """A pool of connections that bound what they receive.
+
+    :param on_surplus: called for each connection that is closed for what no
+        request waits for.
+    :param options: of the pool.
+    """
+
+    def __init__(self, on_surplus: SurplusHook, **options: Any) -> None:
+        super().__init__(**options)
+        # The library has no public way to set another protocol class.
+        self._factory = functools.partial(  # type: ignore[assignment]
+            BoundedHandler, loop=self._loop, on_surplus=on_surplus
+        )
+
+    async def _get(self, key: Any, traces: Any) -> Any:
+        """Choose a kept connection, but none on which anything has arrived.
+
+        That is its end, or what no request waits for.
+        """
+        for handler, _ in self._conns.get(key, ()):
+            if handler.is_connected() and not has_arrived(handler):
+                break
+            handler.close()
+        return await super()._get(key, traces)
 
 
 async def read_bounded(response: aiohttp.ClientResponse, size: int) -> bytes:
--- a/packages/ryelatch-node/src/ryelatch_node/control/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/control/_service.py
@@ -12,6 +12,7 @@
 from ryelatch_core.pipeline import Holding, Move, plan_repair
 from ryelatch_core.settings import Model, Startup
 from ryelatch_node.config import SettingsHolder
+from ryelatch_node.connections import BoundedConnector, make_surplus_hook
 from ryelatch_node.control._lease_manager import LeaseManager
 from ryelatch_node.peers import Peers
 from ryelatch_node.store import Store
@@ -46,7 +47,9 @@
 
     async def start(self) -> None:
         """Start to check the layers of all models."""
-        self._session = aiohttp.ClientSession()
+        self._session = aiohttp.ClientSession(
+            connector=BoundedConnector(make_surplus_hook(self._timeline))
+        )
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
--- a/packages/ryelatch-node/src/ryelatch_node/front/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/front/_service.py
@@ -217,8 +217,9 @@
             link.usable for link in upstreams.links.values()
         ),
     }
-    meter = Meter(app.find('timeline', Timeline), gauges)
-    forwarder = Forwarder()
+    timeline = app.find('timeline', Timeline)
+    meter = Meter(timeline, gauges)
+    forwarder = Forwarder(timeline)
     app.add(Service('meter', meter, ('timeline',)))
     app.add(
         Service(
--- a/packages/ryelatch-node/src/ryelatch_node/non_model/_forward.py
+++ b/packages/ryelatch-node/src/ryelatch_node/non_model/_forward.py
@@ -8,12 +8,17 @@
 import aiohttp
 from result import Err, Ok, Result
 
+from ryelatch_core.events import Timeline
 from ryelatch_core.membership import Vm
 from ryelatch_core.outcomes import Failure, Outcome
 from ryelatch_core.retries import RetryBudget
 from ryelatch_core.settings import Route
 from ryelatch_core.settings import Service as NonModelService
-from ryelatch_node.connections import bound_answers, has_framing
+from ryelatch_node.connections import (
+    BoundedConnector,
+    has_framing,
+    make_surplus_hook,
+)
 
 MAX_ANSWER_BYTES = 8_388_608
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -92,18 +97,22 @@
     a booking, then gets the outcome ``unknown``, although a new connection
     would have worked. A new connection is known to work, at the cost of a round
     trip.
+
+    :param timeline: gets an event for each connection that is closed for what
+        no request waits for.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, timeline: Timeline) -> None:
+        self._timeline = timeline
         self._session: aiohttp.ClientSession | None = None
         self._budget = RetryBudget()
 
     async def start(self) -> None:
         """Open the HTTP session."""
-        connector = aiohttp.TCPConnector(force_close=True, limit=0)
-        bound_answers(connector)
         self._session = aiohttp.ClientSession(
-            connector=connector,
+            connector=BoundedConnector(
+                make_surplus_hook(self._timeline), force_close=True, limit=0
+            ),
             auto_decompress=False,
             skip_auto_headers=('User-Agent', 'Content-Type'),
         )
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_service.py
@@ -6,6 +6,7 @@
 from ryelatch_core.events import LineLog, UsageTracker, catalogue, keep_running
 from ryelatch_core.fleet import LoadTracker, Replica
 from ryelatch_core.kernel import App, LagMeter, Service, cancel_task
+from ryelatch_node.connections import make_surplus_hook
 from ryelatch_node.forwarding import ForwardClient
 from ryelatch_node.links import Links, LinksChanged
 from ryelatch_node.listener import Listener
@@ -230,12 +231,13 @@
     configuration = app.find('configuration', ConfigurationView)
     commands = app.find('orders', ReplicaCommands)
     lag = LagMeter()
+    log = app.find('log', LineLog)
     end_checks = EndChecks(
         app.clock, commands, replicas, configuration, throttle, lag
     )
     return RelayContext(
         startup=startup,
-        log=app.find('log', LineLog),
+        log=log,
         clock=app.clock,
         random_source=app.random_source,
         configuration=configuration,
@@ -247,6 +249,7 @@
             _make_answer_hook(throttle, replicas),
             links.record_connected,
             links.record_failed_address,
+            make_surplus_hook(log),
         ),
         wire=wire,
         commands=commands,
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_upstream.py
@@ -21,9 +21,9 @@
 from ryelatch_core.membership import CONNECT_TIMEOUT_SECONDS
 from ryelatch_node.connections import (
     MAX_HEAD_BYTES,
+    BoundedConnector,
     EndlessAnswer,
-    bound_answers,
-    has_arrived,
+    SurplusHook,
     has_framing,
     read_bounded,
 )
@@ -90,7 +90,7 @@
 """Called in a task that sends a request, once it has a connection."""
 
 
-class _ObservedConnector(aiohttp.TCPConnector):
+class _ObservedConnector(BoundedConnector):
     """Reports which new connections were established, and which were not.
 
     :param on_connected: called with the address of each new connection.
@@ -98,13 +98,18 @@
     """
 
     def __init__(
-        self, on_connected: ContactHook, on_failed: ContactHook, **options: Any
+        self,
+        on_connected: ContactHook,
+        on_failed: ContactHook,
+        on_surplus: SurplusHook,
+        **options: Any,
     ) -> None:
-        super().__init__(limit=0, socket_factory=_open_socket, **options)
+        super().__init__(
+            on_surplus, limit=0, socket_factory=_open_socket, **options
+        )
         self._on_connected = on_connected
         self._on_failed = on_failed
         self._connecting: dict[str, set[asyncio.Timeout]] = defaultdict(set)
-        bound_answers(self)
 
     def abort_connecting(self, address: str) -> None:
         """Let the connection attempts to an address fail at once."""
@@ -123,14 +128,6 @@
             raise
         return connection
 
-    async def _get(self, key: Any, traces: Any) -> Any:
-        """Choose a kept connection, but none whose end has arrived."""
-        for handler, _ in self._conns.get(key, ()):
-            if handler.is_connected() and not has_arrived(handler):
-                break
-            handler.close()
-        return await super()._get(key, traces)
-
     async def _create_connection(
         self, req: Any, traces: Any, timeout: Any
     ) -> ResponseHandler:
@@ -270,6 +267,8 @@
     :param on_connected: called with the address of each new connection.
     :param on_failed: called with the address of each that failed or is slow,
         and of each replica that was lost before it answered.
+    :param on_surplus: called for each connection that is closed for what no
+        request waits for.
     """
 
     def __init__(
@@ -280,7 +279,9 @@
         on_answer: AnswerHook,
         on_connected: ContactHook,
         on_failed: ContactHook,
+        on_surplus: SurplusHook,
     ) -> None:
+        self._on_surplus = on_surplus
         self._on_connected = on_connected
         self._on_failed = on_failed
         self._wire = wire
@@ -365,7 +366,10 @@
         """
         session = aiohttp.ClientSession(
             connector=_ObservedConnector(
-                self._on_connected, self._on_failed, **options
+                self._on_connected,
+                self._on_failed,
+                self._on_surplus,
+                **options,
             ),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/packages/ryelatch-node/src/ryelatch_node/store/_client.py
+++ b/packages/ryelatch-node/src/ryelatch_node/store/_client.py
@@ -15,7 +15,8 @@
 from ryelatch_core.membership import Vm
 from ryelatch_core.settings import Platform
 from ryelatch_node.connections import (
-    bound_answers,
+    BoundedConnector,
+    SurplusHook,
     has_framing,
     read_bounded,
 )
@@ -66,18 +67,26 @@
     """Ignore whether the store responded."""
 
 
+def _ignore_surplus(_: str) -> None:
+    """Ignore what no request waits for."""
+
+
 class Store:
     """Calls to the platform's object store.
 
     :param platform: its address, and the timeout of a call.
     :param on_call: called after each call with whether the store responded.
+    :param on_surplus: called for each connection that is closed for what no
+        request waits for.
     """
 
     def __init__(
         self,
         platform: Platform,
         on_call: Callable[..., None] = _ignore_result,
+        on_surplus: SurplusHook = _ignore_surplus,
     ) -> None:
+        self._on_surplus = on_surplus
         self._platform = platform
         self._on_call = on_call
         self._session: aiohttp.ClientSession | None = None
@@ -181,10 +190,8 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector()
-            bound_answers(connector)
             self._session = aiohttp.ClientSession(
-                connector=connector,
+                connector=BoundedConnector(self._on_surplus),
                 headers={'Authorization': f'Bearer {self._platform.token}'},
             )
         return self._session
--- a/packages/ryelatch-node/src/ryelatch_node/store/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/store/_service.py
@@ -5,6 +5,7 @@
 from ryelatch_core.events import Timeline, catalogue
 from ryelatch_core.kernel import App, Service
 from ryelatch_core.settings import Startup
+from ryelatch_node.connections import make_surplus_hook
 from ryelatch_node.store._client import Store
 
 
@@ -12,7 +13,11 @@
     """Add the service ``store``."""
     startup = app.find('startup', Startup)
     timeline = app.find('timeline', Timeline)
-    store = Store(startup.platform, _make_outage_recorder(timeline))
+    store = Store(
+        startup.platform,
+        _make_outage_recorder(timeline),
+        make_surplus_hook(timeline),
+    )
     app.add(Service('store', store, ('timeline',), stop=store.close))
 
 
--- a/packages/ryelatch-node/src/ryelatch_node/upstreams/_service.py
+++ b/packages/ryelatch-node/src/ryelatch_node/upstreams/_service.py
@@ -14,6 +14,7 @@
 from ryelatch_core.pipeline import StepKey
 from ryelatch_core.settings import Startup
 from ryelatch_node.config import SettingsHolder
+from ryelatch_node.connections import BoundedConnector, make_surplus_hook
 from ryelatch_node.store import Store
 from ryelatch_node.upstreams._link import EngineLink
 
@@ -61,7 +62,9 @@
         # By default, aiohttp allows 100 connections. Links hold theirs open,
         # so further engines would wait for a free one forever.
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0)
+            connector=BoundedConnector(
+                make_surplus_hook(self._timeline), limit=0
+            )
         )
         await self._read_list()
         self._task = asyncio.create_task(self._follow())
--- a/tests/node/non_model/test_forward.py
+++ b/tests/node/non_model/test_forward.py
@@ -8,10 +8,17 @@
 
 import pytest
 
+from fake_clock import FakeClock
+from ryelatch_core.events import HybridClock, Timeline
 from ryelatch_core.membership import Vm
 from ryelatch_core.settings import Service
 from ryelatch_node.non_model._forward import Call, Forwarder
 
+
+def _make_timeline() -> Timeline:
+    return Timeline('node-a', HybridClock(FakeClock()))
+
+
 _HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n'
 _BODY = b'part of'
 
@@ -61,7 +68,7 @@
 @pytest.mark.parametrize('resets', [True, False])
 async def test_reset_body_without_length_is_lost(resets: bool) -> None:
     """A part of an answer is passed on as a complete one after a reset."""
-    forwarder = Forwarder()
+    forwarder = Forwarder(_make_timeline())
     await forwarder.start()
     call = Call('r-1', 'POST', '/book', (), b'', idempotent=False)
     async with _run_upstream(resets=resets) as upstream:
@@ -75,7 +82,7 @@
 @pytest.mark.parametrize('idempotent', [True, False])
 async def test_end_of_a_killed_upstream_is_none(idempotent: bool) -> None:
     """The part that came before an upstream was killed is passed on as all."""
-    forwarder = Forwarder()
+    forwarder = Forwarder(_make_timeline())
     await forwarder.start()
     call = Call('r-1', 'POST', '/book', (), b'', idempotent=idempotent)
     async with _run_upstream(ends=True) as upstream:
--- a/tests/node/relay/test_abort_connecting.py
+++ b/tests/node/relay/test_abort_connecting.py
@@ -13,7 +13,7 @@
 
 async def test_attempt_may_be_aborted_twice() -> None:
     """The examination of links crashes as they are lost twice in a row."""
-    connector = _ObservedConnector(_ignore, _ignore)
+    connector = _ObservedConnector(_ignore, _ignore, _ignore)
     scope = asyncio.timeout(None)
 
     async def connect() -> None:
--- a/tests/node/relay/test_stale_connections.py
+++ b/tests/node/relay/test_stale_connections.py
@@ -52,7 +52,7 @@
 @contextlib.asynccontextmanager
 async def _open() -> AsyncIterator[Upstreams]:
     wire: Any = _Wire()
-    hooks: list[Any] = [BootClock(), *([lambda *_: None] * 4)]
+    hooks: list[Any] = [BootClock(), *([lambda *_: None] * 5)]
     upstreams = Upstreams(wire, *hooks)
     await upstreams.start()
     try:
--- a/tests/standins/endless.py
+++ b/tests/standins/endless.py
@@ -67,6 +67,14 @@
     'after the answer': Kind(
         (*_SIGNED, b'Content-Length: 0', b'', b''), b'a', is_whole=True
     ),
+    'answers': Kind(
+        (*_SIGNED, b'Content-Length: 0', b'', b''),
+        b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n',
+        is_whole=True,
+    ),
+    'empty lines': Kind(
+        (*_SIGNED, b'Content-Length: 0', b'', b''), b'\r\n', is_whole=True
+    ),
     'event': Kind((*_STREAM, b'data: '), b'a'),
     'comments': Kind((*_STREAM, b''), b':\n\n'),
 }
