A stopping node takes no bookings that may outlast it

Cause: a stopping node refused everything 3.5 s before its end, as plain answers were taken to last 1.5 s; no deadline was compared with the end of the process. What was in progress then had its connections closed under it. Ruled out: a replica's silence and the shutdown of the server, as the 502 came with the close of the node's own connections at 7.8 s.

Now admission compares each deadline with the end of the process. What may not be repeated is refused from SIGTERM on if it may last until then, with an immediate retry; what its client may repeat is served for 3 s, while the platform still sends new clients, as nearly all of it ends at once. What is in progress at the end is answered 504, or 503 where it was sent nowhere. Streams have the same time as before within these 3 s.

The new tests of `test_drain` failed before, five of them: late requests got 502 from a process whose clients ask each 0.1 s until it is gone, both kinds of route; a booking with 5 s left was run by a node with 2 s left; requests in progress at the end got no answer.

--- a/packages/ryelatch-node/src/ryelatch_node/relay/_admission.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_admission.py
@@ -1,5 +1,6 @@
 """Decides which requests are admitted, and which service serves them."""
 
+import math
 from dataclasses import dataclass, replace
 
 from starlette.types import Scope
@@ -73,12 +74,17 @@
 
     :param closing: set from the start of the shutdown on: the node reports
         that it is not ready, and its answers close their connections.
+    :param ends_at: when requests in progress are ended, in monotonic seconds.
     :param refuses_streams: set once a new stream might outlast this process.
-    :param refuses_all: set once any new request might, so that all are refused.
+    :param refuses_long: set once no new clients are sent here: whatever may
+        run until ``ends_at`` is refused, also if it may be repeated.
+    :param refuses_all: set once any new request might outlast this process.
     """
 
     closing: bool = False
+    ends_at: float = math.inf
     refuses_streams: bool = False
+    refuses_long: bool = False
     refuses_all: bool = False
 
 
@@ -148,9 +154,23 @@
             tuple(make_part_key(service, part) for part in terms.parts),
         ),
     )
+    if _may_outlast(shutdown, request):
+        return Refusal(_UNAVAILABLE, 'this node stops', 0)
     return _check_quarantine(context, request)
 
 
+def _may_outlast(shutdown: ShutdownState, request: AdmittedRequest) -> bool:
+    """Whether a request is refused as it may run until this process ends.
+
+    Most end much sooner. So while new clients are sent here, what a client may
+    repeat is served; streams have a time of their own.
+    """
+    if request.deadline <= shutdown.ends_at:
+        return False
+    repeatable = request.repeatable or request.route.streaming
+    return shutdown.refuses_long or not repeatable
+
+
 def _choose_service(context: RelayContext, route: Route, preferred: str) -> str:
     """Choose the service of a request, the preferred one if it is offered."""
     if any(split.service == preferred for split in route.splits):
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_ingress.py
@@ -71,6 +71,8 @@
         self._watch = watch
         self._metrics = metrics
         self._initial_sync = InitialSync(context, is_store_out)
+        self._time_limits: set[asyncio.Timeout] = set()
+        self._has_ended = False
 
     async def serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request, and log an exception that it raises."""
@@ -91,6 +93,27 @@
             await self._relay(exchange, request, receive)
             self._log_completion(exchange, request)
 
+    def end_requests(self) -> None:
+        """End all requests in progress, as this process is about to end.
+
+        Each client whose answer has not begun is told whether it may have run.
+        """
+        self._has_ended = True
+        now = asyncio.get_running_loop().time()
+        for limit in self._time_limits:
+            if not limit.expired():
+                limit.reschedule(now)
+
+    @contextlib.contextmanager
+    def _limit_time(self, seconds: float) -> Iterator[asyncio.Timeout]:
+        """Make a time limit, which the end of this process brings forward."""
+        limit = asyncio.timeout(seconds)
+        self._time_limits.add(limit)
+        try:
+            yield limit
+        finally:
+            self._time_limits.discard(limit)
+
     @contextlib.contextmanager
     def _track(self) -> Iterator[None]:
         """Count a request as in progress, and log what it raises."""
@@ -241,11 +264,11 @@
         self, exchange: Exchange, request: AdmittedRequest
     ) -> None:
         """Relay a request, and stop it at its deadline."""
-        loop = asyncio.get_running_loop()
         remaining = request.deadline - self._context.clock.monotonic()
         try:
-            async with asyncio.timeout_at(loop.time() + remaining):
-                await self._dispatch(exchange, request)
+            with self._limit_time(remaining) as limit:
+                async with limit:
+                    await self._dispatch(exchange, request)
         except TimeoutError:
             if not exchange.started:
                 await self._refuse_late(exchange)
@@ -255,12 +278,11 @@
             exchange.detail['broken'] = True
 
     async def _refuse_late(self, exchange: Exchange) -> None:
+        reason = 'this node stops' if self._has_ended else 'the time is over'
         if exchange.sends:
-            await exchange.refuse(_GATEWAY_TIMEOUT, 'the time is over')
+            await exchange.refuse(_GATEWAY_TIMEOUT, reason)
         else:
-            await exchange.refuse(
-                _UNAVAILABLE, 'the time is over', retry_after=0
-            )
+            await exchange.refuse(_UNAVAILABLE, reason, retry_after=0)
 
     async def _dispatch(
         self, exchange: Exchange, request: AdmittedRequest
--- a/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
+++ b/packages/ryelatch-node/src/ryelatch_node/relay/_server.py
@@ -184,7 +184,8 @@
         have failed, and clients use open connections until a response
         announces that the connection closes.
         """
-        self._ingress.stop_state.closing = True
+        stopping = self._ingress.stop_state
+        stopping.closing = True
         self._context.log.record(catalogue.NODE_DRAINING)
         loop = asyncio.get_running_loop()
         started = loop.time()
@@ -193,18 +194,21 @@
             grace_seconds / 2,
             grace_seconds - MARGIN_SECONDS - PLAIN_ANSWER_SECONDS,
         )
+        serving_seconds = grace_seconds - MARGIN_SECONDS
+        stopping.ends_at = self._context.now() + serving_seconds
         idle_seconds = 0.0
-        while loop.time() - started < grace_seconds - MARGIN_SECONDS:
+        while loop.time() - started < serving_seconds:
             await asyncio.sleep(_POLL_SECONDS)
             elapsed = loop.time() - started
-            self._ingress.stop_state.refuses_streams = (
-                elapsed > grace_seconds * STREAM_FRACTION
-            )
-            self._ingress.stop_state.refuses_all = elapsed > refuse_after
+            stopping.refuses_streams = elapsed > grace_seconds * STREAM_FRACTION
+            stopping.refuses_long = elapsed > NOTICE_SECONDS
+            stopping.refuses_all = elapsed > refuse_after
             busy = self._ingress.open_requests
             idle_seconds = 0.0 if busy else idle_seconds + _POLL_SECONDS
             if elapsed > NOTICE_SECONDS and idle_seconds > QUIET_SECONDS:
                 return
+        self._ingress.end_requests()
+        await asyncio.sleep(_POLL_SECONDS)
 
     async def stop(self) -> None:
         """Close all connections and listening sockets."""
--- a/tests/platform/test_drain.py
+++ b/tests/platform/test_drain.py
@@ -1,16 +1,38 @@
 """A draining node finishes its streams and takes none that it can't finish."""
 
 import asyncio
+import contextlib
+import signal
+from collections import Counter
+from collections.abc import AsyncIterator
+from pathlib import Path
 
+import pytest
+from aiohttp import ClientError, ClientSession
+
+from fleet.node_processes import NodeProcess, start_node, wait_ready
 from fleet.running import (
+    NON_MODEL_SERVICE,
     ask,
+    make_configuration,
     make_event_stream,
     make_model_replicas,
     make_non_model_replicas,
+    make_route,
     open_request,
     run_node,
+    serve_app,
     wait_until,
 )
+from standins.objects import ObjectStore
+from standins.raw_replica import RawReplica
+
+_WORK_SECONDS = 4.5
+_TIMEOUT_MS = 8000
+_KINDS = ('non_idempotent', 'idempotent')
+_ASK_PAUSE_SECONDS = 0.1
+_NOTICE_SECONDS = 3
+"""Time for which requests that outlast a stop may be cut off."""
 
 
 async def test_stopping_node_takes_no_late_streams() -> None:
@@ -61,3 +83,113 @@
         async with node.http.get(url) as response:
             assert response.status == 503
         await draining
+
+
+@pytest.mark.parametrize(
+    ('path', 'deadline', 'status'),
+    [
+        ('/book/x', '5000', 503),
+        ('/book/x', '400', 200),
+        ('/ping/x', '5000', 200),
+    ],
+)
+async def test_stopping_node_takes_no_long_bookings(
+    path: str, deadline: str, status: int
+) -> None:
+    """A booking that may outlast the process is cut off at its end.
+
+    What ends in time is served, and what its client may repeat.
+    """
+    async with run_node(make_non_model_replicas(1), grace=2) as node:
+        draining = asyncio.create_task(node.server.drain())
+        await wait_until(lambda: node.count('node-draining'))
+        answer = await ask(node, path, X_Ryelatch_Deadline_Ms=deadline)
+        runs = [
+            run for replica in node.replicas.values() for run in replica.runs
+        ]
+        await draining
+    assert (answer[0], len(runs)) == (status, int(status == 200))
+    assert status == 200 or answer[2]['retry-after'] == '0.00'
+
+
+@pytest.mark.parametrize('path', ['/book/x', '/ping/x'])
+async def test_requests_at_the_end_are_answered(path: str) -> None:
+    """A request in progress ends with its process, without an answer."""
+    replica = make_non_model_replicas(1)[0]
+    replica.hang = True
+    async with run_node([replica], grace=1) as node:
+        asking = asyncio.create_task(ask(node, path))
+        await wait_until(lambda: replica.received)
+        await node.server.drain()
+        async with asyncio.timeout(1):
+            status, body, _ = await asking
+    assert (status, body) == (504, b'{"error": "this node stops"}')
+
+
+@contextlib.asynccontextmanager
+async def _run_slow(
+    folder: Path, kind: str
+) -> AsyncIterator[tuple[NodeProcess, ClientSession]]:
+    """Start a node and a replica of a service that takes long."""
+    store = ObjectStore()
+    route = make_route('slow', routeKind=kind, timeoutMs=_TIMEOUT_MS)
+    store.put('config', 'main', make_configuration(routes=[route]))
+    runner, port = await serve_app(store.make_app())
+    replica = RawReplica(pause=_WORK_SECONDS)
+    async with replica.serve(), ClientSession() as http:
+        entry = {
+            'service': NON_MODEL_SERVICE,
+            'addr': replica.address,
+            'zone': 'zone-a',
+            'slots': 1000,
+            'state': 'ready',
+            'seq': 1,
+            'version': 'v1',
+            'coldRemainingMs': 0,
+        }
+        store.put('servers', 'b-0', entry)
+        node = await start_node('node-a', f'127.0.0.1:{port}', folder)
+        try:
+            await wait_ready(http, node)
+            yield node, http
+        finally:
+            if node.process.returncode is None:
+                node.process.kill()
+            await node.process.communicate()
+            await runner.cleanup()
+
+
+async def _ask_late(node: NodeProcess, http: ClientSession, name: str) -> int:
+    """Send a request; 0 if it was cut off, 503 if nothing accepted it."""
+    request = node.open(http, '/slow/x', name)
+    try:
+        async with request as response:
+            await response.read()
+            return int(response.status)
+    except (ConnectionRefusedError, ClientError, OSError) as error:
+        refused = isinstance(getattr(error, 'os_error', None), OSError)
+        return 503 if refused else 0
+
+
+@pytest.mark.parametrize('kind', _KINDS)
+async def test_late_requests_outlast_no_process(
+    kind: str, tmp_path: Path
+) -> None:
+    """Requests that come late in a planned stop are cut off at its end."""
+    async with _run_slow(tmp_path, kind) as (node, http):
+        node.process.send_signal(signal.SIGTERM)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        late: list[asyncio.Task[int]] = []
+        early: list[asyncio.Task[int]] = []
+        while node.process.returncode is None:
+            is_late = loop.time() - started > _NOTICE_SECONDS + 0.5
+            asking = _ask_late(node, http, f'r-{len(late) + len(early)}')
+            (late if is_late else early).append(asyncio.create_task(asking))
+            await asyncio.sleep(_ASK_PAUSE_SECONDS)
+        late_statuses = Counter(await asyncio.gather(*late))
+        early_statuses = Counter(await asyncio.gather(*early))
+    assert set(late_statuses) <= {200, 503}
+    booked = set(early_statuses) <= {200, 503}
+    assert booked or kind == 'idempotent'
+    assert set(early_statuses) <= {200, 503, 504}
