A complete answer counts, whatever follows it

What callers saw: a replica sends bytes that are no answer right after a complete one, in the same piece; its callers get 502, also for bookings that have run. Seen with 200 callers beside a replica with `after the answer` of the endless kinds: 200 of 200 were answered 502.

Cause: the parser raises for what follows and drops the heads that it has found in the same piece, so the complete answer was lost as well. Ruled out: a crash check or the withheld answer, as the answer never reached the relay.

A head is now parsed up to its end and not beyond, so that it is delivered before an error behind it; such an error after a complete answer counts as surplus, which closes the connection and leaves its line.

Eight more cases of `test_answer_is_cut_off_behind_its_end` failed before, and the tests of `test_endless_answers[after the answer]`, which now ask for the answer.

--- a/packages/ryelatch-node/src/ryelatch_node/connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/connections.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD
 
 from ryelatch_core.events import LineLog, Timeline, catalogue
@@ -27,6 +28,7 @@
 
 _WITHOUT_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
+_HEAD_END = b'\r\n\r\n'
 _HEAD_SLICE_BYTES = 4096
 """Bytes that are parsed at once until the head of an answer is complete.
 
@@ -50,6 +52,21 @@
 """
 
 
+def _take_head(data: bytes, start: int) -> bytes:
+    """Take what is parsed at once of a head, to its end at most.
+
+    An error behind an answer, parsed along with its head, would hide it.
+    """
+    piece = data[start : start + _HEAD_SLICE_BYTES]
+    head, end, _ = piece.partition(_HEAD_END)
+    return head + end
+
+
+def _take_body(data: bytes, start: int) -> bytes:
+    """Take what is parsed at once of a body."""
+    return data[start : start + _BODY_SLICE_BYTES]
+
+
 def make_surplus_hook(log: LineLog | Timeline) -> SurplusHook:
     """Make a hook that records what no request waits for."""
 
@@ -119,15 +136,22 @@
             if self._is_complete():
                 self._has_surplus = True
                 break
-            size = _BODY_SLICE_BYTES if self._has_head else _HEAD_SLICE_BYTES
-            piece = data[start : start + size]
-            start += size
             had_head = self._has_head
+            piece = (
+                _take_body(data, start) if had_head else _take_head(data, start)
+            )
+            start += len(piece)
             super().data_received(piece)
             self._count(len(piece), had_head=had_head)
-        if self._has_surplus and self._is_open():
+        if self._has_surplus:
             self._end_surplus()
 
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        """Fail the answer; behind a complete one, it was no part of it."""
+        super().set_exception(exc, *cause)
+        if isinstance(exc, HttpProcessingError) and self._is_complete():
+            self._has_surplus = True
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Set an error on a body that is incomplete after a reset."""
         payload = self._payload
@@ -176,7 +200,9 @@
 
     def _end_surplus(self) -> None:
         """Close the connection at once; an answer before that is complete."""
-        assert self.transport is not None
+        self._has_surplus = False
+        if self.transport is None:
+            return
         peer = self.transport.get_extra_info('peername') or ('?', 0)
         self.force_close()
         self.transport.abort()
--- a/tests/node/test_connections.py
+++ b/tests/node/test_connections.py
@@ -139,7 +139,7 @@
     on_surplus.assert_called_once_with('127.0.0.1:8080')
 
 
-@pytest.mark.parametrize('surplus', [_ANSWER, _BODILESS])
+@pytest.mark.parametrize('surplus', [_ANSWER, _BODILESS, b'\0', b'junk\r\n'])
 @pytest.mark.parametrize('kind', _WHOLE_ANSWERS)
 async def test_answer_is_cut_off_behind_its_end(
     kind: str, surplus: bytes
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -154,7 +154,7 @@
         statuses = await asyncio.gather(*sound)
         assert statuses.count(200) >= _SOUND * _MIN_SERVED_RATIO
         answers = await asyncio.gather(*spoiled)
-        assert KINDS[kind].is_whole or 200 not in answers
+        assert answers.count(200) == _SPOILED * KINDS[kind].is_whole
         assert running.node.read_peak() - before < _MAX_GROWTH_KB
 
 
@@ -170,7 +170,7 @@
         answers = await asyncio.gather(
             *(running.ask(path, f's-{number}') for number in range(_SPOILED))
         )
-        assert KINDS[kind].is_whole or 200 not in answers
+        assert answers.count(200) == _SPOILED * KINDS[kind].is_whole
         await wait_until(
             lambda: running.node.count_files() <= before + _MAX_KEPT_FILES
         )
