Links to engines are no surplus

What follows an upgrade is now handed on as it is, also what comes in one piece with the 101. The test of upgraded connections checked a connection without a reader of frames, so it passed; it has one now, in pieces and at once, and failed before.

--- a/packages/ryelatch-node/src/ryelatch_node/connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/connections.py
@@ -127,15 +127,11 @@
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived, unless a part of the answer is too long.
 
-        Without data, the parser goes on with what it has.
+        Without data, the parser goes on with what it has. What belongs to
+        another protocol has its own bounds.
         """
-        if not data:
-            super().data_received(data)
         start = 0
-        while start < len(data) and self._is_open():
-            if self._is_complete():
-                self._has_surplus = True
-                break
+        while start < len(data) and self._awaits_answer():
             had_head = self._has_head
             piece = (
                 _take_body(data, start) if had_head else _take_head(data, start)
@@ -143,6 +139,11 @@
             start += len(piece)
             super().data_received(piece)
             self._count(len(piece), had_head=had_head)
+        rest = data[start:]
+        if self._upgraded or not data:
+            super().data_received(rest)
+        elif rest and self._is_open():
+            self._has_surplus = True
         if self._has_surplus:
             self._end_surplus()
 
@@ -184,13 +185,16 @@
     def _is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
+    def _awaits_answer(self) -> bool:
+        """Whether what arrives next belongs to an answer."""
+        return self._is_open() and not (self._upgraded or self._is_complete())
+
     def _is_complete(self) -> bool:
-        """Whether no request waits for what arrives next."""
+        """Whether no request was sent, or its answer has ended."""
         if not self._has_head:
             return self._is_unused
         payload = self._payload
-        ended = payload is None or payload.is_eof()
-        return ended and not self._upgraded
+        return payload is None or payload.is_eof()
 
     def _count(self, size: int, *, had_head: bool) -> None:
         if had_head:
--- a/tests/node/test_connections.py
+++ b/tests/node/test_connections.py
@@ -17,6 +17,10 @@
 )
 
 _INTERIM = b'HTTP/1.1 102 Processing\r\n\r\n'
+_UPGRADED = (
+    b'HTTP/1.1 101 Switching Protocols\r\n'
+    b'Connection: upgrade\r\nUpgrade: websocket\r\n\r\n'
+)
 _CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
@@ -191,13 +195,19 @@
     assert peak < len(surplus) + _MAX_PARSED_BYTES
 
 
-async def test_upgraded_connection_is_no_surplus() -> None:
+@pytest.mark.parametrize('size', [7, 100_000])
+async def test_upgraded_connection_is_no_surplus(size: int) -> None:
     """A connection that was upgraded is cut off at its first frame."""
     handler, transport = _connect()
-    handler.data_received(
-        b'HTTP/1.1 101 Switching Protocols\r\n'
-        b'Connection: upgrade\r\nUpgrade: websocket\r\n\r\n'
-    )
+    for piece in _split(b''.join((_UPGRADED, b'first')), size):
+        handler.data_received(piece)
     assert (await handler.read())[0].code == 101
+    frames = Mock(spec_set=['feed_data'])
+    frames.feed_data.return_value = (False, b'')
+    queue = Mock(spec_set=['is_eof'])
+    queue.is_eof.return_value = False
+    handler.set_parser(frames, queue)
     handler.data_received(b'frame')
+    received = [call.args[0] for call in frames.feed_data.call_args_list]
+    assert b''.join(received) == b'firstframe'
     assert not transport.abort.called
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -240,6 +240,30 @@
         assert make_event_stream(_LONG_EVENTS).endswith(rest)
 
 
+async def test_request_goes_on_when_its_helper_stops() -> None:
+    """A helper that ends as planned fails what another could serve."""
+    replicas = make_non_model_replicas(2)
+    async with _run_cut(replicas) as nodes:
+        for replica in replicas:
+            replica.hang = True
+        asking = asyncio.create_task(
+            ask(nodes[0].node, '/ping/x', identity='kept')
+        )
+        await wait_until(
+            lambda: any(
+                identity == 'kept'
+                for replica in replicas
+                for identity, _ in replica.received
+            )
+        )
+        for replica in replicas:
+            replica.hang = False
+        ingress = _find_helper(nodes, 'kept').node.server._ingress
+        ingress.end_requests()
+        status, _, _ = await asking
+    assert status == 200
+
+
 async def test_unsafe_request_runs_once() -> None:
     """A booking is sent again, or said not to have run, as a helper is lost."""
     replicas = _make_replicas()
