Connections of a client: a package of four modules

What bounds a connection, the pools of such connections, the bodies of answers and what the system knows of a socket stand apart now, behind the same public names; `has_arrived` is used inside only. Nothing else changed.

--- a/packages/ryelatch-node/src/ryelatch_node/connections.py
+++ b/packages/ryelatch-node/src/ryelatch_node/connections/_handler.py
@@ -1,14 +1,6 @@
-"""HTTP connections of a client that bound what the other side sends."""
+"""A connection that bounds what the other side sends."""
 
-import array
 import asyncio
-import contextlib
-import fcntl
-import functools
-import select
-import socket
-import struct
-import termios
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, TypeAlias
@@ -18,7 +10,8 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD
 
-from ryelatch_core.events import LineLog, Timeline, catalogue
+from ryelatch_node.connections._answers import EndlessAnswer
+from ryelatch_node.connections._sockets import discard_unconfirmed
 
 MAX_HEAD_BYTES = 65_536
 """Bytes until the head of an answer is complete, with interim answers."""
@@ -26,8 +19,6 @@
 MAX_FRAMING_BYTES = 16_384
 """Bytes in a row of an answer's framing, such as the size of a chunk."""
 
-_WITHOUT_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
-
 _HEAD_END = b'\r\n\r\n'
 _HEAD_SLICE_BYTES = 4096
 """Bytes that are parsed at once until the head of an answer is complete.
@@ -38,13 +29,6 @@
 _BODY_SLICE_BYTES = 16_384
 """Bytes of a body that are parsed at once; answers may follow its end."""
 
-_NO_LINGER = struct.pack('ii', 1, 0)
-"""Value of ``SO_LINGER`` with which a close resets the connection."""
-
-_ORDERLY = struct.pack('ii', 0, 0)
-"""Value of ``SO_LINGER`` with which a close ends the connection in order."""
-
-
 SurplusHook: TypeAlias = Callable[[str], None]
 """Handles that a program has sent what no request waits for.
 
@@ -52,34 +36,6 @@
 """
 
 
-def _take_head(data: bytes, start: int) -> bytes:
-    """Take what is parsed at once of a head, to its end at most.
-
-    An error behind an answer, parsed along with its head, would hide it.
-    """
-    piece = data[start : start + _HEAD_SLICE_BYTES]
-    head, end, _ = piece.partition(_HEAD_END)
-    return head + end
-
-
-def _take_body(data: bytes, start: int) -> bytes:
-    """Take what is parsed at once of a body."""
-    return data[start : start + _BODY_SLICE_BYTES]
-
-
-def make_surplus_hook(log: LineLog | Timeline) -> SurplusHook:
-    """Make a hook that records what no request waits for."""
-
-    def record(address: str) -> None:
-        log.record(catalogue.SURPLUS_RECEIVED, address=address)
-
-    return record
-
-
-class EndlessAnswer(aiohttp.ClientPayloadError):
-    """A part of an answer is longer than it may be."""
-
-
 class BoundedHandler(ResponseHandler):
     """A connection that is closed if a part of an answer has no end.
 
@@ -172,7 +128,7 @@
         connection for that of a body without a length.
         """
         self._fail_body()
-        if self.transport is not None and _discard_unconfirmed(self.transport):
+        if self.transport is not None and discard_unconfirmed(self.transport):
             self.abort()
         else:
             super().close()
@@ -240,123 +196,16 @@
             self.transport.abort()
 
 
-class BoundedConnector(aiohttp.TCPConnector):
-    """A pool of connections that bound what they receive.
-
-    :param on_surplus: called for each connection that is closed for what no
-        request waits for.
-    :param options: of the pool.
-    """
-
-    def __init__(self, on_surplus: SurplusHook, **options: Any) -> None:
-        super().__init__(**options)
-        # The library has no public way to set another protocol class.
-        self._factory = functools.partial(  # type: ignore[assignment]
-            BoundedHandler, loop=self._loop, on_surplus=on_surplus
-        )
-
-    async def _get(self, key: Any, traces: Any) -> Any:
-        """Choose a kept connection, but none on which anything has arrived.
-
-        That is its end, or what no request waits for.
-        """
-        for handler, _ in self._conns.get(key, ()):
-            if handler.is_connected() and not has_arrived(handler):
-                break
-            handler.close()
-        return await super()._get(key, traces)
-
-
-async def read_bounded(response: aiohttp.ClientResponse, size: int) -> bytes:
-    """Read a complete body.
-
-    :param size: bytes that it may have.
-    :raises EndlessAnswer: if it is longer; the connection is then closed.
-    """
-    pieces: list[bytes] = []
-    async for piece in response.content.iter_any():
-        pieces.append(piece)
-        size -= len(piece)
-        if size < 0:
-            response.close()
-            raise EndlessAnswer('body without end')
-    return b''.join(pieces)
-
-
-def has_framing(response: aiohttp.ClientResponse) -> bool:
-    """Whether an answer states where its body ends, or has no body.
-
-    Any other ends with its connection. So does a part of it if the process
-    that sends it is killed: its system closes the connection in order.
-    """
-    if response.method == 'HEAD' or response.status in _WITHOUT_BODY:
-        return True
-    coding = response.headers.get('Transfer-Encoding')
-    if coding is None:
-        return 'Content-Length' in response.headers
-    return coding.lower().rpartition(',')[2].strip() == 'chunked'
-
-
-def _discard_unconfirmed(transport: asyncio.BaseTransport) -> bool:
-    """Let the system discard what the other side has not confirmed yet.
-
-    It would deliver that before the close, seconds later if a link was cut
-    meanwhile: a request that was given up would still reach its upstream.
-
-    :returns: whether there is any; then the connection has to be aborted.
-    """
-    sock = transport.get_extra_info('socket')
-    if transport.is_closing() or not _count_unconfirmed(sock):
-        return False
-    set_reset_at_close(transport, resets=True)
-    return True
-
-
-def set_reset_at_close(
-    transport: asyncio.BaseTransport, *, resets: bool
-) -> None:
-    """Let the end of a connection be a reset, or an orderly end again.
-
-    The system acts on it also when it ends this process.
-    """
-    if transport.is_closing():
-        # The number of its socket may be that of another one soon.
-        return
-    sock = transport.get_extra_info('socket')
-    linger = _NO_LINGER if resets else _ORDERLY
-    # The other side may have reset the connection already.
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
-
-def _count_unconfirmed(sock: socket.socket) -> int:
-    """Count the bytes that a system holds for the other side."""
-    count = array.array('i', (0,))
-    fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
-    return count[0]
-
-
-def has_ended(transport: asyncio.BaseTransport) -> bool:
-    """Whether the other side of a connection has closed or reset it.
+def _take_head(data: bytes, start: int) -> bytes:
+    """Take what is parsed at once of a head, to its end at most.
 
-    A busy process reads that end only after what has arrived before it.
+    An error behind an answer, parsed along with its head, would hide it.
     """
-    if transport.is_closing():
-        return True
-    poll = select.poll()
-    poll.register(transport.get_extra_info('socket'), select.POLLRDHUP)
-    return bool(poll.poll(0))
-
+    piece = data[start : start + _HEAD_SLICE_BYTES]
+    head, end, _ = piece.partition(_HEAD_END)
+    return head + end
 
-def has_arrived(handler: ResponseHandler) -> bool:
-    """Whether anything that was not read yet has arrived on a connection.
 
-    On one without a request that is its end, or an answer that nobody waits
-    for. A busy process finds out only after it has sent the next request.
-    """
-    transport = handler.transport
-    if transport is None:
-        return True
-    poll = select.poll()
-    poll.register(transport.get_extra_info('socket'), select.POLLIN)
-    return bool(poll.poll(0))
+def _take_body(data: bytes, start: int) -> bytes:
+    """Take what is parsed at once of a body."""
+    return data[start : start + _BODY_SLICE_BYTES]
