Tests: many callers of a replica whose answers have no end

A replica that sends bytes without end was reported to take the memory of the node that had called it.

--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -31,12 +31,19 @@
 
 _TIMEOUT_MS = 800
 _SPOILED = 6
+_MANY_SPOILED = 200
+_MANY_KINDS = ('body', 'event', 'comments')
+"""Kinds of which a node holds most, as it passes them on."""
+
 _SOUND = 30
 _SOUND_PAUSE_SECONDS = 0.05
 _MIN_SERVED_RATIO = 0.9
 _MAX_GROWTH_KB = 65_536
 """Memory that a node may take for all answers that it holds back."""
 
+_MAX_MEMORY_KB = 300_000
+"""Memory of a node on its VM."""
+
 _CLIENT_SECONDS = 30
 _TRICKLE_SECONDS = 0.05
 _MAX_KEPT_FILES = 4
@@ -83,7 +90,7 @@
         'service': service,
         'addr': address,
         'zone': 'zone-a',
-        'slots': 8,
+        'slots': _MANY_SPOILED,
         'state': 'ready',
         'seq': 1,
         'version': 'v1',
@@ -158,6 +165,29 @@
         assert running.node.read_peak() - before < _MAX_GROWTH_KB
 
 
+@pytest.mark.crowd
+@pytest.mark.parametrize(('path', 'service'), _ROUTES)
+@pytest.mark.parametrize('kind', _MANY_KINDS)
+async def test_many_answers_without_end_stop_no_node(
+    kind: str, path: str, service: str, tmp_path: Path
+) -> None:
+    """One replica sends to many callers until their node has no memory."""
+    async with _run(tmp_path, kind, service) as running:
+        assert await running.ask('/ping/x', 'r-first') == 200
+        spoiled = [
+            asyncio.create_task(running.ask(path, f's-{number}'))
+            for number in range(_MANY_SPOILED)
+        ]
+        sound = [
+            await running.ask('/ping/x', f'r-{number}')
+            for number in range(_SOUND)
+        ]
+        assert sound.count(200) >= _SOUND * _MIN_SERVED_RATIO
+        assert 200 not in await asyncio.gather(*spoiled)
+        assert running.node.read_peak() < _MAX_MEMORY_KB
+        assert await running.ask('/ping/x', 'r-last') == 200
+
+
 @pytest.mark.parametrize(('path', 'service'), _ROUTES)
 @pytest.mark.parametrize('kind', KINDS)
 async def test_trickle_holds_no_connection(
