A route is looked up by prefixes no longer than the routes'

Cause: the look-up of a route copied and hashed each prefix of the path that ends with a slash, 128 MB for such a path, before the key is looked at.

The search now begins at the length of the host's longest route, which is kept in the table.

--- a/packages/ryelatch-core/src/ryelatch_core/routing/_table.py
+++ b/packages/ryelatch-core/src/ryelatch_core/routing/_table.py
@@ -12,26 +12,30 @@
     """A configuration, indexed for the look-ups of each request.
 
     :param routes: routes by host name in lower case, then by path prefix.
+    :param longest: bytes of the longest path prefix, by host name.
     :param accounts: client accounts by key.
     """
 
     configuration: Configuration
     routes: Mapping[str, Mapping[str, Route]]
+    longest: Mapping[str, int]
     accounts: Mapping[str, Account]
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Find the route of a host with the longest matching path prefix.
 
-        Each prefix of the path is looked up in turn, so the cost depends on
-        the depth of the path and not on the number of routes, which can grow
-        by hundreds at once.
+        Each prefix of the path is looked up in turn, none longer than those
+        of the routes: a client may send a path of nothing but slashes. So the
+        cost doesn't depend on the number of routes, which can grow by hundreds
+        at once.
 
         :param host: host of the request; a port is ignored.
         """
-        routes = self.routes.get(host.partition(':')[0].lower())
+        name = host.partition(':')[0].lower()
+        routes = self.routes.get(name)
         if routes is None:
             return None
-        end = path.rfind('/')
+        end = path.rfind('/', 0, self.longest[name])
         while end >= 0:
             route = routes.get(path[: end + 1])
             if route is not None:
@@ -49,12 +53,13 @@
     routes: dict[str, dict[str, Route]] = defaultdict(dict)
     for route in configuration.routes:
         routes[route.host.lower()][route.prefix] = route
+    longest = {host: max(map(len, found)) for host, found in routes.items()}
     accounts = {
         key: account
         for account in configuration.accounts
         for key in account.keys
     }
-    return RoutingTable(configuration, routes, accounts)
+    return RoutingTable(configuration, routes, longest, accounts)
 
 
 def choose_service(route: Route, sample: float) -> str:
--- a/tests/core/routing/test_table.py
+++ b/tests/core/routing/test_table.py
@@ -1,6 +1,10 @@
 """Look-ups of the route, account and service of a request."""
 
 from collections import Counter
+from collections.abc import Mapping
+from dataclasses import replace
+
+import pytest
 
 from ryelatch_core.routing import (
     Account,
@@ -45,6 +49,32 @@
     assert table.find_route('nobody.example', '/a/') is None
 
 
+class _CountedRoutes(dict[str, Route]):
+    """Counts the bytes of the prefixes that are looked up."""
+
+    def __init__(self, routes: Mapping[str, Route]) -> None:
+        super().__init__(routes)
+        self.looked_up = 0
+
+    def get(self, prefix: str, default: Route | None = None) -> Route | None:  # type: ignore[override]
+        """Look up a prefix."""
+        self.looked_up += len(prefix)
+        return super().get(prefix, default)
+
+
+@pytest.mark.parametrize('slashes', [16_000, 32_000])
+@pytest.mark.parametrize('start', ['/x', '/a/b/'])
+def test_paths_of_slashes_cost_no_more(start: str, slashes: int) -> None:
+    """A few clients that send such paths keep a node from all others."""
+    routes = (_make_route('/a/'), _make_route('/a/b/'))
+    table = build_table(Configuration(1, routes))
+    counted = _CountedRoutes(table.routes['city.example'])
+    table = replace(table, routes={'city.example': counted})
+    found = table.find_route('city.example', start + '/' * slashes)
+    assert found is table.find_route('city.example', start)
+    assert counted.looked_up <= sum(range(len('/a/b/') + 1))
+
+
 def test_keys_lead_to_accounts() -> None:
     accounts = (Account('small', ('k1', 'k2')), Account('large', ('k3',)))
     table = build_table(Configuration(1, accounts=accounts))
